--- /dev/null
+++ b/internal/contr/control.go
@@ -0,0 +1,258 @@
+package contr
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/platf"
+	"amaranthvalve/internal/stage"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/oplog"
+)
+
+const (
+	// eventRoom is the length of the control thread's channel.
+	eventRoom = 1024
+	// tickEvery is the time between two steps of the controllers.
+	tickEvery = 50 * time.Millisecond
+)
+
+// Setup is what a control thread is made of.
+type Setup struct {
+	Self         ident.Incarnation
+	Zone         string
+	CallerAddr   string
+	Peers        []string
+	Fresh        clock.Milli
+	LogRetention clock.Milli
+	Clock        clock.Clock
+	Platform     *platf.Client
+	Runner       *stage.Runner
+	Meter        *meter.Meter
+	Log          zerolog.Logger
+	// Link is nil for an instance that stands alone.
+	Link *peer.Link
+}
+
+// Control owns the control state of an instance.
+type Control struct {
+	set    Setup
+	events chan func(now clock.Milli)
+	view   atomic.Pointer[View]
+	work   sync.WaitGroup
+	ctx    context.Context
+	load   atomic.Int64
+	// demands is what the other instances see of each workspace.
+	demands atomic.Pointer[map[ident.Incarnation]map[string]float64]
+
+	members membersCtl
+	docs    docsCtl
+	endpts  endptsCtl
+	claims  claimsCtl
+	leases  leasesCtl
+	leaving bool
+	// startedAt is the instant of the control thread's start.
+	startedAt clock.Milli
+	stopping  atomic.Bool
+}
+
+// View is what traffic sees of the control state. It is never changed.
+type View struct {
+	docs    map[string]oplog.Held
+	members []member.Member
+	applied int64
+	ready   bool
+	why     string
+}
+
+// Doc gives a service's document in force.
+func (vw *View) Doc(service string) (oplog.Held, bool) {
+	hld, ok := vw.docs[service]
+	return hld, ok
+}
+
+// Docs gives all documents in force.
+func (vw *View) Docs() map[string]oplog.Held { return vw.docs }
+
+// Members gives the instances that are not dead.
+func (vw *View) Members() []member.Member { return vw.members }
+
+// Applied gives the offset that the documents are of.
+func (vw *View) Applied() int64 { return vw.applied }
+
+// Ready tells whether new work may be taken, and why not.
+func (vw *View) Ready() (ready bool, why string) { return vw.ready, vw.why }
+
+// New returns a control thread that has not started.
+func New(set Setup) *Control {
+	ctl := &Control{set: set, events: make(chan func(clock.Milli), eventRoom)}
+	now := set.Clock.Now()
+	ctl.startedAt = now
+	ctl.members = membersCtl{ctl: ctl, list: member.New(set.Self, set.Zone, set.CallerAddr, now)}
+	ctl.docs = docsCtl{ctl: ctl}
+	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}}
+	ctl.claims = claimsCtl{ctl: ctl, waiting: map[string][]*asking{}, abandoned: map[string]clock.Milli{}, answers: map[string]string{}}
+	ctl.leases = leasesCtl{ctl: ctl}
+	ctl.view.Store(&View{why: "starting"})
+	return ctl
+}
+
+// SetLink gives the link to the other instances; before Run only.
+func (ctl *Control) SetLink(lnk *peer.Link) { ctl.set.Link = lnk }
+
+// View gives the present view.
+func (ctl *Control) View() *View { return ctl.view.Load() }
+
+// Self gives the instance's identity.
+func (ctl *Control) Self() ident.Incarnation { return ctl.set.Self }
+
+// SetLoad notes how many requests are under way, for the other instances.
+func (ctl *Control) SetLoad(n int64) { ctl.load.Store(n) }
+
+// Run owns the state until the context ends, then waits for its workers.
+func (ctl *Control) Run(ctx context.Context) {
+	ctl.ctx = ctx
+	ctl.claims.app = newAppender(ctl, platf.StreamClaims)
+	ctl.docs.app = newAppender(ctl, platf.StreamDocs)
+	ctl.leases.app = newAppender(ctl, platf.StreamLeases)
+	ctl.goDo(ctl.docs.tail)
+	ctl.goDo(ctl.claims.tail)
+	ctl.goDo(ctl.leases.tail)
+	ctl.goDo(ctl.endpts.watchList)
+	ctl.goDo(ctl.endpts.askLoads)
+	tkr := time.NewTicker(tickEvery)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			ctl.work.Wait()
+			return
+		case event := <-ctl.events:
+			event(ctl.set.Clock.Now())
+		case <-tkr.C:
+			ctl.step(ctl.set.Clock.Now())
+		}
+		ctl.publish(ctl.set.Clock.Now())
+	}
+}
+
+// step lets each controller act, in the fixed order.
+func (ctl *Control) step(now clock.Milli) {
+	ctl.members.step(now)
+	ctl.docs.step(now)
+	ctl.endpts.step(now)
+	ctl.claims.step(now)
+	ctl.leases.step(now)
+	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(len(ctl.events)))
+}
+
+// goDo starts a worker that is waited for at the end.
+func (ctl *Control) goDo(work func(ctx context.Context)) {
+	ctl.work.Add(1)
+	go func() {
+		defer ctl.work.Done()
+		work(ctl.ctx)
+	}()
+}
+
+// Do runs an event on the control thread and waits for it. It gives false if
+// the context ended first; the event may then run later or never.
+func (ctl *Control) Do(ctx context.Context, event func(now clock.Milli)) bool {
+	done := make(chan struct{})
+	select {
+	case ctl.events <- func(now clock.Milli) { event(now); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// offer hands an event over without waiting. When the channel is full it is
+// dropped and counted: what is offered is learned again in a moment.
+func (ctl *Control) offer(event func(now clock.Milli)) {
+	select {
+	case ctl.events <- event:
+	default:
+		ctl.set.Meter.Event(meter.EventDropped)
+	}
+}
+
+// Left is told by traffic that an endpoint said it is leaving.
+func (ctl *Control) Left(pool, id string) {
+	ctl.offer(func(now clock.Milli) { ctl.endpts.heardLeaving(pool+"/"+id, now) })
+}
+
+// Leave starts a planned stop: the instance tells the others that it is leaving
+// and is no longer named to callers. It goes on serving.
+func (ctl *Control) Leave(ctx context.Context) {
+	ctl.Do(ctx, func(now clock.Milli) {
+		ctl.leaving = true
+		ctl.members.step(now)
+	})
+}
+
+// Refuse makes the instance refuse new work from now on.
+func (ctl *Control) Refuse() { ctl.stopping.Store(true) }
+
+// Stopping tells whether new work is refused because of a planned stop.
+func (ctl *Control) Stopping() bool { return ctl.stopping.Load() }
+
+// Alive tells whether the control thread takes events.
+func (ctl *Control) Alive(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	return ctl.Do(ctx, func(clock.Milli) {})
+}
+
+// Flush waits until what was to be appended is in the log, or the context ends.
+func (ctl *Control) Flush(ctx context.Context) {
+	for !ctl.claims.app.empty() || !ctl.docs.app.empty() {
+		if !pause(ctx, tickEvery) {
+			return
+		}
+	}
+}
+
+// publish makes a new view if anything that it shows has changed.
+func (ctl *Control) publish(now clock.Milli) {
+	ready, why := ctl.docs.fresh(now)
+	old := ctl.view.Load()
+	if old.ready == ready && old.why == why && !ctl.docs.changed && !ctl.members.changed {
+		return
+	}
+	vw := &View{docs: old.docs, members: old.members, applied: ctl.docs.reg.Applied(), ready: ready, why: why}
+	if ctl.docs.changed || vw.docs == nil {
+		vw.docs = ctl.docs.reg.All()
+	}
+	if ctl.members.changed || vw.members == nil {
+		vw.members = ctl.members.list.All()
+	}
+	if old.ready != ready {
+		ctl.set.Log.Info().Bool("ready", ready).Str("why", why).Msg("readiness changed")
+	}
+	ctl.docs.changed, ctl.members.changed = false, false
+	ctl.view.Store(vw)
+	ctl.set.Meter.Set(meter.GaugeApplied, float64(vw.applied))
+	ctl.set.Meter.Set(meter.GaugeMembers, float64(len(vw.members)))
+	ctl.set.Meter.Set(meter.GaugeReady, gauge(ready))
+}
+
+func gauge(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/contr/docs.go
@@ -0,0 +1,220 @@
+package contr
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/platf"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/oplog"
+)
+
+const (
+	// snapshotShare of the log's retention is the age at which documents are
+	// appended again; the instances take turns a rankStep apart.
+	snapshotShare = 4
+	rankStep      = 5 * clock.Second
+	// statePeers is how many peers are asked for their state at a time.
+	statePeers   = 3
+	stateWait    = 2 * time.Second
+	stateRepeat  = 500 * clock.Milli(1)
+	snapshotLife = clock.Minute
+)
+
+// docsCtl keeps the service documents.
+type docsCtl struct {
+	ctl     *Control
+	reg     oplog.Registry
+	app     *appender
+	changed bool
+	// logAsOf is the last instant at which the log's end was known to be
+	// applied, zero if never; known tells that the state is that of some offset
+	// which was current once.
+	logAsOf  clock.Milli
+	known    bool
+	asking   bool
+	askedAt  clock.Milli
+	snapshot clock.Milli
+}
+
+func (dct *docsCtl) tail(ctx context.Context) {
+	dct.ctl.tail(ctx, follower{
+		stream: platf.StreamDocs,
+		next:   dct.reg.Next,
+		apply: func(recs []oplog.Record, _ clock.Milli) {
+			before := dct.reg.Applied()
+			decided, _ := dct.reg.Apply(recs)
+			dct.changed = dct.changed || dct.reg.Applied() != before
+			for _, dec := range decided {
+				dct.ctl.set.Log.Info().Str("service", dec.Service()).Int64("offset", dec.Offset()).
+					Str("verdict", dec.Verdict().String()).Msg("document offered")
+			}
+		},
+		restart: dct.reg.Restart,
+		caught: func(asOf clock.Milli) {
+			if dct.reg.Ready() {
+				dct.known = true
+				dct.logAsOf = max(dct.logAsOf, asOf)
+			}
+		},
+	})
+}
+
+func (dct *docsCtl) step(now clock.Milli) {
+	dct.ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-dct.logAsOf))
+	dct.askPeers(now)
+	dct.takeSnapshot(now)
+}
+
+// fresh tells whether the documents may be taken to be in force: the log said
+// so within the bound, or most of the instances are in touch with one another
+// and none has applied more than we have.
+//
+// Why most of them: while the log is out for all, no document is accepted and
+// those who vouch for each other go on. But an instance that is cut off from
+// the log together with a few others must not be vouched for by them, for the
+// rest may have accepted a newer document; a publisher counts on such a group
+// refusing after the bound. Two groups can't both be most.
+func (dct *docsCtl) fresh(now clock.Milli) (ready bool, why string) {
+	bound := dct.ctl.set.Fresh
+	if !dct.known {
+		return false, "no document state is known yet"
+	}
+	if now-dct.logAsOf <= bound {
+		return true, ""
+	}
+	heard, all := dct.ctl.members.list.Heard(bound, now)
+	if 2*heard <= all {
+		return false, "neither the log nor most of the instances can be reached"
+	}
+	if ahead, ok := dct.mostApplied(); ok && ahead.Applied() > dct.reg.Applied() {
+		return false, "another instance has newer documents"
+	}
+	return true, ""
+}
+
+func (dct *docsCtl) mostApplied() (member.Member, bool) {
+	var best member.Member
+	found := false
+	for _, mbr := range dct.ctl.members.list.All() {
+		if mbr.Who() != dct.ctl.set.Self && (!found || mbr.Applied() > best.Applied()) {
+			best, found = mbr, true
+		}
+	}
+	return best, found
+}
+
+// askPeers fetches the state of others while the log gives none: by an instance
+// that is new during an outage, or one that is behind.
+func (dct *docsCtl) askPeers(now clock.Milli) {
+	silent := now-dct.logAsOf > stateRepeat+clock.Second
+	if dct.ctl.set.Link == nil || dct.asking || !silent || now-dct.askedAt < stateRepeat {
+		return
+	}
+	ahead, ok := dct.mostApplied()
+	behind := ok && ahead.Applied() > dct.reg.Applied()
+	if dct.known && !behind {
+		return
+	}
+	var addrs []string
+	for _, mbr := range dct.ctl.members.list.All() {
+		if mbr.Who() != dct.ctl.set.Self && mbr.Applied() >= ahead.Applied() && len(addrs) < statePeers {
+			addrs = append(addrs, mbr.Who().Addr())
+		}
+	}
+	if len(addrs) == 0 {
+		addrs = dct.ctl.set.Peers[:min(len(dct.ctl.set.Peers), statePeers)]
+	}
+	dct.asking, dct.askedAt = true, now
+	dct.ctl.goDo(func(ctx context.Context) { dct.fetch(ctx, addrs) })
+}
+
+func (dct *docsCtl) fetch(ctx context.Context, addrs []string) {
+	var best oplog.State
+	found := false
+	for _, addr := range addrs {
+		if st, ok := dct.fetchFrom(ctx, addr); ok && (!found || st.Applied > best.Applied) {
+			best, found = st, true
+		}
+	}
+	dct.ctl.Do(ctx, func(clock.Milli) {
+		dct.asking = false
+		if !found {
+			return
+		}
+		if dct.reg.Load(best) {
+			dct.changed = true
+			dct.ctl.set.Meter.Event(meter.EventStateTaken)
+		}
+		dct.known = dct.reg.Ready()
+	})
+}
+
+func (dct *docsCtl) fetchFrom(ctx context.Context, addr string) (oplog.State, bool) {
+	ctx, cancel := context.WithTimeout(ctx, stateWait)
+	defer cancel()
+	ans, err := dct.ctl.set.Link.Ask(ctx, addr, peer.Message{Kind: peer.StateWanted, From: dct.ctl.set.Self})
+	var st oplog.State
+	if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &st) != nil {
+		return oplog.State{}, false
+	}
+	return st, true
+}
+
+// stateFor answers a peer that asks for the state. A state that was never
+// known to be current is not handed on: two new instances would otherwise take
+// each other's emptiness for the truth.
+func (dct *docsCtl) stateFor() ([]byte, bool) {
+	st, ok := dct.reg.State()
+	if !ok || !dct.known {
+		return nil, false
+	}
+	body, err := cbor.Marshal(st)
+	return body, err == nil
+}
+
+// takeSnapshot appends documents again well before the log forgets them. The
+// instances take turns by rank, so that normally one does it; two doing it
+// write the same and do no harm.
+func (dct *docsCtl) takeSnapshot(now clock.Milli) {
+	if !dct.known || now-dct.logAsOf > clock.Second*2 || now < dct.snapshot {
+		return
+	}
+	rank := clock.Milli(0)
+	for _, mbr := range dct.ctl.members.list.All() {
+		if mbr.Who() < dct.ctl.set.Self {
+			rank++
+		}
+	}
+	age := dct.ctl.set.LogRetention / snapshotShare
+	ents := dct.reg.Snapshot(now - age - rank*rankStep)
+	if len(ents) == 0 {
+		return
+	}
+	dct.snapshot = now + snapshotLife
+	for _, ent := range ents {
+		dct.app.add(appending{body: ent.Encode(), until: now + snapshotLife})
+	}
+	dct.ctl.set.Log.Info().Int("records", len(ents)).Msg("appended documents again")
+}
+
+// offer appends an offer and goes on until the deadline.
+func (dct *docsCtl) offer(ent oplog.Entry, until clock.Milli) bool {
+	return dct.app.add(appending{body: json.RawMessage(ent.Encode()), until: until, drop: nil})
+}
+
+// behind lists the instances that may still go by documents older than an
+// offset: live ones that have not reported it, and ones taken for dead which
+// may not have noticed yet. An instance without word of the log or of most
+// others refuses new work after the freshness bound, so that one not heard for
+// longer is out of force whatever it holds.
+func (dct *docsCtl) behind(offset int64, now clock.Milli) []ident.Incarnation {
+	return dct.ctl.members.list.Behind(offset, dct.ctl.set.Fresh+member.Period, now)
+}
--- /dev/null
+++ b/internal/contr/status.go
@@ -0,0 +1,96 @@
+package contr
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/limit"
+	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/route"
+)
+
+func (ctl *Control) endpointStatus() []wire.StatusEndpoint {
+	list := []wire.StatusEndpoint{}
+	for pool, sts := range ctl.set.Runner.Standings() {
+		for _, std := range sts {
+			state := "well"
+			switch {
+			case std.Leaving:
+				state = "leaving"
+			case std.Benched:
+				state = "benched"
+			}
+			list = append(list, wire.StatusEndpoint{
+				Pool: pool, ID: std.ID, Addr: std.Addr, InFlight: std.InFlight, Limit: std.Limit, Latency: std.Latency, State: state,
+			})
+		}
+	}
+	return list
+}
+
+func sortStatus(st *wire.Status) {
+	sort.Slice(st.Services, func(i, j int) bool { return st.Services[i].Service < st.Services[j].Service })
+	sort.Slice(st.Leases, func(i, j int) bool { return st.Leases[i].Name < st.Leases[j].Name })
+	sort.Slice(st.Endpoints, func(i, j int) bool {
+		if st.Endpoints[i].Pool != st.Endpoints[j].Pool {
+			return st.Endpoints[i].Pool < st.Endpoints[j].Pool
+		}
+		return st.Endpoints[i].ID < st.Endpoints[j].ID
+	})
+}
+
+// Entries answers "which address": the instances that take work, best first.
+func (ctl *Control) Entries(zone string, rng *rand.Rand) []wire.Entry {
+	var cands []route.Entry
+	for _, mbr := range ctl.View().Members() {
+		if mbr.Status() == member.Alive {
+			cands = append(cands, route.Entry{Addr: mbr.Caller(), Zone: mbr.Zone(), Load: mbr.Load()})
+		}
+	}
+	list := []wire.Entry{}
+	for _, ent := range route.Entries(cands, zone, rng) {
+		list = append(list, wire.Entry{Addr: ent.Addr, Zone: ent.Zone})
+	}
+	return list
+}
+
+// SetRates gives the control thread a way to learn this instance's requests a
+// second by workspace; before Run only.
+func (ctl *Control) SetRates(rates func() map[string]float64) { ctl.endpts.rates = rates }
+
+// Others gives the other live instances' requests a second for a workspace, for
+// the division of its rate. It reads a copy made with each probe.
+func (ctl *Control) Others(workspace string) []float64 {
+	table := ctl.demands.Load()
+	if table == nil {
+		return nil
+	}
+	list := make([]float64, 0, len(*table))
+	for _, rates := range *table {
+		list = append(list, rates[workspace])
+	}
+	return list
+}
+
+// Part gives this instance's part of a workspace's rate.
+func (ctl *Control) Part(workspace string, rate, own float64) float64 {
+	return limit.Part(rate, own, ctl.Others(workspace))
+}
+
+// keepDemands publishes a copy of the live members' demands for traffic.
+func (mct *membersCtl) keepDemands() {
+	table := map[ident.Incarnation]map[string]float64{}
+	for _, mbr := range mct.list.All() {
+		if mbr.Who() != mct.ctl.set.Self {
+			table[mbr.Who()] = mct.demand[mbr.Who()]
+		}
+	}
+	for who := range mct.demand {
+		if _, ok := table[who]; !ok {
+			delete(mct.demand, who)
+		}
+	}
+	mct.ctl.demands.Store(&table)
+}
--- /dev/null
+++ b/internal/engin/engin.go
@@ -0,0 +1,268 @@
+// Package engin speaks to endpoints: it runs a stage once, reads an engine's
+// stream, gives orders and asks for reports.
+//
+// It never tries anything twice. What it adds to the bare call is a truthful
+// [Ending]: whether it is proved that nothing was sent, or that nothing ran, or
+// whether the work may have run without an answer. Retries are decided by
+// package stage from the ending and the document.
+package engin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"amaranthvalve/internal/platf"
+	"amaranthvalve/internal/wire"
+)
+
+//go:generate go tool stringer -type=Ending -linecomment -output=ending_string.go
+
+// Ending is how a call to an endpoint ended.
+type Ending int
+
+// The endings.
+const (
+	// Answered: the whole answer to this attempt came.
+	Answered Ending = iota // answered
+	// NothingSent: no connection was had, so no byte was written.
+	NothingSent // nothing_sent
+	// Refused: the endpoint gave its word that nothing ran.
+	Refused // refused
+	// Errored: the endpoint answered with an error; it may have run.
+	Errored // errored
+	// Cut: the connection ended before the whole answer; it may have run.
+	Cut // cut
+	// Foreign: the answer belonged to another attempt; ours may have run.
+	Foreign // foreign
+	// GaveUp: our own context ended; it may have run.
+	GaveUp // gave_up
+)
+
+// RanNothing tells whether it is proved that nothing ran.
+func (end Ending) RanNothing() bool { return end == NothingSent || end == Refused }
+
+// maxAnswer bounds an endpoint's answer, in bytes.
+const maxAnswer = 8 << 20
+
+// Client speaks to endpoints.
+type Client struct {
+	svc httpc.Service
+}
+
+// New returns a client.
+func New() *Client { return &Client{svc: platf.Service("endpoint")} }
+
+// Report is what an endpoint said of itself along with an answer.
+type Report struct {
+	load    int
+	hasLoad bool
+	leaving bool
+}
+
+// Load gives the requests queued or running there, if it was said.
+func (rep Report) Load() (int, bool) { return rep.load, rep.hasLoad }
+
+// Leaving tells whether the endpoint said that it is leaving.
+func (rep Report) Leaving() bool { return rep.leaving }
+
+func readReport(res *http.Response) Report {
+	load, err := strconv.Atoi(res.Header.Get(wire.HeaderLoad))
+	return Report{load: load, hasLoad: err == nil, leaving: res.Header.Get(wire.HeaderLeaving) != ""}
+}
+
+// Run runs a stage once at the endpoint at addr.
+func (cli *Client) Run(ctx context.Context, addr string, run wire.Run) (wire.Ran, Report, Ending) {
+	res, end := cli.post(ctx, addr, "/v1/run", run)
+	if res == nil {
+		return wire.Ran{}, Report{}, end
+	}
+	defer func() { _ = res.Body.Close() }()
+	rep := readReport(res)
+	if end != Answered {
+		return wire.Ran{}, rep, end
+	}
+	var ran wire.Ran
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil || json.Unmarshal(text, &ran) != nil {
+		return wire.Ran{}, rep, cutOr(ctx)
+	}
+	// A late answer of an abandoned attempt, or one meant for another caller,
+	// must never be matched to this request: a conflict check would answer
+	// somebody else's booking.
+	if ran.Attempt != run.Attempt {
+		return wire.Ran{}, rep, Foreign
+	}
+	return ran, rep, Answered
+}
+
+// Generate starts a generation and hands each token to take, in order and
+// without a gap from run.From. It gives the index after the last token handed
+// on. Only a closing event with the right count makes the ending Answered.
+func (cli *Client) Generate(ctx context.Context, addr string, run wire.Run, take func(wire.Token) error) (int, wire.End, Report, Ending) {
+	res, end := cli.post(ctx, addr, "/v1/generate", run)
+	return readStream(ctx, res, end, run.Attempt, run.From, take)
+}
+
+// Resume takes up an engine's stream at an index.
+func (cli *Client) Resume(ctx context.Context, addr, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, Ending) {
+	path := "/v1/streams/" + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
+	res, end := cli.do(ctx, http.MethodGet, addr, path, nil, attempt)
+	return readStream(ctx, res, end, attempt, from, take)
+}
+
+// Cancel frees an engine of a stream that nobody waits for.
+func (cli *Client) Cancel(ctx context.Context, addr, attempt string) {
+	res, _ := cli.do(ctx, http.MethodDelete, addr, "/v1/streams/"+url.PathEscape(attempt), nil, attempt)
+	if res != nil {
+		_ = res.Body.Close()
+	}
+}
+
+// Load asks an endpoint for its report.
+func (cli *Client) Load(ctx context.Context, addr string) (wire.Load, bool) {
+	res, end := cli.do(ctx, http.MethodGet, addr, "/v1/load", nil, "")
+	if res == nil {
+		return wire.Load{}, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	var rep wire.Load
+	ok := end == Answered && json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(&rep) == nil
+	return rep, ok
+}
+
+// Order gives an endpoint an order. Refused tells that the fencing number was
+// old.
+func (cli *Client) Order(ctx context.Context, addr string, ord wire.Order) Ending {
+	res, end := cli.post(ctx, addr, "/v1/orders", ord)
+	if res == nil {
+		return end
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode == http.StatusConflict {
+		return Refused
+	}
+	return end
+}
+
+func (cli *Client) post(ctx context.Context, addr, path string, body any) (*http.Response, Ending) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, NothingSent
+	}
+	attempt := ""
+	if run, ok := body.(wire.Run); ok {
+		attempt = run.Attempt
+	}
+	return cli.do(ctx, http.MethodPost, addr, path, text, attempt)
+}
+
+func (cli *Client) do(ctx context.Context, method, addr, path string, body []byte, attempt string) (*http.Response, Ending) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	var rdr io.Reader
+	if body != nil {
+		rdr = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(traced, method, "http://"+addr+path, rdr)
+	if err != nil {
+		return nil, NothingSent
+	}
+	// Without GetBody the transport can't send the body a second time.
+	req.GetBody = nil
+	if attempt != "" {
+		req.Header.Set(wire.HeaderAttempt, attempt)
+	}
+	res, err := cli.svc.DoRequest(req)
+	if err != nil {
+		return nil, endingOf(ctx, err, connected.Load())
+	}
+	return res, endingOfStatus(res)
+}
+
+func endingOf(ctx context.Context, err error, connected bool) Ending {
+	switch {
+	case !connected || errors.Is(err, breaker.ErrServiceUnavailable):
+		return NothingSent
+	default:
+		return cutOr(ctx)
+	}
+}
+
+func cutOr(ctx context.Context) Ending {
+	if ctx.Err() != nil {
+		return GaveUp
+	}
+	return Cut
+}
+
+func endingOfStatus(res *http.Response) Ending {
+	switch {
+	case res.StatusCode == http.StatusOK:
+		return Answered
+	case res.Header.Get(wire.HeaderRan) == wire.RanNo:
+		return Refused
+	}
+	return Errored
+}
+
+func readStream(ctx context.Context, res *http.Response, end Ending, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, Ending) {
+	if res == nil {
+		return from, wire.End{}, Report{}, end
+	}
+	defer func() { _ = res.Body.Close() }()
+	rep := readReport(res)
+	if end != Answered {
+		return from, wire.End{}, rep, end
+	}
+	next, last, end := readTokens(ctx, wire.NewEventReader(res.Body), attempt, from, take)
+	return next, last, rep, end
+}
+
+func readTokens(ctx context.Context, erd *wire.EventReader, attempt string, from int, take func(wire.Token) error) (int, wire.End, Ending) {
+	for {
+		name, data, err := erd.Next()
+		if err != nil {
+			return from, wire.End{}, cutOr(ctx)
+		}
+		switch name {
+		case wire.EventToken:
+			var tok wire.Token
+			if json.Unmarshal(data, &tok) != nil || tok.Attempt != attempt {
+				return from, wire.End{}, Foreign
+			}
+			if tok.Index < from {
+				continue
+			}
+			if tok.Index > from {
+				return from, wire.End{}, Cut
+			}
+			if take(tok) != nil {
+				return from, wire.End{}, GaveUp
+			}
+			from++
+		case wire.EventEnd:
+			var last wire.End
+			if json.Unmarshal(data, &last) != nil || last.Attempt != attempt {
+				return from, wire.End{}, Foreign
+			}
+			// A stream that closes early is a cut one, whatever it says.
+			if last.Count != from {
+				return from, wire.End{}, Cut
+			}
+			return from, last, Answered
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/ops.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"golang.org/x/time/rate"
+
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/outcm"
+	"amaranthvalve/pkg/svcdoc"
+)
+
+// linesPerSecond bounds the log lines a second for one reason of refusal.
+const linesPerSecond = 5
+
+func (nod *Node) opsRoutes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/docs/:service", Handler: nod.showDoc},
+		{Method: http.MethodGet, Path: "/v1/docs/:service/history", Handler: nod.showHistory},
+		{Method: http.MethodPost, Path: "/v1/docs/:service", Handler: nod.publish},
+		{Method: http.MethodGet, Path: "/v1/status", Handler: nod.showStatus},
+		{Method: http.MethodGet, Path: "/v1/entries", Handler: nod.entries},
+		{Method: http.MethodGet, Path: "/v1/health", Handler: nod.health},
+		{Method: http.MethodGet, Path: "/v1/ready", Handler: nod.ready},
+		{Method: http.MethodGet, Path: "/metrics", Handler: nod.mtr.Handler().ServeHTTP},
+	}
+}
+
+func (nod *Node) showDoc(wrt http.ResponseWriter, req *http.Request) {
+	service := pathvar.Vars(req)["service"]
+	hld, ok := nod.ctl.View().Doc(service)
+	if !ok {
+		wire.WriteJSON(wrt, http.StatusNotFound, wire.Fail{Error: "no document names a service " + service})
+		return
+	}
+	wire.WriteJSON(wrt, http.StatusOK, wire.Document{Service: service, Revision: hld.Revision(), Text: hld.Text()})
+}
+
+func (nod *Node) showHistory(wrt http.ResponseWriter, req *http.Request) {
+	wire.WriteJSON(wrt, http.StatusOK, nod.ctl.History(req.Context(), pathvar.Vars(req)["service"]))
+}
+
+func (nod *Node) publish(wrt http.ResponseWriter, req *http.Request) {
+	var pub wire.Publish
+	if err := wire.ReadJSON(req.Body, 2*svcdoc.MaxBytes, &pub); err != nil {
+		wire.WriteJSON(wrt, http.StatusBadRequest, wire.Fail{Error: err.Error()})
+		return
+	}
+	if pub.ID == "" || pub.Base < 0 {
+		wire.WriteJSON(wrt, http.StatusBadRequest, wire.Fail{Error: "id: an offer needs an id; base: a revision is not below 0"})
+		return
+	}
+	wire.WriteJSON(wrt, http.StatusOK, nod.ctl.Publish(req.Context(), pathvar.Vars(req)["service"], pub))
+}
+
+func (nod *Node) showStatus(wrt http.ResponseWriter, req *http.Request) {
+	wire.WriteJSON(wrt, http.StatusOK, nod.ctl.Status(req.Context()))
+}
+
+// health says that the process works: its control thread takes events.
+func (nod *Node) health(wrt http.ResponseWriter, req *http.Request) {
+	if !nod.ctl.Alive(req.Context()) {
+		wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: "the control thread does not answer"})
+		return
+	}
+	wire.WriteJSON(wrt, http.StatusOK, wire.Fail{})
+}
+
+// ready says whether new work is taken.
+func (nod *Node) ready(wrt http.ResponseWriter, _ *http.Request) {
+	ready, why := nod.ctl.View().Ready()
+	if nod.ctl.Stopping() {
+		ready, why = false, outcm.Stopping.String()
+	}
+	if !ready {
+		wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: why})
+		return
+	}
+	wire.WriteJSON(wrt, http.StatusOK, wire.Fail{})
+}
+
+// quiet gives a log event that is written only so often for one reason: the
+// same fault a thousand times a second must not fill the log.
+func (nod *Node) quiet(rs outcm.Reason) *zerolog.Event {
+	lim, _ := nod.lines.LoadOrStore(rs, rate.NewLimiter(linesPerSecond, linesPerSecond))
+	if !lim.(*rate.Limiter).Allow() {
+		return nil
+	}
+	return nod.log.Warn()
+}
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+
+	"amaranthvalve/internal/wire"
+)
+
+// foreverWait keeps go-zero's signal handler from ending the process: on
+// SIGTERM it sleeps for this long before it would.
+const foreverWait = 1000 * time.Hour
+
+// newRouter builds go-zero's router without its middlewares: each of them can
+// refuse a request (by load, breaker, time or size) in words of its own, and
+// one buffers answers, so that a stream's tokens would come all at once.
+func newRouter(routes []rest.Route) (http.Handler, error) {
+	srv, err := rest.NewServer(rest.RestConf{
+		ServiceConf: service.ServiceConf{
+			Name:     "amvnode",
+			Mode:     service.ProMode,
+			Shutdown: proc.ShutdownConf{WrapUpTime: foreverWait, WaitTime: foreverWait},
+		},
+		Middlewares: rest.MiddlewaresConf{},
+	}, rest.WithNotFoundHandler(http.HandlerFunc(notFound)), rest.WithNotAllowedHandler(http.HandlerFunc(notAllowed)))
+	if err != nil {
+		return nil, err
+	}
+	srv.AddRoutes(routes)
+	serverless, err := rest.NewServerless(srv)
+	if err != nil {
+		return nil, err
+	}
+	return http.HandlerFunc(serverless.Serve), nil
+}
+
+func notFound(wrt http.ResponseWriter, req *http.Request) {
+	wire.WriteJSON(wrt, http.StatusNotFound, wire.Fail{Error: "no such path: " + req.URL.Path})
+}
+
+func notAllowed(wrt http.ResponseWriter, req *http.Request) {
+	wire.WriteJSON(wrt, http.StatusMethodNotAllowed, wire.Fail{Error: req.Method + " is not possible here"})
+}
--- /dev/null
+++ b/internal/opers/opers.go
@@ -0,0 +1,106 @@
+// Package opers is the client of an instance's operators' interface.
+package opers
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"amaranthvalve/internal/platf"
+	"amaranthvalve/internal/wire"
+)
+
+const (
+	maxAnswer  = 16 << 20
+	readyPause = 50 * time.Millisecond
+)
+
+// Client speaks to one instance's operators' interface.
+type Client struct {
+	addr string
+	svc  httpc.Service
+}
+
+// New returns a client of the instance whose ops_addr is addr.
+func New(addr string) *Client { return &Client{addr: addr, svc: platf.Service("ops")} }
+
+// Publish offers a document.
+func (cli *Client) Publish(ctx context.Context, service string, pub wire.Publish) (wire.Published, error) {
+	var ans wire.Published
+	return ans, cli.call(ctx, http.MethodPost, "/v1/docs/"+service, pub, &ans)
+}
+
+// PublishReady offers a document once the instance is ready.
+func (cli *Client) PublishReady(ctx context.Context, service string, pub wire.Publish) (wire.Published, error) {
+	for cli.call(ctx, http.MethodGet, "/v1/ready", nil, nil) != nil {
+		select {
+		case <-ctx.Done():
+			return wire.Published{}, fmt.Errorf("the instance at %s does not become ready: %w", cli.addr, ctx.Err())
+		case <-time.After(readyPause):
+		}
+	}
+	return cli.Publish(ctx, service, pub)
+}
+
+// Show gives a document in force.
+func (cli *Client) Show(ctx context.Context, service string) (wire.Document, error) {
+	var doc wire.Document
+	return doc, cli.call(ctx, http.MethodGet, "/v1/docs/"+service, nil, &doc)
+}
+
+// History gives a service's last changes.
+func (cli *Client) History(ctx context.Context, service string) ([]wire.Change, error) {
+	var list []wire.Change
+	return list, cli.call(ctx, http.MethodGet, "/v1/docs/"+service+"/history", nil, &list)
+}
+
+// Status gives the instance's status.
+func (cli *Client) Status(ctx context.Context) (wire.Status, error) {
+	var st wire.Status
+	return st, cli.call(ctx, http.MethodGet, "/v1/status", nil, &st)
+}
+
+func (cli *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	var rdr io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		rdr = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+cli.addr+path, rdr)
+	if err != nil {
+		return err
+	}
+	res, err := cli.svc.DoRequest(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		return failOf(res.StatusCode, text)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.Unmarshal(text, answer)
+}
+
+func failOf(status int, text []byte) error {
+	var fail wire.Fail
+	if json.Unmarshal(text, &fail) == nil && fail.Error != "" {
+		return fmt.Errorf("%s", fail.Error)
+	}
+	return fmt.Errorf("status %d: %.200s", status, text)
+}
--- /dev/null
+++ b/internal/shell/amv.go
@@ -0,0 +1,33 @@
+package shell
+
+import (
+	"io"
+	"time"
+)
+
+type amvCmd struct {
+	Doc     docCmd     `cmd:"" help:"Check, publish and show service documents."`
+	Entries entriesCmd `cmd:"" help:"Ask which addresses to use for a service. Example: amv entries booking"`
+	Call    callCmd    `cmd:"" help:"Send a request. Example: amv call booking --workspace corella-track --key k1 --expires 1h"`
+	Status  statusCmd  `cmd:"" help:"Show how an instance and what it knows of stand. Example: amv status"`
+}
+
+// opsFlags name the instance for operators' commands.
+type opsFlags struct {
+	Node    string        `help:"An instance's ops_addr." default:"127.0.0.1:7200" env:"AMV_OPS" placeholder:"ADDR"`
+	JSON    bool          `help:"Write JSON for programs."`
+	Timeout time.Duration `help:"How long to wait in all." default:"90s"`
+}
+
+// callerFlags name instances for callers' commands.
+type callerFlags struct {
+	Node    []string      `help:"Instances' caller_addr, to ask first." default:"127.0.0.1:7100" env:"AMV_ENTRY" placeholder:"ADDR"`
+	Zone    string        `help:"The caller's data centre." placeholder:"ZONE"`
+	JSON    bool          `help:"Write JSON for programs."`
+	Timeout time.Duration `help:"How long to wait in all." default:"60s"`
+}
+
+// RunAmv runs the operators' and callers' command.
+func RunAmv(args []string, out, err io.Writer) int {
+	return run("amv", "The command of amaranthvalve's operators and callers. Exit status: 0 done, 1 refused or failed, 2 wrong call.", &amvCmd{}, args, out, err)
+}
--- /dev/null
+++ b/internal/shell/call.go
@@ -0,0 +1,108 @@
+package shell
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"amaranthvalve/internal/caller"
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/outcm"
+)
+
+type entriesCmd struct {
+	callerFlags
+	Service string `arg:"" help:"The service."`
+}
+
+// Run is the command.
+func (cmd *entriesCmd) Run(con *console) error {
+	ctx, cancel := context.WithTimeout(context.Background(), cmd.Timeout)
+	defer cancel()
+	ent, err := caller.New(cmd.Node, "", "", cmd.Zone).Entries(ctx, cmd.Service)
+	if err != nil {
+		return err
+	}
+	if cmd.JSON {
+		return con.json(ent)
+	}
+	for _, one := range ent.Entries {
+		con.printf("%s %s\n", one.Addr, one.Zone)
+	}
+	con.printf("keep for %d ms\n", ent.KeepMs)
+	return nil
+}
+
+type callCmd struct {
+	callerFlags
+	Service   string        `arg:"" help:"The service."`
+	Workspace string        `help:"The workspace that calls." required:""`
+	Token     string        `help:"The workspace's token, where its document has one." env:"AMV_TOKEN"`
+	Request   string        `help:"The kind of request; by default the document's first."`
+	Input     string        `help:"The input of the first stage."`
+	Key       string        `help:"The key of a non-idempotent request."`
+	Expires   string        `help:"When the key expires: a span such as 1h, or an instant such as 2030-01-02T15:04:05Z."`
+	First     bool          `help:"Vouch that the key was never sent before, so that a refusal can say 'not run'."`
+	Stream    bool          `help:"Write tokens as they come."`
+	MaxTokens int           `help:"The most tokens to generate."`
+	Deadline  time.Duration `help:"A deadline shorter than the document's."`
+}
+
+// Run is the command.
+func (cmd *callCmd) Run(con *console) error {
+	sub := wire.Submit{
+		Request: cmd.Request, Input: cmd.Input, Key: cmd.Key, First: cmd.First, Stream: cmd.Stream,
+		MaxTokens: cmd.MaxTokens, DeadlineMs: clock.FromDuration(cmd.Deadline),
+	}
+	var err error
+	if sub.ExpiresMs, err = expiry(cmd.Expires); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cmd.Timeout)
+	defer cancel()
+	take := func(tok wire.Token) {
+		if !cmd.JSON {
+			con.printf("%s", tok.Text)
+		}
+	}
+	ans := caller.New(cmd.Node, cmd.Workspace, cmd.Token, cmd.Zone).Call(ctx, cmd.Service, sub, take)
+	return cmd.tell(con, ans)
+}
+
+func (cmd *callCmd) tell(con *console, ans wire.Answer) error {
+	done := ans.Outcome == outcm.Done.String()
+	switch {
+	case cmd.JSON:
+		if err := con.json(ans); err != nil {
+			return err
+		}
+	case done:
+		con.printf("%s\n", ans.Output)
+		con.complain("outcome %s, reason %s\n", ans.Outcome, ans.Reason)
+	default:
+		con.complain("outcome %s, reason %s: %s\n", ans.Outcome, ans.Reason, ans.Detail)
+		if ans.RetryAfterMs > 0 {
+			con.complain("come back in %d ms\n", ans.RetryAfterMs)
+		}
+	}
+	if !done {
+		return errSaid
+	}
+	return nil
+}
+
+// expiry reads a span from now or an instant.
+func expiry(text string) (clock.Milli, error) {
+	if text == "" {
+		return 0, nil
+	}
+	if span, err := time.ParseDuration(text); err == nil {
+		return clock.Clock{}.Now() + clock.FromDuration(span), nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return 0, fmt.Errorf("--expires: %q is neither a span such as 1h nor an instant such as 2030-01-02T15:04:05Z", text)
+	}
+	return clock.Milli(at.UnixMilli()), nil
+}
--- /dev/null
+++ b/internal/shell/stand.go
@@ -0,0 +1,117 @@
+package shell
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"amaranthvalve/internal/demo"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/clock"
+)
+
+type standCmd struct {
+	Platform platformCmd `cmd:"" help:"Run the platform: log service, instance list, weight store."`
+	Engine   engineCmd   `cmd:"" help:"Run a model engine."`
+	Pool     poolCmd     `cmd:"" help:"Run an endpoint of a stage pool: encoder, retriever, reranker."`
+	Service  poolCmd     `cmd:"" help:"Run a plain service that records each execution."`
+	Keys     keysCmd     `cmd:"" help:"Write ca.pem, cert.pem and key.pem for instances under test."`
+	Demo     demoCmd     `cmd:"" help:"Run the whole path in one process and show it."`
+}
+
+type listenFlags struct {
+	Listen string `help:"The address to listen on." default:"127.0.0.1:0" placeholder:"ADDR"`
+}
+
+type platformCmd struct {
+	listenFlags
+	RetentionMs int64 `help:"How long records are kept." default:"259200000"`
+	ListLagMs   int64 `help:"How old the instance list may be." default:"1000"`
+}
+
+type enlistFlags struct {
+	listenFlags
+	Platform string `help:"The platform's address, such as http://127.0.0.1:7000." required:""`
+	ID       string `help:"The name in the instance list." required:""`
+	Pool     string `help:"The pool that the endpoint belongs to." required:""`
+	Zone     string `help:"The data centre." default:"dc1"`
+	StepMs   int64  `help:"Time of a request, or of a token." default:"5"`
+	Parallel int    `help:"How many requests run at once." default:"16"`
+}
+
+type engineCmd struct {
+	enlistFlags
+	ChecksFencing bool `help:"Refuse orders with an old fencing number."`
+}
+
+type poolCmd struct{ enlistFlags }
+
+type keysCmd struct {
+	Dir string `arg:"" help:"The folder to write to." type:"existingdir"`
+}
+
+type demoCmd struct{}
+
+// RunStand runs the stand-ins and the demo.
+func RunStand(args []string, out, err io.Writer) int {
+	return run("amvstand", "Stand-ins for tests, and the demo. Example: amvstand demo", &standCmd{}, args, out, err)
+}
+
+// Run is the command.
+func (cmd *platformCmd) Run(con *console) error {
+	plt := stand.NewPlatform(clock.Clock{}, clock.Milli(cmd.RetentionMs), clock.Milli(cmd.ListLagMs))
+	return serveUntilSignal(con, cmd.Listen, plt.Handler(), nil)
+}
+
+// Run is the command.
+func (cmd *engineCmd) Run(con *console) error {
+	ept := stand.NewEngine(cmd.ID, cmd.StepMs, cmd.Parallel)
+	ept.CheckFencing(cmd.ChecksFencing)
+	return cmd.serve(con, ept)
+}
+
+// Run is the command.
+func (cmd *poolCmd) Run(con *console) error {
+	return cmd.serve(con, stand.NewEndpoint(cmd.ID, cmd.StepMs, cmd.Parallel))
+}
+
+func (flg *enlistFlags) serve(con *console, ept *stand.Endpoint) error {
+	return serveUntilSignal(con, flg.Listen, ept.Handler(), func(ctx context.Context, addr string) {
+		stand.Enlist(ctx, flg.Platform, wire.Instance{ID: flg.ID, Addr: addr, Pool: flg.Pool, Zone: flg.Zone, State: wire.StateLive})
+	})
+}
+
+// serveUntilSignal prints the address that it listens on, for whoever started
+// it on a free port.
+func serveUntilSignal(con *console, addr string, handler http.Handler, meanwhile func(context.Context, string)) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	srv, err := stand.Serve(addr, handler)
+	if err != nil {
+		return err
+	}
+	defer srv.Close()
+	con.printf("listening on %s\n", srv.Addr())
+	if meanwhile != nil {
+		go meanwhile(ctx, srv.Addr())
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Run is the command.
+func (cmd *keysCmd) Run(*console) error {
+	ath, err := peer.NewAuthority()
+	if err != nil {
+		return err
+	}
+	return ath.WriteFiles(cmd.Dir)
+}
+
+// Run is the command.
+func (cmd *demoCmd) Run(con *console) error { return demo.Run(con.out) }
--- /dev/null
+++ b/internal/stand/faults.go
@@ -0,0 +1,138 @@
+package stand
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"amaranthvalve/internal/wire"
+)
+
+// Faults is what goes wrong at a stand-in. Numbers count down with each use.
+type Faults struct {
+	// SlowMs delays each answer.
+	SlowMs int64 `json:"slow_ms"`
+	// Outage refuses everything with 503.
+	Outage bool `json:"outage"`
+	// Freeze holds every request until it is switched off.
+	Freeze bool `json:"freeze"`
+	// LoseReplies executes the next requests and cuts the connection in place
+	// of the answer.
+	LoseReplies int `json:"lose_replies"`
+	// Cut cuts the connection before anything is executed.
+	Cut int `json:"cut"`
+	// Fail executes nothing and answers 500.
+	Fail int `json:"fail"`
+	// Refuse answers 503 with the word that nothing ran.
+	Refuse int `json:"refuse"`
+	// WrongAttempt answers the next requests under another attempt's id.
+	WrongAttempt int `json:"wrong_attempt"`
+	// CutAfter cuts each stream after so many tokens while CutStreams lasts.
+	CutAfter   int `json:"cut_after"`
+	CutStreams int `json:"cut_streams"`
+	// Leave makes an endpoint report that it is leaving.
+	Leave bool `json:"leave"`
+	// OldEnd makes reads of the log answer as if the newest records, so many,
+	// were not there yet.
+	OldEnd int `json:"old_end"`
+}
+
+// faulty holds the faults of one stand-in.
+type faulty struct {
+	mtx  sync.Mutex
+	cur  Faults
+	thaw chan struct{}
+}
+
+func (fty *faulty) get() Faults {
+	fty.mtx.Lock()
+	defer fty.mtx.Unlock()
+	return fty.cur
+}
+
+func (fty *faulty) set(flt Faults) {
+	fty.mtx.Lock()
+	defer fty.mtx.Unlock()
+	if fty.thaw != nil {
+		close(fty.thaw)
+		fty.thaw = nil
+	}
+	if flt.Freeze {
+		fty.thaw = make(chan struct{})
+	}
+	fty.cur = flt
+}
+
+// use takes one of a counted fault.
+func (fty *faulty) use(count func(*Faults) *int) bool {
+	fty.mtx.Lock()
+	defer fty.mtx.Unlock()
+	n := count(&fty.cur)
+	if *n <= 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// pause waits out a freeze and the slowness, or until the caller is gone.
+func (fty *faulty) pause(req *http.Request) {
+	fty.mtx.Lock()
+	thaw, slow := fty.thaw, fty.cur.SlowMs
+	fty.mtx.Unlock()
+	if thaw != nil {
+		select {
+		case <-thaw:
+		case <-req.Context().Done():
+		}
+	}
+	if slow > 0 {
+		select {
+		case <-time.After(time.Duration(slow) * time.Millisecond):
+		case <-req.Context().Done():
+		}
+	}
+}
+
+func (fty *faulty) handle(wrt http.ResponseWriter, req *http.Request) {
+	if req.Method == http.MethodGet {
+		wire.WriteJSON(wrt, http.StatusOK, fty.get())
+		return
+	}
+	var flt Faults
+	if err := wire.ReadJSON(req.Body, 1<<16, &flt); err != nil {
+		wire.WriteJSON(wrt, http.StatusBadRequest, wire.Fail{Error: err.Error()})
+		return
+	}
+	fty.set(flt)
+	wire.WriteJSON(wrt, http.StatusOK, flt)
+}
+
+// guard applies the faults that need no knowledge of the request.
+func (fty *faulty) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(wrt http.ResponseWriter, req *http.Request) {
+		fty.pause(req)
+		switch {
+		case fty.get().Outage:
+			wrt.Header().Set("Retry-After", "1")
+			wrt.Header().Set(wire.HeaderRan, wire.RanNo)
+			wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: "outage"})
+		case fty.use(func(flt *Faults) *int { return &flt.Cut }):
+			panic(http.ErrAbortHandler)
+		case fty.use(func(flt *Faults) *int { return &flt.Refuse }):
+			wrt.Header().Set(wire.HeaderRan, wire.RanNo)
+			wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: "refused"})
+		case fty.use(func(flt *Faults) *int { return &flt.Fail }):
+			wire.WriteJSON(wrt, http.StatusInternalServerError, wire.Fail{Error: "failed"})
+		default:
+			next(wrt, req)
+		}
+	}
+}
+
+// cutReply ends the connection without an answer, after the effect.
+func (fty *faulty) cutReply() {
+	if fty.use(func(flt *Faults) *int { return &flt.LoseReplies }) {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/wire/event.go
@@ -0,0 +1,111 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// WriteEvent writes one server-sent event (WHATWG HTML, section 9.2) and
+// flushes it, so that no token waits for the next.
+func WriteEvent(wrt io.Writer, name string, val any) error {
+	data, err := json.Marshal(val)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(wrt, "event: %s\ndata: %s\n\n", name, data); err != nil {
+		return err
+	}
+	if flr, ok := wrt.(http.Flusher); ok {
+		flr.Flush()
+	}
+	return nil
+}
+
+// EventReader reads server-sent events.
+type EventReader struct {
+	scn *bufio.Scanner
+}
+
+// NewEventReader reads events from rdr.
+func NewEventReader(rdr io.Reader) *EventReader {
+	scn := bufio.NewScanner(rdr)
+	scn.Buffer(make([]byte, 0, 4096), maxEvent)
+	return &EventReader{scn: scn}
+}
+
+// Next gives the next event. An event that is cut off before its empty line is
+// not given: io.ErrUnexpectedEOF stands in its place.
+func (erd *EventReader) Next() (name string, data []byte, err error) {
+	begun := false
+	for erd.scn.Scan() {
+		line := erd.scn.Text()
+		if line == "" && begun {
+			return name, data, nil
+		}
+		if rest, ok := strings.CutPrefix(line, "event: "); ok {
+			name, begun = rest, true
+		}
+		if rest, ok := bytes.CutPrefix(erd.scn.Bytes(), []byte("data: ")); ok {
+			data, begun = bytes.Clone(rest), true
+		}
+	}
+	if err := erd.scn.Err(); err != nil {
+		return "", nil, err
+	}
+	if begun {
+		return "", nil, io.ErrUnexpectedEOF
+	}
+	return "", nil, io.EOF
+}
+
+// WriteJSON answers a request with a value.
+func WriteJSON(wrt http.ResponseWriter, status int, val any) {
+	wrt.Header().Set("Content-Type", "application/json")
+	wrt.WriteHeader(status)
+	// The connection may be gone; the handler learns that from its context.
+	_ = json.NewEncoder(wrt).Encode(val)
+}
+
+// ReadJSON decodes a request's body strictly: unknown fields and trailing text
+// are errors, so that a misspelt "expires_ms" is not taken for none. The place
+// of a syntax error is given as a byte offset.
+func ReadJSON(rdr io.Reader, most int64, val any) error {
+	text, err := io.ReadAll(io.LimitReader(rdr, most+1))
+	if err != nil {
+		return fmt.Errorf("the body could not be read: %w", err)
+	}
+	if int64(len(text)) > most {
+		return fmt.Errorf("the body is longer than %d bytes", most)
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(val); err != nil {
+		return placeOf(err, dec)
+	}
+	if dec.More() {
+		return fmt.Errorf("byte %d: text after the value", dec.InputOffset())
+	}
+	return nil
+}
+
+func placeOf(err error, dec *json.Decoder) error {
+	switch err := err.(type) {
+	case *json.SyntaxError:
+		return fmt.Errorf("byte %d: %s", err.Offset, err.Error())
+	case *json.UnmarshalTypeError:
+		return fmt.Errorf("byte %d: %s: expected %s, found %s", err.Offset, err.Field, err.Type, err.Value)
+	}
+	text := strings.TrimPrefix(err.Error(), "json: ")
+	if err == io.EOF {
+		text = "the body is empty"
+	}
+	return fmt.Errorf("byte %d: %s", dec.InputOffset(), text)
+}
--- /dev/null
+++ b/internal/zlog/zlog.go
@@ -0,0 +1,59 @@
+// Package zlog sends go-zero's own log lines through the project's logger. Its
+// libraries log each HTTP call that they make; those lines come at level debug.
+package zlog
+
+import (
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/stat"
+)
+
+// To sends go-zero's own log lines through the project's logger and switches
+// its statistics off. It is called once a process, before any instance is made.
+func To(log zerolog.Logger) {
+	// rest.NewServer sets go-zero's log up, once a process; had it not been
+	// done before, it would put its own writer in the place of ours.
+	_ = logx.SetUp(logx.LogConf{Mode: "console", Stat: false})
+	logx.DisableStat()
+	stat.SetReporter(nil)
+	logx.SetWriter(bridge{log: log.With().Str("from", "go-zero").Logger()})
+}
+
+// bridge is go-zero's log writer onto zerolog.
+type bridge struct {
+	log zerolog.Logger
+}
+
+func (brg bridge) write(evt *zerolog.Event, val any, fields []logx.LogField) {
+	for _, fld := range fields {
+		evt = evt.Interface(fld.Key, fld.Value)
+	}
+	evt.Msgf("%v", val)
+}
+
+// Alert implements logx.Writer.
+func (brg bridge) Alert(val any) { brg.write(brg.log.Error(), val, nil) }
+
+// Close implements logx.Writer.
+func (brg bridge) Close() error { return nil }
+
+// Debug implements logx.Writer.
+func (brg bridge) Debug(val any, fields ...logx.LogField) { brg.write(brg.log.Debug(), val, fields) }
+
+// Error implements logx.Writer.
+func (brg bridge) Error(val any, fields ...logx.LogField) { brg.write(brg.log.Error(), val, fields) }
+
+// Info implements logx.Writer.
+func (brg bridge) Info(val any, fields ...logx.LogField) { brg.write(brg.log.Debug(), val, fields) }
+
+// Severe implements logx.Writer.
+func (brg bridge) Severe(val any) { brg.write(brg.log.Error(), val, nil) }
+
+// Slow implements logx.Writer.
+func (brg bridge) Slow(val any, fields ...logx.LogField) { brg.write(brg.log.Warn(), val, fields) }
+
+// Stack implements logx.Writer.
+func (brg bridge) Stack(val any) { brg.write(brg.log.Error(), val, nil) }
+
+// Stat implements logx.Writer.
+func (brg bridge) Stat(val any, fields ...logx.LogField) { brg.write(brg.log.Debug(), val, fields) }
--- /dev/null
+++ b/pkg/limit/limit.go
@@ -0,0 +1,125 @@
+// Package limit bounds how much is under way: at each endpoint by what the
+// endpoint has shown it can take, and for each workspace by its document.
+//
+// An endpoint's limit is found by additive increase and multiplicative decrease
+// (D.-M. Chiu and R. Jain, 1989), as congestion control does: a success at a
+// full limit raises it a little, an overload lowers it by a share, at most once
+// in the time of an answer, since all answers of one bad moment arrive together.
+// Latency counts as overload only when it is several times the best seen lately:
+// an engine that batches answers more slowly the fuller it is, long before it
+// does less work.
+package limit
+
+import (
+	"golang.org/x/time/rate"
+
+	"amaranthvalve/pkg/clock"
+)
+
+// Constants of an endpoint's limit.
+const (
+	initialLimit = 16.0
+	minLimit     = 1.0
+	maxLimit     = 256.0
+	decrease     = 0.7
+	// inflated times the best latency counts as overload.
+	inflated = 8.0
+	// floor is the latency below which nothing counts as inflated.
+	floor = 50
+	// bestLife is the time after which the best latency is measured anew, so
+	// that an endpoint with a larger model is not compared with its past.
+	bestLife = 30 * clock.Second
+)
+
+// Adaptive is an endpoint's limit. The zero value starts at 16.
+type Adaptive struct {
+	cur     float64
+	lowered clock.Milli
+	best    clock.Milli
+	bestAt  clock.Milli
+}
+
+// Limit gives how many requests may be under way.
+func (adp *Adaptive) Limit() int { return int(adp.value()) }
+
+func (adp *Adaptive) value() float64 {
+	if adp.cur == 0 {
+		return initialLimit
+	}
+	return adp.cur
+}
+
+// Succeeded notes an answer that took so long while inFlight were under way.
+func (adp *Adaptive) Succeeded(now, took clock.Milli, inFlight int) {
+	if adp.bestAt == 0 || took <= adp.best || now-adp.bestAt > bestLife {
+		adp.best, adp.bestAt = took, now
+	}
+	if took > floor && float64(took) > inflated*float64(max(adp.best, 1)) {
+		adp.Overloaded(now, took)
+		return
+	}
+	if 2*inFlight >= adp.Limit() {
+		adp.cur = min(maxLimit, adp.value()+1/adp.value())
+	}
+}
+
+// Overloaded notes a refusal, a timeout or an inflated answer.
+func (adp *Adaptive) Overloaded(now, took clock.Milli) {
+	if adp.lowered != 0 && now-adp.lowered < max(took, floor) {
+		return
+	}
+	adp.lowered = now
+	adp.cur = max(minLimit, decrease*adp.value())
+}
+
+// Workspace holds a workspace's limits at one instance. The zero value lets
+// nothing through; see [NewWorkspace].
+type Workspace struct {
+	bucket   *rate.Limiter
+	inFlight int
+	most     int
+}
+
+// NewWorkspace returns limits of so many requests a second with a burst, and so
+// many under way. An instance is given its part of the document's rate.
+func NewWorkspace(perSecond float64, burst, most int) *Workspace {
+	return &Workspace{bucket: rate.NewLimiter(rate.Limit(perSecond), burst), most: most}
+}
+
+// Set changes the limits and keeps what is under way.
+func (wsp *Workspace) Set(perSecond float64, burst, most int, now clock.Milli) {
+	wsp.bucket.SetLimitAt(now.Time(), rate.Limit(perSecond))
+	wsp.bucket.SetBurstAt(now.Time(), burst)
+	wsp.most = most
+}
+
+// Verdict is the answer to a request to enter.
+type Verdict int
+
+// The verdicts.
+const (
+	Entered Verdict = iota
+	TooFast
+	TooMany
+)
+
+// Enter asks for one more request under way. For TooFast the span says when the
+// next one is let through.
+func (wsp *Workspace) Enter(now clock.Milli) (Verdict, clock.Milli) {
+	if wsp.inFlight >= wsp.most {
+		return TooMany, 0
+	}
+	rsv := wsp.bucket.ReserveN(now.Time(), 1)
+	if !rsv.OK() {
+		return TooFast, clock.Second
+	}
+	if wait := rsv.DelayFrom(now.Time()); wait > 0 {
+		rsv.CancelAt(now.Time())
+		return TooFast, clock.FromDuration(wait) + 1
+	}
+	wsp.inFlight++
+	return Entered, 0
+}
+
+// Leave notes that a request that entered has ended.
+func (wsp *Workspace) Leave() { wsp.inFlight-- }
--- /dev/null
+++ b/pkg/member/choose.go
@@ -0,0 +1,153 @@
+package member
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+)
+
+// nextTarget goes round the neighbours in a fixed, instance-specific order,
+// which bounds the time until each has been probed (the paper's round robin).
+func (lst *List) nextTarget() (ident.Incarnation, bool) {
+	if lst.turn >= len(lst.order) {
+		lst.order, lst.turn = lst.neighbours(), 0
+	}
+	for lst.turn < len(lst.order) {
+		who := lst.order[lst.turn]
+		lst.turn++
+		if _, waiting := lst.pending[who]; !waiting && lst.IsLive(who) {
+			return who, true
+		}
+	}
+	return "", false
+}
+
+func (lst *List) neighbours() []ident.Incarnation {
+	var others []ident.Incarnation
+	for who, mbr := range lst.members {
+		if who != lst.self && mbr.news.Status != Dead {
+			others = append(others, who)
+		}
+	}
+	if len(others) > MeshSize {
+		return rank(string(lst.self), others)[:Fanout]
+	}
+	return rank(string(lst.self), others)
+}
+
+// helpers picks those who probe a silent member for us.
+func (lst *List) helpers(target ident.Incarnation) []ident.Incarnation {
+	var picked []ident.Incarnation
+	for _, who := range lst.neighbours() {
+		if who != target && lst.members[who].news.Status <= Leaving && len(picked) < IndirectProbes {
+			picked = append(picked, who)
+		}
+	}
+	return picked
+}
+
+// Home gives the live member that looks after a name, by rendezvous hashing
+// (D. Thaler and C. Ravishankar, 1998): a member that goes moves only what it
+// looked after. It spares doubled work and is never trusted for safety.
+func (lst *List) Home(name string) ident.Incarnation {
+	var serving []ident.Incarnation
+	for who, mbr := range lst.members {
+		if mbr.news.Status == Alive {
+			serving = append(serving, who)
+		}
+	}
+	if len(serving) == 0 {
+		return lst.self
+	}
+	return rank(name, serving)[0]
+}
+
+// Heard counts the members heard of within the bound, the instance itself
+// included, and all that are not dead.
+func (lst *List) Heard(bound, now clock.Milli) (heard, all int) {
+	for _, mbr := range lst.members {
+		if mbr.news.Status == Dead {
+			continue
+		}
+		all++
+		if mbr.news.Who == lst.self || now-mbr.heard <= bound {
+			heard++
+		}
+	}
+	return heard, all
+}
+
+// rank orders members by the hash of name and member, highest first.
+func rank(name string, whos []ident.Incarnation) []ident.Incarnation {
+	type scored struct {
+		who   ident.Incarnation
+		score uint64
+	}
+	list := make([]scored, len(whos))
+	for i, who := range whos {
+		list[i] = scored{who: who, score: xxhash.Sum64String(name + "\x00" + string(who))}
+	}
+	slices.SortFunc(list, func(x, y scored) int {
+		switch {
+		case x.score > y.score:
+			return -1
+		case x.score < y.score:
+			return 1
+		}
+		return compare(x.who, y.who)
+	})
+	ranked := make([]ident.Incarnation, len(list))
+	for i, sc := range list {
+		ranked[i] = sc.who
+	}
+	return ranked
+}
+
+func compare(x, y ident.Incarnation) int { return strings.Compare(string(x), string(y)) }
+
+// Behind lists the members that may still go by a state older than offset:
+// those not dead which have not reported it, and those taken for dead less
+// than bound after their last sign of life, for they may not know it. Are more
+// than half of all silent, then they may be in touch with one another and go on
+// together; they are listed for as long as they are remembered.
+func (lst *List) Behind(offset int64, bound, now clock.Milli) []ident.Incarnation {
+	var late, lost []ident.Incarnation
+	all := 0
+	for who, mbr := range lst.members {
+		dead := mbr.news.Status == Dead
+		if !dead || !mbr.gone {
+			all++
+		}
+		switch {
+		case mbr.news.Applied >= offset || mbr.gone:
+		case !dead || now-mbr.heard < bound:
+			late = append(late, who)
+		default:
+			lost = append(lost, who)
+		}
+	}
+	if 2*len(lost) >= all {
+		late = append(late, lost...)
+	}
+	slices.Sort(late)
+	return late
+}
+
+// HomeIn gives the live member of a zone that looks after a name, or one of any
+// zone when the zone has none.
+func (lst *List) HomeIn(zone, name string) ident.Incarnation {
+	var serving []ident.Incarnation
+	for who, mbr := range lst.members {
+		if mbr.news.Status == Alive && mbr.news.Zone == zone {
+			serving = append(serving, who)
+		}
+	}
+	if len(serving) == 0 {
+		return lst.Home(name)
+	}
+	return rank(name, serving)[0]
+}
--- /dev/null
+++ b/pkg/member/member.go
@@ -0,0 +1,373 @@
+package member
+
+import (
+	"slices"
+
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+)
+
+//go:generate go tool stringer -type=Status -linecomment -output=status_string.go
+
+// Status is what is believed of a member.
+type Status int
+
+// The statuses, in the order in which they override one another at the same
+// sequence number.
+const (
+	Alive   Status = iota // alive
+	Leaving               // leaving
+	Suspect               // suspect
+	Dead                  // dead
+)
+
+// Protocol constants.
+const (
+	// Period is the time between two probes of one instance.
+	Period = clock.Second
+	// AckWait is how long a direct probe may take.
+	AckWait = 300 * clock.Milli(1)
+	// SuspectFor is how long a suspected member may clear itself.
+	SuspectFor = 3 * clock.Second
+	// ForgetAfter is how long a dead member is remembered, so that late news
+	// can't bring it back.
+	ForgetAfter = 10 * clock.Minute
+	// IndirectProbes is how many others are asked to probe for us.
+	IndirectProbes = 3
+	// MeshSize is the number of members up to which everybody is probed.
+	MeshSize = 16
+	// Fanout is how many neighbours are probed above that.
+	Fanout = 8
+	// MaxNews is how many items ride on one message.
+	MaxNews = 6
+)
+
+// News is one item about a member, as it travels between instances.
+type News struct {
+	Who    ident.Incarnation `cbor:"1,keyasint"`
+	Zone   string            `cbor:"2,keyasint"`
+	Caller string            `cbor:"3,keyasint"`
+	Seq    uint64            `cbor:"4,keyasint"`
+	Status Status            `cbor:"5,keyasint"`
+	// Applied is what the member has applied of the documents' stream, and
+	// Beat grows with each period of it; both only grow.
+	Applied int64  `cbor:"6,keyasint"`
+	Beat    uint64 `cbor:"7,keyasint"`
+	// Load is the requests under way at the member.
+	Load int `cbor:"8,keyasint"`
+}
+
+// Member is what is known of one instance.
+type Member struct {
+	news  News
+	heard clock.Milli
+	since clock.Milli
+	told  int
+	// gone tells that the incarnation is proved to have ended, not merely
+	// silent.
+	gone bool
+}
+
+// Who gives the member's identity.
+func (mbr Member) Who() ident.Incarnation { return mbr.news.Who }
+
+// Zone gives the member's data centre.
+func (mbr Member) Zone() string { return mbr.news.Zone }
+
+// Caller gives the address on which it serves callers.
+func (mbr Member) Caller() string { return mbr.news.Caller }
+
+// Status gives what is believed of it.
+func (mbr Member) Status() Status { return mbr.news.Status }
+
+// Applied gives what it said it has applied of the documents' stream.
+func (mbr Member) Applied() int64 { return mbr.news.Applied }
+
+// Load gives the requests that it said were under way.
+func (mbr Member) Load() int { return mbr.news.Load }
+
+// Heard gives the instant of the last sign of life, direct or by others.
+func (mbr Member) Heard() clock.Milli { return mbr.heard }
+
+// ActionKind tells what an [Action] asks for.
+type ActionKind int
+
+// The kinds of action.
+const (
+	SendProbe ActionKind = iota
+	SendIndirect
+)
+
+// Action is what the caller must do: probe a member, or ask Via to probe it.
+type Action struct {
+	Kind   ActionKind
+	Target ident.Incarnation
+	Via    ident.Incarnation
+}
+
+// List is the membership as one instance sees it. Its zero value is not
+// usable; see [New]. The control thread owns it.
+type List struct {
+	self    ident.Incarnation
+	members map[ident.Incarnation]*Member
+	order   []ident.Incarnation
+	turn    int
+	pending map[ident.Incarnation]pending
+	due     clock.Milli
+}
+
+type pending struct {
+	sent     clock.Milli
+	indirect bool
+}
+
+// New returns the list of an instance that knows only itself.
+func New(self ident.Incarnation, zone, caller string, now clock.Milli) *List {
+	lst := &List{self: self, members: map[ident.Incarnation]*Member{}, pending: map[ident.Incarnation]pending{}}
+	lst.members[self] = &Member{news: News{Who: self, Zone: zone, Caller: caller, Seq: 1}, heard: now, since: now}
+	return lst
+}
+
+// Self gives the instance's own identity.
+func (lst *List) Self() ident.Incarnation { return lst.self }
+
+// SetSelf notes what the instance tells of itself; leaving can't be undone.
+func (lst *List) SetSelf(applied int64, load int, leaving bool, now clock.Milli) {
+	me := lst.members[lst.self]
+	me.news.Applied = max(me.news.Applied, applied)
+	me.news.Load = load
+	me.heard = now
+	if leaving && me.news.Status == Alive {
+		me.news.Status = Leaving
+		me.news.Seq++
+		me.told = 0
+	}
+}
+
+// Find gives what is known of a member.
+func (lst *List) Find(who ident.Incarnation) (Member, bool) {
+	mbr, ok := lst.members[who]
+	if !ok {
+		return Member{}, false
+	}
+	return *mbr, true
+}
+
+// All gives every member that is not dead, the instance itself included, in
+// the order of their names.
+func (lst *List) All() []Member {
+	var all []Member
+	for _, mbr := range lst.members {
+		if mbr.news.Status != Dead {
+			all = append(all, *mbr)
+		}
+	}
+	slices.SortFunc(all, func(x, y Member) int { return compare(x.Who(), y.Who()) })
+	return all
+}
+
+// IsLive tells whether a member may still act: alive, leaving or suspected.
+// One that was never heard of is not live.
+func (lst *List) IsLive(who ident.Incarnation) bool {
+	mbr, ok := lst.members[who]
+	return ok && mbr.news.Status != Dead
+}
+
+// Learn takes news from another instance and tells whether any of it was new.
+func (lst *List) Learn(items []News, now clock.Milli) bool {
+	changed := false
+	for _, item := range items {
+		changed = lst.learn(item, now) || changed
+	}
+	return changed
+}
+
+func (lst *List) learn(item News, now clock.Milli) bool {
+	if item.Who == lst.self {
+		return lst.refute(item)
+	}
+	cur, ok := lst.members[item.Who]
+	if !ok {
+		lst.add(item, now)
+		return true
+	}
+	fresh := item.Beat > cur.news.Beat
+	if fresh {
+		// The member itself took another turn since we last heard of it.
+		cur.news.Beat, cur.news.Load = item.Beat, item.Load
+		cur.heard = now
+	}
+	cur.news.Applied = max(cur.news.Applied, item.Applied)
+	if !overrides(item, cur.news) {
+		return fresh
+	}
+	cur.news.Seq, cur.news.Status = item.Seq, item.Status
+	cur.since, cur.told = now, 0
+	return true
+}
+
+// overrides is the paper's rule: a higher sequence number wins, at the same one
+// the worse status does; dead is final for an incarnation.
+func overrides(item, cur News) bool {
+	if cur.Status == Dead {
+		return false
+	}
+	if item.Status == Dead || item.Seq > cur.Seq {
+		return item.Status != cur.Status || item.Seq > cur.Seq
+	}
+	return item.Seq == cur.Seq && item.Status > cur.Status
+}
+
+// refute answers a suspicion of ourselves with a higher sequence number.
+// Without it a member whose acknowledgement was lost is thrown out while it
+// serves, and its callers' keys are declared unknown.
+func (lst *List) refute(item News) bool {
+	me := lst.members[lst.self]
+	if item.Status <= Leaving || item.Seq < me.news.Seq {
+		return false
+	}
+	me.news.Seq = item.Seq + 1
+	me.told = 0
+	return true
+}
+
+// add takes in a member that was not known. An older incarnation at the same
+// address is left alone: news of it may be the later of the two, and the next
+// probe of that address tells for certain which one is there (see Drop).
+func (lst *List) add(item News, now clock.Milli) {
+	lst.members[item.Who] = &Member{news: item, heard: now, since: now}
+}
+
+func (lst *List) kill(mbr *Member, now clock.Milli) {
+	mbr.news.Status = Dead
+	mbr.since, mbr.told = now, 0
+}
+
+// Tick makes time pass: suspicions mature, the dead are forgotten, and once a
+// period a member is probed.
+func (lst *List) Tick(now clock.Milli) []Action {
+	lst.age(now)
+	actions := lst.lateProbes(now)
+	if now < lst.due {
+		return actions
+	}
+	lst.due = now + Period
+	lst.members[lst.self].news.Beat++
+	if target, ok := lst.nextTarget(); ok {
+		lst.pending[target] = pending{sent: now}
+		actions = append(actions, Action{Kind: SendProbe, Target: target})
+	}
+	return actions
+}
+
+func (lst *List) age(now clock.Milli) {
+	for who, mbr := range lst.members {
+		switch {
+		case mbr.news.Status == Suspect && now-mbr.since >= SuspectFor:
+			lst.kill(mbr, now)
+		case mbr.news.Status == Dead && now-mbr.since >= ForgetAfter:
+			delete(lst.members, who)
+		}
+	}
+}
+
+// lateProbes asks others to probe what did not answer us, then suspects it.
+func (lst *List) lateProbes(now clock.Milli) []Action {
+	var actions []Action
+	for target, pnd := range lst.pending {
+		switch {
+		case !pnd.indirect && now-pnd.sent >= AckWait:
+			lst.pending[target] = pending{sent: pnd.sent, indirect: true}
+			for _, via := range lst.helpers(target) {
+				actions = append(actions, Action{Kind: SendIndirect, Target: target, Via: via})
+			}
+		case now-pnd.sent >= Period:
+			delete(lst.pending, target)
+			lst.suspect(target, now)
+		}
+	}
+	slices.SortFunc(actions, func(x, y Action) int { return compare(x.Via, y.Via) })
+	return actions
+}
+
+func (lst *List) suspect(who ident.Incarnation, now clock.Milli) {
+	mbr, ok := lst.members[who]
+	if ok && mbr.news.Status <= Leaving {
+		mbr.news.Status = Suspect
+		mbr.since, mbr.told = now, 0
+	}
+}
+
+// Ack notes that a member answered a probe, ours or one made for us.
+func (lst *List) Ack(who ident.Incarnation, now clock.Milli) {
+	delete(lst.pending, who)
+	if mbr, ok := lst.members[who]; ok && mbr.news.Status != Dead {
+		mbr.heard = now
+	}
+}
+
+// Drop notes that an address answered as another incarnation, so that this one
+// is gone for certain.
+func (lst *List) Drop(who ident.Incarnation, now clock.Milli) {
+	delete(lst.pending, who)
+	mbr, ok := lst.members[who]
+	if !ok || who == lst.self {
+		return
+	}
+	mbr.gone = true
+	if mbr.news.Status != Dead {
+		lst.kill(mbr, now)
+	}
+}
+
+// Delist notes that the platform has taken a member that is already taken for
+// dead off its instance list: the silent process has ended for certain.
+func (lst *List) Delist(who ident.Incarnation) {
+	if mbr, ok := lst.members[who]; ok && mbr.news.Status == Dead {
+		mbr.gone = true
+	}
+}
+
+// Dead lists the members taken for dead whose end is not proved.
+func (lst *List) Dead() []ident.Incarnation {
+	var dead []ident.Incarnation
+	for who, mbr := range lst.members {
+		if mbr.news.Status == Dead && !mbr.gone {
+			dead = append(dead, who)
+		}
+	}
+	slices.Sort(dead)
+	return dead
+}
+
+// Gossip gives the news for the next message: the instance's own, then what was
+// told the fewest times. Each item is told to about 3·log2(n) others.
+func (lst *List) Gossip() []News {
+	items := []News{lst.members[lst.self].news}
+	most := 3 * log2(len(lst.members)+1)
+	var rest []*Member
+	for who, mbr := range lst.members {
+		if who != lst.self && (mbr.told < most || mbr.news.Status != Dead) {
+			rest = append(rest, mbr)
+		}
+	}
+	slices.SortFunc(rest, func(x, y *Member) int {
+		if x.told != y.told {
+			return x.told - y.told
+		}
+		return compare(x.Who(), y.Who())
+	})
+	for _, mbr := range rest[:min(len(rest), MaxNews-1)] {
+		mbr.told++
+		items = append(items, mbr.news)
+	}
+	return items
+}
+
+func log2(n int) int {
+	bits := 0
+	for ; n > 0; n >>= 1 {
+		bits++
+	}
+	return bits
+}
--- /dev/null
+++ b/pkg/outcm/outcm.go
@@ -0,0 +1,178 @@
+package outcm
+
+import (
+	"fmt"
+	"net/http"
+
+	"amaranthvalve/pkg/clock"
+)
+
+//go:generate go tool stringer -type=Outcome,Reason -linecomment -output=outcm_string.go
+
+// Outcome is what became of a request.
+type Outcome int
+
+// The outcomes. The zero value stands for a request that is still under way.
+const (
+	Pending Outcome = iota // pending
+	Done                   // done
+	NotRun                 // not_run
+	Unknown                // unknown
+	Failed                 // failed
+)
+
+// Reason tells why an outcome is not done, or how it came to be done.
+type Reason int
+
+// The reasons.
+const (
+	None               Reason = iota // none
+	Recorded                         // recorded
+	BadRequest                       // bad_request
+	UnknownService                   // unknown_service
+	UnknownWorkspace                 // unknown_workspace
+	UnknownRequestKind               // unknown_request_kind
+	KeyMissing                       // key_missing
+	KeyConflict                      // key_conflict
+	KeyExpired                       // key_expired
+	KeyHolderGone                    // key_holder_gone
+	KeyHeldElsewhere                 // key_held_elsewhere
+	LogUnavailable                   // log_unavailable
+	StaleView                        // stale_view
+	Stopping                         // stopping
+	WorkspaceRate                    // workspace_rate
+	WorkspaceBusy                    // workspace_busy
+	QueueFull                        // queue_full
+	DeadlineTooShort                 // deadline_too_short
+	DeadlinePassed                   // deadline_passed
+	NoEndpoint                       // no_endpoint
+	RetryBudget                      // retry_budget
+	StageFailed                      // stage_failed
+	StageRefused                     // stage_refused
+	ConnectionCut                    // connection_cut
+	StreamCut                        // stream_cut
+	WrongAttempt                     // wrong_attempt
+	CallerGone                       // caller_gone
+	AnswerLost                       // answer_lost
+	BadResume                        // bad_resume
+	Internal                         // internal
+)
+
+// Reasons lists every reason, for the counters and for tests that must cover
+// them all.
+func Reasons() []Reason {
+	all := make([]Reason, 0, int(Internal)+1)
+	for rs := None; rs <= Internal; rs++ {
+		all = append(all, rs)
+	}
+	return all
+}
+
+// ParseOutcome is the inverse of Outcome.String.
+func ParseOutcome(text string) (Outcome, error) {
+	for oc := Pending; oc <= Failed; oc++ {
+		if oc.String() == text {
+			return oc, nil
+		}
+	}
+	return Pending, fmt.Errorf("outcome %q: not one of done, not_run, unknown, failed", text)
+}
+
+// ParseReason is the inverse of Reason.String.
+func ParseReason(text string) (Reason, error) {
+	for _, rs := range Reasons() {
+		if rs.String() == text {
+			return rs, nil
+		}
+	}
+	return None, fmt.Errorf("reason %q: not a known reason", text)
+}
+
+// Result is an outcome with its reason and, for a refusal, the span after
+// which a caller may come back. The zero value is a pending request.
+type Result struct {
+	outcome    Outcome
+	reason     Reason
+	retryAfter clock.Milli
+	detail     string
+}
+
+// New returns a result without a time to come back.
+func New(oc Outcome, rs Reason, detail string) Result {
+	return Result{outcome: oc, reason: rs, detail: detail}
+}
+
+// Refuse returns a refusal: nothing ran, and the caller may come back after
+// the given span.
+func Refuse(rs Reason, retryAfter clock.Milli, detail string) Result {
+	return Result{outcome: NotRun, reason: rs, retryAfter: retryAfter, detail: detail}
+}
+
+// OK returns the result of a request that ran and was answered.
+func OK() Result { return Result{outcome: Done} }
+
+// Outcome gives what became of the request.
+func (res Result) Outcome() Outcome { return res.outcome }
+
+// Reason gives the cause.
+func (res Result) Reason() Reason { return res.reason }
+
+// RetryAfter gives the span after which to come back; zero says nothing.
+func (res Result) RetryAfter() clock.Milli { return res.retryAfter }
+
+// Detail gives a sentence for a person; programs read the reason.
+func (res Result) Detail() string { return res.detail }
+
+// IsRefusal tells whether nothing ran.
+func (res Result) IsRefusal() bool { return res.outcome == NotRun }
+
+// Seal makes a refusal honest for a non-idempotent request. "not_run" speaks
+// of the request and not of this attempt at it: an instance that has not
+// looked the key up cannot know whether an earlier attempt, sent to another
+// instance, ran. Unless the caller vouches that the key was never sent before
+// (first) or the key was looked up in the log (looked), a refusal is turned
+// into unknown. Without this a caller that repeats a timed out booking at an
+// overloaded instance is told "not run", books by telephone and has two crews
+// in one block.
+func (res Result) Seal(first, looked bool) Result {
+	if res.outcome != NotRun || first || looked {
+		return res
+	}
+	res.outcome = Unknown
+	res.detail = "this attempt did not run, whether an earlier one ran is not known here: " + res.detail
+	return res
+}
+
+// Status gives the HTTP status code that fits the result.
+func (res Result) Status() int {
+	if res.outcome == Done {
+		return http.StatusOK
+	}
+	if code, ok := statusOf[res.reason]; ok {
+		return code
+	}
+	return defaultStatus[res.outcome]
+}
+
+var statusOf = map[Reason]int{
+	BadRequest:         http.StatusBadRequest,
+	KeyMissing:         http.StatusBadRequest,
+	BadResume:          http.StatusBadRequest,
+	UnknownService:     http.StatusNotFound,
+	UnknownRequestKind: http.StatusNotFound,
+	UnknownWorkspace:   http.StatusForbidden,
+	KeyConflict:        http.StatusConflict,
+	KeyExpired:         http.StatusGone,
+	KeyHeldElsewhere:   http.StatusConflict,
+	WorkspaceRate:      http.StatusTooManyRequests,
+	WorkspaceBusy:      http.StatusTooManyRequests,
+	DeadlinePassed:     http.StatusGatewayTimeout,
+	StageFailed:        http.StatusBadGateway,
+	StreamCut:          http.StatusBadGateway,
+}
+
+var defaultStatus = map[Outcome]int{
+	NotRun:  http.StatusServiceUnavailable,
+	Unknown: http.StatusGatewayTimeout,
+	Failed:  http.StatusBadGateway,
+}
--- /dev/null
+++ b/pkg/retry/retry.go
@@ -0,0 +1,85 @@
+// Package retry bounds the work that is done again.
+//
+// Retries multiply: a stage that fails half its requests is sent half as many
+// again by each instance, by each caller's library and by each stage above. A
+// [Budget] keeps the retries of one pool to a share of its first attempts,
+// whatever fails: each first attempt pays in a part, each retry takes out a
+// whole. When the budget is empty the failure is passed on at once, with a span
+// after which to come back.
+//
+// Whether a piece of work may be done again at all is decided by [Allowed]: only
+// when nothing ran, or when running it again has no effect.
+package retry
+
+import (
+	"math/rand/v2"
+
+	"amaranthvalve/pkg/clock"
+)
+
+//go:generate go tool stringer -type=Cause -linecomment -output=cause_string.go
+
+// Cause tells why work was done again; each has a counter.
+type Cause int
+
+// The causes.
+const (
+	NothingSent  Cause = iota // nothing_sent
+	Refused                   // refused
+	Cut                       // cut
+	WrongAnswer               // wrong_answer
+	Resumed                   // resumed
+	Hedged                    // hedged
+	ReadConflict              // read_conflict
+)
+
+// Causes lists all causes, for the counters.
+func Causes() []Cause {
+	return []Cause{NothingSent, Refused, Cut, WrongAnswer, Resumed, Hedged, ReadConflict}
+}
+
+// Shares of a budget.
+const (
+	// Share is how many retries a first attempt pays for.
+	Share = 0.1
+	// reserve is how many retries a budget holds when it has been idle, so
+	// that a pool with little load can retry at all.
+	reserve = 10.0
+	// MaxAttempts bounds the attempts of one stage of one request.
+	MaxAttempts = 3
+)
+
+// Budget is the retry budget of one pool at one instance. The zero value is
+// full. It is not safe for concurrent use.
+type Budget struct {
+	spent float64
+}
+
+// First notes a first attempt.
+func (bdg *Budget) First() { bdg.spent = max(0, bdg.spent-Share) }
+
+// Take asks for one retry.
+func (bdg *Budget) Take() bool {
+	if bdg.spent+1 > reserve {
+		return false
+	}
+	bdg.spent++
+	return true
+}
+
+// Allowed tells whether work may be done again: nothing of it ran, or running
+// it again has no effect.
+func Allowed(ranNothing, nonIdempotent bool) bool {
+	return ranNothing || !nonIdempotent
+}
+
+// After gives a span to come back after: base, doubled with each earlier
+// refusal up to a bound, and spread over its upper half so that those refused
+// together don't return together.
+func After(base clock.Milli, earlier int, rng *rand.Rand) clock.Milli {
+	span := base << min(max(earlier, 0), 5)
+	if span < 2 {
+		return span
+	}
+	return span/2 + clock.Milli(rng.Int64N(int64(span/2)))
+}
--- /dev/null
+++ b/pkg/svcdoc/check.go
@@ -0,0 +1,238 @@
+package svcdoc
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+
+	"amaranthvalve/internal/place"
+	"amaranthvalve/pkg/clock"
+)
+
+// Bounds of a document.
+const (
+	// MaxBytes bounds a document's text: 1,100 workspaces of about 150 bytes
+	// take 165 KB.
+	MaxBytes = 256 << 10
+	// MaxDeadline bounds a deadline.
+	MaxDeadline = 10 * clock.Minute
+	// MaxKeyLife bounds a key's life. It stays below the log's retention, see
+	// package claim.
+	MaxKeyLife = clock.Day
+
+	maxStages     = 16
+	maxPriority   = 9
+	maxWorkspaces = 2000
+)
+
+// Defaults of what a document may leave out.
+const (
+	defaultPriority = 5
+	defaultDeadline = 12 * clock.Second
+	defaultKeyLife  = clock.Hour
+	defaultNeed     = 20 * clock.Milli(1)
+	defaultRate     = 100.0
+	defaultInFlight = 64
+)
+
+var nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+type checker struct {
+	fts *place.Faults
+	doc *Document
+}
+
+func (chk *checker) run() {
+	raw := &chk.doc.raw
+	chk.name("name", raw.Name)
+	chk.doc.weighs = chk.weighs(raw.Weighs)
+	chk.defaults()
+	chk.span("deadline_ms", raw.DeadlineMs, MaxDeadline)
+	chk.span("key_life_ms", raw.KeyLifeMs, MaxKeyLife)
+	if raw.Priority < 0 || raw.Priority > maxPriority {
+		chk.fts.Add("priority", "%d is not in 0 to %d", raw.Priority, maxPriority)
+	}
+	chk.stages()
+	chk.requests()
+	chk.workspaces()
+	if raw.Owner == "" {
+		chk.fts.Warn("owner", "no owner: nobody will know whom to ask about this service")
+	}
+}
+
+// defaults fills what the file does not set; a zero that it does set stays and
+// is judged.
+func (chk *checker) defaults() {
+	raw := &chk.doc.raw
+	if !chk.fts.Has("priority") {
+		raw.Priority = defaultPriority
+	}
+	if !chk.fts.Has("deadline_ms") {
+		raw.DeadlineMs = int64(defaultDeadline)
+	}
+	if !chk.fts.Has("key_life_ms") {
+		raw.KeyLifeMs = int64(max(defaultKeyLife, clock.Milli(raw.DeadlineMs)))
+	}
+}
+
+func (chk *checker) name(path, name string) {
+	if !nameRule.MatchString(name) {
+		chk.fts.Add(path, "%q is not a name: 1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit", name)
+	}
+}
+
+func (chk *checker) weighs(text string) Weighs {
+	switch text {
+	case "", Attainment.String():
+		return Attainment
+	case Cost.String():
+		return Cost
+	}
+	chk.fts.Add("weighs", "%q is neither %q nor %q", text, Attainment, Cost)
+	return Attainment
+}
+
+func (chk *checker) span(path string, ms int64, most clock.Milli) {
+	if ms <= 0 || clock.Milli(ms) > most {
+		chk.fts.Add(path, "%d ms is not in 1 to %d", ms, most)
+	}
+}
+
+func (chk *checker) stages() {
+	raw := &chk.doc.raw
+	if len(raw.Stage) == 0 {
+		chk.fts.Add("stage", "a service needs at least one [[stage]]")
+	}
+	if len(raw.Stage) > maxStages {
+		chk.fts.Add("stage", "%d stages, at most %d are possible", len(raw.Stage), maxStages)
+	}
+	seen := map[string]bool{}
+	need := int64(0)
+	for i := range raw.Stage {
+		chk.stage(fmt.Sprintf("stage[%d]", i), &raw.Stage[i], seen)
+		need += raw.Stage[i].NeedMs
+	}
+	if need > raw.DeadlineMs {
+		chk.fts.Warn("deadline_ms", "the stages' need_ms add up to %d ms, the deadline is %d ms: every request would be refused", need, raw.DeadlineMs)
+	}
+}
+
+func (chk *checker) stage(path string, stg *rawStage, seen map[string]bool) {
+	kind, ok := kindByName(stg.Kind)
+	if !ok {
+		chk.fts.Add(path+".kind", "%q is not one of encode, retrieve, rerank, generate, call", stg.Kind)
+	}
+	chk.doc.kinds = append(chk.doc.kinds, kind)
+	if stg.Name == "" {
+		stg.Name = stg.Kind
+	}
+	chk.name(path+".name", stg.Name)
+	if seen[stg.Name] {
+		chk.fts.Add(path+".name", "%q stands twice", stg.Name)
+	}
+	seen[stg.Name] = true
+	chk.name(path+".pool", stg.Pool)
+	if !chk.fts.Has(path + ".need_ms") {
+		stg.NeedMs = int64(defaultNeed)
+	}
+	chk.span(path+".need_ms", stg.NeedMs, MaxDeadline)
+	if stg.NonIdempotent != nil && *stg.NonIdempotent && kind != Call {
+		chk.fts.Warn(path+".non_idempotent", "a stage of kind %s usually has no effect; it will never be retried", kind)
+	}
+	if stg.ChecksFencing && stg.Model == "" {
+		chk.fts.Warn(path+".checks_fencing", "no model is ordered here, so no order is sent that could be checked")
+	}
+}
+
+func kindByName(text string) (Kind, bool) {
+	for kind := Encode; kind <= Call; kind++ {
+		if kind.String() == text {
+			return kind, true
+		}
+	}
+	return Encode, false
+}
+
+func (chk *checker) requests() {
+	raw := &chk.doc.raw
+	if len(raw.Request) == 0 {
+		raw.Request = []rawRequest{{Name: "run", NonIdempotent: chk.hasEffect()}}
+	}
+	seen := map[string]bool{}
+	for i := range raw.Request {
+		req := &raw.Request[i]
+		path := fmt.Sprintf("request[%d]", i)
+		chk.name(path+".name", req.Name)
+		if seen[req.Name] {
+			chk.fts.Add(path+".name", "%q stands twice", req.Name)
+		}
+		seen[req.Name] = true
+		if !req.NonIdempotent && chk.hasEffect() {
+			// The stage itself is never retried, but nothing would stop the
+			// caller's own repeat from running it a second time.
+			chk.fts.Add(path+".non_idempotent", "must be true: the service has a non-idempotent stage")
+		}
+	}
+}
+
+func (chk *checker) hasEffect() bool {
+	for i := range chk.doc.raw.Stage {
+		if i < len(chk.doc.kinds) && chk.doc.Stage(i).NonIdempotent() {
+			return true
+		}
+	}
+	return false
+}
+
+func (chk *checker) workspaces() {
+	raw := &chk.doc.raw
+	if len(raw.Workspace) == 0 {
+		chk.fts.Warn("workspace", "no [[workspace]]: nobody may call this service")
+	}
+	if len(raw.Workspace) > maxWorkspaces {
+		chk.fts.Add("workspace", "%d workspaces, at most %d are possible", len(raw.Workspace), maxWorkspaces)
+	}
+	seen := map[string]bool{}
+	for i := range raw.Workspace {
+		wsp := &raw.Workspace[i]
+		path := fmt.Sprintf("workspace[%d]", i)
+		chk.name(path+".name", wsp.Name)
+		if seen[wsp.Name] {
+			chk.fts.Add(path+".name", "%q stands twice", wsp.Name)
+		}
+		seen[wsp.Name] = true
+		chk.limits(path, wsp)
+	}
+}
+
+func (chk *checker) limits(path string, wsp *rawWorkspace) {
+	if !chk.fts.Has(path + ".requests_per_second") {
+		wsp.RequestsPerSecond = defaultRate
+	}
+	if !chk.fts.Has(path + ".burst") {
+		wsp.Burst = max(1, int(wsp.RequestsPerSecond))
+	}
+	if !chk.fts.Has(path + ".in_flight") {
+		wsp.InFlight = defaultInFlight
+	}
+	if !chk.fts.Has(path + ".share") {
+		wsp.Share = 1
+	}
+	if wsp.RequestsPerSecond <= 0 {
+		chk.fts.Add(path+".requests_per_second", "%g is not above 0", wsp.RequestsPerSecond)
+	}
+	chk.positive(path+".burst", wsp.Burst)
+	chk.positive(path+".in_flight", wsp.InFlight)
+	chk.positive(path+".share", wsp.Share)
+	hash := strings.ToLower(wsp.TokenSha256)
+	if hash != "" && !regexp.MustCompile(`^[0-9a-f]{64}$`).MatchString(hash) {
+		chk.fts.Add(path+".token_sha256", "not 64 hexadecimal digits")
+	}
+	wsp.TokenSha256 = hash
+}
+
+func (chk *checker) positive(path string, val int) {
+	if val <= 0 {
+		chk.fts.Add(path, "%d is not above 0", val)
+	}
+}
