--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -46,6 +46,9 @@
 	token     string
 	zone      string
 
+	// OnOpen is told of each stream's start; it may be nil.
+	OnOpen func(wire.Open)
+
 	known  []wire.Entry
 	keptTo clock.Milli
 }
@@ -104,7 +107,7 @@
 // stream, once and in order; it may be nil.
 func (cli *Client) Call(ctx context.Context, service string, sub wire.Submit, take func(wire.Token)) wire.Answer {
 	last := lost(outcm.NotRun, outcm.NoEndpoint, "no instance could be reached")
-	str := &streamed{take: take}
+	str := &streamed{take: take, opened: cli.OnOpen}
 	for range maxTries {
 		addr, err := cli.next(ctx, service)
 		if err != nil {
@@ -126,7 +129,7 @@
 
 // CallAt sends a request once to one address, whatever becomes of it.
 func (cli *Client) CallAt(ctx context.Context, addr, service string, sub wire.Submit, take func(wire.Token)) wire.Answer {
-	ans, _ := cli.once(ctx, addr, service, sub, &streamed{take: take})
+	ans, _ := cli.once(ctx, addr, service, sub, &streamed{take: take, opened: cli.OnOpen})
 	return ans
 }
 
@@ -212,6 +215,7 @@
 // streamed is what a caller has of a stream, over all its connections.
 type streamed struct {
 	take   func(wire.Token)
+	opened func(wire.Open)
 	have   []string
 	resume string
 }
@@ -240,6 +244,9 @@
 			var opn wire.Open
 			if json.Unmarshal(data, &opn) == nil && opn.Resume != "" {
 				str.resume = opn.Resume
+				if str.opened != nil {
+					str.opened(opn)
+				}
 			}
 		case wire.EventToken:
 			var tok wire.Token
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -89,6 +89,9 @@
 	handle func(ctx context.Context, msg Message) Message
 	// Refused is told of connections that were not let in; it may be nil.
 	Refused func(err error)
+	// Cut tells which addresses can't be reached, for tests of cuts; nil for
+	// none. Its own end asks it too when it is asked something.
+	Cut func(addr string) bool
 
 	mtx   sync.Mutex
 	conns map[string]*conn
@@ -229,7 +232,7 @@
 func (lnk *Link) answer(ctx context.Context, str *quic.Stream) {
 	_ = str.SetDeadline(time.Now().Add(answerIn))
 	msg, err := read(str)
-	if err != nil {
+	if err != nil || lnk.Cut != nil && lnk.Cut(msg.From.Addr()) {
 		str.CancelRead(0)
 		str.CancelWrite(0)
 		return
@@ -241,6 +244,9 @@
 
 // Ask sends a message to the instance at addr and gives its answer.
 func (lnk *Link) Ask(ctx context.Context, addr string, msg Message) (Message, error) {
+	if lnk.Cut != nil && lnk.Cut(addr) {
+		return Message{}, Error.New("%s is cut off", addr)
+	}
 	qcn, err := lnk.conn(ctx, addr)
 	if err != nil {
 		return Message{}, err
