internal/entry: failure tests of refusals, stops, documents and orders; three faults mended

Failed first, then mended:

An instance cut off from the log and all peers went by old documents again after some seconds, and did so after it had come back ("dispatch" where "while away" was in force). It had taken the others for dead, left the dead out of the count, and found itself to be most of the instances. Members whose end is not proved now count. The test also watches that it stays out. 2. The first request after an owner raised a workspace's limit was refused with what the bucket had left from the old one (pkg/limit, TestRaisedLimitHoldsAtOnce). 3. A booking with a deadline that could not be met cost a claim and a release in the log, and was refused as log_unavailable. Admission now comes before the append for keys that are not known here.

Ruled out for 1: a late message of old news; the view showed one member. One test had a fault of its own (it vouched "first" for a key it had sent).

--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -237,6 +237,14 @@
 	}
 }
 
+// IsFree tells whether this instance knows of no attempt that holds or settled
+// a key.
+func (ctl *Control) IsFree(ctx context.Context, key string) bool {
+	free := false
+	ctl.Do(ctx, func(clock.Milli) { free = ctl.claims.ldg.Find(key).Phase() == claim.Free })
+	return free
+}
+
 // Claim asks to run a request under a key and waits for the log's word, at most
 // until the context ends.
 func (ctl *Control) Claim(ctx context.Context, ask ClaimAsk) Claimed {
--- a/internal/contr/docs.go
+++ b/internal/contr/docs.go
@@ -194,15 +194,21 @@
 		}
 	}
 	age := dct.ctl.set.LogRetention / snapshotShare
-	ents := dct.reg.Snapshot(now - age - rank*rankStep)
-	if len(ents) == 0 {
-		return
+	if dct.appendAgain(now, now-age-rank*rankStep) > 0 {
+		dct.snapshot = now + snapshotLife
 	}
-	dct.snapshot = now + snapshotLife
+}
+
+// appendAgain appends the documents that were last appended before olderThan.
+func (dct *docsCtl) appendAgain(now, olderThan clock.Milli) int {
+	ents := dct.reg.Snapshot(olderThan)
 	for _, ent := range ents {
 		dct.app.add(appending{body: ent.Encode(), until: now + snapshotLife})
 	}
-	dct.ctl.set.Log.Info().Int("records", len(ents)).Msg("appended documents again")
+	if len(ents) > 0 {
+		dct.ctl.set.Log.Info().Int("records", len(ents)).Msg("appended documents again")
+	}
+	return len(ents)
 }
 
 // offer appends an offer and goes on until the deadline.
--- a/internal/contr/publish.go
+++ b/internal/contr/publish.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// SnapshotNow appends all documents again at once and gives the number of
+// records; it is what takeSnapshot does when they grow old.
+func (ctl *Control) SnapshotNow(ctx context.Context) int {
+	count := 0
+	ctl.Do(ctx, func(now clock.Milli) { count = ctl.docs.appendAgain(now, now+1) })
+	return count
+}
+
 // History gives a service's last decisions.
 func (ctl *Control) History(ctx context.Context, service string) []wire.Change {
 	list := []wire.Change{}
--- /dev/null
+++ b/internal/entry/docs_test.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+)
+
+func (wld *world) offer(node int, base int64, owner string) wire.Published {
+	text := strings.Replace(wld.read("booking"), `owner = "dispatch"`, fmt.Sprintf("owner = %q", owner), 1)
+	return wld.nodes[node].ctl.Publish(wld.ctx, "booking", wire.Publish{ID: ident.NewID(), Base: base, Text: text, By: owner, WaitMs: 8 * clock.Second})
+}
+
+func (nod *Node) owner() string {
+	hld, ok := nod.ctl.View().Doc("booking")
+	if !ok {
+		return ""
+	}
+	return hld.Doc().Owner()
+}
+
+func (nod *Node) revision() int64 {
+	hld, _ := nod.ctl.View().Doc("booking")
+	return hld.Revision()
+}
+
+var _ = ginkgo.Describe("an accepted document", func() {
+	// Operators race at three instances, ten times, each change based on the
+	// same revision. Exactly one wins each time, the losers are told, and all
+	// instances go by the winner's document.
+	ginkgo.It("wins alone among racing operators, everywhere", func() {
+		wld := newWorld(3, "")
+		var worst clock.Milli
+		for round := range 10 {
+			base := wld.nodes[0].revision()
+			results := make([]wire.Published, 3)
+			var wgr sync.WaitGroup
+			for i := range results {
+				wgr.Add(1)
+				go func() {
+					defer wgr.Done()
+					results[i] = wld.offer(i, base, fmt.Sprintf("op%d-%d", round, i))
+				}()
+			}
+			wgr.Wait()
+			won := ""
+			for i, pub := range results {
+				if pub.Verdict == "accepted" {
+					expect(won).To(equal(""))
+					won = fmt.Sprintf("op%d-%d", round, i)
+					expect(pub.InForce).To(isTrue())
+					worst = max(worst, pub.TookMs)
+				} else {
+					expect(pub.Verdict).To(equal("lost_race"))
+				}
+			}
+			for _, nod := range wld.nodes {
+				expect(nod.owner()).To(equal(won))
+			}
+		}
+		fmt.Printf("measured: 3 instances, 10 changes, slowest in force everywhere after %d ms\n", worst)
+		expect(worst).To(gomega.BeNumerically("<", 8*clock.Second))
+	})
+
+	// The log takes the offer and loses its reply, so that it is appended
+	// again. It counts once and is accepted.
+	ginkgo.It("counts once when the reply to its append is lost", func() {
+		wld := newWorld(2, "")
+		wld.plt.SetFaults(stand.Faults{LoseReplies: 2})
+		pub := wld.offer(0, wld.nodes[0].revision(), "lost")
+		expect(pub.Verdict).To(equal("accepted"))
+		expect(wld.nodes[1].owner()).To(equal("lost"))
+		expect(wld.nodes[0].ctl.History(wld.ctx, "booking")).To(gomega.HaveLen(2))
+	})
+
+	// An instance is cut off from the log and from its peers. It refuses new
+	// work after the freshness bound, and the publisher is told "in force" only
+	// after that. When it comes back it has the new document before it serves.
+	ginkgo.It("is not contradicted by an instance that is cut off", func() {
+		wld := newWorld(3, "")
+		wld.cutOff(2, true)
+		pub := wld.offer(0, wld.nodes[0].revision(), "while away")
+		expect(pub.Verdict).To(equal("accepted"))
+		expect(pub.InForce).To(isTrue(), "behind %v", pub.Behind)
+		ans := wld.call(2, "planning", wire.Submit{Input: "x", MaxTokens: 1})
+		expect(ans.Outcome + " " + ans.Reason).To(equal("not_run stale_view"))
+		fmt.Printf("measured: one of 3 cut off, change in force after %d ms\n", pub.TookMs)
+		gomega.Consistently(wld.nodes[2].isReady, 6*time.Second, 20*time.Millisecond).Should(gomega.BeFalse())
+		wld.cutOff(2, false)
+		until(10*time.Second, wld.nodes[2].isReady)
+		expect(wld.nodes[2].owner()).To(equal("while away"))
+	})
+
+	// The log is out for longer than the freshness bound. The instances vouch
+	// for each other and go on; a new one takes the documents from a peer; a
+	// publisher learns that nothing is decided. Then the log answers an older end.
+	ginkgo.It("stays in force through an outage, at new instances too", func() {
+		wld := newWorld(3, "")
+		pub := wld.offer(0, wld.nodes[0].revision(), "before")
+		expect(pub.InForce).To(isTrue())
+		wld.plt.SetFaults(stand.Faults{Outage: true})
+		time.Sleep(3500 * time.Millisecond)
+		nod := wld.addNode()
+		until(10*time.Second, nod.isReady)
+		expect(nod.owner()).To(equal("before"))
+		for i := range wld.nodes {
+			expect(wld.call(i, "planning", wire.Submit{Input: "x", MaxTokens: 1}).Outcome).To(equal("done"))
+		}
+		wld.plt.SetFaults(stand.Faults{OldEnd: 3})
+		time.Sleep(500 * time.Millisecond)
+		for _, nod := range wld.nodes {
+			expect(nod.owner()).To(equal("before"))
+		}
+	})
+
+	// A lone new instance starts in an outage and has nobody to ask. It must not
+	// take "no documents" for the truth: it is not ready and refuses, not run.
+	ginkgo.It("is not taken to be missing by a new instance that knows nothing", func() {
+		wld := newWorld(1, "")
+		wld.plt.SetFaults(stand.Faults{Outage: true})
+		wld.plt.SetListFaults(stand.Faults{Outage: true})
+		nod := wld.addNode()
+		gomega.Consistently(nod.isReady, time.Second, 20*time.Millisecond).Should(gomega.BeFalse())
+		ans := wld.call(1, "planning", wire.Submit{Input: "x"})
+		expect(ans.Outcome + " " + ans.Reason).To(equal("not_run stale_view"))
+	})
+
+	// All records but the newest few are forgotten, after the instances have
+	// appended the documents again. An instance that starts then has them all.
+	ginkgo.It("outlives the records that it came in", func() {
+		wld := newWorld(1, "")
+		reg := wld.nodes[0]
+		ents := reg.ctl.SnapshotNow(wld.ctx)
+		expect(ents).To(gomega.BeNumerically(">", 2))
+		until(3*time.Second, func() bool { return len(wld.plt.Records("docs")) >= 2+ents })
+		wld.plt.Trim("docs", ents)
+		nod := wld.addNode()
+		until(10*time.Second, nod.isReady)
+		expect(nod.owner()).To(equal("dispatch"))
+		expect(nod.revision()).To(equal(reg.revision()))
+		pub := wld.offer(1, nod.revision(), "after")
+		expect(pub.Verdict).To(equal("accepted"))
+	})
+
+	// All instances are replaced, one after another and then all at once, with
+	// the log up. The documents stay in force at the same revisions.
+	ginkgo.It("outlives the replacement of every instance", func() {
+		wld := newWorld(2, "")
+		want := wld.offer(0, wld.nodes[0].revision(), "kept").Revision
+		for i := range 2 {
+			nod := wld.addNode()
+			until(5*time.Second, nod.isReady)
+			wld.nodes[i].Kill()
+			expect(nod.revision()).To(equal(want))
+		}
+		wld.nodes[2].Kill()
+		wld.nodes[3].Kill()
+		nod := wld.addNode()
+		until(5*time.Second, nod.isReady)
+		expect(nod.revision()).To(equal(want))
+		expect(nod.owner()).To(equal("kept"))
+	})
+})
+
+var _ = ginkgo.Describe("orders to endpoints", func() {
+	// The holder of the lease orders engines to load the document's model. When
+	// it is killed another instance takes over after the lease and the flight of
+	// an order, with a greater fencing number, and corrects what is wrong.
+	ginkgo.It("come from one holder after another, with a growing number", func() {
+		wld := newWorld(2, "")
+		engine := wld.pools["planners"][0]
+		until(5*time.Second, func() bool { return engine.Model() == "planner-7b" })
+		holder := wld.nodes[0].ctl.Status(wld.ctx).Leases[0].Holder
+		survivor := wld.nodes[0]
+		for _, nod := range wld.nodes {
+			if string(nod.ctl.Self()) == holder {
+				nod.Kill()
+			} else {
+				survivor = nod
+			}
+		}
+		killed := time.Now()
+		text := strings.Replace(wld.read("planning"), "planner-7b", "planner-9b", 1)
+		go survivor.ctl.Publish(wld.ctx, "planning", wire.Publish{ID: ident.NewID(), Base: 1, Text: text, WaitMs: 1})
+		until(25*time.Second, func() bool { return engine.Model() == "planner-9b" })
+		fmt.Printf("measured: orders taken over %v after the holder was killed\n", time.Since(killed))
+		orders := engine.Orders()
+		expect(orders[len(orders)-1].Fence).To(gomega.BeNumerically(">", orders[0].Fence))
+	})
+})
--- /dev/null
+++ b/internal/entry/drains_test.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/caller"
+	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/wire"
+)
+
+var _ = ginkgo.Describe("leaving and stopping", func() {
+	// An encoder says that it is leaving while the instance list is out. Its
+	// own word, in an answer or a report, reaches both instances: neither sends
+	// it new work after a few seconds.
+	ginkgo.It("an endpoint that leaves gets no new work, with the instance list down", func() {
+		wld := newWorld(2, "")
+		wld.plt.SetListFaults(stand.Faults{Outage: true})
+		leaving := wld.pools["encoders"][0]
+		leaving.SetFaults(stand.Faults{Leave: true})
+		left := time.Now()
+		last := time.Now()
+		before := len(leaving.Executions())
+		for time.Since(left) < 4*time.Second {
+			expect(wld.call(int(time.Since(left)/time.Millisecond)%2, "planning", wire.Submit{Input: "x", MaxTokens: 1}).Outcome).To(equal("done"))
+			if now := len(leaving.Executions()); now != before {
+				before, last = now, time.Now()
+			}
+		}
+		took := last.Sub(left)
+		ginkgo.GinkgoWriter.Printf("last new work %v after the word\n", took)
+		fmt.Printf("measured: leaving endpoint, list down: last new work after %v\n", took)
+		expect(took).To(gomega.BeNumerically("<", 3*time.Second))
+	})
+
+	// An instance is asked to stop while a twelve-second booking and a long
+	// stream are under way and while callers go on using the address that they
+	// keep. Nothing is cut off; after the kept answers have run out it refuses,
+	// finishes and ends.
+	ginkgo.It("a planned stop cuts nothing off", func() {
+		wld := newWorld(2, "")
+		wld.pools["booking"][0].SetFaults(stand.Faults{SlowMs: 4000})
+		var wgr sync.WaitGroup
+		var slow, streamed wire.Answer
+		text := ""
+		wgr.Add(2)
+		go func() {
+			defer wgr.Done()
+			slow = wld.call(0, "booking", book("slow"))
+		}()
+		go func() {
+			defer wgr.Done()
+			cli := caller.New([]string{wld.nodes[0].CallerAddr()}, workspace, "", "")
+			streamed = cli.CallAt(wld.ctx, wld.nodes[0].CallerAddr(), "planning", wire.Submit{Input: "long", Stream: true, MaxTokens: 900}, func(tok wire.Token) { text += tok.Text })
+		}()
+		until(3*time.Second, wld.nodes[0].busy)
+		var stopped atomic.Bool
+		began := time.Now()
+		go func() { wld.nodes[0].Stop(context.Background()); stopped.Store(true) }()
+		served := 0
+		for time.Since(began) < 400*time.Millisecond {
+			expect(wld.call(0, "planning", wire.Submit{Input: "kept", MaxTokens: 1}).Outcome).To(equal("done"))
+			served++
+		}
+		expect(served).To(gomega.BeNumerically(">", 3))
+		until(2*time.Second, func() bool {
+			ent, err := caller.New([]string{wld.nodes[1].CallerAddr()}, workspace, "", "").Entries(wld.ctx, "planning")
+			return err == nil && len(ent.Entries) == 1 && ent.Entries[0].Addr == wld.nodes[1].CallerAddr()
+		})
+		wgr.Wait()
+		expect(slow.Outcome).To(equal("done"), slow.Reason)
+		expect(streamed.Outcome).To(equal("done"), streamed.Reason)
+		expect(text).To(equal(generated("long", 900)))
+		until(5*time.Second, stopped.Load)
+		expect(wld.call(1, "booking", book("slow")).Outcome).To(equal("done"))
+		expect(wld.ran(workspace, "slow")).To(equal(1))
+	})
+})
--- a/internal/filter/entry.go
+++ b/internal/filter/entry.go
@@ -162,6 +162,9 @@
 		Attempt: ident.NewID(), Digest: cl.digest(), Expires: cl.Submit.ExpiresMs,
 	}
 	cl.requestID = cl.claim.Key
+	if res := chn.beforeClaim(ctx, cl); res.Outcome() != outcm.Pending {
+		return res
+	}
 	wctx, cancel := context.WithDeadline(ctx, cl.deadline.Time())
 	defer cancel()
 	cld := chn.ctl.Claim(wctx, cl.claim)
@@ -178,6 +181,17 @@
 	return cld.Result
 }
 
+// beforeClaim refuses what can't be answered in time before it costs an append:
+// in an overload the log would otherwise take a claim and a release for each
+// refused request. A key that is known here is not refused, for its answer may
+// be recorded.
+func (chn *Chain) beforeClaim(ctx context.Context, cl *Call) outcm.Result {
+	if !chn.ctl.IsFree(ctx, cl.claim.Key) {
+		return outcm.Result{}
+	}
+	return chn.rnr.Admit(cl.job(chn))
+}
+
 // runClaimed runs a request whose key is held by this attempt, and then gives
 // the key back or settles it. The caller's going away does not stop it: the
 // effect may have begun, and the answer is wanted by a repeat.
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -86,11 +86,17 @@
 	return &Workspace{bucket: rate.NewLimiter(rate.Limit(perSecond), burst), most: most}
 }
 
-// Set changes the limits and keeps what is under way.
+// Set changes the limits and keeps what is under way. A burst that changed means
+// a changed document: the bucket starts full, for it would otherwise refuse the
+// first requests after the owner raised the limit, with what it had left from
+// the old one.
 func (wsp *Workspace) Set(perSecond float64, burst, most int, now clock.Milli) {
-	wsp.bucket.SetLimitAt(now.Time(), rate.Limit(perSecond))
-	wsp.bucket.SetBurstAt(now.Time(), burst)
 	wsp.most = most
+	if wsp.bucket.Burst() != burst {
+		wsp.bucket = rate.NewLimiter(rate.Limit(perSecond), burst)
+		return
+	}
+	wsp.bucket.SetLimitAt(now.Time(), rate.Limit(perSecond))
 }
 
 // Verdict is the answer to a request to enter.
--- /dev/null
+++ b/pkg/limit/limit_test.go
@@ -0,0 +1,67 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthvalve/internal/golden"
+	"amaranthvalve/pkg/clock"
+)
+
+func TestMain(m *testing.M) { golden.Main(m) }
+
+// TestRaisedLimitHoldsAtOnce: an owner raises a workspace's limit. The first
+// request after that is let through; it was refused with what the bucket had
+// left from the old limit.
+func TestRaisedLimitHoldsAtOnce(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	wsp := NewWorkspace(0.1, 1, 10)
+	wsp.Set(0.1, 1, 10, 1000)
+	ver, _ := wsp.Enter(1000)
+	gom.Expect(ver).To(gomega.Equal(Entered))
+	ver, wait := wsp.Enter(1001)
+	gom.Expect(ver).To(gomega.Equal(TooFast))
+	gom.Expect(wait).To(gomega.BeNumerically("~", 10*clock.Second, 10))
+	wsp.Set(5000, 5000, 10, 1002)
+	ver, _ = wsp.Enter(1002)
+	gom.Expect(ver).To(gomega.Equal(Entered))
+}
+
+// TestRateIsKept: whatever the order of arrivals, no more enter in a span than
+// the rate and the burst allow.
+func TestRateIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.IntRange(1, 50).Draw(t, "rate")
+		burst := rapid.IntRange(1, 20).Draw(t, "burst")
+		wsp := NewWorkspace(float64(perSecond), burst, 1<<30)
+		now, entered := clock.Milli(1000), 0
+		for range rapid.IntRange(1, 300).Draw(t, "arrivals") {
+			now += clock.Milli(rapid.IntRange(0, 100).Draw(t, "gap"))
+			if ver, _ := wsp.Enter(now); ver == Entered {
+				entered++
+			}
+		}
+		if most := burst + int((now-1000).Seconds()*float64(perSecond)) + 1; entered > most {
+			t.Fatalf("%d entered, at most %d may", entered, most)
+		}
+	})
+}
+
+func ExampleAdaptive() {
+	var adp Adaptive
+	fmt.Println(adp.Limit())
+	adp.Overloaded(1000, 100)
+	adp.Overloaded(1010, 100) // the same bad moment
+	fmt.Println(adp.Limit())
+	// Output:
+	// 16
+	// 11
+}
+
+func ExamplePart() {
+	fmt.Printf("%.0f\n", Part(100, 9, []float64{0, 0}))
+	// Output: 83
+}
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -67,14 +67,17 @@
 }
 
 // Heard counts the members heard of within the bound, the instance itself
-// included, and all that are not dead.
+// included, and all that may still act. Those taken for dead count among all
+// unless their end is proved: an instance that is cut off takes everybody else
+// for dead after some seconds, and were the dead left out it would find itself
+// to be most of the instances and go by old documents again.
 func (lst *List) Heard(bound, now clock.Milli) (heard, all int) {
 	for _, mbr := range lst.members {
-		if mbr.news.Status == Dead {
+		if mbr.gone {
 			continue
 		}
 		all++
-		if mbr.news.Who == lst.self || now-mbr.heard <= bound {
+		if mbr.news.Who == lst.self || mbr.news.Status != Dead && now-mbr.heard <= bound {
 			heard++
 		}
 	}
