internal/proc: frozen and killed processes; a view that runs out, needs by first token

Cause: some failures need real processes (SIGSTOP, SIGKILL, SIGTERM).

A frozen instance wakes with its old view, and requests that waited in its sockets may be read before the control thread looks at the clock. The view now carries the instant up to which it may be gone by (TestViewRunsOut). Long generations were refused as deadline_too_short after a few short ones: the stage's need was a mean a token, which holds the prompt's cost.

--- a/internal/contr/control.go
+++ b/internal/contr/control.go
@@ -71,6 +71,8 @@
 	applied int64
 	ready   bool
 	why     string
+	// until is the instant up to which the view may be gone by.
+	until clock.Milli
 }
 
 // Doc gives a service's document in force.
@@ -88,8 +90,18 @@
 // Applied gives the offset that the documents are of.
 func (vw *View) Applied() int64 { return vw.applied }
 
-// Ready tells whether new work may be taken, and why not.
-func (vw *View) Ready() (ready bool, why string) { return vw.ready, vw.why }
+// Ready tells whether new work may be taken at the instant now, and why not.
+//
+// The view carries the end of its own time. A process that was frozen wakes
+// with its old view, and requests that waited in its sockets are read before
+// the control thread has looked at the clock; going by a flag alone, it would
+// answer them by documents that were replaced while it slept.
+func (vw *View) Ready(now clock.Milli) (ready bool, why string) {
+	if vw.ready && now > vw.until {
+		return false, "the view has run out"
+	}
+	return vw.ready, vw.why
+}
 
 // New returns a control thread that has not started.
 func New(set Setup) *Control {
@@ -226,14 +238,13 @@
 	}
 }
 
-// publish makes a new view if anything that it shows has changed.
+// publish makes a new view. Its maps and lists are shared with the old one
+// unless they changed.
 func (ctl *Control) publish(now clock.Milli) {
-	ready, why := ctl.docs.fresh(now)
+	until, why := ctl.docs.freshUntil(now)
+	ready := why == ""
 	old := ctl.view.Load()
-	if old.ready == ready && old.why == why && !ctl.docs.changed && !ctl.members.changed {
-		return
-	}
-	vw := &View{docs: old.docs, members: old.members, applied: ctl.docs.reg.Applied(), ready: ready, why: why}
+	vw := &View{docs: old.docs, members: old.members, applied: ctl.docs.reg.Applied(), ready: ready, why: why, until: until}
 	if ctl.docs.changed || vw.docs == nil {
 		vw.docs = ctl.docs.reg.All()
 	}
--- a/internal/contr/docs.go
+++ b/internal/contr/docs.go
@@ -73,31 +73,32 @@
 	dct.takeSnapshot(now)
 }
 
-// fresh tells whether the documents may be taken to be in force: the log said
-// so within the bound, or most of the instances are in touch with one another
-// and none has applied more than we have.
+// freshUntil gives the instant up to which the documents may be taken to be in
+// force, or why they may not: the log said so within the bound, or most of the
+// instances are in touch with one another and none has applied more than we
+// have.
 //
 // Why most of them: while the log is out for all, no document is accepted and
 // those who vouch for each other go on. But an instance that is cut off from
 // the log together with a few others must not be vouched for by them, for the
 // rest may have accepted a newer document; a publisher counts on such a group
 // refusing after the bound. Two groups can't both be most.
-func (dct *docsCtl) fresh(now clock.Milli) (ready bool, why string) {
+func (dct *docsCtl) freshUntil(now clock.Milli) (until clock.Milli, why string) {
 	bound := dct.ctl.set.Fresh
 	if !dct.known {
-		return false, "no document state is known yet"
+		return 0, "no document state is known yet"
 	}
 	if now-dct.logAsOf <= bound {
-		return true, ""
+		return dct.logAsOf + bound, ""
 	}
-	heard, all := dct.ctl.members.list.Heard(bound, now)
-	if 2*heard <= all {
-		return false, "neither the log nor most of the instances can be reached"
+	since, ok := dct.ctl.members.list.MostHeard(now)
+	if !ok || now-since > bound {
+		return 0, "neither the log nor most of the instances can be reached"
 	}
 	if ahead, ok := dct.mostApplied(); ok && ahead.Applied() > dct.reg.Applied() {
-		return false, "another instance has newer documents"
+		return 0, "another instance has newer documents"
 	}
-	return true, ""
+	return since + bound, ""
 }
 
 func (dct *docsCtl) mostApplied() (member.Member, bool) {
--- a/internal/contr/publish.go
+++ b/internal/contr/publish.go
@@ -129,7 +129,7 @@
 		Members: []wire.StatusMember{}, Services: []wire.StatusService{}, Endpoints: []wire.StatusEndpoint{},
 		Leases: []wire.StatusLease{}, Refusals: ctl.set.Meter.Refusals(),
 	}
-	st.Ready, st.Why = vw.Ready()
+	st.Ready, st.Why = vw.Ready(ctl.set.Clock.Now())
 	if ctl.Stopping() {
 		st.Ready, st.Why = false, outcm.Stopping.String()
 	}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -30,7 +30,7 @@
 // entries answers "which address". An instance that is not ready answers 503
 // and names nobody: it may be the one that is cut off.
 func (nod *Node) entries(wrt http.ResponseWriter, req *http.Request) {
-	if ready, why := nod.ctl.View().Ready(); !ready {
+	if ready, why := nod.ctl.View().Ready(nod.clk.Now()); !ready {
 		wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: why})
 		return
 	}
--- a/internal/entry/ops.go
+++ b/internal/entry/ops.go
@@ -71,7 +71,7 @@
 
 // ready says whether new work is taken.
 func (nod *Node) ready(wrt http.ResponseWriter, _ *http.Request) {
-	ready, why := nod.ctl.View().Ready()
+	ready, why := nod.ctl.View().Ready(nod.clk.Now())
 	if nod.ctl.Stopping() {
 		ready, why = false, outcm.Stopping.String()
 	}
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -156,7 +156,7 @@
 }
 
 func (nod *Node) isReady() bool {
-	ready, _ := nod.ctl.View().Ready()
+	ready, _ := nod.ctl.View().Ready(nod.clk.Now())
 	return ready
 }
 
--- a/internal/filter/entry.go
+++ b/internal/filter/entry.go
@@ -35,7 +35,7 @@
 	if chn.ctl.Stopping() {
 		return outcm.Refuse(outcm.Stopping, stopRetry, "this instance is stopping, use another address")
 	}
-	if ready, why := chn.ctl.View().Ready(); !ready {
+	if ready, why := chn.ctl.View().Ready(chn.clk.Now()); !ready {
 		return outcm.Refuse(outcm.StaleView, staleRetry, why+"; use another address")
 	}
 	return next(ctx, cl)
--- a/internal/proc/bench_test.go
+++ b/internal/proc/bench_test.go
@@ -288,3 +288,16 @@
 	}
 	return cond()
 }
+
+// writeDoc writes one of the demo's documents with a change and gives its path.
+func writeDoc(dir, service, from, to string) string {
+	text, err := os.ReadFile(filepath.Join("..", "demo", service+".toml"))
+	if err != nil || !strings.Contains(string(text), from) {
+		panic(fmt.Sprintf("%s: %q is not there (%v)", service, from, err))
+	}
+	path := filepath.Join(dir, service+".toml")
+	if err := os.WriteFile(path, []byte(strings.ReplaceAll(string(text), from, to)), 0o600); err != nil {
+		panic(err)
+	}
+	return path
+}
--- a/internal/stage/attempt.go
+++ b/internal/stage/attempt.go
@@ -33,6 +33,8 @@
 	avoid []string
 	tries int
 	text  []string
+	// firstAt is the instant of the first token of the present attempt.
+	firstAt clock.Milli
 }
 
 // call runs a stage that answers in one piece.
@@ -48,7 +50,7 @@
 		}
 		ran, end, took := try.once(ctx, ep)
 		if end == engin.Answered {
-			try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took, 0)
+			try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took)
 			return ran.Output, try.time(ep, ran.EngineMs), outcm.Result{}
 		}
 		if res, again := try.again(ctx, ep, end, took); !again {
@@ -126,7 +128,7 @@
 		// The endpoint outlasted its allowance. Its time counts as a sample:
 		// were it left out, a pool that slows down as a whole would be retried
 		// for ever against its old, fast average.
-		try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took, 0)
+		try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took)
 	}
 	if try.tries >= retry.MaxAttempts {
 		return res, false
--- a/internal/stage/generate.go
+++ b/internal/stage/generate.go
@@ -80,6 +80,7 @@
 	run.MaxTokens, run.From, run.Have = try.job.MaxTokens, len(try.text), try.text
 	plc := Place{Pool: try.stg.Pool(), ID: ep.ID, Addr: ep.Addr, Attempt: run.Attempt}
 	began := try.rnr.clk.Now()
+	try.firstAt = 0
 	before := try.sending()
 	if try.last && try.job.Opened != nil {
 		try.job.Opened(plc)
@@ -107,8 +108,11 @@
 	try.learn(ep, rep, end, took, max(tokens, 1))
 	if end == engin.Answered {
 		try.job.count = len(try.text)
-		try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took, max(tokens, 1))
-	} else {
+	}
+	if end == engin.Answered && tokens > 0 {
+		try.rnr.sampleStream(try.job.Doc.Name(), try.stg.Name(), try.firstAt-began, took, tokens)
+	}
+	if end != engin.Answered {
 		go try.rnr.cancel(plc)
 	}
 	return last, end, took
@@ -124,6 +128,9 @@
 	stall := time.AfterFunc(wait, cancel)
 	last, _, end := from(inner, func(tok wire.Token) error {
 		stall.Reset(wait)
+		if try.firstAt == 0 {
+			try.firstAt = try.rnr.clk.Now()
+		}
 		try.text = append(try.text, tok.Text)
 		if try.last && try.job.Take != nil {
 			return try.job.Take(tok)
--- a/internal/stage/runner.go
+++ b/internal/stage/runner.go
@@ -34,10 +34,13 @@
 	needs map[string]*need
 }
 
-// need is the measured time of a stage; tok is in microseconds a token.
+// need is the measured time of a stage. A generating one is measured as the time
+// to its first token and the microseconds from one token to the next: a mean a
+// token would take the first one's cost, the prompt's, for every token, and
+// refuse long answers after a few short ones.
 type need struct {
 	whole admit.Need
-	tok   admit.Need
+	gap   admit.Need
 }
 
 // New returns a runner without endpoints. left is called when an endpoint says
@@ -151,35 +154,40 @@
 
 // typical and careful give a stage's expected and cautious time.
 func (rnr *Runner) typical(doc *svcdoc.Document, i, tokens int) clock.Milli {
+	return rnr.estimate(doc, i, tokens, (*admit.Need).Typical)
+}
+
+func (rnr *Runner) careful(doc *svcdoc.Document, i, tokens int) clock.Milli {
+	return rnr.estimate(doc, i, tokens, (*admit.Need).Careful)
+}
+
+func (rnr *Runner) estimate(doc *svcdoc.Document, i, tokens int, how func(*admit.Need, clock.Milli) clock.Milli) clock.Milli {
 	stg := doc.Stage(i)
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
 	ned := rnr.need(doc.Name(), stg.Name())
+	sum := how(&ned.whole, stg.Need())
 	if stg.Kind() == svcdoc.Generate {
-		return ned.tok.Typical(stg.Need()*1000/clock.Milli(max(tokens, 1))) * clock.Milli(tokens) / 1000
+		sum += how(&ned.gap, 0) * clock.Milli(max(tokens-1, 0)) / 1000
 	}
-	return ned.whole.Typical(stg.Need())
+	return sum
 }
 
-func (rnr *Runner) careful(doc *svcdoc.Document, i, tokens int) clock.Milli {
-	stg := doc.Stage(i)
+// sample notes the time of a stage that answered in one piece.
+func (rnr *Runner) sample(service, stage string, took clock.Milli) {
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
-	ned := rnr.need(doc.Name(), stg.Name())
-	if stg.Kind() == svcdoc.Generate {
-		return ned.tok.Careful(stg.Need()*1000/clock.Milli(max(tokens, 1))) * clock.Milli(tokens) / 1000
-	}
-	return ned.whole.Careful(stg.Need())
+	rnr.need(service, stage).whole.Sample(took)
 }
 
-func (rnr *Runner) sample(service, stage string, took clock.Milli, tokens int) {
+// sampleStream notes the time to the first token and the time of all.
+func (rnr *Runner) sampleStream(service, stage string, first, took clock.Milli, tokens int) {
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
-	if tokens > 0 {
-		rnr.need(service, stage).tok.Sample(took * 1000 / clock.Milli(tokens))
-		return
+	rnr.need(service, stage).whole.Sample(first)
+	if tokens > 1 {
+		rnr.need(service, stage).gap.Sample((took - first) * 1000 / clock.Milli(tokens-1))
 	}
-	rnr.need(service, stage).whole.Sample(took)
 }
 
 // later adds up the typical needs of the stages from i on.
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -66,22 +66,33 @@
 	return rank(name, serving)[0]
 }
 
-// Heard counts the members heard of within the bound, the instance itself
-// included, and all that may still act. Those taken for dead count among all
-// unless their end is proved: an instance that is cut off takes everybody else
-// for dead after some seconds, and were the dead left out it would find itself
-// to be most of the instances and go by old documents again.
-func (lst *List) Heard(bound, now clock.Milli) (heard, all int) {
+// MostHeard gives an instant since which more than half of the members, the
+// instance itself included, have been heard of; false if not so many ever were.
+// Those taken for dead count among all unless their end is proved: an instance
+// that is cut off takes everybody else for dead after some seconds, and were the
+// dead left out it would find itself to be most of the instances and go by old
+// documents again.
+func (lst *List) MostHeard(now clock.Milli) (since clock.Milli, ok bool) {
+	all := 0
+	var heard []clock.Milli
 	for _, mbr := range lst.members {
 		if mbr.gone {
 			continue
 		}
 		all++
-		if mbr.news.Who == lst.self || mbr.news.Status != Dead && now-mbr.heard <= bound {
-			heard++
+		switch {
+		case mbr.news.Who == lst.self:
+			heard = append(heard, now)
+		case mbr.news.Status != Dead:
+			heard = append(heard, mbr.heard)
 		}
 	}
-	return heard, all
+	most := all/2 + 1
+	if len(heard) < most {
+		return 0, false
+	}
+	slices.Sort(heard)
+	return heard[len(heard)-most], true
 }
 
 // rank orders members by the hash of name and member, highest first.
