--- a/internal/shell/stand.go
+++ b/internal/shell/stand.go
@@ -11,6 +11,7 @@
 	"amaranthvalve/internal/demo"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/trial"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
 )
@@ -21,6 +22,7 @@
 	Pool     poolCmd     `cmd:"" help:"Run an endpoint of a stage pool: encoder, retriever, reranker."`
 	Service  poolCmd     `cmd:"" help:"Run a plain service that records each execution."`
 	Keys     keysCmd     `cmd:"" help:"Write ca.pem, cert.pem and key.pem for instances under test."`
+	Trial    trialCmd    `cmd:"" help:"Measure the decisions about load against plain baselines, in fake time."`
 	Demo     demoCmd     `cmd:"" help:"Run the whole path in one process and show it."`
 }
 
@@ -55,6 +57,16 @@
 	Dir string `arg:"" help:"The folder to write to." type:"existingdir"`
 }
 
+type trialCmd struct {
+	Seed uint64 `help:"The seed of the random numbers." default:"1"`
+}
+
+// Run is the command.
+func (cmd *trialCmd) Run(con *console) error {
+	con.printf("%s", trial.Table(cmd.Seed))
+	return nil
+}
+
 type demoCmd struct{}
 
 // RunStand runs the stand-ins and the demo.
--- a/internal/stage/attempt.go
+++ b/internal/stage/attempt.go
@@ -35,6 +35,9 @@
 	text  []string
 	// firstAt is the instant of the first token of the present attempt.
 	firstAt clock.Milli
+	// outlasted tells that the present attempt was given up for its time.
+	outlasted bool
+	bounds    retry.Bounds
 }
 
 // call runs a stage that answers in one piece.
@@ -69,6 +72,7 @@
 	ran, rep, end := try.rnr.cli.Run(ctx, ep.Addr, try.run())
 	try.sent(before, end)
 	took := try.rnr.clk.Since(began)
+	try.outlasted = ctx.Err() == context.DeadlineExceeded
 	try.learn(ep, rep, end, took, 0)
 	return ran, end, took
 }
@@ -77,7 +81,7 @@
 // that is left, for it can't be tried elsewhere once it has been sent.
 func (try *attempt) allowance() clock.Milli {
 	rest := max(try.budget(), minRest)
-	if try.stg.NonIdempotent() || try.tries+1 >= retry.MaxAttempts {
+	if try.stg.NonIdempotent() || try.tries+1 >= try.bounds.Attempts() {
 		return rest
 	}
 	careful := try.rnr.careful(try.job.Doc, try.index, try.job.MaxTokens)
@@ -130,10 +134,10 @@
 		// for ever against its old, fast average.
 		try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took)
 	}
-	if try.tries >= retry.MaxAttempts {
+	if try.tries >= try.bounds.Attempts() {
 		return res, false
 	}
-	if !try.pl.mayRetry() {
+	if !try.pl.mayRetry(try.bounds) {
 		return outcm.New(res.Outcome(), outcm.RetryBudget, "the pool's retry budget is used up; the last attempt ended as "+end.String()), false
 	}
 	try.rnr.mtr.Retried(causeOf(end))
--- a/internal/stage/generate.go
+++ b/internal/stage/generate.go
@@ -105,6 +105,7 @@
 	try.sent(before, end)
 	took := try.rnr.clk.Since(began)
 	tokens := len(try.text) - run.From
+	try.outlasted = ctx.Err() == context.DeadlineExceeded
 	try.learn(ep, rep, end, took, max(tokens, 1))
 	if end == engin.Answered {
 		try.job.count = len(try.text)
--- a/internal/stage/job.go
+++ b/internal/stage/job.go
@@ -9,6 +9,7 @@
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/outcm"
+	"amaranthvalve/pkg/retry"
 	"amaranthvalve/pkg/route"
 	"amaranthvalve/pkg/svcdoc"
 )
@@ -105,6 +106,7 @@
 	try := &attempt{
 		rnr: rnr, job: job, stg: stg, index: i, input: input,
 		pl: rnr.pool(stg.Pool()), last: i == job.Doc.Stages()-1,
+		bounds: retry.For(job.Doc.Weighs() == svcdoc.Cost),
 	}
 	try.pl.first()
 	if stg.Kind() == svcdoc.Generate {
@@ -124,12 +126,12 @@
 
 // budget is what is left of the deadline less the need of the stages after.
 func (try *attempt) budget() clock.Milli {
-	return try.job.Deadline - try.rnr.clk.Now() - try.rnr.later(try.job, try.index+1)
+	return try.job.Deadline - try.rnr.clk.Now() - try.rnr.later(try.job, try.index+1, try.rnr.typical)
 }
 
 // acquire takes a place at an endpoint.
 func (try *attempt) acquire(ctx context.Context, prefix uint64) (route.Endpoint, outcm.Result) {
-	need := try.rnr.later(try.job, try.index)
+	need := try.rnr.later(try.job, try.index, try.rnr.careful)
 	ask := route.Ask{Prefix: prefix, Avoid: try.avoid}
 	return try.pl.acquire(ctx, ask, try.job.ask(need), try.rnr.clk)
 }
@@ -140,7 +142,7 @@
 	if tokens > 0 {
 		took /= clock.Milli(tokens)
 	}
-	try.pl.finish(ep.ID, verdictOf(end), took, now)
+	try.pl.finish(ep.ID, verdictOf(end, try.outlasted), took, now)
 	if load, ok := rep.Load(); ok {
 		try.rnr.Report(try.stg.Pool(), ep.ID, wire.Load{Load: load, Leaving: rep.Leaving()})
 	}
@@ -149,13 +151,17 @@
 	}
 }
 
-func verdictOf(end engin.Ending) route.Verdict {
-	switch end {
-	case engin.Answered:
+// verdictOf tells routing how an attempt went. One that we gave up because its
+// time was over is the endpoint's fault; were it neutral, an endpoint that is
+// too slow for every deadline would never be found out, for only fast answers
+// would be counted. One that we gave up because its caller went is nobody's.
+func verdictOf(end engin.Ending, outlasted bool) route.Verdict {
+	switch {
+	case end == engin.Answered:
 		return route.Good
-	case engin.Refused:
+	case end == engin.Refused || end == engin.GaveUp && outlasted:
 		return route.Overload
-	case engin.GaveUp:
+	case end == engin.GaveUp:
 		return route.Neutral
 	default:
 		return route.Broken
--- a/internal/stage/pool.go
+++ b/internal/stage/pool.go
@@ -15,14 +15,12 @@
 // comeBack is the base span after which a refused caller may come back.
 const comeBack = 500 * clock.Milli(1)
 
-// pool joins the decisions about one pool of endpoints: routing, queue and
-// retry budget. Its lock is held for decisions only, never across a call.
+// pool is the gate of one pool of endpoints behind a lock. The lock is held for
+// decisions only, never across a call.
 type pool struct {
-	mtx sync.Mutex
-	rt  *route.Pool
-	que admit.Queue
-	bdg retry.Budget
-	rng *rand.Rand
+	mtx  sync.Mutex
+	gate *admit.Gate
+	rng  *rand.Rand
 }
 
 type grant struct {
@@ -32,49 +30,29 @@
 
 func newPool(zone string) *pool {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &pool{rt: route.New(zone, rng), rng: rng}
+	return &pool{gate: admit.NewGate(route.New(zone, rng)), rng: rng}
 }
 
 // acquire takes a place at an endpoint, waiting in line if it must. The result
 // is pending when a place was taken.
 func (pl *pool) acquire(ctx context.Context, ask route.Ask, adm admit.Ask, clk clock.Clock) (route.Endpoint, outcm.Result) {
-	pl.mtx.Lock()
-	if pl.rt.Usable() == 0 {
-		pl.mtx.Unlock()
-		return route.Endpoint{}, pl.refuse(outcm.NoEndpoint, "the pool has no endpoint that takes work")
-	}
-	if pl.que.Len() == 0 {
-		if ep, ok := pl.rt.Pick(ask, clk.Now()); ok {
-			pl.mtx.Unlock()
-			return ep, outcm.Result{}
-		}
-	}
 	granted := make(chan grant, 1)
-	tkt, ver := pl.que.Join(adm, clk.Now(), func(served bool) { granted <- pl.give(ask, served, clk.Now()) })
+	pl.mtx.Lock()
+	ep, tkt, ans := pl.gate.Enter(ask, adm, clk.Now(), func(ep route.Endpoint, ok bool) { granted <- grant{ep: ep, ok: ok} })
 	pl.mtx.Unlock()
-	switch ver {
-	case admit.Full:
+	switch ans {
+	case admit.Granted:
+		return ep, outcm.Result{}
+	case admit.RefusedEmpty:
+		return route.Endpoint{}, pl.refuse(outcm.NoEndpoint, "the pool has no endpoint that takes work")
+	case admit.RefusedFull:
 		return route.Endpoint{}, pl.refuse(outcm.QueueFull, "the pool's queue is full")
-	case admit.TooLate:
+	case admit.RefusedLate:
 		return route.Endpoint{}, pl.refuse(outcm.DeadlineTooShort, "the wait ahead exceeds the deadline")
 	}
 	return pl.wait(ctx, tkt, granted)
 }
 
-// give is called under the lock, when a waiting request's turn has come.
-func (pl *pool) give(ask route.Ask, served bool, now clock.Milli) grant {
-	if !served {
-		return grant{}
-	}
-	ep, ok := pl.rt.Pick(ask, now)
-	if !ok && len(ask.Avoid) > 0 {
-		// Only endpoints that were tried before are free: better one of those
-		// than none.
-		ep, ok = pl.rt.Pick(route.Ask{Prefix: ask.Prefix}, now)
-	}
-	return grant{ep: ep, ok: ok}
-}
-
 func (pl *pool) wait(ctx context.Context, tkt *admit.Ticket, granted chan grant) (route.Endpoint, outcm.Result) {
 	select {
 	case grt := <-granted:
@@ -85,7 +63,7 @@
 	case <-ctx.Done():
 	}
 	pl.mtx.Lock()
-	pl.que.Leave(tkt)
+	pl.gate.Queue().Leave(tkt)
 	pl.mtx.Unlock()
 	select {
 	case grt := <-granted:
@@ -116,34 +94,24 @@
 func (pl *pool) finish(id string, ver route.Verdict, took, now clock.Milli) {
 	pl.mtx.Lock()
 	defer pl.mtx.Unlock()
-	pl.rt.Finish(id, ver, took, now)
-	pl.serve(now)
-}
-
-// serve hands out free places; the lock is held.
-func (pl *pool) serve(now clock.Milli) {
-	served := true
-	for served && pl.rt.Room(route.Ask{}) {
-		served = pl.que.Serve(now)
-	}
-	pl.que.Expire(now)
+	pl.gate.Finish(id, ver, took, now)
 }
 
 // tick gives up late requests and lets benched endpoints be probed.
 func (pl *pool) tick(now clock.Milli) {
 	pl.mtx.Lock()
 	defer pl.mtx.Unlock()
-	pl.serve(now)
+	pl.gate.Tick(now)
 }
 
-func (pl *pool) mayRetry() bool {
+func (pl *pool) mayRetry(bnd retry.Bounds) bool {
 	pl.mtx.Lock()
 	defer pl.mtx.Unlock()
-	return pl.bdg.Take()
+	return pl.gate.MayRetry(bnd)
 }
 
 func (pl *pool) first() {
 	pl.mtx.Lock()
 	defer pl.mtx.Unlock()
-	pl.bdg.First()
+	pl.gate.First()
 }
--- a/internal/stage/runner.go
+++ b/internal/stage/runner.go
@@ -66,8 +66,8 @@
 		for _, pl := range rnr.allPools() {
 			pl.tick(rnr.clk.Now())
 			pl.mtx.Lock()
-			waiting += pl.que.Len()
-			inFlight += pl.rt.InFlight()
+			waiting += pl.gate.Queue().Len()
+			inFlight += pl.gate.Pool().InFlight()
 			pl.mtx.Unlock()
 		}
 		rnr.mtr.Set(meter.GaugeQueue, float64(waiting))
@@ -103,8 +103,8 @@
 	}
 	for name, pl := range rnr.allPools() {
 		pl.mtx.Lock()
-		pl.rt.Sync(eps[name])
-		pl.serve(rnr.clk.Now())
+		pl.gate.Pool().Sync(eps[name])
+		pl.gate.Tick(rnr.clk.Now())
 		pl.mtx.Unlock()
 	}
 }
@@ -114,12 +114,12 @@
 	pl := rnr.pool(name)
 	pl.mtx.Lock()
 	defer pl.mtx.Unlock()
-	pl.rt.Report(id, float64(rep.Load), rnr.clk.Now())
+	pl.gate.Pool().Report(id, float64(rep.Load), rnr.clk.Now())
 	for _, prefix := range rep.Evicted {
-		pl.rt.Evicted(id, prefix)
+		pl.gate.Pool().Evicted(id, prefix)
 	}
 	if rep.Leaving {
-		pl.rt.Leave(id)
+		pl.gate.Pool().Leave(id)
 	}
 }
 
@@ -128,7 +128,7 @@
 	pl := rnr.pool(name)
 	pl.mtx.Lock()
 	defer pl.mtx.Unlock()
-	pl.rt.Leave(id)
+	pl.gate.Pool().Leave(id)
 }
 
 // Standings lists all endpoints by pool, for a person.
@@ -136,7 +136,7 @@
 	all := map[string][]route.Standing{}
 	for name, pl := range rnr.allPools() {
 		pl.mtx.Lock()
-		all[name] = pl.rt.Standings()
+		all[name] = pl.gate.Pool().Standings()
 		pl.mtx.Unlock()
 	}
 	return all
@@ -161,14 +161,15 @@
 	return rnr.estimate(doc, i, tokens, (*admit.Need).Careful)
 }
 
-func (rnr *Runner) estimate(doc *svcdoc.Document, i, tokens int, how func(*admit.Need, clock.Milli) clock.Milli) clock.Milli {
+func (rnr *Runner) estimate(doc *svcdoc.Document, i, tokens int, how func(ned *admit.Need, guess, now clock.Milli) clock.Milli) clock.Milli {
 	stg := doc.Stage(i)
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
 	ned := rnr.need(doc.Name(), stg.Name())
-	sum := how(&ned.whole, stg.Need())
+	now := rnr.clk.Now()
+	sum := how(&ned.whole, stg.Need(), now)
 	if stg.Kind() == svcdoc.Generate {
-		sum += how(&ned.gap, 0) * clock.Milli(max(tokens-1, 0)) / 1000
+		sum += how(&ned.gap, 0, now) * clock.Milli(max(tokens-1, 0)) / 1000
 	}
 	return sum
 }
@@ -177,24 +178,24 @@
 func (rnr *Runner) sample(service, stage string, took clock.Milli) {
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
-	rnr.need(service, stage).whole.Sample(took)
+	rnr.need(service, stage).whole.Sample(took, rnr.clk.Now())
 }
 
 // sampleStream notes the time to the first token and the time of all.
 func (rnr *Runner) sampleStream(service, stage string, first, took clock.Milli, tokens int) {
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
-	rnr.need(service, stage).whole.Sample(first)
+	rnr.need(service, stage).whole.Sample(first, rnr.clk.Now())
 	if tokens > 1 {
-		rnr.need(service, stage).gap.Sample((took - first) * 1000 / clock.Milli(tokens-1))
+		rnr.need(service, stage).gap.Sample((took-first)*1000/clock.Milli(tokens-1), rnr.clk.Now())
 	}
 }
 
-// later adds up the typical needs of the stages from i on.
-func (rnr *Runner) later(job *Job, i int) clock.Milli {
+// later adds up the needs of the stages from i on.
+func (rnr *Runner) later(job *Job, i int, how func(doc *svcdoc.Document, i, tokens int) clock.Milli) clock.Milli {
 	sum := clock.Milli(0)
 	for ; i < job.Doc.Stages(); i++ {
-		sum += rnr.typical(job.Doc, i, job.MaxTokens)
+		sum += how(job.Doc, i, job.MaxTokens)
 	}
 	return sum
 }
@@ -209,14 +210,14 @@
 	for i := range job.Doc.Stages() {
 		pl := rnr.pool(job.Doc.Stage(i).Pool())
 		pl.mtx.Lock()
-		usable := pl.rt.Usable()
-		wait := pl.que.Wait(job.ask(0))
+		usable := pl.gate.Pool().Usable()
+		wait := pl.gate.Queue().Wait(job.ask(0))
 		pl.mtx.Unlock()
 		if usable == 0 {
 			return pl.refuse(outcm.NoEndpoint, "pool "+job.Doc.Stage(i).Pool()+" has no endpoint that takes work")
 		}
 		worst = max(worst, wait)
-		sum += wait + rnr.typical(job.Doc, i, job.MaxTokens)
+		sum += wait + rnr.careful(job.Doc, i, job.MaxTokens)
 	}
 	if left := job.Deadline - rnr.clk.Now(); sum > left {
 		res := rnr.pool(job.Doc.Stage(0).Pool()).refuse(outcm.DeadlineTooShort, "waits and stages are expected to take longer than the deadline")
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -42,9 +42,8 @@
 	ask   Ask
 	start float64
 	seq   uint64
-	// Ready is called when the request is served or given up; it must not
-	// block.
-	ready func(served bool)
+	// ready is called when the request is served or given up.
+	ready func(served bool, now clock.Milli)
 }
 
 // Queue is the waiting line before a pool. The zero value is empty. It is not
@@ -115,8 +114,9 @@
 }
 
 // Join adds a request to the line, unless the line is full or the request
-// can't be answered in time. ready is called once, with the decision.
-func (que *Queue) Join(ask Ask, now clock.Milli, ready func(served bool)) (*Ticket, Verdict) {
+// can't be answered in time. ready is called once, with the decision; it must
+// not block.
+func (que *Queue) Join(ask Ask, now clock.Milli, ready func(served bool, now clock.Milli)) (*Ticket, Verdict) {
 	if len(que.waiting) >= maxWaiting {
 		return nil, Full
 	}
@@ -163,7 +163,7 @@
 	que.Leave(next)
 	que.virtual = max(que.virtual, next.start)
 	que.measure(now)
-	next.ready(true)
+	next.ready(true, now)
 	return true
 }
 
@@ -205,7 +205,7 @@
 		return false
 	})
 	for _, tkt := range late {
-		tkt.ready(false)
+		tkt.ready(false, now)
 	}
 }
 
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -18,29 +18,35 @@
 
 // Constants of an endpoint's limit.
 const (
-	initialLimit = 16.0
+	initialLimit = 4.0
 	minLimit     = 1.0
 	maxLimit     = 256.0
-	decrease     = 0.7
-	// inflated times the best latency counts as overload.
-	inflated = 8.0
-	// floor is the latency below which nothing counts as inflated.
-	floor = 50
-	// bestLife is the time after which the best latency is measured anew, so
-	// that an endpoint with a larger model is not compared with its past.
-	bestLife = 30 * clock.Second
+	// lost is the share kept after a refusal or a timeout, inflatedKept after an
+	// answer that took too long.
+	lost         = 0.7
+	inflatedKept = 0.9
+	// inflated times the best latency counts as overload. A full batch takes up
+	// to half as long again as an empty one; at twice the best there is a queue.
+	inflated = 2.0
+	// relaxed times the best latency or less lets the limit grow.
+	relaxed = 1.7
+	// floor is the latency below which nothing counts as inflated: a few
+	// milliseconds are scheduling noise.
+	floor = 30
+	// corrected is the share by which the best latency moves towards what is
+	// seen at the smallest limit.
+	corrected = 0.2
 )
 
-// Adaptive is an endpoint's limit. The zero value starts at 16.
+// Adaptive is an endpoint's limit. The zero value starts at 4.
 type Adaptive struct {
 	cur     float64
 	lowered clock.Milli
-	best    clock.Milli
-	bestAt  clock.Milli
+	best    float64
 }
 
 // Limit gives how many requests may be under way.
-func (adp *Adaptive) Limit() int { return int(adp.value()) }
+func (adp *Adaptive) Limit() int { return int(adp.value() + 0.5) }
 
 func (adp *Adaptive) value() float64 {
 	if adp.cur == 0 {
@@ -50,26 +56,37 @@
 }
 
 // Succeeded notes an answer that took so long while inFlight were under way.
+//
+// The best latency is a minimum that would stay for ever: an endpoint that got
+// a larger model looked overloaded for good. At the smallest limit the endpoint
+// has no queue of ours, so that what it shows there is its own pace, and the
+// best moves towards it. A minimum over a window was tried first and dropped: in
+// a long overload it rises to the overloaded latency, and the limit with it.
 func (adp *Adaptive) Succeeded(now, took clock.Milli, inFlight int) {
-	if adp.bestAt == 0 || took <= adp.best || now-adp.bestAt > bestLife {
-		adp.best, adp.bestAt = took, now
+	val := max(float64(took), 1)
+	if adp.best == 0 || val < adp.best {
+		adp.best = val
 	}
-	if took > floor && float64(took) > inflated*float64(max(adp.best, 1)) {
-		adp.Overloaded(now, took)
-		return
+	if adp.value() <= minLimit && val > relaxed*adp.best {
+		adp.best += corrected * (val - adp.best)
 	}
-	if 2*inFlight >= adp.Limit() {
+	switch {
+	case took > floor && val > inflated*adp.best:
+		adp.lower(now, took, inflatedKept)
+	case 2*inFlight >= adp.Limit() && (took <= floor || val <= relaxed*adp.best):
 		adp.cur = min(maxLimit, adp.value()+1/adp.value())
 	}
 }
 
-// Overloaded notes a refusal, a timeout or an inflated answer.
-func (adp *Adaptive) Overloaded(now, took clock.Milli) {
+// Overloaded notes a refusal or a timeout after so long.
+func (adp *Adaptive) Overloaded(now, took clock.Milli) { adp.lower(now, took, lost) }
+
+func (adp *Adaptive) lower(now, took clock.Milli, kept float64) {
 	if adp.lowered != 0 && now-adp.lowered < max(took, floor) {
 		return
 	}
 	adp.lowered = now
-	adp.cur = max(minLimit, decrease*adp.value())
+	adp.cur = max(minLimit, kept*adp.value())
 }
 
 // Workspace holds a workspace's limits at one instance. The zero value lets
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -50,6 +50,28 @@
 	})
 }
 
+// TestLimitFollowsTheEndpoint: an endpoint whose answers grow twice as slow has
+// a queue, and its limit falls; when it got a larger model and is slow for good,
+// the limit rises again.
+func TestLimitFollowsTheEndpoint(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var adp Adaptive
+	now := clock.Milli(1000)
+	answer := func(n int, took clock.Milli) {
+		for range n {
+			now += took
+			adp.Succeeded(now, took, adp.Limit())
+		}
+	}
+	answer(100, 100)
+	high := adp.Limit()
+	gom.Expect(high).To(gomega.BeNumerically(">", 8))
+	answer(28, 300)
+	gom.Expect(adp.Limit()).To(gomega.BeNumerically("<=", 2))
+	answer(300, 300)
+	gom.Expect(adp.Limit()).To(gomega.BeNumerically(">", 8))
+}
+
 func ExampleAdaptive() {
 	var adp Adaptive
 	fmt.Println(adp.Limit())
@@ -57,8 +79,8 @@
 	adp.Overloaded(1010, 100) // the same bad moment
 	fmt.Println(adp.Limit())
 	// Output:
-	// 16
-	// 11
+	// 4
+	// 3
 }
 
 func ExamplePart() {
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -45,10 +45,31 @@
 	// reserve is how many retries a budget holds when it has been idle, so
 	// that a pool with little load can retry at all.
 	reserve = 10.0
-	// MaxAttempts bounds the attempts of one stage of one request.
-	MaxAttempts = 3
 )
 
+// Bounds are the bounds of one stage of one request.
+type Bounds struct {
+	attempts int
+	idle     bool
+}
+
+// Attempts gives how many attempts there may be in all.
+func (bnd Bounds) Attempts() int { return bnd.attempts }
+
+// Idle tells whether a retry beyond the budget is allowed at a pool that has
+// room to spare.
+func (bnd Bounds) Idle() bool { return bnd.idle }
+
+// For gives the bounds of a service whose owner weighs cost, or attainment. With
+// a stage that fails half of its calls, attainment costs some per cent more
+// endpoint time, see docs/MEASUREMENTS.md.
+func For(weighsCost bool) Bounds {
+	if weighsCost {
+		return Bounds{attempts: 3}
+	}
+	return Bounds{attempts: 5, idle: true}
+}
+
 // Budget is the retry budget of one pool at one instance. The zero value is
 // full. It is not safe for concurrent use.
 type Budget struct {
--- a/pkg/route/learn.go
+++ b/pkg/route/learn.go
@@ -85,7 +85,7 @@
 
 // isSlow compares an endpoint with the median of the pool.
 func (pl *Pool) isSlow(pr *peer) bool {
-	if pl.plain != Full || pr.samples < minSamples && pr.benched == 0 || pr.latency < slowFloor {
+	if !pl.own() || pr.samples < minSamples && pr.benched == 0 || pr.latency < slowFloor {
 		return false
 	}
 	return pr.latency > slowFactor*pl.median()
@@ -115,7 +115,6 @@
 	}
 	pr.reported = max(0, load-float64(pr.inFlight))
 	pr.reportAt = at
-	pr.sent = 0
 }
 
 // Leave notes that an endpoint is leaving, by whatever word; it gets no new
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -58,7 +58,7 @@
 	leaving  bool
 	reported float64
 	reportAt clock.Milli
-	sent     int
+	turns    int
 	prefixes map[uint64]struct{}
 	recent   []uint64
 }
@@ -83,6 +83,13 @@
 	Random
 	RoundRobin
 	LeastReported
+	// Reports is Full with the load reports in the cost: measured, no better,
+	// and dropped.
+	Reports
+	// NoPrefix is Full without regard to warm prefixes.
+	NoPrefix
+	// Within is a random choice within the limits.
+	Within
 )
 
 // New returns an empty pool of an instance in a zone. The random numbers come
@@ -94,6 +101,9 @@
 // UseBaseline makes the pool choose by a plain rule.
 func (pl *Pool) UseBaseline(bas Baseline) { pl.plain = bas }
 
+// own tells whether limits and benches are in use.
+func (pl *Pool) own() bool { return pl.plain == Full || pl.plain >= Reports }
+
 // Sync makes the pool hold just these endpoints; what is known of those that
 // stay is kept. An endpoint that was heard to be leaving stays so: the list
 // lags behind the endpoint's own word.
@@ -193,12 +203,12 @@
 		if pr.benched == 0 {
 			anyWell = true
 		}
-		if healthy && pr.benched != 0 || pl.plain == Full && pr.inFlight >= pr.limiter.Limit() {
+		if healthy && pr.benched != 0 || pl.own() && pr.inFlight >= pr.limiter.Limit() {
 			continue
 		}
 		open = append(open, pr)
 	}
-	if !healthy && anyWell && pl.plain == Full {
+	if !healthy && anyWell && pl.own() {
 		// Well endpoints exist and are full: wait for one of them. Spilling
 		// over to the benched would send them the whole excess.
 		return nil
@@ -209,7 +219,7 @@
 // dueProbe finds a benched endpoint whose time to be tried has come. Only one
 // request at a time is risked.
 func (pl *Pool) dueProbe(ask Ask, now clock.Milli) *peer {
-	if pl.plain != Full {
+	if !pl.own() {
 		return nil
 	}
 	for _, pr := range pl.peers {
@@ -222,7 +232,7 @@
 
 func (pl *Pool) take(pr *peer, ask Ask) Endpoint {
 	pr.inFlight++
-	pr.sent++
+	pr.turns++
 	if ask.Prefix != 0 {
 		pr.remember(ask.Prefix)
 	}
@@ -231,10 +241,10 @@
 
 func (pl *Pool) choose(open []*peer, ask Ask, now clock.Milli) *peer {
 	switch pl.plain {
-	case Random:
+	case Random, Within:
 		return open[pl.rng.IntN(len(open))]
 	case RoundRobin:
-		return slices.MinFunc(open, func(x, y *peer) int { return x.sent - y.sent })
+		return slices.MinFunc(open, func(x, y *peer) int { return x.turns - y.turns })
 	case LeastReported:
 		return slices.MinFunc(open, func(x, y *peer) int { return int(1000 * (x.reported - y.reported)) })
 	}
@@ -243,7 +253,7 @@
 	if pl.cost(second, ask, now) < pl.cost(best, ask, now) {
 		best = second
 	}
-	if ask.Prefix == 0 {
+	if ask.Prefix == 0 || pl.plain == NoPrefix {
 		return best
 	}
 	for _, pr := range open {
@@ -257,12 +267,15 @@
 // cost estimates the wait at an endpoint, in relative units: what is ahead of
 // the request times how slowly the endpoint works.
 func (pl *Pool) cost(pr *peer, ask Ask, now clock.Milli) float64 {
-	load := float64(pr.inFlight) + pr.others(now)
+	load := float64(pr.inFlight)
+	if pl.plain == Reports {
+		load += pr.others(now)
+	}
 	if pr.ep.Zone != pl.zone {
 		load += farPenalty
 	}
 	cost := (load + 1) * max(pr.latency, 1)
-	if ask.Prefix != 0 && pr.warm(ask.Prefix) {
+	if ask.Prefix != 0 && pr.warm(ask.Prefix) && pl.plain != NoPrefix {
 		cost *= 1 - warmSaving
 	}
 	return cost
