--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,59 @@
+package conf
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// keysOf lists the keys of a struct with toml tags, tables included.
+func keysOf(prefix string, typ reflect.Type) []string {
+	var keys []string
+	for i := range typ.NumField() {
+		name := prefix + typ.Field(i).Tag.Get("toml")
+		if typ.Field(i).Type.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(name+".", typ.Field(i).Type)...)
+			continue
+		}
+		keys = append(keys, name)
+	}
+	return keys
+}
+
+// TestReferencePage holds the settings' reference page to the code: every key
+// has a row, and every row of that table is a key.
+func TestReferencePage(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	_, table, _ := strings.Cut(string(text), "## 2. Settings")
+	table, _, _ = strings.Cut(table, "## 3.")
+	var rows []string
+	for line := range strings.Lines(table) {
+		if rest, ok := strings.CutPrefix(line, "| `"); ok {
+			key, _, _ := strings.Cut(rest, "`")
+			rows = append(rows, key)
+		}
+	}
+	gom.Expect(rows).To(gomega.ConsistOf(keysOf("", reflect.TypeOf(raw{}))))
+}
+
+// TestExamplesAreRight: the settings in examples/ have no fault but for the key
+// files, which stand on the operators' instances.
+func TestExamplesAreRight(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	paths, _ := filepath.Glob(filepath.Join("..", "..", "examples", "*", "node.toml"))
+	gom.Expect(paths).To(gomega.HaveLen(2))
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		_, fts := Parse(text)
+		for _, ft := range fts.All() {
+			gom.Expect(ft.Path()).To(gomega.HavePrefix("tls."), ft.String())
+		}
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -43,6 +43,9 @@
 	switch {
 	case ft.path == "" && ft.line == 0:
 		return kind + ft.message
+	case ft.line == 0:
+		// A key that should be there and is not has no line.
+		return fmt.Sprintf("%s: %s%s", ft.path, kind, ft.message)
 	case ft.path == "":
 		return fmt.Sprintf("line %d: %s%s", ft.line, kind, ft.message)
 	default:
--- /dev/null
+++ b/internal/shell/script_test.go
@@ -0,0 +1,82 @@
+package shell
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/entry"
+	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/internal/zlog"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+)
+
+// TestMain makes the three programs commands of the scripts.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"amv":      func() { os.Exit(RunAmv(os.Args[1:], os.Stdout, os.Stderr)) },
+		"amvnode":  func() { os.Exit(RunNode(os.Args[1:], os.Stdout, os.Stderr)) },
+		"amvstand": func() { os.Exit(RunStand(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the command line as a person would: help, faults of files,
+// exit statuses, and a session with one instance. AMV_UPDATE=1 rewrites what
+// "cmp" compares with.
+func TestScripts(t *testing.T) {
+	zlog.To(zerolog.Nop())
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		UpdateScripts:       os.Getenv("AMV_UPDATE") != "",
+		RequireExplicitExec: true,
+		Setup:               startNode,
+	})
+}
+
+// startNode starts a platform, a booking service and one instance that stands
+// alone, and tells the script where they are.
+func startNode(env *testscript.Env) error {
+	plt, err := stand.Serve("127.0.0.1:0", stand.NewPlatform(clock.Clock{}, 3*clock.Day, 50).Handler())
+	if err != nil {
+		return err
+	}
+	ept, err := stand.Serve("127.0.0.1:0", stand.NewEndpoint("booking-1", 2, 4).Handler())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go stand.Enlist(ctx, "http://"+plt.Addr(), wire.Instance{ID: "booking-1", Addr: ept.Addr(), Pool: "booking", Zone: "dc1", State: wire.StateLive})
+	set, fts := conf.Parse([]byte(fmt.Sprintf("caller_addr = \"127.0.0.1:0\"\nops_addr = \"127.0.0.1:0\"\nzone = \"dc1\"\nplatform = \"http://%s\"\nresume_key_hex = %q\n", plt.Addr(), ident.NewID())))
+	if set == nil {
+		cancel()
+		return fts.Err()
+	}
+	nod, err := entry.New(set, nil, zerolog.Nop())
+	if err != nil {
+		cancel()
+		return err
+	}
+	nod.Start()
+	env.Defer(func() {
+		nod.Kill()
+		cancel()
+		ept.Close()
+		plt.Close()
+	})
+	text, err := os.ReadFile(filepath.Join("..", "demo", "booking.toml"))
+	if err != nil {
+		return err
+	}
+	env.Setenv("AMV_OPS", nod.OpsAddr())
+	env.Setenv("AMV_ENTRY", nod.CallerAddr())
+	env.Setenv("USER", "anna")
+	return os.WriteFile(filepath.Join(env.WorkDir, "booking.toml"), text, 0o600)
+}
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -52,7 +52,7 @@
 		return route.Endpoint{}, nil, RefusedEmpty
 	}
 	if gt.que.Len() == 0 {
-		if ep, ok := gt.rt.Pick(where, now); ok {
+		if ep, ok := gt.give(where, true, now); ok {
 			return ep, nil, Granted
 		}
 	}
--- a/pkg/member/slope_test.go
+++ b/pkg/member/slope_test.go
@@ -32,7 +32,7 @@
 		step := time.Since(began) / 100
 		raw, _ := cbor.Marshal(lst.Gossip(name(1)))
 		t.Logf("%d members: %d bytes a member, %v a step with a new view, %d bytes of news in a message, a publisher knows of all after %v (at most 90 s are tried)",
-			n, bytes, step, len(raw), spread(grp, n))
+			n, bytes, step, len(raw), spread(grp))
 	}
 }
 
@@ -47,7 +47,7 @@
 
 // spread lets every instance apply an offset and gives the fake time until one
 // of them has heard so of all.
-func spread(grp *group, n int) time.Duration {
+func spread(grp *group) time.Duration {
 	began := grp.now
 	for _, lst := range grp.lists {
 		lst.SetSelf(7, 0, false, grp.now)
--- a/pkg/svcdoc/svcdoc_test.go
+++ b/pkg/svcdoc/svcdoc_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -67,3 +68,33 @@
 	fmt.Println(fts.Err())
 	// Output: priorty (line 2): unknown key, did you mean "priority"?
 }
+
+// TestReferencePage holds the documents' reference page to the code: every key
+// has a row, and every row of that table is a key.
+func TestReferencePage(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	_, table, _ := strings.Cut(string(text), "## 3. Documents")
+	table, _, _ = strings.Cut(table, "## 4.")
+	var rows, keys []string
+	for line := range strings.Lines(table) {
+		if rest, ok := strings.CutPrefix(line, "| `"); ok {
+			key, _, _ := strings.Cut(rest, "`")
+			rows = append(rows, key)
+		}
+	}
+	typ := reflect.TypeOf(rawDoc{})
+	for i := range typ.NumField() {
+		name := typ.Field(i).Tag.Get("toml")
+		if typ.Field(i).Type.Kind() != reflect.Slice {
+			keys = append(keys, name)
+			continue
+		}
+		elem := typ.Field(i).Type.Elem()
+		for j := range elem.NumField() {
+			keys = append(keys, name+"."+elem.Field(j).Tag.Get("toml"))
+		}
+	}
+	gom.Expect(rows).To(gomega.ConsistOf(keys))
+}
