pkg/claim: tickets, keys that one incarnation runs through an outage of the log

Cause: through an outage of the log no non-idempotent request can be claimed, and the platform's outages are long.

Ruled out: a client that turns from a refused key to a ticket by itself. If its process dies and the first key is repeated after the outage, the booking runs twice.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -30,6 +30,7 @@
 
 	"amaranthvalve/internal/platf"
 	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/claim"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
 )
@@ -127,6 +128,18 @@
 	return last
 }
 
+// Ticket gives a key that is bound to the best instance, and its address: for a
+// non-idempotent request in an outage of the log. Keep both before sending; the
+// request and its repeats go to that address by CallAt.
+func (cli *Client) Ticket(ctx context.Context, service string) (key, addr string, err error) {
+	ent, err := cli.Entries(ctx, service)
+	if err != nil {
+		return "", "", err
+	}
+	best := ent.Entries[0]
+	return claim.TicketKey(best.Boot), best.Addr, nil
+}
+
 // CallAt sends a request once to one address, whatever becomes of it.
 func (cli *Client) CallAt(ctx context.Context, addr, service string, sub wire.Submit, take func(wire.Token)) wire.Answer {
 	ans, _ := cli.once(ctx, addr, service, sub, &streamed{take: take, opened: cli.OnOpen})
--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -34,6 +34,7 @@
 type claimsCtl struct {
 	ctl     *Control
 	ldg     claim.Ledger
+	desk    claim.Desk
 	app     *appender
 	logAsOf clock.Milli
 	waiting map[string][]*asking
@@ -46,6 +47,8 @@
 
 // ClaimAsk is a request that wants to run under a key.
 type ClaimAsk struct {
+	// Boot is the boot number that the key is bound to, if it is a ticket.
+	Boot    string
 	Key     string
 	Attempt string
 	Digest  string
@@ -129,7 +132,7 @@
 
 // judge moves one waiting request on by what the ledger says now.
 func (cct *claimsCtl) judge(akg *asking, now clock.Milli) {
-	st := cct.ldg.Find(akg.ask.Key)
+	st := cct.find(akg.ask.Key, akg.ask.Boot)
 	ask := claim.Ask{
 		Attempt: akg.ask.Attempt, Digest: akg.ask.Digest, Expires: akg.ask.Expires,
 		HolderLive: cct.isLive(st.Holder(), now),
@@ -163,21 +166,65 @@
 	if akg.appended {
 		return
 	}
+	if akg.ask.Boot != "" {
+		cct.holdTicket(akg, now)
+		return
+	}
 	if !cct.ldg.Covers(now) || now-cct.logAsOf > logSilence {
 		cct.finish(akg, Claimed{Move: claim.Refuse, Result: outcm.Refuse(outcm.LogUnavailable, outageRetry, "the log can't be read, so nobody knows whether the key ran")})
 		return
 	}
 	akg.appended = true
-	ent := claim.Entry{
-		Kind: claim.KindClaim, Key: akg.ask.Key, Attempt: akg.ask.Attempt,
-		Holder: cct.ctl.set.Self, Digest: akg.ask.Digest, Expires: akg.ask.Expires,
-	}
+	ent := cct.entry(akg.ask)
 	apg := appending{body: ent.Encode(), until: min(akg.ask.Expires, now+clock.Minute), drop: akg.over.Load}
 	if !cct.app.add(apg) {
 		cct.finish(akg, Claimed{Move: claim.Refuse, Result: outcm.Refuse(outcm.QueueFull, outageRetry, "too many records wait for the log")})
 	}
 }
 
+func (cct *claimsCtl) entry(ask ClaimAsk) claim.Entry {
+	return claim.Entry{
+		Kind: claim.KindClaim, Key: ask.Key, Attempt: ask.Attempt,
+		Holder: cct.ctl.set.Self, Digest: ask.Digest, Expires: ask.Expires,
+	}
+}
+
+// isOurs tells whether a ticket is bound to this incarnation.
+func (cct *claimsCtl) isOurs(boot string) bool { return boot != "" && boot == cct.ctl.set.Self.Boot() }
+
+// find gives a key's state: of our own tickets the desk knows it, of all others
+// the ledger.
+func (cct *claimsCtl) find(key, boot string) claim.State {
+	if cct.isOurs(boot) {
+		return cct.desk.Find(key)
+	}
+	return cct.ldg.Find(key)
+}
+
+// holdTicket gives a free ticket to the attempt if it is one of ours. A ticket
+// of another incarnation is never run here: whether it ran there is not known.
+func (cct *claimsCtl) holdTicket(akg *asking, now clock.Milli) {
+	switch {
+	case !cct.isOurs(akg.ask.Boot) && cct.bootIsLive(akg.ask.Boot):
+		cct.finish(akg, Claimed{Move: claim.Refuse, Result: outcm.New(outcm.Unknown, outcm.TicketElsewhere, "the ticket belongs to another instance, ask there")})
+	case !cct.isOurs(akg.ask.Boot):
+		cct.finish(akg, Claimed{Move: claim.Refuse, Result: outcm.New(outcm.Unknown, outcm.KeyHolderGone, "the instance that the ticket belongs to is gone; it will not be run")})
+	case !cct.desk.Hold(cct.entry(akg.ask), now):
+		cct.finish(akg, Claimed{Move: claim.Refuse, Result: outcm.Refuse(outcm.QueueFull, outageRetry, "too many tickets are remembered")})
+	default:
+		cct.finish(akg, Claimed{Move: claim.Run, Looked: true})
+	}
+}
+
+func (cct *claimsCtl) bootIsLive(boot string) bool {
+	for _, mbr := range cct.ctl.members.list.All() {
+		if mbr.Who().Boot() == boot {
+			return true
+		}
+	}
+	return false
+}
+
 func (akg *asking) end() {
 	akg.done = true
 	akg.over.Store(true)
@@ -239,9 +286,9 @@
 
 // IsFree tells whether this instance knows of no attempt that holds or settled
 // a key.
-func (ctl *Control) IsFree(ctx context.Context, key string) bool {
+func (ctl *Control) IsFree(ctx context.Context, ask ClaimAsk) bool {
 	free := false
-	ctl.Do(ctx, func(clock.Milli) { free = ctl.claims.ldg.Find(key).Phase() == claim.Free })
+	ctl.Do(ctx, func(clock.Milli) { free = ctl.claims.find(ask.Key, ask.Boot).Phase() == claim.Free })
 	return free
 }
 
@@ -288,26 +335,42 @@
 
 // Release gives a key back whose request ran nothing with an effect.
 func (ctl *Control) Release(ask ClaimAsk) {
-	ctl.Do(ctl.ctx, func(now clock.Milli) { ctl.claims.release(ask.Key, ask.Attempt, now) })
+	ctl.Do(ctl.ctx, func(now clock.Milli) {
+		if ctl.claims.isOurs(ask.Boot) {
+			ctl.claims.desk.Release(ask.Key, ask.Attempt)
+			ctl.claims.judgeAll(ask.Key, now)
+			return
+		}
+		ctl.claims.release(ask.Key, ask.Attempt, now)
+	})
 }
 
 // Settle records what became of a request with a key. The caller is answered
 // without waiting for it: until it is in the log a repeat elsewhere waits, and
 // if this instance dies first the repeat is told "unknown".
 func (ctl *Control) Settle(ask ClaimAsk, res outcm.Result, answer string) {
-	ctl.Do(ctl.ctx, func(now clock.Milli) {
-		ent := claim.Entry{
-			Kind: claim.KindSettle, Key: ask.Key, Attempt: ask.Attempt,
-			Outcome: res.Outcome().String(), Reason: res.Reason().String(),
-		}
-		if len(answer) <= claim.MaxAnswer {
-			ent.Answer = answer
-		} else {
-			ent.Large = true
-			ctl.claims.keep(ask.Attempt, answer)
-		}
-		ctl.claims.app.add(appending{body: ent.Encode(), until: now + settleLife})
-	})
+	ctl.Do(ctl.ctx, func(now clock.Milli) { ctl.claims.settle(ask, res, answer, now) })
+}
+
+func (cct *claimsCtl) settle(ask ClaimAsk, res outcm.Result, answer string, now clock.Milli) {
+	ent := claim.Entry{
+		Kind: claim.KindSettle, Key: ask.Key, Attempt: ask.Attempt,
+		Outcome: res.Outcome().String(), Reason: res.Reason().String(),
+	}
+	if len(answer) <= claim.MaxAnswer {
+		ent.Answer = answer
+	} else {
+		ent.Large = true
+		cct.keep(ask.Attempt, answer)
+	}
+	if cct.isOurs(ask.Boot) {
+		// The claim goes into the log with its settlement, once the log is
+		// back, so that others can answer for the ticket when we are gone.
+		cct.desk.Settle(ent)
+		cct.app.add(appending{body: cct.entry(ask).Encode(), until: now + settleLife})
+		defer cct.judgeAll(ask.Key, now)
+	}
+	cct.app.add(appending{body: ent.Encode(), until: now + settleLife})
 }
 
 func (cct *claimsCtl) keep(attempt, answer string) {
--- a/internal/contr/status.go
+++ b/internal/contr/status.go
@@ -46,12 +46,12 @@
 	var cands []route.Entry
 	for _, mbr := range ctl.View().Members() {
 		if mbr.Status() == member.Alive {
-			cands = append(cands, route.Entry{Addr: mbr.Caller(), Zone: mbr.Zone(), Load: mbr.Load()})
+			cands = append(cands, route.Entry{Addr: mbr.Caller(), Zone: mbr.Zone(), Boot: mbr.Who().Boot(), Load: mbr.Load()})
 		}
 	}
 	list := []wire.Entry{}
 	for _, ent := range route.Entries(cands, zone, rng) {
-		list = append(list, wire.Entry{Addr: ent.Addr, Zone: ent.Zone})
+		list = append(list, wire.Entry{Addr: ent.Addr, Zone: ent.Zone, Boot: ent.Boot})
 	}
 	return list
 }
--- /dev/null
+++ b/internal/entry/tickets_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/caller"
+	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/claim"
+	"amaranthvalve/pkg/clock"
+)
+
+// ticketed is a booking under a ticket, as its caller keeps it.
+type ticketed struct {
+	sub  wire.Submit
+	addr string
+}
+
+func (wld *world) ticket(node int, input string) ticketed {
+	boot := wld.nodes[node].ctl.Self().Boot()
+	sub := book(claim.TicketKey(boot))
+	sub.Input, sub.First = input, true
+	sub.ExpiresMs = clock.Clock{}.Now() + clock.Minute
+	return ticketed{sub: sub, addr: wld.nodes[node].CallerAddr()}
+}
+
+func (wld *world) send(tck ticketed, addr string) wire.Answer {
+	return caller.New([]string{addr}, workspace, "", "").CallAt(wld.ctx, addr, "booking", tck.sub, nil)
+}
+
+var _ = ginkgo.Describe("tickets through an outage of the log", func() {
+	// The log is out. A booking under a ticket runs once at the instance that
+	// the ticket belongs to; repeats there get the recorded answer, another
+	// instance runs nothing. When the log is back the other knows the answer,
+	// also after the first one's end.
+	ginkgo.It("run once, at their instance only, and are known after the outage", func() {
+		wld := newWorld(2, "")
+		wld.plt.SetFaults(stand.Faults{Outage: true})
+		tck := wld.ticket(0, "in the outage")
+		ans := wld.send(tck, tck.addr)
+		expect(ans.Outcome).To(equal("done"), ans.Detail)
+		tck.sub.First = false
+		expect(wld.send(tck, tck.addr).Reason).To(equal("recorded"))
+		other := wld.send(tck, wld.nodes[1].CallerAddr())
+		expect(other.Outcome + " " + other.Reason).To(equal("unknown ticket_elsewhere"))
+		conflict := tck
+		conflict.sub.Input = "something else"
+		expect(wld.send(conflict, tck.addr).Reason).To(equal("key_conflict"))
+		expect(wld.ran(workspace, tck.sub.Key)).To(equal(1))
+
+		wld.plt.SetFaults(stand.Faults{})
+		until(8*time.Second, func() bool { return wld.send(tck, wld.nodes[1].CallerAddr()).Outcome == "done" })
+		wld.nodes[0].Kill()
+		expect(wld.send(tck, wld.nodes[1].CallerAddr()).Output).To(equal("confirm(in the outage)"))
+		expect(wld.ran(workspace, tck.sub.Key)).To(equal(1))
+	})
+
+	// The instance that a ticket belongs to is killed in the outage. Its
+	// tickets are unknown for good: nobody else runs them.
+	ginkgo.It("are unknown when their instance is gone", func() {
+		wld := newWorld(2, "")
+		wld.plt.SetFaults(stand.Faults{Outage: true})
+		tck := wld.ticket(0, "lost")
+		expect(wld.send(tck, tck.addr).Outcome).To(equal("done"))
+		wld.nodes[0].Kill()
+		until(10*time.Second, func() bool { return wld.send(tck, wld.nodes[1].CallerAddr()).Reason == "key_holder_gone" })
+		expect(wld.ran(workspace, tck.sub.Key)).To(equal(1))
+	})
+
+	// The two ways through an outage are compared: callers book under keys, or
+	// under tickets, one instance of three is killed and replaced half way. It
+	// prints what became of the bookings, and how many ran more than once.
+	ginkgo.It("attain more than refusals", func() {
+		wld := newWorld(3, "")
+		wld.plt.SetFaults(stand.Faults{Outage: true})
+		until(6*time.Second, func() bool {
+			return wld.call(0, "booking", firstBook(fmt.Sprint(time.Now().UnixNano()))).Reason == "log_unavailable"
+		})
+		keys, tickets := map[string]int{}, map[string]int{}
+		for i := range 120 {
+			node := i % 3
+			if i == 60 {
+				wld.nodes[2].Kill()
+			}
+			if i >= 60 && node == 2 {
+				node = 0
+			}
+			keys[wld.call(node, "booking", firstBook(fmt.Sprintf("outage-%d", i))).Outcome]++
+			tck := wld.ticket(node, fmt.Sprintf("booking %d", i))
+			tickets[wld.send(tck, tck.addr).Outcome]++
+		}
+		for _, exc := range wld.pools["booking"][0].Executions() {
+			expect(wld.ran(workspace, exc.RequestID[len(workspace+"/booking/"):])).To(equal(1))
+		}
+		fmt.Printf("measured: 120 bookings in an outage, under keys %v, under tickets %v\n", keys, tickets)
+		expect(keys["done"]).To(equal(0))
+		expect(tickets["done"]).To(gomega.BeNumerically(">=", 118))
+	})
+})
--- a/internal/filter/entry.go
+++ b/internal/filter/entry.go
@@ -161,6 +161,7 @@
 		Key:     claim.FullKey(cl.Workspace, cl.Service, cl.Submit.Key),
 		Attempt: ident.NewID(), Digest: cl.digest(), Expires: cl.Submit.ExpiresMs,
 	}
+	cl.claim.Boot, _ = claim.TicketBoot(cl.Submit.Key)
 	cl.requestID = cl.claim.Key
 	if res := chn.beforeClaim(ctx, cl); res.Outcome() != outcm.Pending {
 		return res
@@ -186,7 +187,7 @@
 // refused request. A key that is known here is not refused, for its answer may
 // be recorded.
 func (chn *Chain) beforeClaim(ctx context.Context, cl *Call) outcm.Result {
-	if !chn.ctl.IsFree(ctx, cl.claim.Key) {
+	if !chn.ctl.IsFree(ctx, cl.claim) {
 		return outcm.Result{}
 	}
 	return chn.rnr.Admit(cl.job(chn))
--- a/internal/shell/call.go
+++ b/internal/shell/call.go
@@ -43,6 +43,7 @@
 	Input     string        `help:"The input of the first stage."`
 	Key       string        `help:"The key of a non-idempotent request."`
 	Expires   string        `help:"When the key expires: a span such as 1h, or an instant such as 2030-01-02T15:04:05Z."`
+	Ticket    bool          `help:"In an outage of the log: use a key bound to one instance, and say which before sending. Repeat it with --key and --node."`
 	First     bool          `help:"Vouch that the key was never sent before, so that a refusal can say 'not run'."`
 	Stream    bool          `help:"Write tokens as they come."`
 	MaxTokens int           `help:"The most tokens to generate."`
@@ -66,8 +67,17 @@
 			con.printf("%s", tok.Text)
 		}
 	}
-	ans := caller.New(cmd.Node, cmd.Workspace, cmd.Token, cmd.Zone).Call(ctx, cmd.Service, sub, take)
-	return cmd.tell(con, ans)
+	cli := caller.New(cmd.Node, cmd.Workspace, cmd.Token, cmd.Zone)
+	if !cmd.Ticket {
+		return cmd.tell(con, cli.Call(ctx, cmd.Service, sub, take))
+	}
+	key, addr, err := cli.Ticket(ctx, cmd.Service)
+	if err != nil {
+		return err
+	}
+	con.complain("ticket: --key %s --node %s\n", key, addr)
+	sub.Key, sub.First = key, true
+	return cmd.tell(con, cli.CallAt(ctx, addr, cmd.Service, sub, take))
 }
 
 func (cmd *callCmd) tell(con *console, ans wire.Answer) error {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -111,10 +111,12 @@
 	KeepMs clock.Milli `json:"keep_ms"`
 }
 
-// Entry is one address for callers, best first.
+// Entry is one address for callers, best first. Boot is the number of the
+// process there, for tickets.
 type Entry struct {
 	Addr string `json:"addr"`
 	Zone string `json:"zone"`
+	Boot string `json:"boot"`
 }
 
 // Run asks an endpoint to run a stage.
--- a/pkg/claim/ledger.go
+++ b/pkg/claim/ledger.go
@@ -253,17 +253,24 @@
 }
 
 func (ldg *Ledger) settle(ent Entry, cur State) {
+	if _, err := outcm.ParseOutcome(ent.Outcome); err == nil {
+		ldg.keys[ent.Key] = cur.settled(ent)
+	}
+}
+
+// settled gives the state after a settlement.
+func (st State) settled(ent Entry) State {
 	oc, err := outcm.ParseOutcome(ent.Outcome)
 	if err != nil {
-		return
+		oc = outcm.Unknown
 	}
 	rs, err := outcm.ParseReason(ent.Reason)
 	if err != nil {
 		rs = outcm.Internal
 	}
-	cur.phase, cur.outcome, cur.reason = Settled, oc, rs
-	cur.answer, cur.large = ent.Answer, ent.Large
-	ldg.keys[ent.Key] = cur
+	st.phase, st.outcome, st.reason = Settled, oc, rs
+	st.answer, st.large = ent.Answer, ent.Large
+	return st
 }
 
 // forget drops the keys whose time has come, before each record is applied and
--- a/pkg/outcm/outcm.go
+++ b/pkg/outcm/outcm.go
@@ -36,6 +36,7 @@
 	KeyConflict                      // key_conflict
 	KeyExpired                       // key_expired
 	KeyHolderGone                    // key_holder_gone
+	TicketElsewhere                  // ticket_elsewhere
 	LogUnavailable                   // log_unavailable
 	StaleView                        // stale_view
 	Stopping                         // stopping
@@ -162,6 +163,7 @@
 	UnknownWorkspace:   http.StatusForbidden,
 	KeyConflict:        http.StatusConflict,
 	KeyExpired:         http.StatusGone,
+	TicketElsewhere:    http.StatusMisdirectedRequest,
 	WorkspaceRate:      http.StatusTooManyRequests,
 	WorkspaceBusy:      http.StatusTooManyRequests,
 	DeadlinePassed:     http.StatusGatewayTimeout,
--- a/pkg/outcm/outcm_string.go
+++ b/pkg/outcm/outcm_string.go
@@ -40,30 +40,31 @@
 	_ = x[KeyConflict-7]
 	_ = x[KeyExpired-8]
 	_ = x[KeyHolderGone-9]
-	_ = x[LogUnavailable-10]
-	_ = x[StaleView-11]
-	_ = x[Stopping-12]
-	_ = x[WorkspaceRate-13]
-	_ = x[WorkspaceBusy-14]
-	_ = x[QueueFull-15]
-	_ = x[DeadlineTooShort-16]
-	_ = x[DeadlinePassed-17]
-	_ = x[NoEndpoint-18]
-	_ = x[RetryBudget-19]
-	_ = x[StageFailed-20]
-	_ = x[StageRefused-21]
-	_ = x[ConnectionCut-22]
-	_ = x[StreamCut-23]
-	_ = x[WrongAttempt-24]
-	_ = x[CallerGone-25]
-	_ = x[AnswerLost-26]
-	_ = x[BadResume-27]
-	_ = x[Internal-28]
+	_ = x[TicketElsewhere-10]
+	_ = x[LogUnavailable-11]
+	_ = x[StaleView-12]
+	_ = x[Stopping-13]
+	_ = x[WorkspaceRate-14]
+	_ = x[WorkspaceBusy-15]
+	_ = x[QueueFull-16]
+	_ = x[DeadlineTooShort-17]
+	_ = x[DeadlinePassed-18]
+	_ = x[NoEndpoint-19]
+	_ = x[RetryBudget-20]
+	_ = x[StageFailed-21]
+	_ = x[StageRefused-22]
+	_ = x[ConnectionCut-23]
+	_ = x[StreamCut-24]
+	_ = x[WrongAttempt-25]
+	_ = x[CallerGone-26]
+	_ = x[AnswerLost-27]
+	_ = x[BadResume-28]
+	_ = x[Internal-29]
 }
 
-const _Reason_name = "nonerecordedbad_requestunknown_serviceunknown_workspaceunknown_request_kindkey_missingkey_conflictkey_expiredkey_holder_gonelog_unavailablestale_viewstoppingworkspace_rateworkspace_busyqueue_fulldeadline_too_shortdeadline_passedno_endpointretry_budgetstage_failedstage_refusedconnection_cutstream_cutwrong_attemptcaller_goneanswer_lostbad_resumeinternal"
+const _Reason_name = "nonerecordedbad_requestunknown_serviceunknown_workspaceunknown_request_kindkey_missingkey_conflictkey_expiredkey_holder_goneticket_elsewherelog_unavailablestale_viewstoppingworkspace_rateworkspace_busyqueue_fulldeadline_too_shortdeadline_passedno_endpointretry_budgetstage_failedstage_refusedconnection_cutstream_cutwrong_attemptcaller_goneanswer_lostbad_resumeinternal"
 
-var _Reason_index = [...]uint16{0, 4, 12, 23, 38, 55, 75, 86, 98, 109, 124, 139, 149, 157, 171, 185, 195, 213, 228, 239, 251, 263, 276, 290, 300, 313, 324, 335, 345, 353}
+var _Reason_index = [...]uint16{0, 4, 12, 23, 38, 55, 75, 86, 98, 109, 124, 140, 155, 165, 173, 187, 201, 211, 229, 244, 255, 267, 279, 292, 306, 316, 329, 340, 351, 361, 369}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/route/entries.go
+++ b/pkg/route/entries.go
@@ -13,6 +13,8 @@
 type Entry struct {
 	Addr string
 	Zone string
+	// Boot is the number of the process there.
+	Boot string
 	// Load is the requests under way at the instance, as it last said.
 	Load int
 }
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -103,7 +103,7 @@
 func TestEntriesSpread(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	rng := rand.New(rand.NewPCG(1, 2))
-	cands := []Entry{{"a", "dc1", 0}, {"b", "dc1", 40}, {"c", "dc1", 41}, {"d", "dc2", 3}}
+	cands := []Entry{{"a", "dc1", "", 0}, {"b", "dc1", "", 40}, {"c", "dc1", "", 41}, {"d", "dc2", "", 3}}
 	first := map[string]int{}
 	for range 1000 {
 		list := Entries(cands, "dc1", rng)
