--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -180,3 +181,65 @@
 	})
 	t.Logf("a kept connection, both ends and a listener: %d bytes", held/20)
 }
+
+// TestKeysAreReplacedWithoutAStop: an operator puts a new authority beside the
+// old one, then new certificates, then takes the old authority out. At no time
+// is an instance refused, and at the end the old certificate is.
+func TestKeysAreReplacedWithoutAStop(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	old, fresh := authority(t), authority(t)
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	links := make([]*Link, 3)
+	for i, dir := range dirs {
+		gom.Expect(old.WriteFiles(dir)).To(gomega.Succeed())
+		server, client, err := Keys(dir+"/cert.pem", dir+"/key.pem", dir+"/ca.pem")
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		lnk, err := Listen("127.0.0.1:0", server, client, func(context.Context, Message) Message { return Message{Kind: OK} })
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go lnk.Serve(ctx)
+		links[i] = lnk
+	}
+	ask := func(from, to int) error {
+		links[from].mtx.Lock()
+		clear(links[from].conns)
+		links[from].mtx.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		_, err := links[from].Ask(ctx, links[to].Addr(), Message{Kind: Probe})
+		return err
+	}
+	both := func() {
+		gom.Expect(ask(0, 1)).To(gomega.Succeed())
+		gom.Expect(ask(1, 0)).To(gomega.Succeed())
+	}
+	both()
+	// Each step is done at one instance after the other.
+	step := func(name string, text func(dir string) []byte) {
+		for _, dir := range dirs[:2] {
+			gom.Expect(os.WriteFile(dir+"/"+name, text(dir), 0o600)).To(gomega.Succeed())
+			both()
+		}
+	}
+	news := map[string]string{}
+	for _, dir := range dirs[:2] {
+		news[dir] = t.TempDir()
+		gom.Expect(fresh.WriteFiles(news[dir])).To(gomega.Succeed())
+	}
+	file := func(dir, name string) []byte {
+		text, err := os.ReadFile(dir + "/" + name)
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		return text
+	}
+	step("ca.pem", func(dir string) []byte { return append(file(dir, "ca.pem"), file(news[dir], "ca.pem")...) })
+	for _, dir := range dirs[:2] {
+		for _, name := range []string{"cert.pem", "key.pem"} {
+			gom.Expect(os.WriteFile(dir+"/"+name, file(news[dir], name), 0o600)).To(gomega.Succeed())
+		}
+		both()
+	}
+	gom.Expect(ask(2, 0)).To(gomega.HaveOccurred(), "the third does not know the new authority")
+	step("ca.pem", func(dir string) []byte { return file(news[dir], "ca.pem") })
+	gom.Expect(ask(0, 2)).To(gomega.HaveOccurred())
+}
