pkg/admit, internal/filter: bookings have room in a full line and a full instance

Cause: priorities ordered who is served next, but not who is let in: a line full of drafts, or max_in_flight full of them, refused every booking.

--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -10,12 +10,16 @@
 	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/retry"
+	"amaranthvalve/pkg/svcdoc"
 )
 
 const (
 	// busyRetry is the base span to come back after, when too many requests
 	// are under way.
 	busyRetry = 200 * clock.Milli(1)
+	// keptShare is the part of max_in_flight, in per cent, that opens with the
+	// priority.
+	keptShare = 30
 	// rateWindow is the time over which a workspace's demand is counted.
 	rateWindow = clock.Second
 	// maxTables bounds the pairs of workspace and service that are remembered.
@@ -59,7 +63,7 @@
 	lft.mtx.Lock()
 	defer lft.mtx.Unlock()
 	now := lft.clk.Now()
-	if lft.inFlight >= lft.most {
+	if lft.inFlight >= lft.room(cl.doc.Priority()) {
 		return nil, outcm.Refuse(outcm.QueueFull, spread(busyRetry), "too many requests are under way at this instance")
 	}
 	tbl := lft.table(cl, now)
@@ -77,6 +81,14 @@
 	return tbl, outcm.Result{}
 }
 
+// room gives how many requests may be under way for one more of a priority to be
+// let in. The last part is kept for the higher ones: an instance that is full of
+// drafts would otherwise refuse bookings.
+func (lft *limitFilter) room(priority int) int {
+	kept := lft.most * keptShare / 100
+	return lft.most - kept + kept*priority/svcdoc.MaxPriority
+}
+
 func spread(base clock.Milli) clock.Milli {
 	return retry.After(base, 1, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/internal/stage/pool.go
+++ b/internal/stage/pool.go
@@ -24,8 +24,8 @@
 }
 
 type grant struct {
-	ep route.Endpoint
-	ok bool
+	ep   route.Endpoint
+	word admit.Word
 }
 
 func newPool(zone string) *pool {
@@ -38,7 +38,7 @@
 func (pl *pool) acquire(ctx context.Context, ask route.Ask, adm admit.Ask, clk clock.Clock) (route.Endpoint, outcm.Result) {
 	granted := make(chan grant, 1)
 	pl.mtx.Lock()
-	ep, tkt, ans := pl.gate.Enter(ask, adm, clk.Now(), func(ep route.Endpoint, ok bool) { granted <- grant{ep: ep, ok: ok} })
+	ep, tkt, ans := pl.gate.Enter(ask, adm, clk.Now(), func(ep route.Endpoint, word admit.Word) { granted <- grant{ep: ep, word: word} })
 	pl.mtx.Unlock()
 	switch ans {
 	case admit.Granted:
@@ -56,8 +56,11 @@
 func (pl *pool) wait(ctx context.Context, tkt *admit.Ticket, granted chan grant) (route.Endpoint, outcm.Result) {
 	select {
 	case grt := <-granted:
-		if !grt.ok {
+		switch grt.word {
+		case admit.Late:
 			return route.Endpoint{}, pl.refuse(outcm.DeadlineTooShort, "no place was free in time")
+		case admit.Displaced:
+			return route.Endpoint{}, pl.refuse(outcm.QueueFull, "the pool's queue is full, and the place went to a higher priority")
 		}
 		return grt.ep, outcm.Result{}
 	case <-ctx.Done():
@@ -68,7 +71,7 @@
 	select {
 	case grt := <-granted:
 		// The turn came in the same moment: hand the place back.
-		if grt.ok {
+		if grt.word == admit.Served {
 			pl.finish(grt.ep.ID, route.Neutral, 0, 0)
 		}
 	default:
--- a/internal/trial/request.go
+++ b/internal/trial/request.go
@@ -80,13 +80,16 @@
 	if req.svc.stages[req.stage].prefix {
 		where.Prefix = req.prefix
 	}
-	ep, tkt, ans := req.gate().Enter(where, req.ask(req.later(req.stage)), req.now(), func(ep route.Endpoint, ok bool) {
+	ep, tkt, ans := req.gate().Enter(where, req.ask(req.later(req.stage)), req.now(), func(ep route.Endpoint, word admit.Word) {
 		req.ticket = nil
-		if !ok {
+		switch word {
+		case admit.Served:
+			req.send(ep)
+		case admit.Displaced:
+			req.end("queue_full")
+		default:
 			req.end("deadline_too_short")
-			return
 		}
-		req.send(ep)
 	})
 	switch ans {
 	case admit.Granted:
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -43,9 +43,22 @@
 	start float64
 	seq   uint64
 	// ready is called when the request is served or given up.
-	ready func(served bool, now clock.Milli)
+	ready func(word Word, now clock.Milli)
 }
 
+// Word is what a waiting request is told, once.
+type Word int
+
+// The words.
+const (
+	// Served: its turn has come.
+	Served Word = iota
+	// Late: it can't be answered in time any more.
+	Late
+	// Displaced: the line is full and its place went to a higher priority.
+	Displaced
+)
+
 // Queue is the waiting line before a pool. The zero value is empty. It is not
 // safe for concurrent use.
 type Queue struct {
@@ -116,8 +129,8 @@
 // Join adds a request to the line, unless the line is full or the request
 // can't be answered in time. ready is called once, with the decision; it must
 // not block.
-func (que *Queue) Join(ask Ask, now clock.Milli, ready func(served bool, now clock.Milli)) (*Ticket, Verdict) {
-	if len(que.waiting) >= maxWaiting {
+func (que *Queue) Join(ask Ask, now clock.Milli, ready func(word Word, now clock.Milli)) (*Ticket, Verdict) {
+	if len(que.waiting) >= maxWaiting && !que.makeRoom(ask, now) {
 		return nil, Full
 	}
 	if !que.fifo && now+que.Wait(ask)+ask.Need > ask.Deadline {
@@ -130,6 +143,26 @@
 	return tkt, Waiting
 }
 
+// makeRoom gives up the last in line of a lower priority than the request's, if
+// there is one. A full line of drafts would otherwise refuse every booking.
+func (que *Queue) makeRoom(ask Ask, now clock.Milli) bool {
+	if que.fifo {
+		return false
+	}
+	last := que.waiting[0]
+	for _, tkt := range que.waiting[1:] {
+		if que.before(last, tkt) {
+			last = tkt
+		}
+	}
+	if last.ask.Priority >= ask.Priority {
+		return false
+	}
+	que.Leave(last)
+	last.ready(Displaced, now)
+	return true
+}
+
 // stamp gives the start tag of start-time fair queueing.
 func (que *Queue) stamp(ask Ask) float64 {
 	if que.finish == nil {
@@ -163,7 +196,7 @@
 	que.Leave(next)
 	que.virtual = max(que.virtual, next.start)
 	que.measure(now)
-	next.ready(true, now)
+	next.ready(Served, now)
 	return true
 }
 
@@ -205,7 +238,7 @@
 		return false
 	})
 	for _, tkt := range late {
-		tkt.ready(false, now)
+		tkt.ready(Late, now)
 	}
 }
 
--- a/pkg/admit/admit_test.go
+++ b/pkg/admit/admit_test.go
@@ -16,7 +16,7 @@
 
 func TestMain(m *testing.M) { golden.Main(m) }
 
-func ignore(bool, clock.Milli) {}
+func ignore(Word, clock.Milli) {}
 
 // TestBurstWaitsBehindItself: a large workspace has a hundred requests waiting
 // when a small one's comes. With equal shares the small one is served within the
@@ -26,7 +26,7 @@
 	var que Queue
 	var order []string
 	join := func(wsp string) {
-		_, ver := que.Join(Ask{Workspace: wsp, Share: 1, Deadline: clock.Hour}, 1000, func(bool, clock.Milli) { order = append(order, wsp) })
+		_, ver := que.Join(Ask{Workspace: wsp, Share: 1, Deadline: clock.Hour}, 1000, func(Word, clock.Milli) { order = append(order, wsp) })
 		gom.Expect(ver).To(gomega.Equal(Waiting))
 	}
 	for range 100 {
@@ -49,8 +49,8 @@
 		served := map[string]int{}
 		for range 60 {
 			for wsp, share := range shares {
-				_, _ = que.Join(Ask{Workspace: wsp, Share: share, Deadline: clock.Hour}, 1, func(ok bool, _ clock.Milli) {
-					if ok {
+				_, _ = que.Join(Ask{Workspace: wsp, Share: share, Deadline: clock.Hour}, 1, func(word Word, _ clock.Milli) {
+					if word == Served {
 						served[wsp]++
 					}
 				})
@@ -81,9 +81,9 @@
 					Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who"), Share: 1, Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
 					Need: clock.Milli(rapid.IntRange(0, 40).Draw(t, "need")), Deadline: now + clock.Milli(rapid.IntRange(0, 200).Draw(t, "deadline")),
 				}
-				_, ver := que.Join(ask, now, func(ok bool, at clock.Milli) {
+				_, ver := que.Join(ask, now, func(word Word, at clock.Milli) {
 					words[i]++
-					if ok && at+ask.Need > ask.Deadline {
+					if word == Served && at+ask.Need > ask.Deadline {
 						t.Fatalf("served at %d, needs %d, deadline %d", at, ask.Need, ask.Deadline)
 					}
 				})
@@ -106,6 +106,33 @@
 	})
 }
 
+// TestBookingTakesADraftsPlace: a thousand drafts fill the line. A booking is let
+// in all the same, the last draft is given up at once, and the booking is served
+// next. One more draft is refused.
+func TestBookingTakesADraftsPlace(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var que Queue
+	gaveUp, served := 0, ""
+	join := func(priority int, name string) Verdict {
+		_, ver := que.Join(Ask{Workspace: "w", Share: 1, Priority: priority, Deadline: clock.Hour}, 1, func(word Word, _ clock.Milli) {
+			if word == Displaced {
+				gaveUp++
+			} else if served == "" {
+				served = name
+			}
+		})
+		return ver
+	}
+	for range maxWaiting {
+		gom.Expect(join(3, "draft")).To(gomega.Equal(Waiting))
+	}
+	gom.Expect(join(3, "draft")).To(gomega.Equal(Full))
+	gom.Expect(join(9, "booking")).To(gomega.Equal(Waiting))
+	gom.Expect(gaveUp).To(gomega.Equal(1))
+	que.Serve(2)
+	gom.Expect(served).To(gomega.Equal("booking"))
+}
+
 // TestRefusalsEnd: a stage was so slow that every request is refused on arrival.
 // Nothing is measured meanwhile; after some seconds requests are let in again,
 // for otherwise nobody would ever learn that the stage is well.
@@ -128,7 +155,7 @@
 	rt.Sync([]route.Endpoint{{ID: "e", Zone: "dc1"}})
 	gate := NewGate(rt)
 	for range 16 {
-		_, _, _ = gate.Enter(route.Ask{}, Ask{Deadline: clock.Hour, Share: 1}, 1, func(route.Endpoint, bool) {})
+		_, _, _ = gate.Enter(route.Ask{}, Ask{Deadline: clock.Hour, Share: 1}, 1, func(route.Endpoint, Word) {})
 	}
 	retries := 0
 	for range 1000 {
@@ -143,7 +170,7 @@
 func ExampleQueue() {
 	var que Queue
 	for _, who := range []string{"large", "large", "small"} {
-		_, _ = que.Join(Ask{Workspace: who, Share: 1, Deadline: 5000}, 1000, func(bool, clock.Milli) { fmt.Println(who) })
+		_, _ = que.Join(Ask{Workspace: who, Share: 1, Deadline: 5000}, 1000, func(Word, clock.Milli) { fmt.Println(who) })
 	}
 	for range 3 {
 		que.Serve(1001)
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -46,18 +46,18 @@
 )
 
 // Enter asks for a place at an endpoint. When it must be waited for, ready is
-// told once: of an endpoint, or that there is none in time.
-func (gt *Gate) Enter(where route.Ask, ask Ask, now clock.Milli, ready func(ep route.Endpoint, ok bool)) (route.Endpoint, *Ticket, Answer) {
+// told once: Served with an endpoint, or why there is none.
+func (gt *Gate) Enter(where route.Ask, ask Ask, now clock.Milli, ready func(ep route.Endpoint, word Word)) (route.Endpoint, *Ticket, Answer) {
 	if gt.rt.Usable() == 0 {
 		return route.Endpoint{}, nil, RefusedEmpty
 	}
 	if gt.que.Len() == 0 {
-		if ep, ok := gt.give(where, true, now); ok {
+		if ep, word := gt.give(where, Served, now); word == Served {
 			return ep, nil, Granted
 		}
 	}
-	tkt, ver := gt.que.Join(ask, now, func(served bool, at clock.Milli) {
-		ready(gt.give(where, served, at))
+	tkt, ver := gt.que.Join(ask, now, func(word Word, at clock.Milli) {
+		ready(gt.give(where, word, at))
 	})
 	switch ver {
 	case Full:
@@ -68,9 +68,9 @@
 	return route.Endpoint{}, tkt, Waits
 }
 
-func (gt *Gate) give(where route.Ask, served bool, now clock.Milli) (route.Endpoint, bool) {
-	if !served {
-		return route.Endpoint{}, false
+func (gt *Gate) give(where route.Ask, word Word, now clock.Milli) (route.Endpoint, Word) {
+	if word != Served {
+		return route.Endpoint{}, word
 	}
 	ep, ok := gt.rt.Pick(where, now)
 	if !ok && len(where.Avoid) > 0 {
@@ -78,7 +78,10 @@
 		// than none.
 		ep, ok = gt.rt.Pick(route.Ask{Prefix: where.Prefix}, now)
 	}
-	return ep, ok
+	if !ok {
+		return route.Endpoint{}, Late
+	}
+	return ep, Served
 }
 
 // Finish gives a place back and serves those who wait.
--- a/pkg/svcdoc/check.go
+++ b/pkg/svcdoc/check.go
@@ -20,8 +20,10 @@
 	// package claim.
 	MaxKeyLife = clock.Day
 
+	// MaxPriority is the highest priority.
+	MaxPriority = 9
+
 	maxStages     = 16
-	maxPriority   = 9
 	maxWorkspaces = 2000
 )
 
@@ -49,8 +51,8 @@
 	chk.defaults()
 	chk.span("deadline_ms", raw.DeadlineMs, MaxDeadline)
 	chk.span("key_life_ms", raw.KeyLifeMs, MaxKeyLife)
-	if raw.Priority < 0 || raw.Priority > maxPriority {
-		chk.fts.Add("priority", "%d is not in 0 to %d", raw.Priority, maxPriority)
+	if raw.Priority < 0 || raw.Priority > MaxPriority {
+		chk.fts.Add("priority", "%d is not in 0 to %d", raw.Priority, MaxPriority)
 	}
 	chk.stages()
 	chk.requests()
