internal/feed: the log's reader and appender on their own; no gap between log and peers

While the log is silent a view runs out when the log's word does, and the others' word was looked at only after that, at the next tick: for up to 50 ms requests were refused although most instances vouched. Ruled out: a member list that changed; a wrong end of a view.

TestNoGapBetweenLogAndPeers failed first ("3000 ms after the log went out: the view has run out"). Both are now looked at each time and the later end counts.

--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 
+	"amaranthvalve/internal/feed"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/platf"
@@ -35,7 +36,7 @@
 	ctl     *Control
 	ldg     claim.Ledger
 	desk    claim.Desk
-	app     *appender
+	app     *feed.Appender
 	logAsOf clock.Milli
 	waiting map[string][]*asking
 	// abandoned are attempts that were answered without having been run while
@@ -75,18 +76,19 @@
 }
 
 func (cct *claimsCtl) tail(ctx context.Context) {
-	cct.ctl.tail(ctx, follower{
-		stream: platf.StreamClaims,
-		next:   cct.ldg.Next,
-		apply: func(recs []oplog.Record, now clock.Milli) {
+	feed.Tail(ctx, cct.ctl.feed(), feed.Follower{
+		Do:     cct.ctl.Do,
+		Stream: platf.StreamClaims,
+		Next:   cct.ldg.Next,
+		Apply: func(recs []oplog.Record, now clock.Milli) {
 			changes, _ := cct.ldg.Apply(recs)
 			for _, chg := range changes {
 				cct.clearLate(chg, now)
 				cct.judgeAll(chg.Key, now)
 			}
 		},
-		restart: cct.ldg.Restart,
-		caught:  func(asOf clock.Milli) { cct.logAsOf = max(cct.logAsOf, asOf) },
+		Restart: cct.ldg.Restart,
+		Caught:  func(asOf clock.Milli) { cct.logAsOf = max(cct.logAsOf, asOf) },
 	})
 }
 
@@ -176,8 +178,8 @@
 	}
 	akg.appended = true
 	ent := cct.entry(akg.ask)
-	apg := appending{body: ent.Encode(), until: min(akg.ask.Expires, now+clock.Minute), drop: akg.over.Load}
-	if !cct.app.add(apg) {
+	apg := feed.Record{Body: ent.Encode(), Until: min(akg.ask.Expires, now+clock.Minute), Drop: akg.over.Load}
+	if !cct.app.Add(apg) {
 		cct.finish(akg, Claimed{Move: claim.Refuse, Result: outcm.Refuse(outcm.QueueFull, outageRetry, "too many records wait for the log")})
 	}
 }
@@ -264,7 +266,7 @@
 // dispatched.
 func (cct *claimsCtl) release(key, attempt string, now clock.Milli) {
 	ent := claim.Entry{Kind: claim.KindRelease, Key: key, Attempt: attempt}
-	cct.app.add(appending{body: ent.Encode(), until: now + settleLife})
+	cct.app.Add(feed.Record{Body: ent.Encode(), Until: now + settleLife})
 }
 
 // giveUp is called when a request's time ran out before its claim was read
@@ -367,10 +369,10 @@
 		// The claim goes into the log with its settlement, once the log is
 		// back, so that others can answer for the ticket when we are gone.
 		cct.desk.Settle(ent)
-		cct.app.add(appending{body: cct.entry(ask).Encode(), until: now + settleLife})
+		cct.app.Add(feed.Record{Body: cct.entry(ask).Encode(), Until: now + settleLife})
 		defer cct.judgeAll(ask.Key, now)
 	}
-	cct.app.add(appending{body: ent.Encode(), until: now + settleLife})
+	cct.app.Add(feed.Record{Body: ent.Encode(), Until: now + settleLife})
 }
 
 func (cct *claimsCtl) keep(attempt, answer string) {
--- a/internal/contr/control.go
+++ b/internal/contr/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthvalve/internal/feed"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/platf"
@@ -132,9 +133,9 @@
 // Run owns the state until the context ends, then waits for its workers.
 func (ctl *Control) Run(ctx context.Context) {
 	ctl.ctx = ctx
-	ctl.claims.app = newAppender(ctl, platf.StreamClaims)
-	ctl.docs.app = newAppender(ctl, platf.StreamDocs)
-	ctl.leases.app = newAppender(ctl, platf.StreamLeases)
+	ctl.claims.app = ctl.appender(platf.StreamClaims)
+	ctl.docs.app = ctl.appender(platf.StreamDocs)
+	ctl.leases.app = ctl.appender(platf.StreamLeases)
 	ctl.goDo(ctl.docs.tail)
 	ctl.goDo(ctl.claims.tail)
 	ctl.goDo(ctl.leases.tail)
@@ -156,6 +157,17 @@
 	}
 }
 
+// feed gives what reading and appending need.
+func (ctl *Control) feed() feed.Setup {
+	return feed.Setup{Clock: ctl.set.Clock, Platform: ctl.set.Platform, Meter: ctl.set.Meter, Log: ctl.set.Log}
+}
+
+func (ctl *Control) appender(stream string) *feed.Appender {
+	app := feed.NewAppender(ctl.feed(), stream)
+	ctl.goDo(app.Run)
+	return app
+}
+
 // step lets each controller act, in the fixed order.
 func (ctl *Control) step(now clock.Milli) {
 	ctl.members.step(now)
@@ -231,8 +243,8 @@
 
 // Flush waits until what was to be appended is in the log, or the context ends.
 func (ctl *Control) Flush(ctx context.Context) {
-	for !ctl.claims.app.empty() || !ctl.docs.app.empty() {
-		if !pause(ctx, tickEvery) {
+	for !ctl.claims.app.Empty() || !ctl.docs.app.Empty() {
+		if !feed.Pause(ctx, tickEvery) {
 			return
 		}
 	}
--- a/internal/contr/docs.go
+++ b/internal/contr/docs.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthvalve/internal/feed"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/platf"
@@ -32,7 +33,7 @@
 type docsCtl struct {
 	ctl     *Control
 	reg     oplog.Registry
-	app     *appender
+	app     *feed.Appender
 	changed bool
 	// logAsOf is the last instant at which the log's end was known to be
 	// applied, zero if never; known tells that the state is that of some offset
@@ -45,10 +46,11 @@
 }
 
 func (dct *docsCtl) tail(ctx context.Context) {
-	dct.ctl.tail(ctx, follower{
-		stream: platf.StreamDocs,
-		next:   dct.reg.Next,
-		apply: func(recs []oplog.Record, _ clock.Milli) {
+	feed.Tail(ctx, dct.ctl.feed(), feed.Follower{
+		Do:     dct.ctl.Do,
+		Stream: platf.StreamDocs,
+		Next:   dct.reg.Next,
+		Apply: func(recs []oplog.Record, _ clock.Milli) {
 			before := dct.reg.Applied()
 			decided, _ := dct.reg.Apply(recs)
 			dct.changed = dct.changed || dct.reg.Applied() != before
@@ -57,8 +59,8 @@
 					Str("verdict", dec.Verdict().String()).Msg("document offered")
 			}
 		},
-		restart: dct.reg.Restart,
-		caught: func(asOf clock.Milli) {
+		Restart: dct.reg.Restart,
+		Caught: func(asOf clock.Milli) {
 			if dct.reg.Ready() {
 				dct.known = true
 				dct.logAsOf = max(dct.logAsOf, asOf)
@@ -83,22 +85,37 @@
 // the log together with a few others must not be vouched for by them, for the
 // rest may have accepted a newer document; a publisher counts on such a group
 // refusing after the bound. Two groups can't both be most.
+//
+// Both are looked at each time, and the later end counts. Were the others' word
+// looked at only once the log's has run out, a view would run out up to a tick
+// before the next one is made, and requests be refused in between.
 func (dct *docsCtl) freshUntil(now clock.Milli) (until clock.Milli, why string) {
-	bound := dct.ctl.set.Fresh
 	if !dct.known {
 		return 0, "no document state is known yet"
 	}
-	if now-dct.logAsOf <= bound {
-		return dct.logAsOf + bound, ""
+	until = max(dct.logAsOf, dct.vouchedSince(now)) + dct.ctl.set.Fresh
+	switch {
+	case now <= until:
+		return until, ""
+	case dct.isBehind():
+		return 0, "another instance has newer documents"
 	}
+	return 0, "neither the log nor most of the instances can be reached"
+}
+
+// vouchedSince gives the instant since which most of the instances have been in
+// touch, zero if they are not or if one of them has newer documents.
+func (dct *docsCtl) vouchedSince(now clock.Milli) clock.Milli {
 	since, ok := dct.ctl.members.list.MostHeard(now)
-	if !ok || now-since > bound {
-		return 0, "neither the log nor most of the instances can be reached"
+	if !ok || dct.isBehind() {
+		return 0
 	}
-	if ahead, ok := dct.mostApplied(); ok && ahead.Applied() > dct.reg.Applied() {
-		return 0, "another instance has newer documents"
-	}
-	return since + bound, ""
+	return since
+}
+
+func (dct *docsCtl) isBehind() bool {
+	ahead, ok := dct.mostApplied()
+	return ok && ahead.Applied() > dct.reg.Applied()
 }
 
 func (dct *docsCtl) mostApplied() (member.Member, bool) {
@@ -204,7 +221,7 @@
 func (dct *docsCtl) appendAgain(now, olderThan clock.Milli) int {
 	ents := dct.reg.Snapshot(olderThan)
 	for _, ent := range ents {
-		dct.app.add(appending{body: ent.Encode(), until: now + snapshotLife})
+		dct.app.Add(feed.Record{Body: ent.Encode(), Until: now + snapshotLife})
 	}
 	if len(ents) > 0 {
 		dct.ctl.set.Log.Info().Int("records", len(ents)).Msg("appended documents again")
@@ -214,7 +231,7 @@
 
 // offer appends an offer and goes on until the deadline.
 func (dct *docsCtl) offer(ent oplog.Entry, until clock.Milli) bool {
-	return dct.app.add(appending{body: json.RawMessage(ent.Encode()), until: until, drop: nil})
+	return dct.app.Add(feed.Record{Body: json.RawMessage(ent.Encode()), Until: until})
 }
 
 // behind lists the instances that may still go by documents older than an
--- /dev/null
+++ b/internal/contr/fresh_test.go
@@ -0,0 +1,35 @@
+package contr
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+)
+
+// TestNoGapBetweenLogAndPeers: the log goes out while two instances stay in
+// touch. At every instant the view that was made last is good for longer than
+// the next tick; it used to run out up to 50 ms before the peers' word was
+// looked at, and requests in between were refused.
+func TestNoGapBetweenLogAndPeers(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var clk clock.Fake
+	clk.Set(10_000)
+	ctl := New(Setup{Self: "a:1#1", Zone: "dc1", Fresh: 3 * clock.Second, Clock: clk.Clock(), Meter: meter.New(), Log: zerolog.Nop()})
+	ctl.docs.known = true
+	ctl.docs.logAsOf = clk.Clock().Now()
+	other := ident.Incarnation("b:1#1")
+	for range 200 {
+		now := clk.Clock().Now()
+		ctl.members.list.Learn([]member.News{{Who: other, Seq: 1, Beat: uint64(now / clock.Second)}}, now)
+		ctl.publish(now)
+		clk.Advance(clock.FromDuration(tickEvery))
+		ready, why := ctl.View().Ready(clk.Clock().Now())
+		gom.Expect(ready).To(gomega.BeTrue(), "%d ms after the log went out: %s", now-10_000, why)
+	}
+}
--- a/internal/contr/leases.go
+++ b/internal/contr/leases.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthvalve/internal/engin"
+	"amaranthvalve/internal/feed"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/platf"
 	"amaranthvalve/internal/wire"
@@ -32,7 +33,7 @@
 type leasesCtl struct {
 	ctl    *Control
 	book   lease.Book
-	app    *appender
+	app    *feed.Appender
 	grant  lease.Grant
 	sentID string
 	sentAt clock.Milli
@@ -42,12 +43,13 @@
 }
 
 func (lct *leasesCtl) tail(ctx context.Context) {
-	lct.ctl.tail(ctx, follower{
-		stream:  platf.StreamLeases,
-		next:    lct.book.Next,
-		apply:   func(recs []oplog.Record, _ clock.Milli) { lct.book.Apply(recs); lct.noteGrant() },
-		restart: lct.book.Restart,
-		caught:  func(clock.Milli) {},
+	feed.Tail(ctx, lct.ctl.feed(), feed.Follower{
+		Do:      lct.ctl.Do,
+		Stream:  platf.StreamLeases,
+		Next:    lct.book.Next,
+		Apply:   func(recs []oplog.Record, _ clock.Milli) { lct.book.Apply(recs); lct.noteGrant() },
+		Restart: lct.book.Restart,
+		Caught:  func(clock.Milli) {},
 	})
 }
 
@@ -95,7 +97,7 @@
 	id := ident.NewID()
 	lct.sentID, lct.sentAt = id, now
 	ent := lease.Entry{Kind: lease.KindAcquire, Name: leaseOrders, Holder: lct.ctl.set.Self, ID: id}
-	lct.app.add(appending{body: ent.Encode(), until: now + lease.Renew})
+	lct.app.Add(feed.Record{Body: ent.Encode(), Until: now + lease.Renew})
 }
 
 // turn lets the instances try for a free lease one after another.
--- a/internal/contr/publish.go
+++ b/internal/contr/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthvalve/internal/feed"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -72,7 +73,7 @@
 		if found && dec.Verdict() != oplog.Undecided {
 			return dec, true
 		}
-		if !pause(ctx, publishPoll) {
+		if !feed.Pause(ctx, publishPoll) {
 			return oplog.Decision{}, false
 		}
 	}
@@ -89,7 +90,7 @@
 		if len(late) == 0 {
 			return true, nil
 		}
-		if ctl.set.Clock.Now() >= until || !pause(ctx, publishPoll) {
+		if ctl.set.Clock.Now() >= until || !feed.Pause(ctx, publishPoll) {
 			names := make([]string, len(late))
 			for i, who := range late {
 				names[i] = string(who)
--- a/internal/contr/appender.go
+++ b/internal/feed/append.go
@@ -1,4 +1,4 @@
-package contr
+package feed
 
 import (
 	"context"
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/platf"
 	"amaranthvalve/pkg/clock"
 )
 
@@ -21,47 +24,54 @@
 	maxHeld = 16384
 )
 
-// appender brings records into one stream: one append at a time, which takes
+// Setup is what reading and appending need.
+type Setup struct {
+	Clock    clock.Clock
+	Platform *platf.Client
+	Meter    *meter.Meter
+	Log      zerolog.Logger
+}
+
+// Appender brings records into one stream: one append at a time, which takes
 // all that waits. The log takes several hundred appends a second for everybody,
 // so that records are grouped, not appends made more.
 //
 // An append whose answer is lost is made again with the same records. Each fold
 // counts a repeated record once, so that this is safe; giving up instead would
 // leave a release or a settlement out, and the key held for good.
-type appender struct {
-	ctl    *Control
+type Appender struct {
+	set    Setup
 	stream string
 	wake   chan struct{}
 
 	mtx     sync.Mutex
-	held    []appending
+	held    []Record
 	sending bool
 }
 
-type appending struct {
-	body json.RawMessage
-	// until is the instant after which the record is not worth appending.
-	until clock.Milli
-	// sent is told the instant before each append that carries the record.
-	sent func(at clock.Milli)
-	// drop tells that the record must not be appended any more.
-	drop func() bool
+// Record is a record on its way into the log.
+type Record struct {
+	Body json.RawMessage
+	// Until is the instant after which the record is not worth appending.
+	Until clock.Milli
+	// Drop tells that the record must not be appended any more; it is asked by
+	// the appender's goroutine and may be nil.
+	Drop func() bool
 }
 
-func newAppender(ctl *Control, stream string) *appender {
-	app := &appender{ctl: ctl, stream: stream, wake: make(chan struct{}, 1)}
-	ctl.goDo(app.run)
-	return app
+// NewAppender returns the appender of a stream; Run makes it work.
+func NewAppender(set Setup, stream string) *Appender {
+	return &Appender{set: set, stream: stream, wake: make(chan struct{}, 1)}
 }
 
-// add queues a record and gives false when too many wait.
-func (app *appender) add(apg appending) bool {
+// Add queues a record and gives false when too many wait.
+func (app *Appender) Add(rec Record) bool {
 	app.mtx.Lock()
 	defer app.mtx.Unlock()
 	if len(app.held) >= maxHeld {
 		return false
 	}
-	app.held = append(app.held, apg)
+	app.held = append(app.held, rec)
 	select {
 	case app.wake <- struct{}{}:
 	default:
@@ -69,10 +79,11 @@
 	return true
 }
 
-func (app *appender) run(ctx context.Context) {
+// Run appends what is added until the context ends.
+func (app *Appender) Run(ctx context.Context) {
 	backoff := appendBackoff
 	for {
-		batch := app.take(app.ctl.set.Clock.Now())
+		batch := app.take(app.set.Clock.Now())
 		if len(batch) == 0 {
 			select {
 			case <-ctx.Done():
@@ -86,25 +97,25 @@
 			continue
 		}
 		app.giveBack(batch)
-		app.ctl.set.Meter.Event(meter.EventAppendRepeat)
-		if !pause(ctx, backoff) {
+		app.set.Meter.Event(meter.EventAppendRepeat)
+		if !Pause(ctx, backoff) {
 			return
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-func (app *appender) take(now clock.Milli) []appending {
+func (app *Appender) take(now clock.Milli) []Record {
 	app.mtx.Lock()
 	defer app.mtx.Unlock()
-	var batch, rest []appending
-	for _, apg := range app.held {
+	var batch, rest []Record
+	for _, rec := range app.held {
 		switch {
-		case now >= apg.until || apg.drop != nil && apg.drop():
+		case now >= rec.Until || rec.Drop != nil && rec.Drop():
 		case len(batch) < maxBatch:
-			batch = append(batch, apg)
+			batch = append(batch, rec)
 		default:
-			rest = append(rest, apg)
+			rest = append(rest, rec)
 		}
 	}
 	app.held = rest
@@ -112,39 +123,35 @@
 	return batch
 }
 
-// empty tells whether nothing waits or is under way.
-func (app *appender) empty() bool {
+// Empty tells whether nothing waits or is under way.
+func (app *Appender) Empty() bool {
 	app.mtx.Lock()
 	defer app.mtx.Unlock()
 	return len(app.held) == 0 && !app.sending
 }
 
-func (app *appender) giveBack(batch []appending) {
+func (app *Appender) giveBack(batch []Record) {
 	app.mtx.Lock()
 	defer app.mtx.Unlock()
 	app.held = append(batch, app.held...)
 }
 
-func (app *appender) send(ctx context.Context, batch []appending) bool {
+func (app *Appender) send(ctx context.Context, batch []Record) bool {
 	bodies := make([]json.RawMessage, len(batch))
-	at := app.ctl.set.Clock.Now()
-	for i, apg := range batch {
-		bodies[i] = apg.body
-		if apg.sent != nil {
-			apg.sent(at)
-		}
+	for i, rec := range batch {
+		bodies[i] = rec.Body
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendWait)
 	defer cancel()
-	_, err := app.ctl.set.Platform.Append(ctx, app.stream, bodies)
+	_, err := app.set.Platform.Append(ctx, app.stream, bodies)
 	if err != nil {
-		app.ctl.set.Meter.Event(meter.EventLogError)
+		app.set.Meter.Event(meter.EventLogError)
 	}
 	return err == nil
 }
 
-// pause waits, and gives false when the context ended.
-func pause(ctx context.Context, span time.Duration) bool {
+// Pause waits, and gives false when the context ended.
+func Pause(ctx context.Context, span time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
