pkg/oplog, pkg/claim: a start from nothing, after a closure longer than the log's memory

Cause: read through as a newcomer: small daytime teams switch everything off over a holiday. When the log has forgotten all records and no instance is left, a new one waited for a manifest that nobody could write, and refused every booking for thirty hours, since it could not show that it knew all keys. Seen first: "an instance starts from nothing" was not ready after 30 s, and never would have been.

Documents: a reader asks by the log for a state; whoever has one appends it again; after ten seconds without an answer a reset says that there is none.

Keys: the ledger trusts the platform's word that records are kept for MinRetention, and says that it does not cover all keys only when it sees that the word was not kept.

--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -87,7 +87,7 @@
 				cct.judgeAll(chg.Key, now)
 			}
 		},
-		Restart: cct.ldg.Restart,
+		Restart: func(start int64) { cct.ldg.Restart(start, cct.ctl.set.Clock.Now()) },
 		Caught:  func(asOf clock.Milli) { cct.logAsOf = max(cct.logAsOf, asOf) },
 	})
 }
--- a/internal/contr/docs.go
+++ b/internal/contr/docs.go
@@ -27,6 +27,10 @@
 	stateWait    = 2 * time.Second
 	stateRepeat  = 500 * clock.Milli(1)
 	snapshotLife = clock.Minute
+	// resetAfter is how long a reader that wants a state waits for an answer,
+	// and wantLife how long its records are tried to be appended.
+	resetAfter = 10 * clock.Second
+	wantLife   = 3 * clock.Second
 )
 
 // docsCtl keeps the service documents.
@@ -43,6 +47,11 @@
 	asking   bool
 	askedAt  clock.Milli
 	snapshot clock.Milli
+	// stuckAsOf is the last instant at which the log's end was read without a
+	// state, askedLog when the log was last asked for one.
+	stuckAsOf clock.Milli
+	askedLog  clock.Milli
+	answered  clock.Milli
 }
 
 func (dct *docsCtl) tail(ctx context.Context) {
@@ -64,7 +73,9 @@
 			if dct.reg.Ready() {
 				dct.known = true
 				dct.logAsOf = max(dct.logAsOf, asOf)
+				return
 			}
+			dct.stuckAsOf = asOf
 		},
 	})
 }
@@ -73,6 +84,23 @@
 	dct.ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-dct.logAsOf))
 	dct.askPeers(now)
 	dct.takeSnapshot(now)
+	dct.wantState(now)
+}
+
+// wantState asks by the log for a state when its end was read without one, and
+// after a while says that there is none: everything was off for longer than the
+// log keeps records. Without that no instance would ever be ready again.
+func (dct *docsCtl) wantState(now clock.Milli) {
+	if dct.reg.Ready() || dct.stuckAsOf == 0 || now-dct.askedLog < resetAfter {
+		return
+	}
+	ent := oplog.Entry{Kind: oplog.KindWanted}
+	if asked := dct.reg.Asked(); asked > 0 && dct.askedLog > 0 {
+		ent = oplog.Entry{Kind: oplog.KindReset, AsOf: asked}
+		dct.ctl.set.Log.Warn().Msg("nobody has the documents and the log has forgotten them; starting from nothing")
+	}
+	dct.askedLog = now
+	dct.app.Add(feed.Record{Body: ent.Encode(), Until: now + wantLife})
 }
 
 // freshUntil gives the instant up to which the documents may be taken to be in
@@ -202,7 +230,15 @@
 // instances take turns by rank, so that normally one does it; two doing it
 // write the same and do no harm.
 func (dct *docsCtl) takeSnapshot(now clock.Milli) {
-	if !dct.known || now-dct.logAsOf > clock.Second*2 || now < dct.snapshot {
+	if !dct.known || now-dct.logAsOf > clock.Second*2 {
+		return
+	}
+	if dct.reg.IsWanted() && now >= dct.answered {
+		dct.answered = now + wantLife
+		dct.appendAgain(now, now+1)
+		return
+	}
+	if now < dct.snapshot {
 		return
 	}
 	rank := clock.Milli(dct.ctl.members.list.Rank())
--- a/internal/entry/docs_test.go
+++ b/internal/entry/docs_test.go
@@ -171,6 +171,32 @@
 	})
 })
 
+var _ = ginkgo.Describe("after a long closure", func() {
+	// Everything was switched off for longer than the log keeps records: no
+	// instance and no record is left. The first instance to start finds streams
+	// that begin in the middle. It takes documents anew, and bookings run; it
+	// used to wait for a manifest that nobody could write, and to refuse every
+	// booking since it did not know the keys of before.
+	ginkgo.It("an instance starts from nothing", func() {
+		wld := newWorld(1, "")
+		expect(wld.call(0, "booking", book("before")).Outcome).To(equal("done"))
+		wld.nodes[0].Kill()
+		for _, stream := range []string{"docs", "claims", "leases"} {
+			wld.plt.Trim(stream, 0)
+		}
+		nod := wld.addNode()
+		began := time.Now()
+		until(30*time.Second, nod.isReady)
+		fmt.Printf("measured: ready %v after a start from nothing\n", time.Since(began))
+		wld.publish(1, "booking", wld.read("booking"))
+		until(10*time.Second, func() bool { return wld.call(1, "booking", book("after")).Outcome == "done" })
+		expect(wld.ran(workspace, "after")).To(equal(1))
+		later := wld.addNode()
+		until(30*time.Second, later.isReady)
+		expect(later.revision()).To(equal(nod.revision()))
+	})
+})
+
 var _ = ginkgo.Describe("orders to endpoints", func() {
 	// The holder of the lease orders engines to load the document's model. When
 	// it is killed another instance takes over after the lease and the flight of
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -245,8 +245,8 @@
 	cut    atomic.Bool
 	// peers tells that the instance is cut off from its peers as well.
 	peers atomic.Bool
-	mtx    sync.Mutex
-	conns  []net.Conn
+	mtx   sync.Mutex
+	conns []net.Conn
 }
 
 func newRelay(target string) *relay {
--- a/pkg/claim/doc.go
+++ b/pkg/claim/doc.go
@@ -27,6 +27,8 @@
 // the retention. A repeat after the expiry is refused as expired, which does
 // not claim that the request did not run.
 //
-// A ledger that started in the middle of the stream knows all living keys only
-// if the log reached back far enough; [Ledger.Covers] tells.
+// A ledger that starts in the middle of the stream knows all living keys if the
+// log keeps records for at least MinRetention. One that sees that it does not
+// says so ([Ledger.Covers]), and no key is claimed by it until all that it may
+// have missed have expired.
 package claim
--- a/pkg/claim/ledger.go
+++ b/pkg/claim/ledger.go
@@ -122,8 +122,7 @@
 type Ledger struct {
 	applied int64
 	logNow  clock.Milli
-	since   clock.Milli
-	partial bool
+	blind   clock.Milli
 	keys    map[string]State
 	queue   []forgetting
 }
@@ -146,27 +145,28 @@
 func (ldg *Ledger) Find(key string) State { return ldg.keys[key] }
 
 // Restart makes the ledger go on at the oldest offset that the log still has,
-// because its next record has been forgotten. What was forgotten unread is
-// older than the log's retention, and so are all keys in it, if the retention
-// is at least MinRetention; Covers tells if it was not.
-func (ldg *Ledger) Restart(start int64) {
+// because its next record has been forgotten, at the instant now.
+//
+// What was forgotten is older than the log's retention, and so are all keys in
+// it, for the retention is at least MinRetention: that is the platform's word, and
+// a new reader has nothing else to go by. (Going by the age of the oldest record
+// left was tried first: after a closure of some days no record is left, and every
+// booking was refused for thirty hours.) A reader that has read before can tell
+// when the word was not kept: the records that it missed are younger than its
+// last one. It then knows less than all living keys for as long as they live.
+func (ldg *Ledger) Restart(start int64, now clock.Milli) {
 	if start <= ldg.Next() {
 		return
 	}
+	if ldg.applied > 0 && now-ldg.logNow < MinRetention {
+		ldg.blind = now + MaxLife + Grace
+	}
 	ldg.applied = start - 1
-	ldg.partial = true
-	ldg.since = 0
 }
 
 // Covers tells whether every key that can still be repeated is known, at the
-// instant now: the stream was read from its first record, or from one that is
-// older than the longest life of a key.
-func (ldg *Ledger) Covers(now clock.Milli) bool {
-	if !ldg.partial {
-		return true
-	}
-	return ldg.since > 0 && now-ldg.since >= MaxLife+Grace
-}
+// instant now.
+func (ldg *Ledger) Covers(now clock.Milli) bool { return now >= ldg.blind }
 
 // Change tells that a key's state changed with an applied record.
 type Change struct {
@@ -188,9 +188,6 @@
 		ldg.applied = rec.Offset
 		ldg.logNow = max(ldg.logNow, rec.At)
 		ldg.forget()
-		if ldg.partial && ldg.since == 0 {
-			ldg.since = rec.At
-		}
 		var ent Entry
 		if json.Unmarshal(rec.Body, &ent) != nil || ent.Key == "" {
 			continue
--- a/pkg/oplog/doc.go
+++ b/pkg/oplog/doc.go
@@ -32,6 +32,13 @@
 // offer based on it which everybody else had refused. The documents would
 // differ from instance to instance for good.
 //
+// When everything was off for longer than the log keeps records, no manifest is
+// left. A reader then appends a record that wants one; any instance that has a
+// state answers with a snapshot and manifest. If none comes for some seconds the
+// reader appends a reset: from its offset on no document is in force. A reset
+// holds only if no manifest and no other reset stands between it and the record
+// that wanted the state, so that a late or repeated one does nothing.
+//
 // # Never reverts
 //
 // The applied offset only grows. A replica of the log that answers an older
--- a/pkg/oplog/record.go
+++ b/pkg/oplog/record.go
@@ -27,6 +27,12 @@
 	KindOffer    = "offer"
 	KindSnapshot = "snapshot"
 	KindManifest = "manifest"
+	// KindWanted asks whoever has a state to append it again: a reader found
+	// records missing and no manifest that it can use.
+	KindWanted = "wanted"
+	// KindReset says that nobody answered: no document is in force. AsOf is the
+	// offset of the record that asked.
+	KindReset = "reset"
 )
 
 // Entry is the body of a record in the documents' stream.
@@ -50,6 +56,8 @@
 	// Tail lists the ids of the last offers as of a manifest, so that a reader
 	// that starts from it still counts a doubled append once.
 	Tail []string `json:"tail,omitempty"`
+	// Marker is the offset of the last manifest or reset as of a manifest.
+	Marker int64 `json:"marker,omitempty"`
 }
 
 // Encode gives the entry as a record body.
--- a/pkg/oplog/registry.go
+++ b/pkg/oplog/registry.go
@@ -95,6 +95,10 @@
 	tail     []Decision
 	boot     *bootstrap
 	manifest clock.Milli
+	// marker is the offset of the last manifest or reset, wanted that of the
+	// last record that asked for one.
+	marker int64
+	wanted int64
 }
 
 // Applied gives the offset of the last record that the state includes.
@@ -175,10 +179,30 @@
 		reg.refresh(rec, ent)
 	case KindManifest:
 		reg.manifest = max(reg.manifest, rec.At)
+		reg.marker = rec.Offset
+	case KindWanted:
+		reg.wanted = rec.Offset
+	case KindReset:
+		reg.reset(rec, ent)
 	}
 	return nil
 }
 
+// reset drops all documents, if the reset holds: whoever has a state answers a
+// record that wants one with a manifest, so that a reset holds only if no manifest
+// and no other reset stands between. A reset that reaches the log late, or twice,
+// would otherwise drop documents that were accepted since.
+func (reg *Registry) reset(rec Record, ent Entry) {
+	if ent.AsOf > reg.marker {
+		reg.held, reg.tail, reg.manifest = nil, nil, 0
+	}
+	reg.marker = rec.Offset
+}
+
+// IsWanted tells whether a reader asked for the state and no manifest has come
+// since.
+func (reg *Registry) IsWanted() bool { return reg.Ready() && reg.wanted > reg.marker }
+
 func (reg *Registry) offer(rec Record, ent Entry) []Decision {
 	if _, seen := reg.Find(ent.ID); seen || ent.ID == "" {
 		return nil
--- a/pkg/oplog/snapshot.go
+++ b/pkg/oplog/snapshot.go
@@ -14,6 +14,8 @@
 	next    int64
 	records []Record
 	texts   map[textKey]string
+	marker  int64
+	wanted  int64
 }
 
 type textKey struct {
@@ -50,10 +52,28 @@
 		if bst.usable(ent) {
 			return reg.adopt(rec, ent)
 		}
+		bst.marker = rec.Offset
+	case KindWanted:
+		bst.wanted = rec.Offset
+	case KindReset:
+		if ent.AsOf >= bst.start && ent.AsOf > bst.marker {
+			reg.load(State{Applied: rec.Offset, Marker: rec.Offset})
+		} else {
+			bst.marker = rec.Offset
+		}
 	}
 	return nil
 }
 
+// Asked gives the offset of the last record that wants a state and is still
+// without an answer, while a restart is under way; zero if there is none.
+func (reg *Registry) Asked() int64 {
+	if reg.boot == nil || reg.boot.wanted <= reg.boot.marker {
+		return 0
+	}
+	return reg.boot.wanted
+}
+
 // usable tells whether the state after the manifest's as-of offset can be
 // built: no record between that offset and the first one read is missing, and
 // each listed text has been read.
@@ -72,7 +92,7 @@
 // adopt builds the manifest's state and applies what was buffered after it.
 func (reg *Registry) adopt(rec Record, ent Entry) []Decision {
 	bst := reg.boot
-	st := State{Applied: ent.AsOf, Tail: ent.Tail}
+	st := State{Applied: ent.AsOf, Tail: ent.Tail, Marker: ent.Marker}
 	for service, revision := range ent.Revisions {
 		text := bst.texts[textKey{service, revision}]
 		st.Docs = append(st.Docs, StateDoc{Service: service, Revision: revision, Text: text, SeenAt: rec.At})
@@ -94,6 +114,7 @@
 	Applied int64      `cbor:"1,keyasint"`
 	Docs    []StateDoc `cbor:"2,keyasint"`
 	Tail    []string   `cbor:"3,keyasint"`
+	Marker  int64      `cbor:"4,keyasint"`
 }
 
 // StateDoc is one document of a [State].
@@ -110,7 +131,7 @@
 	if !reg.Ready() {
 		return State{}, false
 	}
-	st = State{Applied: reg.applied, Tail: reg.tailIDs()}
+	st = State{Applied: reg.applied, Tail: reg.tailIDs(), Marker: reg.marker}
 	for service, hld := range reg.held {
 		st.Docs = append(st.Docs, StateDoc{Service: service, Revision: hld.revision, Text: hld.text, SeenAt: hld.seenAt})
 	}
@@ -130,7 +151,7 @@
 
 func (reg *Registry) load(st State) {
 	reg.boot = nil
-	reg.applied = st.Applied
+	reg.applied, reg.marker = st.Applied, st.Marker
 	reg.held = map[string]Held{}
 	for _, sdoc := range st.Docs {
 		doc, _ := svcdoc.Parse([]byte(sdoc.Text))
@@ -173,5 +194,5 @@
 		}
 	}
 	slices.SortFunc(ents, func(x, y Entry) int { return int(x.Revision - y.Revision) })
-	return append(ents, Entry{Kind: KindManifest, AsOf: reg.applied, Revisions: revisions, Tail: reg.tailIDs()})
+	return append(ents, Entry{Kind: KindManifest, AsOf: reg.applied, Revisions: revisions, Tail: reg.tailIDs(), Marker: reg.marker})
 }
