internal/contr: no reset right after an outage of the log

The time now counts only while the log's end is read without a gap (TestNoResetRightAfterAnOutage). It takes effect in the controller alone; the fold is as it was.

--- a/internal/contr/docs.go
+++ b/internal/contr/docs.go
@@ -31,6 +31,9 @@
 	// and wantLife how long its records are tried to be appended.
 	resetAfter = 10 * clock.Second
 	wantLife   = 3 * clock.Second
+	// readGap is the longest time between two reads of the log's end that
+	// counts as without a gap.
+	readGap = 3 * clock.Second
 )
 
 // docsCtl keeps the service documents.
@@ -48,10 +51,13 @@
 	askedAt  clock.Milli
 	snapshot clock.Milli
 	// stuckAsOf is the last instant at which the log's end was read without a
-	// state, askedLog when the log was last asked for one.
-	stuckAsOf clock.Milli
-	askedLog  clock.Milli
-	answered  clock.Milli
+	// state, and stuckSince the one since which it was read without a gap.
+	stuckAsOf  clock.Milli
+	stuckSince clock.Milli
+	// askedLog is when the log was last asked for a state, answered when we last
+	// answered another's wish for one.
+	askedLog clock.Milli
+	answered clock.Milli
 }
 
 func (dct *docsCtl) tail(ctx context.Context) {
@@ -70,16 +76,24 @@
 		},
 		Restart: dct.reg.Restart,
 		Caught: func(asOf clock.Milli) {
-			if dct.reg.Ready() {
-				dct.known = true
-				dct.logAsOf = max(dct.logAsOf, asOf)
+			if !dct.reg.Ready() {
+				dct.endRead(asOf)
 				return
 			}
-			dct.stuckAsOf = asOf
+			dct.known = true
+			dct.logAsOf = max(dct.logAsOf, asOf)
 		},
 	})
 }
 
+// endRead notes that the log's end was read without a state.
+func (dct *docsCtl) endRead(asOf clock.Milli) {
+	if asOf-dct.stuckAsOf > readGap {
+		dct.stuckSince = asOf
+	}
+	dct.stuckAsOf = asOf
+}
+
 func (dct *docsCtl) step(now clock.Milli) {
 	dct.ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-dct.logAsOf))
 	dct.askPeers(now)
@@ -90,8 +104,13 @@
 // wantState asks by the log for a state when its end was read without one, and
 // after a while says that there is none: everything was off for longer than the
 // log keeps records. Without that no instance would ever be ready again.
+//
+// The time to wait counts only while the log can be read. Those who have a state
+// can't answer through an outage either, and after it a reset that was ready
+// would overtake their answers and drop documents that are in force.
 func (dct *docsCtl) wantState(now clock.Milli) {
-	if dct.reg.Ready() || dct.stuckAsOf == 0 || now-dct.askedLog < resetAfter {
+	unread := dct.stuckAsOf == 0 || now-dct.stuckAsOf > readGap
+	if dct.reg.Ready() || unread || now-max(dct.askedLog, dct.stuckSince) < resetAfter && dct.askedLog > 0 {
 		return
 	}
 	ent := oplog.Entry{Kind: oplog.KindWanted}
--- a/internal/contr/fresh_test.go
+++ b/internal/contr/fresh_test.go
@@ -6,6 +6,7 @@
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"amaranthvalve/internal/feed"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -33,3 +34,35 @@
 		gom.Expect(ready).To(gomega.BeTrue(), "%d ms after the log went out: %s", now-10_000, why)
 	}
 }
+
+// TestNoResetRightAfterAnOutage: a reader wants a state, then the log goes out
+// for a minute. When it is back, whoever has a state needs time to answer: the
+// reader says that there is none only after ten seconds of reading.
+func TestNoResetRightAfterAnOutage(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	dct := &docsCtl{}
+	dct.reg.Restart(10)
+	ctl := &Control{set: Setup{Log: zerolog.Nop()}}
+	dct.ctl = ctl
+	dct.app = feed.NewAppender(ctl.feed(), "docs")
+	appended := 0
+	look := func(from, to clock.Milli, readable bool) {
+		for now := from; now < to; now += 500 {
+			if readable {
+				dct.endRead(now)
+			}
+			before := dct.askedLog
+			dct.wantState(now)
+			if dct.askedLog != before {
+				appended++
+			}
+		}
+	}
+	look(100_000, 104_000, true)
+	gom.Expect(appended).To(gomega.Equal(1), "it asks at once")
+	look(104_000, 164_000, false)
+	look(164_000, 173_500, true)
+	gom.Expect(appended).To(gomega.Equal(1), "and says nothing right after the outage")
+	look(173_500, 176_000, true)
+	gom.Expect(appended).To(gomega.Equal(2))
+}
