internal/entry, internal/proc: waits on conditions in place of sleeps

They now wait, with a bound, on what they need: an instance's word of the log is older than its freshness bound, the older end was noticed (its counter), a booking is under way, twenty connections of a frozen process hold unread bytes. What a frozen holder must not do is watched for two seconds. The schedule of the two faults at a time keeps its fixed times.

--- a/internal/entry/docs_test.go
+++ b/internal/entry/docs_test.go
@@ -108,7 +108,9 @@
 		pub := wld.offer(0, wld.nodes[0].revision(), "before")
 		expect(pub.InForce).To(isTrue())
 		wld.plt.SetFaults(stand.Faults{Outage: true})
-		time.Sleep(3500 * time.Millisecond)
+		for _, nod := range wld.nodes {
+			until(8*time.Second, func() bool { return nod.ctl.Status(wld.ctx).LogAgeMs > nod.set.Fresh() })
+		}
 		nod := wld.addNode()
 		until(10*time.Second, nod.isReady)
 		expect(nod.owner()).To(equal("before"))
@@ -116,8 +118,11 @@
 			expect(wld.call(i, "planning", wire.Submit{Input: "x", MaxTokens: 1}).Outcome).To(equal("done"))
 		}
 		wld.plt.SetFaults(stand.Faults{OldEnd: 3})
-		time.Sleep(500 * time.Millisecond)
 		for _, nod := range wld.nodes {
+			until(5*time.Second, func() bool {
+				_, text := get("http://" + nod.OpsAddr() + "/metrics")
+				return !strings.Contains(text, `amv_events_total{kind="log_answered_older_end"} 0`)
+			})
 			expect(nod.owner()).To(equal("before"))
 		}
 	})
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -63,7 +63,7 @@
 		wld.pools["booking"][0].SetFaults(stand.Faults{SlowMs: 1500})
 		go wld.call(0, "booking", book("killed"))
 		until(3*time.Second, func() bool { return len(wld.plt.Records("claims")) > 0 })
-		time.Sleep(50 * time.Millisecond)
+		until(3*time.Second, wld.nodes[0].busy)
 		wld.nodes[0].Kill()
 		wld.pools["booking"][0].SetFaults(stand.Faults{})
 		ans := wld.call(1, "booking", book("killed"))
--- a/internal/proc/faults_test.go
+++ b/internal/proc/faults_test.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -31,7 +35,7 @@
 				answers <- wld.call(victim, "planning", wire.Submit{Request: "draft", Input: "x", MaxTokens: 1})
 			}()
 		}
-		time.Sleep(300 * time.Millisecond)
+		gomega.Expect(Until(5*time.Second, func() bool { return unread(victim.Addr()) == cap(answers) })).To(gomega.BeTrue())
 		victim.Thaw()
 		for range cap(answers) {
 			ans := <-answers
@@ -140,12 +144,29 @@
 		_, _, _ = wld.Amv("doc", "publish", path, "--node", other.Ops(), "--wait", "1s")
 		gomega.Expect(Until(30*time.Second, func() bool { return wld.model(0) == "planner-9b" && wld.model(1) == "planner-9b" })).To(gomega.BeTrue())
 		holder.Thaw()
-		time.Sleep(2 * time.Second)
-		gomega.Expect(wld.model(0)).To(gomega.Equal("planner-9b"))
+		gomega.Consistently(func() string { return wld.model(0) }, 2*time.Second, 50*time.Millisecond).Should(gomega.Equal("planner-9b"))
 		gomega.Expect(holder.Log()).NotTo(gomega.ContainSubstring("planner-9b"))
 	})
 })
 
+// unread counts the connections at an address that hold bytes which its process
+// has not read.
+func unread(addr string) int {
+	_, port, _ := net.SplitHostPort(addr)
+	num, _ := strconv.Atoi(port)
+	text, err := os.ReadFile("/proc/net/tcp")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	n := 0
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		_, queues, _ := strings.Cut(fields[4], ":")
+		if strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", num)) && fields[3] == "01" && strings.Trim(queues, "0") != "" {
+			n++
+		}
+	}
+	return n
+}
+
 func (wld *world) model(i int) string {
 	var rep wire.Load
 	gomega.Expect(wld.get("http://"+wld.engines[i].Addr()+"/v1/load", &rep)).To(gomega.Succeed())
