--- a/internal/shell/call.go
+++ b/internal/shell/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -56,6 +57,9 @@
 		Request: cmd.Request, Input: cmd.Input, Key: cmd.Key, First: cmd.First, Stream: cmd.Stream,
 		MaxTokens: cmd.MaxTokens, DeadlineMs: clock.FromDuration(cmd.Deadline),
 	}
+	if cmd.Expires == "" && (cmd.Key != "" || cmd.Ticket) {
+		return errors.New("--expires: a key or a ticket needs one, such as 1h")
+	}
 	var err error
 	if sub.ExpiresMs, err = expiry(cmd.Expires); err != nil {
 		return err
--- a/internal/zlog/zlog.go
+++ b/internal/zlog/zlog.go
@@ -3,11 +3,19 @@
 package zlog
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/stat"
 )
 
+// errorBurst lines of level error are written in each errorPeriod at most.
+const (
+	errorBurst  = 5
+	errorPeriod = 30 * time.Second
+)
+
 // To sends go-zero's own log lines through the project's logger and switches
 // its statistics off. It is called once a process, before any instance is made.
 func To(log zerolog.Logger) {
@@ -16,7 +24,10 @@
 	_ = logx.SetUp(logx.LogConf{Mode: "console", Stat: false})
 	logx.DisableStat()
 	stat.SetReporter(nil)
-	logx.SetWriter(bridge{log: log.With().Str("from", "go-zero").Logger()})
+	// In an outage of the log httpc writes a line for each failed call, many a
+	// second, for what our own counters tell already.
+	few := &zerolog.BurstSampler{Burst: errorBurst, Period: errorPeriod}
+	logx.SetWriter(bridge{log: log.With().Str("from", "go-zero").Logger().Sample(&zerolog.LevelSampler{ErrorSampler: few})})
 }
 
 // bridge is go-zero's log writer onto zerolog.
--- /dev/null
+++ b/internal/zlog/zlog_test.go
@@ -0,0 +1,24 @@
+package zlog
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// TestSameFaultIsNotWrittenForEver: httpc reports the same failed call a thousand
+// times. A few lines are written, through our logger and at the level they have.
+func TestSameFaultIsNotWrittenForEver(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var buf bytes.Buffer
+	To(zerolog.New(&buf))
+	for range 1000 {
+		logx.Error("connection refused")
+	}
+	gom.Expect(strings.Count(buf.String(), "connection refused")).To(gomega.Equal(errorBurst))
+	gom.Expect(buf.String()).To(gomega.ContainSubstring(`"level":"error","from":"go-zero"`))
+}
