--- a/internal/stand/endpoint.go
+++ b/internal/stand/endpoint.go
@@ -12,6 +12,9 @@
 	"amaranthvalve/pkg/clock"
 )
 
+// reportLag is how old an endpoint's load report may be.
+const reportLag = 500 * time.Millisecond
+
 // Execution is a line of an endpoint's own record of what it ran.
 type Execution struct {
 	Attempt   string `json:"attempt"`
@@ -32,6 +35,8 @@
 	checks  bool
 	mtx     sync.Mutex
 	running int
+	shown   int
+	shownAt time.Time
 	ran     []Execution
 	model   string
 	fence   int64
@@ -159,7 +164,11 @@
 
 func (ept *Endpoint) load(wrt http.ResponseWriter, _ *http.Request) {
 	ept.mtx.Lock()
-	rep := wire.Load{Load: ept.running, Leaving: ept.faults.get().Leave, Model: ept.model, Fence: ept.fence}
+	// The report lags behind.
+	if time.Since(ept.shownAt) > reportLag {
+		ept.shown, ept.shownAt = ept.running, time.Now()
+	}
+	rep := wire.Load{Load: ept.shown, Leaving: ept.faults.get().Leave, Model: ept.model, Fence: ept.fence}
 	ept.mtx.Unlock()
 	if ept.engine != nil {
 		rep.Evicted = ept.engine.takeEvicted()
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -31,6 +31,7 @@
 	mtx     sync.Mutex
 	streams map[string]*generation
 	running int
+	active  map[string]*generation
 	order   []uint64
 	cached  map[uint64]bool
 	evicted []uint64
@@ -53,7 +54,7 @@
 // streams.
 func NewEngine(id string, stepMs int64, batch int) *Endpoint {
 	ept := NewEndpoint(id, stepMs, batch)
-	ept.engine = &engine{stepMs: stepMs, batch: batch, streams: map[string]*generation{}, cached: map[uint64]bool{}}
+	ept.engine = &engine{stepMs: stepMs, batch: batch, streams: map[string]*generation{}, active: map[string]*generation{}, cached: map[uint64]bool{}}
 	return ept
 }
 
@@ -120,6 +121,7 @@
 	gen := &generation{run: run, began: time.Now(), have: run.From, want: max(want, run.From), grown: make(chan struct{}), stop: stop}
 	eng.streams[run.Attempt] = gen
 	eng.running++
+	eng.active[run.Attempt] = gen
 	warm := eng.touch(Prefix(run.Input))
 	go eng.work(ctx, gen, warm)
 	return gen, true
@@ -165,6 +167,9 @@
 		extra := eng.stepMs * int64(eng.running) / int64(2*eng.batch)
 		eng.mtx.Unlock()
 		wait(ctx, eng.stepMs+extra)
+		if !eng.inBatch(gen) {
+			continue
+		}
 		gen.mtx.Lock()
 		gen.have++
 		gen.wake()
@@ -172,9 +177,26 @@
 	}
 }
 
+// inBatch tells whether a stream is among those that this step advances: so many
+// of the highest priority, older ones first.
+func (eng *engine) inBatch(gen *generation) bool {
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	ahead := 0
+	for _, oth := range eng.active {
+		higher := oth.run.Priority > gen.run.Priority
+		older := oth.run.Priority == gen.run.Priority && oth.began.Before(gen.began)
+		if higher || older {
+			ahead++
+		}
+	}
+	return ahead < eng.batch
+}
+
 func (eng *engine) finish(gen *generation) {
 	eng.mtx.Lock()
 	eng.running--
+	delete(eng.active, gen.run.Attempt)
 	eng.mtx.Unlock()
 	gen.mtx.Lock()
 	gen.stopped = gen.have < gen.want
