internal/engin: an endpoint that answers twice

An endpoint that sends its last answer again before the next one over the same connection is now tried 40 times: each caller gets its own answer, or an ending that says it may have run; the stale answer is dropped by its attempt id.

--- /dev/null
+++ b/internal/engin/twice_test.go
@@ -0,0 +1,79 @@
+package engin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/internal/zlog"
+	"amaranthvalve/pkg/ident"
+)
+
+// answerTwice answers each request on a connection twice, with the second answer
+// sent after the next request may have begun.
+func answerTwice(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	rdr := bufio.NewReader(conn)
+	stale := ""
+	for {
+		req, err := http.ReadRequest(rdr)
+		if err != nil {
+			return
+		}
+		var run wire.Run
+		if json.NewDecoder(req.Body).Decode(&run) != nil {
+			return
+		}
+		body, _ := json.Marshal(wire.Ran{Attempt: run.Attempt, Output: run.Input})
+		fresh := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if _, err := io.WriteString(conn, stale+fresh); err != nil {
+			return
+		}
+		stale = fresh
+	}
+}
+
+// TestEndpointAnswersTwice: an endpoint sends its answer to a request once more
+// when the next request comes over the same connection. Each caller gets its own
+// answer or is told that none came, and never the one before.
+func TestEndpointAnswersTwice(t *testing.T) {
+	zlog.To(zerolog.Nop())
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = lsn.Close() }()
+	go func() {
+		for {
+			conn, err := lsn.Accept()
+			if err != nil {
+				return
+			}
+			go answerTwice(conn)
+		}
+	}()
+	cli := New()
+	endings := map[Ending]int{}
+	for i := range 40 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		input := fmt.Sprintf("request %d", i)
+		ran, _, end := cli.Run(ctx, lsn.Addr().String(), wire.Run{Attempt: ident.NewID(), Input: input})
+		cancel()
+		endings[end]++
+		if end == Answered {
+			gom.Expect(ran.Output).To(gomega.Equal(input))
+		}
+		gom.Expect(end.RanNothing()).To(gomega.BeFalse(), "it did run")
+	}
+	gom.Expect(endings[Answered]).To(gomega.BeNumerically(">", 0))
+	gom.Expect(endings[Foreign]).To(gomega.BeNumerically(">", 0))
+}
