internal/entry: the request's name in the log line of what was not answered whole

Where a request has a key its name holds the key and is left out, for keys are not logged. Checked with the interfaces' tests and the command line's scripts.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -125,6 +125,11 @@
 	if res.Outcome() == outcm.Done {
 		return
 	}
-	nod.quiet(res.Reason()).Str("service", cl.DocName()).Str("workspace", cl.Workspace).
+	name := cl.RequestID()
+	if cl.Submit.Key != "" {
+		// The name holds the key.
+		name = ""
+	}
+	nod.quiet(res.Reason()).Str("request", name).Str("service", cl.DocName()).Str("workspace", cl.Workspace).
 		Str("outcome", res.Outcome().String()).Str("reason", res.Reason().String()).Str("detail", res.Detail()).Msg("not answered whole")
 }
