--- /dev/null
+++ b/internal/batch/desk.go
@@ -0,0 +1,84 @@
+package batch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gather"
+	"amaranthvalve/pkg/plan"
+)
+
+// Setup is what a desk is made of.
+type Setup struct {
+	Dialect *talk.Dialect
+	Client  *http.Client
+	Clock   clock.Clock
+	Meter   *meter.Meter
+	Log     zerolog.Logger
+	// In each Window at most Reserve pieces of a pool are sent again. Half of
+	// them may be at once; the other half comes back evenly.
+	Reserve float64
+	Window  clock.Milli
+	// Gone is told of an endpoint whose address answers as another one.
+	Gone func(id, why string)
+}
+
+// Desk gathers the pieces of all pools that fall to this instance.
+type Desk struct {
+	set   Setup
+	mtx   sync.Mutex
+	pools map[string]*pool
+}
+
+// New returns a desk without pools.
+func New(set Setup) *Desk { return &Desk{set: set, pools: map[string]*pool{}} }
+
+// Sync takes the pools of a plan and the endpoints that are known.
+func (dsk *Desk) Sync(pln *plan.Plan, endpoints []talk.Endpoint) {
+	if pln == nil {
+		return
+	}
+	makers := map[string][]gather.Maker{}
+	for _, ep := range endpoints {
+		makers[ep.Pool] = append(makers[ep.Pool], gather.Maker{ID: ep.ID, Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving})
+	}
+	for name, pol := range pln.Pools() {
+		if spc := pol.Batch(); spc != nil {
+			dsk.pool(name).sync(*spc, makers[name])
+		}
+	}
+}
+
+func (dsk *Desk) pool(name string) *pool {
+	dsk.mtx.Lock()
+	defer dsk.mtx.Unlock()
+	pol, ok := dsk.pools[name]
+	if !ok {
+		pol = newPool(name, dsk.set)
+		dsk.pools[name] = pol
+	}
+	return pol
+}
+
+// Make has an order filled. It returns when all pieces are made, when one can't
+// be, or when the context ends; then what was made is given back.
+func (dsk *Desk) Make(ctx context.Context, ask Order) Filled {
+	return dsk.pool(ask.Pool).fill(ctx, ask)
+}
+
+// Free gives results back to their makers.
+func (dsk *Desk) Free(frd Freed) { dsk.pool(frd.Pool).free(frd.Results) }
+
+// Wait estimates how long a piece added now would wait, for a pool that is
+// gathered here.
+func (dsk *Desk) Wait(name string) clock.Milli { return dsk.pool(name).wait() }
+
+// sleep runs work after a span.
+func sleep(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
--- /dev/null
+++ b/internal/batch/pool.go
@@ -0,0 +1,314 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gather"
+	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/retry"
+)
+
+const (
+	// maxTries is how often one piece is tried.
+	maxTries = 3
+	// lookAgain is the time after which the book is asked again while pieces
+	// wait and no call ends meanwhile: an endpoint that was full, failed or out
+	// of room opens without telling.
+	lookAgain = 20 * clock.Milli(1)
+	// freeAfter is how long results to be given back are gathered for one call,
+	// and freeWait bounds the call.
+	freeAfter = 15 * clock.Milli(1)
+	freeWait  = time.Second
+)
+
+// slot says which piece of which order a piece of the book is.
+type slot struct {
+	ord   *order
+	index int
+}
+
+// pool is one pool's book with the orders that wait in it.
+type pool struct {
+	set  Setup
+	name string
+
+	mtx     sync.Mutex
+	book    gather.Book
+	slots   map[int64]slot
+	next    int64
+	budget  *rate.Limiter
+	looking bool
+	freed   map[string][]string
+}
+
+func newPool(name string, set Setup) *pool {
+	return &pool{set: set, name: name, slots: map[int64]slot{}, freed: map[string][]string{}, budget: rate.NewLimiter(rate.Limit(set.Reserve/2/set.Window.Seconds()), int(set.Reserve/2))}
+}
+
+func (pol *pool) sync(spc plan.DraftBatch, makers []gather.Maker) {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	pol.book.Set(gather.Spec{Places: spc.Places, Most: spc.Most, Call: spc.Call, Item: spc.Item, Room: spc.Room, Keep: spc.Keep})
+	pol.book.Sync(makers)
+	pol.run()
+}
+
+func (pol *pool) wait() clock.Milli {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	return pol.book.Wait(pol.set.Clock.Now())
+}
+
+// fill adds an order's pieces to the book and waits for them.
+func (pol *pool) fill(ctx context.Context, ask Order) Filled {
+	ord := &order{Order: ask, results: make([]Handle, ask.Count), missing: ask.Count, tries: make([]int, ask.Count), done: make(chan struct{})}
+	pol.mtx.Lock()
+	now := pol.set.Clock.Now()
+	// From here on the spans are instants of our own clock.
+	ord.Due, ord.Until = now+ask.Due, now+ask.Until
+	for i := range ask.Count {
+		pol.add(ord, i)
+	}
+	pol.run()
+	pol.mtx.Unlock()
+	select {
+	case <-ord.done:
+	case <-ctx.Done():
+	}
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	return pol.settle(ord)
+}
+
+// settle ends an order. What was made of one that failed is given back.
+func (pol *pool) settle(ord *order) Filled {
+	ord.end(talk.Late)
+	out := Filled{Flaw: ord.flaw, Wait: pol.book.Wait(pol.set.Clock.Now())}
+	if ord.flaw == talk.NoFlaw {
+		out.Results = ord.results
+		return out
+	}
+	pol.drop(ord)
+	return out
+}
+
+// drop withdraws an order's waiting pieces and gives back those made.
+func (pol *pool) drop(ord *order) {
+	for id, slt := range pol.slots {
+		if slt.ord == ord && pol.book.Remove(id) {
+			delete(pol.slots, id)
+		}
+	}
+	for i, res := range ord.results {
+		if res.Name != "" {
+			pol.giveBack(res)
+			ord.results[i] = Handle{}
+		}
+	}
+}
+
+func (pol *pool) add(ord *order, index int) {
+	pol.next++
+	pol.slots[pol.next] = slot{ord: ord, index: index}
+	pol.book.Add(gather.Piece{
+		ID: pol.next, Due: ord.Due, Until: ord.Until, Rank: ord.Rank, Zone: ord.Zone, Bytes: ord.Bytes,
+	})
+}
+
+// run makes the calls that the book asks for.
+func (pol *pool) run() {
+	now := pol.set.Clock.Now()
+	for _, pc := range pol.book.Expired(now) {
+		pol.fail(pc.ID, talk.Late)
+	}
+	for {
+		bat, ok := pol.book.Next(now)
+		if !ok {
+			break
+		}
+		go pol.call(bat)
+	}
+	if pol.book.Waiting() > 0 && !pol.looking {
+		pol.looking = true
+		sleep(lookAgain, func() {
+			pol.mtx.Lock()
+			defer pol.mtx.Unlock()
+			pol.looking = false
+			pol.run()
+		})
+	}
+}
+
+// fail ends the order of a piece that can't be made.
+func (pol *pool) fail(id int64, flaw talk.Flaw) {
+	slt, ok := pol.slots[id]
+	if !ok {
+		return
+	}
+	delete(pol.slots, id)
+	slt.ord.end(flaw)
+}
+
+// call makes one call and takes what came of it.
+func (pol *pool) call(bat gather.Batch) {
+	items := pol.items(bat)
+	ctx, cancel := context.WithTimeout(context.Background(), bat.GiveUp.Duration())
+	defer cancel()
+	ep := talk.Endpoint{ID: bat.Maker.ID, Pool: pol.name, Addr: bat.Maker.Addr, Zone: bat.Maker.Zone}
+	began := pol.set.Clock.Now()
+	made, rep, err := pol.set.Dialect.Run(ctx, pol.set.Client, ep, items)
+	took := pol.set.Clock.Since(began)
+	if rep.Misdirected {
+		pol.set.Gone(ep.ID, "another endpoint answers at its address")
+	}
+	pol.log(bat, took, err)
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	pol.take(bat, made, err)
+	pol.run()
+}
+
+func (pol *pool) items(bat gather.Batch) []talk.Item {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	now := pol.set.Clock.Now()
+	items := make([]talk.Item, len(bat.Pieces))
+	for i, pc := range bat.Pieces {
+		slt := pol.slots[pc.ID]
+		items[i] = talk.Item{
+			Request: slt.ord.Request, Stage: slt.ord.Stage, Piece: slt.index, Left: max(pc.Until-now, 1),
+			Key: slt.ord.Key, Inputs: slt.ord.Inputs,
+		}
+	}
+	return items
+}
+
+// take notes what became of each piece of a call.
+func (pol *pool) take(bat gather.Batch, made []talk.Made, err error) {
+	var kept []gather.Result
+	for i, pc := range bat.Pieces {
+		out := talk.Made{Flaw: talk.Broken}
+		switch {
+		case err == nil:
+			out = made[i]
+		case errors.Is(err, talk.ErrFull):
+			out.Flaw = talk.NoRoom
+		}
+		if out.Handle != "" {
+			kept = append(kept, gather.Result{Handle: out.Handle, Bytes: pc.Bytes})
+		}
+	}
+	pol.book.Ended(bat.ID, verdict(err), kept, pol.set.Clock.Now())
+	for i, pc := range bat.Pieces {
+		switch {
+		case err == nil:
+			pol.takePiece(pc.ID, made[i], bat.Maker)
+		case errors.Is(err, talk.ErrFull):
+			pol.again(pc.ID, talk.NoRoom)
+		default:
+			pol.again(pc.ID, talk.Broken)
+		}
+	}
+}
+
+func verdict(err error) gather.Verdict {
+	switch {
+	case err == nil:
+		return gather.Made
+	case errors.Is(err, talk.ErrFull):
+		return gather.Full
+	}
+	return gather.Failed
+}
+
+func (pol *pool) takePiece(id int64, made talk.Made, mkr gather.Maker) {
+	slt, ok := pol.slots[id]
+	if !ok {
+		return
+	}
+	res := Handle{Name: made.Handle, Addr: mkr.Addr, Zone: mkr.Zone}
+	switch {
+	case made.Flaw == talk.NoRoom || made.Flaw == talk.Broken:
+		pol.again(id, made.Flaw)
+	case made.Flaw != talk.NoFlaw:
+		pol.fail(id, made.Flaw)
+	case slt.ord.ended:
+		// Its asker has left; nobody else knows of the result.
+		delete(pol.slots, id)
+		pol.giveBack(res)
+	default:
+		delete(pol.slots, id)
+		slt.ord.results[slt.index] = res
+		if slt.ord.missing--; slt.ord.missing == 0 {
+			slt.ord.end(talk.NoFlaw)
+		}
+	}
+}
+
+// again puts a piece back that was not made, within the budget and its bounds.
+func (pol *pool) again(id int64, flaw talk.Flaw) {
+	slt, ok := pol.slots[id]
+	if !ok {
+		return
+	}
+	delete(pol.slots, id)
+	if slt.ord.ended {
+		return
+	}
+	slt.ord.tries[slt.index]++
+	if slt.ord.tries[slt.index] >= maxTries || !pol.budget.Allow() {
+		slt.ord.end(flaw)
+		return
+	}
+	pol.set.Meter.Retried(retry.Refused)
+	pol.add(slt.ord, slt.index)
+}
+
+// log writes a line for a call that failed, or took long.
+func (pol *pool) log(bat gather.Batch, took clock.Milli, err error) {
+	evt := pol.set.Log.Debug()
+	if err != nil {
+		evt = pol.set.Log.Warn().Err(err)
+	}
+	evt.Str("pool", pol.name).Str("endpoint", bat.Maker.ID).Int("pieces", len(bat.Pieces)).
+		Int64("took_ms", int64(took)).Int64("give_up_ms", int64(bat.GiveUp)).Msg("pieces called for")
+}
+
+// free gives results back.
+func (pol *pool) free(list []Handle) {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	for _, res := range list {
+		pol.giveBack(res)
+	}
+	pol.run()
+}
+
+// giveBack gathers results for one call to their maker. A call that fails is not
+// repeated: the maker drops the result by itself after a while.
+func (pol *pool) giveBack(res Handle) {
+	pol.book.Free(res.Name)
+	if len(pol.freed[res.Addr]) == 0 {
+		sleep(freeAfter, func() { pol.flush(res.Addr) })
+	}
+	pol.freed[res.Addr] = append(pol.freed[res.Addr], res.Name)
+}
+
+func (pol *pool) flush(addr string) {
+	pol.mtx.Lock()
+	list := pol.freed[addr]
+	delete(pol.freed, addr)
+	pol.mtx.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), freeWait)
+	defer cancel()
+	if err := pol.set.Dialect.Free(ctx, pol.set.Client, addr, list); err != nil {
+		pol.set.Log.Warn().Err(err).Str("pool", pol.name).Str("addr", addr).Int("results", len(list)).Msg("results were not given back")
+	}
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -40,9 +40,25 @@
 	MaxConnections int      `toml:"max_connections"`
 	LogLevel       string   `toml:"log_level"`
 	ResumeKeyHex   string   `toml:"resume_key_hex"`
+	Dialect        string   `toml:"dialect"`
+	EntriesAddr    string   `toml:"entries_addr"`
+	ReadyAddr      string   `toml:"ready_addr"`
+	MetricsAddr    string   `toml:"metrics_addr"`
+	TokensForMs    int64    `toml:"tokens_for_ms"`
+	RetryShare     float64  `toml:"retry_share"`
+	RetryReserve   float64  `toml:"retry_reserve"`
+	RetryWindowMs  int64    `toml:"retry_window_ms"`
+	StopMs         int64    `toml:"stop_ms"`
+	MemoryMB       int64    `toml:"memory_mb"`
 	TLS            rawTLS   `toml:"tls"`
 }
 
+// The dialects: the product's own protocol, and the platform's.
+const (
+	DialectOwn      = "own"
+	DialectPlatform = "platform"
+)
+
 type rawTLS struct {
 	Cert string `toml:"cert"`
 	Key  string `toml:"key"`
@@ -60,6 +76,17 @@
 	minFresh              = 2 * clock.Second
 	maxFresh              = clock.Minute
 	minResumeKey          = 16
+	// Tokens that were taken away are honoured a while longer by instances that
+	// heard nothing; five seconds is what callers' owners were promised.
+	defaultTokensFor = 5 * clock.Second
+	// A tenth of a pool's requests may be sent again, and some tens in a window
+	// of ten seconds, by all instances together.
+	defaultRetryShare   = 0.1
+	defaultRetryReserve = 50.0
+	defaultRetryWindow  = 10 * clock.Second
+	// defaultStop is how long a planned stop may take.
+	defaultStop = 25 * clock.Minute
+	mostShare   = 1.0
 )
 
 // CallerAddr gives the address on which callers are served.
@@ -78,6 +105,15 @@
 // Platform gives the platform's base address.
 func (set *Settings) Platform() string { return set.raw.Platform }
 
+// Store gives the host and port of the platform's base address.
+func (set *Settings) Store() string {
+	base, err := url.Parse(set.raw.Platform)
+	if err != nil {
+		return ""
+	}
+	return base.Host
+}
+
 // Peers gives addresses of other instances to ask when the instance list is
 // out.
 func (set *Settings) Peers() []string { return set.raw.Peers }
@@ -97,6 +133,36 @@
 // MaxConnections bounds the callers' connections at this instance.
 func (set *Settings) MaxConnections() int { return set.raw.MaxConnections }
 
+// Dialect gives how callers, endpoints and the store are spoken to.
+func (set *Settings) Dialect() string { return set.raw.Dialect }
+
+// EntriesAddr gives the address on which callers ask for addresses; empty if that
+// is not served apart.
+func (set *Settings) EntriesAddr() string { return set.raw.EntriesAddr }
+
+// ReadyAddr gives the address on which readiness is asked for; empty if that is
+// not served apart.
+func (set *Settings) ReadyAddr() string { return set.raw.ReadyAddr }
+
+// MetricsAddr gives the address of the counters; empty for none of their own.
+func (set *Settings) MetricsAddr() string { return set.raw.MetricsAddr }
+
+// TokensFor gives how long tokens are honoured after the documents were last
+// known to be in force.
+func (set *Settings) TokensFor() clock.Milli { return clock.Milli(set.raw.TokensForMs) }
+
+// Retries gives the share of a pool's requests that may be sent again, and how
+// many more in a window, by all instances together.
+func (set *Settings) Retries() (share, most float64, window clock.Milli) {
+	return set.raw.RetryShare, set.raw.RetryReserve, clock.Milli(set.raw.RetryWindowMs)
+}
+
+// Stop gives how long a planned stop may take.
+func (set *Settings) Stop() clock.Milli { return clock.Milli(set.raw.StopMs) }
+
+// Memory gives the bytes that the process may use, zero for no bound.
+func (set *Settings) Memory() int64 { return set.raw.MemoryMB << 20 }
+
 // LogLevel gives the least level that is logged.
 func (set *Settings) LogLevel() string { return set.raw.LogLevel }
 
@@ -124,6 +190,8 @@
 	set := &Settings{raw: raw{
 		KeepMs: int64(defaultKeep), FreshMs: int64(defaultFresh), LogRetentionMs: int64(defaultRetention),
 		MaxInFlight: defaultMaxInFlight, MaxConnections: defaultMaxConnections, LogLevel: "info",
+		Dialect: DialectOwn, TokensForMs: int64(defaultTokensFor), RetryShare: defaultRetryShare,
+		RetryReserve: defaultRetryReserve, RetryWindowMs: int64(defaultRetryWindow), StopMs: int64(defaultStop),
 	}}
 	fts := place.Decode(text, &set.raw)
 	if fts.Failed() {
@@ -138,7 +206,14 @@
 
 func (set *Settings) check(fts *place.Faults) {
 	address(fts, "caller_addr", set.raw.CallerAddr, true)
-	address(fts, "ops_addr", set.raw.OpsAddr, true)
+	routed := set.raw.Dialect == DialectPlatform
+	if !routed && set.raw.Dialect != DialectOwn {
+		fts.Add("dialect", "%q is not one of %s, %s", set.raw.Dialect, DialectOwn, DialectPlatform)
+	}
+	address(fts, "ops_addr", set.raw.OpsAddr, !routed)
+	address(fts, "entries_addr", set.raw.EntriesAddr, routed)
+	address(fts, "ready_addr", set.raw.ReadyAddr, routed)
+	address(fts, "metrics_addr", set.raw.MetricsAddr, false)
 	address(fts, "peer_addr", set.raw.PeerAddr, false)
 	for i, addr := range set.raw.Peers {
 		address(fts, fmt.Sprintf("peers[%d]", i), addr, true)
@@ -162,7 +237,25 @@
 	default:
 		fts.Add("log_level", "%q is not one of debug, info, warn, error", set.raw.LogLevel)
 	}
-	set.checkKeys(fts)
+	set.checkRetries(fts)
+	if !routed {
+		set.checkKeys(fts)
+	}
+}
+
+func (set *Settings) checkRetries(fts *place.Faults) {
+	if set.raw.RetryShare < 0 || set.raw.RetryShare > mostShare {
+		fts.Add("retry_share", "%g is not in 0 to 1", set.raw.RetryShare)
+	}
+	if set.raw.RetryReserve < 0 {
+		fts.Add("retry_reserve", "%g is below 0", set.raw.RetryReserve)
+	}
+	if set.raw.MemoryMB < 0 {
+		fts.Add("memory_mb", "%d is below 0", set.raw.MemoryMB)
+	}
+	span(fts, "retry_window_ms", set.raw.RetryWindowMs, clock.Second, clock.Hour)
+	span(fts, "tokens_for_ms", set.raw.TokensForMs, clock.Second, clock.Hour)
+	span(fts, "stop_ms", set.raw.StopMs, clock.Second, clock.Hour)
 }
 
 func (set *Settings) checkKeys(fts *place.Faults) {
--- a/internal/contr/control.go
+++ b/internal/contr/control.go
@@ -109,7 +109,7 @@
 	ctl := &Control{set: set, events: make(chan func(clock.Milli), eventRoom)}
 	now := set.Clock.Now()
 	ctl.startedAt = now
-	ctl.members = membersCtl{ctl: ctl, list: member.New(set.Self, set.Zone, set.CallerAddr, now)}
+	ctl.members.open(ctl, now)
 	ctl.docs = docsCtl{ctl: ctl}
 	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}}
 	ctl.claims = claimsCtl{ctl: ctl, waiting: map[string][]*asking{}, abandoned: map[string]clock.Milli{}, answers: map[string]string{}}
@@ -119,7 +119,7 @@
 }
 
 // SetLink gives the link to the other instances; before Run only.
-func (ctl *Control) SetLink(lnk *peer.Link) { ctl.set.Link = lnk }
+func (ctl *Control) SetLink(lnk *peer.Link) { ctl.set.Link, ctl.members.group.Link = lnk, lnk }
 
 // View gives the present view.
 func (ctl *Control) View() *View { return ctl.view.Load() }
--- a/internal/entry/bounds_test.go
+++ b/internal/entry/bounds_test.go
@@ -14,6 +14,7 @@
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/caller"
+	"amaranthvalve/internal/serve"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/outcm"
 )
@@ -55,7 +56,7 @@
 		expect(res.StatusCode).To(equal(http.StatusBadRequest))
 
 		for _, conn := range slow {
-			_ = conn.SetReadDeadline(time.Now().Add(headerTimeout + 3*time.Second))
+			_ = conn.SetReadDeadline(time.Now().Add(serve.HeaderTimeout + 3*time.Second))
 			_, err := io.ReadAll(conn)
 			expect(err).NotTo(anything(), "the connection must be closed by the instance")
 			_ = conn.Close()
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/platf"
+	"amaranthvalve/internal/serve"
 	"amaranthvalve/internal/stage"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -28,11 +29,7 @@
 
 // Bounds of the HTTP interfaces.
 const (
-	maxHeader     = 16 << 10
-	headerTimeout = 5 * time.Second
-	bodyTimeout   = 30 * time.Second
-	idleTimeout   = 90 * time.Second
-	opsMaxConns   = 256
+	opsMaxConns = 256
 	// flushWait bounds the wait for the log at the end of a stop.
 	flushWait = 10 * time.Second
 )
@@ -120,27 +117,18 @@
 }
 
 func (nod *Node) serveHTTP() error {
-	callers, err := newRouter(nod.callerRoutes())
+	callers, err := serve.Router(nod.callerRoutes())
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	ops, err := newRouter(nod.opsRoutes())
+	ops, err := serve.Router(nod.opsRoutes())
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	nod.caller, nod.ops = newServer(callers), newServer(ops)
+	nod.caller, nod.ops = serve.Plain(callers), serve.Plain(ops)
 	return nil
 }
 
-// newServer bounds what a slow or hostile sender can hold. There is no write
-// timeout: streams last as long as their deadline; each event has its own.
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout,
-		ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
-	}
-}
-
 // CallerAddr gives the address on which callers are served.
 func (nod *Node) CallerAddr() string { return nod.calls.Addr().String() }
 
--- /dev/null
+++ b/internal/front/final.go
@@ -0,0 +1,313 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/outcm"
+	"amaranthvalve/pkg/retry"
+	"amaranthvalve/pkg/route"
+)
+
+const (
+	// refusalsMore is how many endpoints beyond the route's attempts may be asked
+	// after one gave its word that it ran nothing.
+	refusalsMore = 2
+	// waitShare of the goal is how long a full pool is waited for: longer, and a
+	// refusal now is worth more to the caller than one later.
+	waitShare = 8
+	// waitStep is how often a full pool is looked at.
+	waitStep = 5 * time.Millisecond
+	// keptWhole bounds an answer that is read whole before it is handed on, in
+	// bytes.
+	keptWhole = 1 << 20
+)
+
+// final sends the request to an endpoint, and to another one where nothing ran or
+// the route allows a repeat.
+func (fr *Front) final(ctx context.Context, cl *call) outcm.Result {
+	if !fr.stillAllowed(cl) {
+		return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
+	}
+	fr.pools.sent(cl.pool.Name())
+	run := &running{fr: fr, cl: cl, after: cl.ask.After}
+	if !cl.route.Resumable() {
+		run.after = ""
+	}
+	for {
+		tgt, res := run.place(ctx)
+		if res.Outcome() != outcm.Pending {
+			return run.last(res)
+		}
+		res, again := run.attempt(ctx, tgt)
+		if !again {
+			return res
+		}
+		run.failed = res
+	}
+}
+
+// running is a final call on its way through its attempts.
+type running struct {
+	fr    *Front
+	cl    *call
+	avoid []string
+	// ran is how many endpoints may have run it, refused how many gave their
+	// word that they didn't.
+	ran     int
+	refused int
+	// after is the last event that the caller has of a stream.
+	after string
+	// failed is what the attempt before ended with; kept is a whole failure of
+	// an endpoint's that is handed on if no other one does better.
+	failed outcm.Result
+	kept   *kept
+}
+
+// kept is an endpoint's answer that was read whole.
+type kept struct {
+	rsp  *relay.Response
+	body []byte
+}
+
+// place finds an endpoint; a full pool is waited for a moment.
+func (run *running) place(ctx context.Context) (target, outcm.Result) {
+	fr, cl := run.fr, run.cl
+	until := fr.set.Clock.Now() + max(cl.due-cl.arrived, 0)/waitShare
+	for {
+		if tgt, ok := fr.pools.pick(cl, run.avoid); ok {
+			return tgt, outcm.Result{}
+		}
+		if len(run.avoid) > 0 || ctx.Err() != nil || fr.set.Clock.Now() >= until {
+			return target{}, outcm.Refuse(outcm.QueueFull, fr.comeBack(soonest), "all endpoints are full")
+		}
+		select {
+		case <-time.After(waitStep):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// last gives the end of a request for which no further endpoint was found.
+func (run *running) last(res outcm.Result) outcm.Result {
+	if run.kept != nil {
+		if run.cl.out.whole(run.kept.rsp, run.kept.body) != nil {
+			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left")
+		}
+		return outcm.OK()
+	}
+	if run.failed.Outcome() != outcm.Pending {
+		return run.failed
+	}
+	return res
+}
+
+// attempt sends the request once. It tells whether another endpoint may be tried;
+// the result then is what the caller gets if there is none.
+func (run *running) attempt(ctx context.Context, tgt target) (outcm.Result, bool) {
+	fr, cl := run.fr, run.cl
+	cl.attempts++
+	cl.endpoint = tgt.id
+	run.avoid = append(run.avoid, tgt.id)
+	actx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := fr.set.Clock.Now()
+	rsp, end := fr.set.Relay.Do(actx, tgt.addr, cl.req, talk.Send{
+		Endpoint: tgt.id, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, After: run.after,
+	})
+	took := fr.set.Clock.Since(began)
+	if rsp != nil {
+		defer func() { _ = rsp.Body.Close() }()
+		fr.pools.said(cl.pool.Name(), tgt.id, rsp.Reply)
+	}
+	if end == relay.Answered {
+		fr.pools.began(cl.route.Name(), took)
+		return run.answer(ctx, tgt, rsp, began)
+	}
+	fr.pools.finish(cl.pool.Name(), tgt.id, verdictOf(end), took)
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.id).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
+		Str("ending", end.String()).Int64("took_ms", int64(took)).Msg("attempt failed")
+	if rsp != nil && rsp.Reply.Misdirected {
+		fr.set.Control.Left(tgt.id, "another endpoint answers at its address")
+	}
+	return run.judge(ctx, end)
+}
+
+func verdictOf(end relay.Ending) route.Verdict {
+	switch end {
+	case relay.Refused:
+		return route.Overload
+	case relay.GaveUp:
+		return route.Neutral
+	}
+	return route.Broken
+}
+
+var causes = map[relay.Ending]retry.Cause{
+	relay.NothingSent: retry.NothingSent, relay.Refused: retry.Refused, relay.Cut: retry.Cut,
+	relay.Foreign: retry.WrongAnswer, relay.Unsigned: retry.WrongAnswer,
+}
+
+// judge tells what an attempt without an answer means, and whether there may be
+// another one.
+func (run *running) judge(ctx context.Context, end relay.Ending) (outcm.Result, bool) {
+	fr, cl := run.fr, run.cl
+	if end.RanNothing() {
+		run.refused++
+	} else {
+		run.ran++
+	}
+	res := run.resultOf(end)
+	switch {
+	case ctx.Err() != nil:
+		return res, false
+	case !end.RanNothing() && !cl.route.Repeatable():
+		return res, false
+	case run.ran >= cl.route.Attempts() || run.ran+run.refused >= cl.route.Attempts()+refusalsMore:
+		return res, false
+	case !fr.stillAllowed(cl):
+		return res, false
+	case end != relay.NothingSent && !fr.pools.repeat(cl.pool.Name(), fr.set.Control.View()):
+		return res, false
+	}
+	fr.set.Meter.Retried(causes[end])
+	return res, true
+}
+
+// resultOf gives the result of an ending after which nothing more is tried. Once
+// any attempt may have run, "not run" can't be said any more.
+func (run *running) resultOf(end relay.Ending) outcm.Result {
+	fr, cl := run.fr, run.cl
+	passed := fr.set.Clock.Now() >= cl.until
+	switch {
+	case run.ran == 0 && passed:
+		return outcm.Refuse(outcm.DeadlinePassed, soonest, "no endpoint took it in time")
+	case run.ran == 0:
+		return outcm.Refuse(outcm.NoEndpoint, fr.comeBack(soonest), "the endpoints that were asked ran nothing: "+end.String())
+	case passed:
+		return outcm.New(outcm.Unknown, outcm.DeadlinePassed, "the time is up; it may have run")
+	case end == relay.Foreign || end == relay.Unsigned:
+		return outcm.New(outcm.Unknown, outcm.WrongAttempt, "the endpoint's answer was not to this request; it may have run")
+	}
+	return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the endpoint's connection was cut; it may have run")
+}
+
+// answer hands an endpoint's answer on.
+func (run *running) answer(ctx context.Context, tgt target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
+	fr, cl := run.fr, run.cl
+	if !cl.route.Repeatable() {
+		// The endpoint has fetched what it takes, and no other one will.
+		fr.giveBack(cl, allStages)
+	}
+	if cl.route.Streams() && rsp.Status == http.StatusOK {
+		return run.stream(ctx, tgt, rsp, began)
+	}
+	body, err := io.ReadAll(io.LimitReader(rsp.Body, keptWhole+1))
+	took := fr.set.Clock.Since(began)
+	switch {
+	case err != nil:
+		fr.pools.finish(cl.pool.Name(), tgt.id, cutVerdict(ctx), took)
+		return run.judge(ctx, cutOr(ctx))
+	case len(body) > keptWhole:
+		fr.pools.finish(cl.pool.Name(), tgt.id, route.Good, took)
+		return run.large(rsp, body)
+	}
+	fr.pools.finish(cl.pool.Name(), tgt.id, statusVerdict(rsp.Status), took)
+	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.begun {
+		run.kept = &kept{rsp: rsp, body: body}
+		if res, again := run.judge(ctx, relay.Cut); again {
+			return res, true
+		}
+	}
+	if cl.out.begun {
+		// A stream that was to go on elsewhere got a failure in its place.
+		return outcm.New(outcm.Unknown, outcm.StreamCut, "the stream could not be resumed"), false
+	}
+	if cl.out.whole(rsp, body) != nil {
+		return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
+	}
+	return outcm.OK(), false
+}
+
+// large hands on an answer that is too long to be kept.
+func (run *running) large(rsp *relay.Response, body []byte) (outcm.Result, bool) {
+	out := run.cl.out
+	out.head(rsp, int(rsp.Length))
+	for {
+		if out.write(body) != nil {
+			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
+		}
+		n, err := rsp.Body.Read(body[:cap(body)])
+		body = body[:n]
+		if errors.Is(err, io.EOF) {
+			if out.write(body) != nil {
+				return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
+			}
+			return outcm.OK(), false
+		}
+		if err != nil {
+			return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the answer was cut"), false
+		}
+	}
+}
+
+func cutOr(ctx context.Context) relay.Ending {
+	if ctx.Err() != nil {
+		return relay.GaveUp
+	}
+	return relay.Cut
+}
+
+func cutVerdict(ctx context.Context) route.Verdict { return verdictOf(cutOr(ctx)) }
+
+func statusVerdict(status int) route.Verdict {
+	if status >= http.StatusInternalServerError {
+		return route.Broken
+	}
+	return route.Good
+}
+
+// stream hands on the events of a stream as they come. What broke off goes on at
+// another endpoint after the last whole event, if the route allows that, under the
+// head of the first one.
+func (run *running) stream(ctx context.Context, tgt target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
+	fr, cl := run.fr, run.cl
+	if !cl.out.begun {
+		cl.out.head(rsp, -1)
+		if cl.out.ctl.Flush() != nil {
+			fr.pools.finish(cl.pool.Name(), tgt.id, route.Neutral, 0)
+			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
+		}
+	}
+	evs := relay.NewEvents(rsp.Body)
+	for {
+		event, err := evs.Next()
+		if errors.Is(err, io.EOF) {
+			fr.pools.finish(cl.pool.Name(), tgt.id, route.Good, fr.set.Clock.Since(began))
+			return outcm.OK(), false
+		}
+		if err != nil {
+			break
+		}
+		if cl.out.write(event) != nil {
+			fr.pools.finish(cl.pool.Name(), tgt.id, route.Neutral, 0)
+			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
+		}
+		if name, ok := fr.set.Dialect.EventName(event); ok {
+			run.after = name
+		}
+	}
+	fr.pools.finish(cl.pool.Name(), tgt.id, cutVerdict(ctx), fr.set.Clock.Since(began))
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.id).Str("after", run.after).Msg("stream cut")
+	res, again := run.judge(ctx, cutOr(ctx))
+	if again {
+		fr.set.Meter.Retried(retry.Resumed)
+	}
+	return res, again
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,155 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/state"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/outcm"
+	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/prefix"
+)
+
+// Setup is what a front is made of.
+type Setup struct {
+	Control *state.Control
+	Dialect *talk.Dialect
+	Relay   *relay.Relay
+	Desk    *batch.Desk
+	// Link is nil for an instance that stands alone.
+	Link  *peer.Link
+	Clock clock.Clock
+	Meter *meter.Meter
+	Log   zerolog.Logger
+	Zone  string
+	// TokensFor is the age up to which a view's tokens are honoured.
+	TokensFor clock.Milli
+	// Repeats is how many requests a pool may get again in a while, from all
+	// instances, beyond the share of RepeatShare of its first ones.
+	Repeats     float64
+	RepeatShare float64
+}
+
+// Front serves callers. It is made by [New].
+type Front struct {
+	set     Setup
+	pools   *pools
+	homes   *homes
+	head    next
+	under   atomic.Int64
+	closing atomic.Bool
+}
+
+// next is the rest of the chain.
+type next func(ctx context.Context, cl *call) outcm.Result
+
+// step is one filter.
+type step func(ctx context.Context, cl *call, nxt next) outcm.Result
+
+// New returns a front with its filters in their order.
+func New(set Setup) *Front {
+	fr := &Front{set: set, pools: newPools(set), homes: newHomes(set)}
+	fr.head = fr.final
+	steps := []step{fr.match, fr.identify, fr.admit, fr.stages}
+	for i := len(steps) - 1; i >= 0; i-- {
+		fr.head = link(steps[i], fr.head)
+	}
+	return fr
+}
+
+func link(stp step, nxt next) next {
+	return func(ctx context.Context, cl *call) outcm.Result { return stp(ctx, cl, nxt) }
+}
+
+// Sync takes a new view's plan and endpoints.
+func (fr *Front) Sync(vw *state.View) { fr.pools.sync(vw) }
+
+// Closing makes each answer from now on ask the caller to close its connection.
+func (fr *Front) Closing() { fr.closing.Store(true) }
+
+// Under gives the number of requests under way.
+func (fr *Front) Under() int64 { return fr.under.Load() }
+
+// call is one request on its way through the chain.
+type call struct {
+	view    *state.View
+	ask     talk.Ask
+	req     relay.Request
+	http    *http.Request
+	route   *plan.Route
+	pool    *plan.Pool
+	wsp     string
+	arrived clock.Milli
+	// due is the instant up to which an answer is of full worth, until the one
+	// at which the caller leaves or its operators want it answered.
+	due   clock.Milli
+	until clock.Milli
+	rank  int
+	// engine is the model engine that the request will probably go to.
+	engine prefix.Engine
+	inputs []string
+	made   []made
+	out    *output
+	log    []any
+	// what the line of the end tells
+	attempts int
+	endpoint string
+	staged   clock.Milli
+}
+
+// made are results that were made for a request and take room until given back.
+type made struct {
+	pool  string
+	stage int
+	list  []batch.Handle
+	home  string
+}
+
+// ServeHTTP serves one request.
+func (fr *Front) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	cl := &call{view: fr.set.Control.View(), http: req, arrived: fr.set.Clock.Now()}
+	cl.out = newOutput(fr, wrt)
+	fr.set.Control.SetLoad(fr.under.Add(1))
+	defer func() { fr.set.Control.SetLoad(fr.under.Add(-1)) }()
+	ctx := req.Context()
+	res := fr.head(ctx, cl)
+	fr.giveBack(cl, allStages)
+	if ctx.Err() != nil && res.Outcome() != outcm.Done {
+		res = outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
+	}
+	fr.finish(cl, res)
+}
+
+// finish writes the answer of what was not answered, counts and logs.
+func (fr *Front) finish(cl *call, res outcm.Result) {
+	took := fr.set.Clock.Since(cl.arrived)
+	name := ""
+	if cl.route != nil {
+		name = cl.route.Name()
+	}
+	fr.set.Meter.Answered(name, res, took)
+	evt := fr.set.Log.Info()
+	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Str("outcome", res.Outcome().String()).
+		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
+		Int64("staged_ms", int64(cl.staged)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
+		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.view.Age(fr.set.Clock.Now()))).Msg("request ended")
+	if res.Outcome() == outcm.Done {
+		return
+	}
+	cl.out.fail(res)
+}
+
+// deadline gives an instant of our clock as the runtime's timers take it.
+func (fr *Front) deadline(until clock.Milli) time.Time {
+	return time.Now().Add((until - fr.set.Clock.Now()).Duration())
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,259 @@
+// Package node is an instance that serves routes in a dialect: its parts, its
+// sockets, its start and its planned stop.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+	"github.com/zeromicro/go-zero/rest"
+
+	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/front"
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/serve"
+	"amaranthvalve/internal/state"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+)
+
+// Error is the class of errors that keep an instance from starting.
+var Error = errs.Class("instance")
+
+const (
+	// tokensShare is the part of the time that tokens may be honoured which is
+	// used: the rest covers a request's way to its endpoint.
+	tokensShare = 0.9
+	// keptIdle is how long a connection for calls that may be repeated is kept
+	// idle: endpoints close theirs after a few seconds.
+	keptIdle = 1500 * time.Millisecond
+	// keptTimes is how many times as long as they are told some callers keep an
+	// address.
+	keptTimes = 3
+	// stopMargin is left of a planned stop for what comes after the last answer.
+	stopMargin = 300 * clock.Milli(1)
+	// stopSettle is how long requests that cross the end of kept answers are
+	// still answered.
+	stopSettle = clock.Second
+	// stopStep is how often a planned stop looks at what is under way.
+	stopStep = 50 * time.Millisecond
+)
+
+// Node is an instance that serves routes, spoken to in a dialect.
+type Node struct {
+	set   *conf.Settings
+	clk   clock.Clock
+	log   zerolog.Logger
+	mtr   *meter.Meter
+	ctl   *state.Control
+	front *front.Front
+	link  *peer.Link
+
+	calls  *serve.Server
+	others []*http.Server
+	lsns   []net.Listener
+	cancel context.CancelFunc
+	ended  chan struct{}
+	// keep is how long callers may keep an address, in milliseconds.
+	keep atomic.Int64
+}
+
+// New opens the sockets of an instance that speaks a dialect. Nothing is
+// served before Start.
+func New(set *conf.Settings, dia *talk.Dialect, log zerolog.Logger) (*Node, error) {
+	nod := &Node{set: set, log: log, mtr: meter.New(), ended: make(chan struct{})}
+	nod.keep.Store(int64(set.Keep()))
+	calls, err := net.Listen("tcp", set.CallerAddr())
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if set.PeerAddr() != "" {
+		if err := nod.openLink(); err != nil {
+			return nil, err
+		}
+	}
+	nod.open(dia)
+	nod.calls = serve.New(calls, nod.front)
+	return nod, nod.openOthers(dia)
+}
+
+func (nod *Node) openLink() error {
+	server, client, err := peer.EphemeralKeys()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	nod.link, err = peer.Listen(nod.set.PeerAddr(), server, client, func(ctx context.Context, msg peer.Message) peer.Message {
+		if msg.Kind == peer.PiecesFreed {
+			return nod.front.Freed(msg)
+		}
+		return nod.ctl.Handle(ctx, msg)
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	nod.link.Slow = func(ctx context.Context, msg peer.Message) peer.Message { return nod.front.Gather(ctx, msg) }
+	nod.link.Refused = func(err error) {
+		nod.mtr.Event(meter.EventPeerRefused)
+		nod.log.Warn().Err(err).Msg("a peer was refused")
+	}
+	return nil
+}
+
+// open makes the parts.
+func (nod *Node) open(dia *talk.Dialect) {
+	self := nod.set.PeerAddr()
+	if self == "" {
+		self = nod.set.CallerAddr()
+	}
+	kept := relay.Kept(keptIdle)
+	share, most, window := nod.set.Retries()
+	desk := batch.New(batch.Setup{
+		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Reserve: most, Window: window,
+		Gone: func(id, why string) { nod.ctl.Left(id, why) },
+	})
+	nod.ctl = state.New(state.Setup{
+		Self: ident.NewIncarnation(self), Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(),
+		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle)), Meter: nod.mtr, Log: nod.log,
+		Dialect: dia, Link: nod.link,
+		Changed: func(vw *state.View) {
+			desk.Sync(vw.Plan(), vw.Endpoints())
+			nod.front.Sync(vw)
+			if pln := vw.Plan(); pln != nil {
+				nod.calls.SetLimits(serve.Limits{Header: pln.Limits().HeaderTime, Idle: pln.Limits().IdleTime})
+			}
+		},
+	})
+	nod.front = front.New(front.Setup{
+		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia), Desk: desk, Link: nod.link, Clock: nod.clk,
+		Meter: nod.mtr, Log: nod.log, Zone: nod.set.Zone(), RepeatShare: share, Repeats: most,
+		TokensFor: clock.Milli(tokensShare * float64(nod.set.TokensFor())),
+	})
+}
+
+// openOthers opens what is asked by others than callers.
+func (nod *Node) openOthers(dia *talk.Dialect) error {
+	byAddr := map[string][]rest.Route{}
+	add := func(addr, path string, handler http.HandlerFunc) {
+		if addr != "" {
+			byAddr[addr] = append(byAddr[addr], rest.Route{Method: http.MethodGet, Path: path, Handler: handler})
+		}
+	}
+	add(nod.set.EntriesAddr(), dia.EntriesPath, nod.entries(dia))
+	add(nod.set.ReadyAddr(), dia.ReadyPath, nod.ready)
+	add(nod.set.MetricsAddr(), "/metrics", nod.mtr.Handler().ServeHTTP)
+	for addr, routes := range byAddr {
+		handler, err := serve.Router(routes)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		lsn, err := net.Listen("tcp", addr)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		nod.others, nod.lsns = append(nod.others, serve.Plain(handler)), append(nod.lsns, lsn)
+	}
+	return nil
+}
+
+// ready answers whether callers should be sent here.
+func (nod *Node) ready(wrt http.ResponseWriter, _ *http.Request) {
+	if nod.ctl.View().Ready(nod.clk.Now()) {
+		wrt.WriteHeader(http.StatusOK)
+		return
+	}
+	wrt.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// entries answers "which address": all instances that take callers. An instance
+// that isn't ready names nobody: it may be the one that is cut off.
+func (nod *Node) entries(dia *talk.Dialect) http.HandlerFunc {
+	return func(wrt http.ResponseWriter, _ *http.Request) {
+		vw := nod.ctl.View()
+		if !vw.Ready(nod.clk.Now()) {
+			wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: "this instance is not ready"})
+			return
+		}
+		var addrs []string
+		for _, mbr := range vw.Members() {
+			if mbr.Who() == nod.ctl.Self() || mbr.Status() == member.Alive && !mbr.Stale() {
+				addrs = append(addrs, mbr.Caller())
+			}
+		}
+		wire.WriteJSON(wrt, http.StatusOK, dia.Entries(addrs, clock.Milli(nod.keep.Load())))
+	}
+}
+
+// Start serves until Stop or Kill.
+func (nod *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	nod.cancel = cancel
+	if nod.link != nil {
+		go nod.link.Serve(ctx)
+	}
+	go func() {
+		nod.ctl.Run(ctx)
+		close(nod.ended)
+	}()
+	go nod.calls.Serve()
+	for i, srv := range nod.others {
+		go func() { _ = srv.Serve(nod.lsns[i]) }()
+	}
+	nod.log.Info().Str("instance", string(nod.ctl.Self())).Str("zone", nod.set.Zone()).Str("callers", nod.set.CallerAddr()).
+		Str("store", nod.set.Store()).Strs("seeds", nod.set.Peers()).Msg("started")
+}
+
+// Apply takes settings that may change while the instance runs: the seeds and how
+// long answers are kept. What names sockets holds until the next start.
+func (nod *Node) Apply(set *conf.Settings) {
+	nod.keep.Store(int64(set.Keep()))
+	nod.ctl.SetSeeds(set.Peers())
+}
+
+// Stop is a planned stop. The instance leaves the answers to "which address" and
+// says so to the others, serves on until kept answers have run out, finishes what
+// is under way, and ends.
+func (nod *Node) Stop(ctx context.Context) {
+	began := nod.clk.Now()
+	end := began + nod.set.Stop() - stopMargin
+	kept := keptTimes*clock.Milli(nod.keep.Load()) + stopSettle
+	nod.log.Info().Int64("kept_ms", int64(kept)).Int64("stop_ms", int64(nod.set.Stop())).Int64("under_way", nod.front.Under()).Msg("leaving")
+	nod.ctl.Leave(ctx)
+	nod.front.Closing()
+	nod.until(ctx, min(began+kept, end), func() bool { return false })
+	nod.log.Info().Int64("under_way", nod.front.Under()).Msg("taking no new connections, finishing what is under way")
+	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
+	defer cancel()
+	nod.calls.Shutdown(sctx)
+	nod.log.Info().Int64("cut_off", nod.front.Under()).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
+	nod.Kill()
+}
+
+// until waits for an instant, or until done.
+func (nod *Node) until(ctx context.Context, at clock.Milli, done func() bool) {
+	for nod.clk.Now() < at && ctx.Err() == nil && !done() {
+		time.Sleep(stopStep)
+	}
+}
+
+// Kill ends the instance at once, as a crash would.
+func (nod *Node) Kill() {
+	nod.calls.Close()
+	for _, srv := range nod.others {
+		_ = srv.Close()
+	}
+	if nod.cancel != nil {
+		nod.cancel()
+		<-nod.ended
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,6 +26,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/zeebo/errs"
 
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 )
@@ -43,6 +44,11 @@
 	maxMessage = 32 << 20
 	idleFor    = 30 * time.Second
 	answerIn   = 5 * time.Second
+	// workingEvery is how often a slow answer gives a sign of work, and
+	// silentAfter how long its asker waits for one: three signs may be late or
+	// lost before somebody else is asked.
+	workingEvery = 200 * time.Millisecond
+	silentAfter  = 700 * time.Millisecond
 )
 
 // Kind tells what a message asks for.
@@ -61,6 +67,12 @@
 	// OK answers; Nack answers that the question can't be answered.
 	OK
 	Nack
+	// PiecesWanted asks for pieces of a stage; PiecesFreed gives results back.
+	PiecesWanted
+	PiecesFreed
+	// Working is sent while an answer is being made, so that a receiver which
+	// hears nothing knows that the sender is gone.
+	Working
 )
 
 // Message is what travels, in both directions.
@@ -77,6 +89,11 @@
 	// Demand tells the sender's requests a second by workspace.
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
 	Body   []byte             `cbor:"8,keyasint,omitempty"`
+	// Applied is the offset of the sender's documents, and Age how long ago they
+	// were known to be the newest; Known tells that it has any.
+	Known   bool        `cbor:"9,keyasint,omitempty"`
+	Applied int64       `cbor:"10,keyasint,omitempty"`
+	Age     clock.Milli `cbor:"11,keyasint,omitempty"`
 }
 
 // Link is one instance's end of the links to all others.
@@ -87,6 +104,10 @@
 	handle func(ctx context.Context, msg Message) Message
 	// Refused is told of connections that were not let in; it may be nil.
 	Refused func(err error)
+	// Slow answers questions that take a while; those of its kinds don't come to
+	// handle. While it works the asker is sent Working now and then. It may be
+	// nil.
+	Slow func(ctx context.Context, msg Message) Message
 	// Cut tells which addresses can't be reached, for tests of cuts; nil for
 	// none. Its own end asks it too when it is asked something.
 	Cut func(addr string) bool
@@ -235,11 +256,83 @@
 		str.CancelWrite(0)
 		return
 	}
+	if msg.Kind == PiecesWanted && lnk.Slow != nil {
+		lnk.answerSlowly(str, msg)
+		return
+	}
 	if write(str, lnk.handle(ctx, msg)) == nil {
 		_ = str.Close()
 	}
 }
 
+// answerSlowly answers a question that takes a while. It ends when the asker
+// leaves: work for somebody who is gone takes places from those who wait.
+func (lnk *Link) answerSlowly(str *quic.Stream, msg Message) {
+	ctx, cancel := context.WithCancel(str.Context())
+	defer cancel()
+	done := make(chan Message, 1)
+	go func() { done <- lnk.Slow(ctx, msg) }()
+	tkr := time.NewTicker(workingEvery)
+	defer tkr.Stop()
+	for {
+		_ = str.SetDeadline(time.Now().Add(answerIn))
+		select {
+		case ans := <-done:
+			if write(str, ans) == nil {
+				_ = str.Close()
+			}
+			return
+		case <-ctx.Done():
+			return
+		case <-tkr.C:
+			if write(str, Message{Kind: Working}) != nil {
+				return
+			}
+		}
+	}
+}
+
+// AskSlowly sends a question whose answer takes a while. It fails when nothing
+// was heard for the time of three signs of work: the other side has died, is
+// frozen or cut off, and somebody else must be asked.
+func (lnk *Link) AskSlowly(ctx context.Context, addr string, msg Message) (Message, error) {
+	if lnk.Cut != nil && lnk.Cut(addr) {
+		return Message{}, Error.New("%s is cut off", addr)
+	}
+	dctx, cancel := context.WithTimeout(ctx, silentAfter)
+	defer cancel()
+	qcn, err := lnk.conn(dctx, addr)
+	if err != nil {
+		return Message{}, err
+	}
+	str, err := qcn.OpenStreamSync(dctx)
+	if err != nil {
+		lnk.drop(addr, qcn)
+		return Message{}, Error.Wrap(err)
+	}
+	stop := context.AfterFunc(ctx, func() { str.CancelRead(0); str.CancelWrite(0) })
+	defer stop()
+	_ = str.SetDeadline(time.Now().Add(silentAfter))
+	if err := write(str, msg); err != nil {
+		return Message{}, err
+	}
+	_ = str.Close()
+	for {
+		_ = str.SetReadDeadline(time.Now().Add(silentAfter))
+		ans, err := read(str)
+		if err != nil {
+			if ctx.Err() == nil {
+				lnk.drop(addr, qcn)
+			}
+			str.CancelRead(0)
+			return Message{}, err
+		}
+		if ans.Kind != Working {
+			return ans, nil
+		}
+	}
+}
+
 // Ask sends a message to the instance at addr and gives its answer.
 func (lnk *Link) Ask(ctx context.Context, addr string, msg Message) (Message, error) {
 	if lnk.Cut != nil && lnk.Cut(addr) {
--- a/internal/entry/router.go
+++ b/internal/serve/router.go
@@ -1,4 +1,4 @@
-package entry
+package serve
 
 import (
 	"net/http"
@@ -15,10 +15,10 @@
 // SIGTERM it sleeps for this long before it would.
 const foreverWait = 1000 * time.Hour
 
-// newRouter builds go-zero's router without its middlewares: each of them can
+// Router builds go-zero's router without its middlewares: each of them can
 // refuse a request (by load, breaker, time or size) in words of its own, and
 // one buffers answers, so that a stream's tokens would come all at once.
-func newRouter(routes []rest.Route) (http.Handler, error) {
+func Router(routes []rest.Route) (http.Handler, error) {
 	srv, err := rest.NewServer(rest.RestConf{
 		ServiceConf: service.ServiceConf{
 			Name:     "amvnode",
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,164 @@
+// Package serve accepts callers' connections under limits that may change.
+//
+// net/http fixes a server's time-outs when it starts. Operators' documents change
+// them at any time, so each set of limits has a server of its own: connections are
+// accepted in one place and handed to the newest; those that an older one has stay
+// with it until they close.
+package serve
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"amaranthvalve/pkg/clock"
+)
+
+const (
+	// bodyTimeout bounds the reading of a request, header and body.
+	bodyTimeout = 30 * time.Second
+	// headerRoom is what net/http reads of a header before it refuses in words
+	// of its own; the documents' bound lies far below and is checked later.
+	headerRoom = 256 << 10
+	// Limits until the first documents are known.
+	firstHeader = 5 * clock.Second
+	firstIdle   = 30 * clock.Second
+	// handOver is how many connections may wait to be handed on.
+	handOver = 64
+)
+
+// Limits bound a connection.
+type Limits struct {
+	Header clock.Milli
+	Idle   clock.Milli
+}
+
+// Server accepts connections. It is made by [New].
+type Server struct {
+	lsn     net.Listener
+	handler http.Handler
+
+	mtx     sync.Mutex
+	limits  Limits
+	current *inlet
+	all     []*http.Server
+	closed  bool
+}
+
+// New returns a server on a listener.
+func New(lsn net.Listener, handler http.Handler) *Server {
+	srv := &Server{lsn: lsn, handler: handler}
+	srv.SetLimits(Limits{})
+	return srv
+}
+
+// SetLimits makes limits hold for the connections that come from now on; zeros
+// stand for the package's own.
+func (srv *Server) SetLimits(lim Limits) {
+	if lim.Header <= 0 {
+		lim.Header = firstHeader
+	}
+	if lim.Idle <= 0 {
+		lim.Idle = firstIdle
+	}
+	srv.mtx.Lock()
+	defer srv.mtx.Unlock()
+	if lim == srv.limits || srv.closed {
+		return
+	}
+	srv.limits = lim
+	srv.current = &inlet{addr: srv.lsn.Addr(), conns: make(chan net.Conn, handOver), done: make(chan struct{})}
+	one := &http.Server{
+		Handler: srv.handler, MaxHeaderBytes: headerRoom, ReadHeaderTimeout: lim.Header.Duration(),
+		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(),
+	}
+	srv.all = append(srv.all, one)
+	go func(inl *inlet) { _ = one.Serve(inl) }(srv.current)
+}
+
+// Serve accepts connections until the listener is closed.
+func (srv *Server) Serve() {
+	for {
+		con, err := srv.lsn.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Out of descriptors, mostly; they come back.
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		srv.mtx.Lock()
+		inl := srv.current
+		srv.mtx.Unlock()
+		inl.give(con)
+	}
+}
+
+// Shutdown closes the listener and idle connections, and waits for requests under
+// way until the context ends.
+func (srv *Server) Shutdown(ctx context.Context) {
+	_ = srv.lsn.Close()
+	srv.mtx.Lock()
+	srv.closed = true
+	all := srv.all
+	srv.mtx.Unlock()
+	var wgr sync.WaitGroup
+	for _, one := range all {
+		wgr.Add(1)
+		go func() {
+			defer wgr.Done()
+			_ = one.Shutdown(ctx)
+		}()
+	}
+	wgr.Wait()
+}
+
+// Close ends all connections at once.
+func (srv *Server) Close() {
+	_ = srv.lsn.Close()
+	srv.mtx.Lock()
+	defer srv.mtx.Unlock()
+	srv.closed = true
+	for _, one := range srv.all {
+		_ = one.Close()
+	}
+}
+
+// inlet is the listener of one set of limits.
+type inlet struct {
+	addr  net.Addr
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (inl *inlet) give(con net.Conn) {
+	select {
+	case inl.conns <- con:
+	case <-inl.done:
+		_ = con.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (inl *inlet) Accept() (net.Conn, error) {
+	select {
+	case con := <-inl.conns:
+		return con, nil
+	case <-inl.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (inl *inlet) Close() error {
+	inl.once.Do(func() { close(inl.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (inl *inlet) Addr() net.Addr { return inl.addr }
--- a/internal/shell/node.go
+++ b/internal/shell/node.go
@@ -14,6 +14,7 @@
 	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/entry"
 	"amaranthvalve/internal/zlog"
+	"amaranthvalve/platform"
 )
 
 // stopAtMost bounds a planned stop: the longest deadline of a document and the
@@ -21,7 +22,7 @@
 const stopAtMost = 25 * time.Minute
 
 type nodeCmd struct {
-	Config      string `help:"The settings file, see docs/OPERATING.md." required:"" placeholder:"FILE"`
+	Config      string `help:"The settings file, see docs/OPERATING.md; by default the one that AMARANTHVALVE_BOOT names." env:"AMARANTHVALVE_BOOT" required:"" placeholder:"FILE"`
 	CheckConfig bool   `help:"Check the settings and exit: 0 if they are right, 1 with all faults if not."`
 }
 
@@ -37,6 +38,9 @@
 	if err != nil || cmd.CheckConfig {
 		return err
 	}
+	if set.Dialect() == conf.DialectPlatform {
+		return runRouted(con, cmd.Config, set, platform.Dialect())
+	}
 	log := newLog(con.err, set.LogLevel())
 	zlog.To(log)
 	signals := make(chan os.Signal, 2)
--- /dev/null
+++ b/internal/state/control.go
@@ -0,0 +1,231 @@
+package state
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/group"
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+)
+
+const (
+	// eventRoom is the length of the control thread's channel.
+	eventRoom = 1024
+	// tickEvery is the time between two steps of the control thread.
+	tickEvery = 100 * time.Millisecond
+	// staleAfter is the age from which a view may well be an old one: two and a
+	// half times the longest wait between two answers of a store that is well.
+	staleAfter = 2500 * clock.Milli(1)
+)
+
+// Setup is what a control thread is made of.
+type Setup struct {
+	Self   ident.Incarnation
+	Zone   string
+	Caller string
+	Seeds  []string
+	Clock  clock.Clock
+	Store  talk.Store
+	Meter  *meter.Meter
+	Log    zerolog.Logger
+	// Dialect compiles documents.
+	Dialect *talk.Dialect
+	// Link is nil for an instance that stands alone.
+	Link *peer.Link
+	// Changed is told of each new view that has other endpoints or another plan
+	// than the one before; on the control thread.
+	Changed func(vw *View)
+}
+
+// Control owns the control state of an instance.
+type Control struct {
+	set    Setup
+	events chan func(now clock.Milli)
+	view   atomic.Pointer[View]
+	load   atomic.Int64
+	work   sync.WaitGroup
+	ctx    context.Context
+
+	group   group.Group
+	list    *member.List
+	docs    docsCtl
+	endpts  endptsCtl
+	leaving bool
+	dirty   bool
+}
+
+// New returns a control thread that has not started.
+func New(set Setup) *Control {
+	ctl := &Control{set: set, events: make(chan func(clock.Milli), eventRoom)}
+	now := set.Clock.Now()
+	ctl.list = member.New(set.Self, set.Zone, set.Caller, now)
+	ctl.group = group.Group{
+		Self: set.Self, List: ctl.list, Link: set.Link, Offer: ctl.offer, Go: ctl.goDo,
+		Now: set.Clock.Now, Dress: ctl.dress, Heard: ctl.heard,
+	}
+	ctl.docs = docsCtl{ctl: ctl, offset: -1}
+	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}}
+	ctl.view.Store(&View{offset: -1})
+	return ctl
+}
+
+// View gives the present view.
+func (ctl *Control) View() *View { return ctl.view.Load() }
+
+// Self gives the instance's identity.
+func (ctl *Control) Self() ident.Incarnation { return ctl.set.Self }
+
+// SetLoad notes how many requests are under way, for the other instances.
+func (ctl *Control) SetLoad(n int64) { ctl.load.Store(n) }
+
+// SetSeeds changes the addresses that are asked while nobody else is known.
+func (ctl *Control) SetSeeds(seeds []string) {
+	ctl.offer(func(clock.Milli) { ctl.set.Seeds = seeds })
+}
+
+// Run owns the state until the context ends, then waits for its workers.
+func (ctl *Control) Run(ctx context.Context) {
+	ctl.ctx = ctx
+	ctl.goDo(ctl.docs.watch)
+	ctl.goDo(ctl.endpts.poll)
+	ctl.goDo(ctl.meet)
+	tkr := time.NewTicker(tickEvery)
+	defer tkr.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			ctl.work.Wait()
+			return
+		case event := <-ctl.events:
+			event(ctl.set.Clock.Now())
+		case <-tkr.C:
+			ctl.step(ctl.set.Clock.Now())
+		}
+		ctl.publish(ctl.set.Clock.Now())
+	}
+}
+
+func (ctl *Control) step(now clock.Milli) {
+	ctl.list.SetSelf(ctl.docs.offset, int(ctl.load.Load()), ctl.leaving, now)
+	ctl.list.SetStale(ctl.docs.plan == nil || now-ctl.docs.asOf > staleAfter)
+	ctl.group.Tick(now)
+	ctl.endpts.step(now)
+	ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-ctl.docs.asOf))
+	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(len(ctl.events)))
+}
+
+// publish makes a new view.
+func (ctl *Control) publish(now clock.Milli) {
+	old := ctl.view.Load()
+	vw := &View{
+		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list,
+		members: ctl.list.All(), homes: old.homes, leaving: ctl.leaving,
+	}
+	for _, mbr := range vw.members {
+		if mbr.Who() != ctl.set.Self && mbr.Status() == member.Alive && !mbr.Stale() {
+			vw.othersOK = true
+		}
+	}
+	if vw.plan != nil {
+		vw.homes = make(map[string][]ident.Incarnation, len(vw.plan.Pools()))
+		for name, pol := range vw.plan.Pools() {
+			if pol.Batch() != nil {
+				vw.homes[name] = ctl.list.Homes(name)
+			}
+		}
+	}
+	ctl.tell(old, vw, now)
+	ctl.view.Store(vw)
+	if ctl.dirty && ctl.set.Changed != nil {
+		ctl.set.Changed(vw)
+	}
+	ctl.dirty = false
+}
+
+// tell writes down what changed.
+func (ctl *Control) tell(old, vw *View, now clock.Milli) {
+	if was, is := old.Ready(now), vw.Ready(now); was != is {
+		ctl.set.Log.Info().Bool("ready", is).Int64("view_age_ms", int64(vw.Age(now))).
+			Bool("others_fresh", vw.othersOK).Bool("leaving", vw.leaving).Msg("readiness changed")
+	}
+	if len(old.members) != len(vw.members) {
+		ctl.set.Log.Info().Int("before", len(old.members)).Int("members", len(vw.members)).Msg("members changed")
+	}
+	ctl.set.Meter.Set(meter.GaugeMembers, float64(len(vw.members)))
+	ctl.set.Meter.Set(meter.GaugeApplied, float64(vw.offset))
+}
+
+// goDo starts a worker that is waited for at the end.
+func (ctl *Control) goDo(work func(ctx context.Context)) {
+	ctl.work.Add(1)
+	go func() {
+		defer ctl.work.Done()
+		work(ctl.ctx)
+	}()
+}
+
+// do runs an event on the control thread and waits for it; false if the context
+// ended first.
+func (ctl *Control) do(ctx context.Context, event func(now clock.Milli)) bool {
+	done := make(chan struct{})
+	select {
+	case ctl.events <- func(now clock.Milli) { event(now); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// offer hands an event over without waiting. When the channel is full it is
+// dropped and counted: what is offered is learned again in a moment.
+func (ctl *Control) offer(event func(now clock.Milli)) {
+	select {
+	case ctl.events <- event:
+	default:
+		ctl.set.Meter.Event(meter.EventDropped)
+	}
+}
+
+// Left is told by traffic that an endpoint said it is leaving, or is gone.
+func (ctl *Control) Left(id, why string) {
+	ctl.offer(func(now clock.Milli) { ctl.endpts.heardLeaving(id, why, now) })
+}
+
+// Leave starts a planned stop: the others are told at once, and this instance is
+// named to callers no longer. It goes on serving.
+func (ctl *Control) Leave(ctx context.Context) {
+	ctl.do(ctx, func(now clock.Milli) {
+		ctl.leaving = true
+		ctl.step(now)
+		for _, mbr := range ctl.list.All() {
+			if mbr.Who() != ctl.set.Self {
+				ctl.group.Greet(mbr.Who().Addr(), mbr.Who())
+			}
+		}
+	})
+}
+
+func pause(ctx context.Context, span time.Duration) bool {
+	tmr := time.NewTimer(span)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/state/docs.go
@@ -0,0 +1,287 @@
+package state
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/plan"
+)
+
+const (
+	// holdFor is how long the store is asked to hold a read. A change ends it
+	// at once; the time only sets how often a quiet store is asked and how old
+	// a view becomes before it is known to be in force.
+	holdFor = clock.Second
+	// readWait bounds a read beyond the time it is held: a slow store answers
+	// in some hundred milliseconds, a silent connection never does.
+	readWait = 1500 * time.Millisecond
+	// againAfter is the pause after a failed read.
+	againAfter = 250 * time.Millisecond
+	// stateWait bounds the question for another instance's documents.
+	stateWait = time.Second
+)
+
+// docsCtl keeps the documents in force.
+type docsCtl struct {
+	ctl    *Control
+	plan   *plan.Plan
+	doc    talk.Document
+	offset int64
+	// asOf is the instant at which the documents were the newest.
+	asOf   clock.Milli
+	asking bool
+	down   bool
+}
+
+// watch reads the documents, and then waits in the store for newer ones.
+func (dct *docsCtl) watch(ctx context.Context) {
+	from := int64(-1)
+	for ctx.Err() == nil {
+		next, err := dct.read(ctx, from)
+		dct.contact(ctx, err)
+		if err != nil {
+			// The next read is a whole one: whatever happened to the log
+			// meanwhile, the newest record of a key is there.
+			from = -1
+			pause(ctx, againAfter)
+			continue
+		}
+		from = next
+	}
+}
+
+// read waits for a change if from is known, and reads the newest documents. It
+// gives the offset from which to watch.
+func (dct *docsCtl) read(ctx context.Context, from int64) (int64, error) {
+	store, clk := dct.ctl.set.Store, dct.ctl.set.Clock
+	sent := clk.Now()
+	if from >= 0 {
+		wctx, cancel := context.WithTimeout(ctx, holdFor.Duration()+readWait)
+		changed, err := store.Watch(wctx, from, holdFor)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		if !changed {
+			dct.ctl.do(ctx, func(clock.Milli) { dct.confirm(sent) })
+			return from, nil
+		}
+	}
+	rctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	sent = clk.Now()
+	doc, err := store.Newest(rctx)
+	if err != nil {
+		return 0, err
+	}
+	dct.ctl.do(ctx, func(now clock.Milli) { dct.take(doc, sent, now, "store") })
+	return doc.End, nil
+}
+
+// contact writes down a lost or regained store.
+func (dct *docsCtl) contact(ctx context.Context, err error) {
+	dct.ctl.do(ctx, func(now clock.Milli) {
+		if dct.down == (err != nil) {
+			return
+		}
+		dct.down = err != nil
+		evt := dct.ctl.set.Log.Info()
+		if dct.down {
+			evt = dct.ctl.set.Log.Warn().Err(err)
+		}
+		evt.Str("dependency", "store").Bool("lost", dct.down).Int64("view_age_ms", int64(now-dct.asOf)).Msg("dependency changed")
+	})
+}
+
+// confirm notes that the documents were still the newest when a read was sent.
+func (dct *docsCtl) confirm(sent clock.Milli) { dct.asOf = max(dct.asOf, sent) }
+
+// take takes documents that were the newest at an instant. Older ones than those
+// in force are a late answer, and are not taken: what callers have seen in force
+// must not go back.
+func (dct *docsCtl) take(doc talk.Document, sent, now clock.Milli, from string) {
+	if doc.Offset < dct.offset {
+		return
+	}
+	if doc.Offset == dct.offset {
+		dct.confirm(sent)
+		return
+	}
+	pln, faults := dct.ctl.set.Dialect.Compile(doc.Text)
+	for _, fault := range faults {
+		dct.ctl.set.Log.Error().Err(fault).Int64("offset", doc.Offset).Msg("a part of the documents can't be used")
+	}
+	if pln == nil {
+		return
+	}
+	dct.ctl.set.Log.Info().Int64("version", pln.Version()).Int64("offset", doc.Offset).Int64("offset_before", dct.offset).
+		Int64("age_ms", int64(now-sent)).Str("from", from).Int("routes", len(pln.Routes())).Int("faults", len(faults)).
+		Msg("documents in force")
+	dct.plan, dct.doc, dct.offset = pln, doc, doc.Offset
+	dct.confirm(sent)
+	dct.ctl.dirty = true
+}
+
+// dress adds the age of our documents to what we tell others.
+func (ctl *Control) dress(msg *peer.Message) {
+	msg.Left = ctl.endpts.lately()
+	if ctl.docs.plan != nil {
+		msg.Known, msg.Applied, msg.Age = true, ctl.docs.offset, ctl.set.Clock.Since(ctl.docs.asOf)
+	}
+}
+
+// heard takes what another instance told: leaving endpoints, and documents that
+// are as new as ours or newer. Only an answer's age can be used, since of it we
+// know how long it may have been under way.
+func (ctl *Control) heard(msg peer.Message, sent, now clock.Milli) {
+	for _, id := range msg.Left {
+		ctl.endpts.heardLeaving(id, "told by another instance", now)
+	}
+	switch {
+	case !msg.Known:
+	case msg.Applied > ctl.docs.offset:
+		ctl.docs.askState(msg.From)
+	case msg.Applied == ctl.docs.offset && sent > 0:
+		ctl.docs.confirm(sent - msg.Age)
+	}
+}
+
+// shared is what one instance gives another that has older documents or none.
+type shared struct {
+	Offset    int64           `cbor:"1,keyasint"`
+	Text      []byte          `cbor:"2,keyasint"`
+	Age       clock.Milli     `cbor:"3,keyasint"`
+	Endpoints []talk.Endpoint `cbor:"4,keyasint"`
+}
+
+// askState fetches another instance's documents.
+func (dct *docsCtl) askState(from ident.Incarnation) {
+	if dct.asking || dct.ctl.set.Link == nil {
+		return
+	}
+	dct.asking = true
+	dct.ctl.goDo(func(ctx context.Context) {
+		actx, cancel := context.WithTimeout(ctx, stateWait)
+		defer cancel()
+		sent := dct.ctl.set.Clock.Now()
+		ans, err := dct.ctl.set.Link.Ask(actx, from.Addr(), peer.Message{Kind: peer.StateWanted, From: dct.ctl.set.Self, To: from})
+		dct.ctl.do(ctx, func(now clock.Milli) {
+			dct.asking = false
+			var shr shared
+			if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &shr) != nil {
+				return
+			}
+			dct.take(talk.Document{Offset: shr.Offset, Text: shr.Text}, sent-shr.Age, now, string(from))
+			dct.ctl.endpts.takeShared(shr.Endpoints)
+		})
+	})
+}
+
+// Handle answers another instance; it is given to the link.
+func (ctl *Control) Handle(ctx context.Context, msg peer.Message) peer.Message {
+	ans := peer.Message{Kind: peer.Nack, From: ctl.set.Self}
+	if msg.Kind == peer.Indirect {
+		return ctl.group.ProbeFor(ctx, msg)
+	}
+	ctl.do(ctx, func(now clock.Milli) {
+		ctl.group.Learn(msg, 0, now)
+		switch msg.Kind {
+		case peer.Probe:
+			ans = ctl.group.Message(peer.OK, msg.From)
+		case peer.StateWanted:
+			ans = ctl.shareState(now)
+		}
+	})
+	return ans
+}
+
+func (ctl *Control) shareState(now clock.Milli) peer.Message {
+	if ctl.docs.plan == nil {
+		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
+	}
+	body, err := cbor.Marshal(shared{
+		Offset: ctl.docs.offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
+	})
+	if err != nil {
+		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
+	}
+	return peer.Message{Kind: peer.OK, From: ctl.set.Self, Body: body}
+}
+
+// meet makes this instance known and finds the others: by the store, and by the
+// seeds while nobody else is known.
+func (ctl *Control) meet(ctx context.Context) {
+	me := talk.Instance{Name: string(ctl.set.Self), Addr: ctl.set.Self.Addr()}
+	said := false
+	for turn := 0; ctx.Err() == nil; turn++ {
+		cctx, cancel := context.WithTimeout(ctx, readWait)
+		if !said {
+			said = ctl.set.Store.Announce(cctx, me) == nil
+		}
+		list, err := ctl.set.Store.Instances(cctx)
+		cancel()
+		listed := false
+		for _, inst := range list {
+			listed = listed || inst.Name == me.Name
+		}
+		said = said && (err != nil || listed)
+		if !ctl.do(ctx, func(now clock.Milli) { ctl.greet(list, err == nil, now) }) {
+			return
+		}
+		pause(ctx, meetEvery[min(turn, len(meetEvery)-1)])
+	}
+}
+
+// meetEvery are the pauses between two looks at who else there is: all start
+// within a moment of each other, later ones are told of by the probes.
+var meetEvery = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
+
+func (ctl *Control) greet(list []talk.Instance, read bool, now clock.Milli) {
+	known := map[string]member.Status{}
+	for _, mbr := range ctl.list.All() {
+		known[string(mbr.Who())] = mbr.Status()
+	}
+	listed := map[string]bool{}
+	for _, inst := range list {
+		listed[inst.Name] = true
+		if _, ok := known[inst.Name]; !ok {
+			ctl.group.Greet(inst.Addr, ident.Incarnation(inst.Name))
+		}
+	}
+	if len(known) <= 1 {
+		for _, addr := range ctl.set.Seeds {
+			if addr != ctl.set.Self.Addr() {
+				ctl.group.Greet(addr, "")
+			}
+		}
+	}
+	if read {
+		ctl.tidy(list)
+	}
+}
+
+// tidy takes the lines of instances out of the store that have ended for certain;
+// one instance does it.
+func (ctl *Control) tidy(list []talk.Instance) {
+	if ctl.list.Rank() != 0 {
+		return
+	}
+	for _, inst := range list {
+		mbr, ok := ctl.list.Find(ident.Incarnation(inst.Name))
+		if ok && mbr.Status() == member.Dead {
+			ctl.goDo(func(ctx context.Context) {
+				wctx, cancel := context.WithTimeout(ctx, readWait)
+				defer cancel()
+				// A line that stays is seen again at the next look.
+				_ = ctl.set.Store.Withdraw(wctx, inst.Name)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/endpts.go
@@ -0,0 +1,169 @@
+package state
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+)
+
+const (
+	// pollEvery is the time between two looks at the endpoints' entries. A
+	// leaving endpoint must get no work some two seconds after it said so.
+	pollEvery = 700 * time.Millisecond
+	// backAfter is how long after an outage of the store entries that lapsed
+	// in it are waited for: their writers are back within two seconds, and our
+	// own look may be one poll late.
+	backAfter = 2800 * clock.Milli(1)
+	// leftFor is how long a leaving endpoint is passed on to others.
+	leftFor = 30 * clock.Second
+	// maxLeft bounds the names in one message.
+	maxLeft = 32
+)
+
+// endptsCtl keeps the endpoints.
+type endptsCtl struct {
+	ctl  *Control
+	list []talk.Endpoint
+	left map[string]clock.Milli
+	// upSince is since when the store has answered without a failure between.
+	upSince clock.Milli
+	down    bool
+	seen    bool
+	faults  map[string]bool
+}
+
+// poll reads the endpoints' entries.
+func (ect *endptsCtl) poll(ctx context.Context) {
+	for ctx.Err() == nil {
+		rctx, cancel := context.WithTimeout(ctx, readWait)
+		list, faults, err := ect.ctl.set.Store.Endpoints(rctx)
+		cancel()
+		if !ect.ctl.do(ctx, func(now clock.Milli) { ect.read(list, faults, err, now) }) {
+			return
+		}
+		pause(ctx, pollEvery)
+	}
+}
+
+func (ect *endptsCtl) read(list []talk.Endpoint, faults []error, err error, now clock.Milli) {
+	if err != nil {
+		ect.down = true
+		return
+	}
+	if ect.down || !ect.seen {
+		ect.upSince = now
+	}
+	ect.down, ect.seen = false, true
+	ect.tellFaults(faults)
+	if now-ect.upSince < backAfter {
+		list = ect.withLapsed(list)
+	}
+	ect.take(list, now)
+}
+
+// withLapsed adds what was known before and is missing from a list.
+func (ect *endptsCtl) withLapsed(list []talk.Endpoint) []talk.Endpoint {
+	listed := map[string]bool{}
+	taken := map[string]bool{}
+	for _, ep := range list {
+		listed[ep.ID], taken[ep.Addr] = true, true
+	}
+	for _, ep := range ect.list {
+		if !listed[ep.ID] && !taken[ep.Addr] {
+			list = append(list, ep)
+		}
+	}
+	return list
+}
+
+// take makes a list the endpoints that are known.
+func (ect *endptsCtl) take(list []talk.Endpoint, now clock.Milli) {
+	for i := range list {
+		if _, left := ect.left[list[i].ID]; left {
+			list[i].Leaving = true
+		}
+	}
+	slices.SortFunc(list, func(x, y talk.Endpoint) int {
+		if x.ID < y.ID {
+			return -1
+		}
+		return 1
+	})
+	if slices.Equal(list, ect.list) {
+		return
+	}
+	ect.tell(list, now)
+	ect.list = list
+	ect.ctl.dirty = true
+}
+
+// takeShared takes another instance's list if this one has none yet.
+func (ect *endptsCtl) takeShared(list []talk.Endpoint) {
+	if !ect.seen && len(ect.list) == 0 {
+		ect.take(list, ect.ctl.set.Clock.Now())
+	}
+}
+
+// tell writes down each endpoint that came, left or began to leave.
+func (ect *endptsCtl) tell(list []talk.Endpoint, now clock.Milli) {
+	before := map[string]talk.Endpoint{}
+	for _, ep := range ect.list {
+		before[ep.ID] = ep
+	}
+	for _, ep := range list {
+		old, ok := before[ep.ID]
+		delete(before, ep.ID)
+		if !ok || old.Leaving != ep.Leaving {
+			ect.ctl.set.Log.Info().Str("endpoint", ep.ID).Str("pool", ep.Pool).Str("addr", ep.Addr).
+				Bool("new", !ok).Bool("leaving", ep.Leaving).Msg("endpoint changed")
+		}
+	}
+	for id, ep := range before {
+		ect.ctl.set.Log.Info().Str("endpoint", id).Str("pool", ep.Pool).Str("addr", ep.Addr).
+			Int64("store_up_ms", int64(now-ect.upSince)).Msg("endpoint gone")
+	}
+}
+
+// tellFaults writes down each entry that can't be read, once.
+func (ect *endptsCtl) tellFaults(faults []error) {
+	now := map[string]bool{}
+	for _, fault := range faults {
+		now[fault.Error()] = true
+		if !ect.faults[fault.Error()] {
+			ect.ctl.set.Log.Error().Err(fault).Msg("an endpoint's entry can't be read and is left out")
+		}
+	}
+	ect.faults = now
+}
+
+func (ect *endptsCtl) step(now clock.Milli) {
+	for id, at := range ect.left {
+		if now-at > leftFor {
+			delete(ect.left, id)
+		}
+	}
+}
+
+// heardLeaving notes an endpoint that is leaving, whoever said so first, and
+// passes it on with the next probes: the store may lag or be down.
+func (ect *endptsCtl) heardLeaving(id, why string, now clock.Milli) {
+	if _, ok := ect.left[id]; ok {
+		return
+	}
+	ect.left[id] = now
+	ect.ctl.set.Log.Info().Str("endpoint", id).Str("why", why).Msg("endpoint leaves")
+	ect.take(slices.Clone(ect.list), now)
+}
+
+// lately lists the endpoints that were heard to be leaving.
+func (ect *endptsCtl) lately() []string {
+	ids := make([]string, 0, len(ect.left))
+	for id := range ect.left {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids[:min(len(ids), maxLeft)]
+}
--- /dev/null
+++ b/internal/state/view.go
@@ -0,0 +1,53 @@
+package state
+
+import (
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/plan"
+)
+
+// View is what traffic sees of the control state. It is never changed.
+type View struct {
+	plan      *plan.Plan
+	offset    int64
+	asOf      clock.Milli
+	endpoints []talk.Endpoint
+	members   []member.Member
+	homes     map[string][]ident.Incarnation
+	leaving   bool
+	othersOK  bool
+}
+
+// Plan gives the plan in force, nil while none is known.
+func (vw *View) Plan() *plan.Plan { return vw.plan }
+
+// Offset gives the offset of the documents, which orders them.
+func (vw *View) Offset() int64 { return vw.offset }
+
+// Age gives how long ago the documents were known to be the newest.
+func (vw *View) Age(now clock.Milli) clock.Milli { return now - vw.asOf }
+
+// Members gives the instances that are not dead.
+func (vw *View) Members() []member.Member { return vw.members }
+
+// Endpoints gives all endpoints.
+func (vw *View) Endpoints() []talk.Endpoint { return vw.endpoints }
+
+// Gatherers lists the instances in the order in which they gather a pool's
+// pieces.
+func (vw *View) Gatherers(pool string) []ident.Incarnation { return vw.homes[pool] }
+
+// Leaving tells that a planned stop is under way.
+func (vw *View) Leaving() bool { return vw.leaving }
+
+// Ready tells whether callers should be sent here. An instance whose documents
+// may be old is not ready while another one's are not; when nobody's are known to
+// be new, as in an outage of the store, all go on with what they have.
+func (vw *View) Ready(now clock.Milli) bool {
+	if vw.plan == nil || vw.leaving {
+		return false
+	}
+	return vw.Age(now) <= staleAfter || !vw.othersOK
+}
--- /dev/null
+++ b/pkg/gather/gather.go
@@ -0,0 +1,433 @@
+package gather
+
+import (
+	"cmp"
+	"slices"
+
+	"amaranthvalve/pkg/clock"
+)
+
+// Constants of the choice.
+const (
+	// speedShare is the weight of a new call in an endpoint's speed.
+	speedShare = 0.3
+	// slowFrom is how many times its planned time an endpoint takes before it
+	// is passed over while others will be free sooner.
+	slowFrom = 1.6
+	// benchFor is how long an endpoint that failed a call gets none; it doubles
+	// with each failure in a row, up to maxBench.
+	benchFor = 500 * clock.Milli(1)
+	maxBench = 4 * clock.Second
+	// hangFactor times the expected time of a call, and hangMargin beyond it,
+	// is how long an answer is waited for. A silent endpoint looks like a slow
+	// one until then.
+	hangFactor = 3.0
+	hangMargin = 300 * clock.Milli(1)
+	// lookAhead times the size of a call is how many of the most urgent pieces
+	// are looked at for those of the endpoint's own data centre.
+	lookAhead = 2
+	// rankStep is how much earlier each step of priority makes a piece.
+	rankStep = 100 * clock.Milli(1)
+)
+
+// Spec tells how each endpoint of the pool takes pieces.
+type Spec struct {
+	// Places is how many calls an endpoint works on at once.
+	Places int
+	// Most is the number of pieces in a call.
+	Most int
+	// Call is the time of a call and Item what each piece adds, in
+	// milliseconds.
+	Call float64
+	Item float64
+	// Room is what an endpoint holds of results, in bytes; zero for no bound.
+	Room int64
+	// Keep is how long a result is held that nobody gives back.
+	Keep clock.Milli
+}
+
+// Time gives the planned time of a call of n pieces.
+func (spc Spec) Time(n int) clock.Milli {
+	return clock.Milli(spc.Call + spc.Item*float64(n))
+}
+
+// Maker is an endpoint that makes pieces.
+type Maker struct {
+	ID      string
+	Addr    string
+	Zone    string
+	Leaving bool
+}
+
+// Piece is one piece of one stage of one request.
+type Piece struct {
+	// ID is given by whoever adds the piece and names it in all that follows.
+	ID int64
+	// Due is the instant by which the piece must be made for its request to be
+	// in time; Until the one after which it is of no use at all.
+	Due   clock.Milli
+	Until clock.Milli
+	// Rank is the request's priority, 0 first.
+	Rank int
+	// Zone is where the result will be used; empty if that matters not.
+	Zone string
+	// Bytes is the rough size of the result.
+	Bytes int64
+}
+
+// Batch is a call to be made.
+type Batch struct {
+	ID     int64
+	Maker  Maker
+	Pieces []Piece
+	// GiveUp is how long to wait for the answer.
+	GiveUp clock.Milli
+}
+
+// Result is a piece that was made and takes room until it is given back.
+type Result struct {
+	Handle string
+	Bytes  int64
+}
+
+// Verdict tells how a call ended.
+type Verdict int
+
+// The verdicts.
+const (
+	// Made: the endpoint answered, whatever it said of each piece.
+	Made Verdict = iota
+	// Full: it had no place for the call.
+	Full
+	// Failed: no answer, or nonsense.
+	Failed
+	// GivenUp: we ended the call ourselves; nothing is learned.
+	GivenUp
+)
+
+type maker struct {
+	Maker
+	calls    int
+	held     int64
+	speed    float64
+	failures int
+	closed   clock.Milli
+}
+
+type call struct {
+	maker  *maker
+	count  int
+	bytes  int64
+	began  clock.Milli
+	expect clock.Milli
+}
+
+type held struct {
+	maker *maker
+	bytes int64
+	until clock.Milli
+}
+
+// Book is what an instance that gathers a pool knows of it. The zero value is an
+// empty pool. It is not safe for concurrent use.
+type Book struct {
+	spec    Spec
+	makers  []*maker
+	byID    map[string]*maker
+	waiting []Piece
+	calls   map[int64]*call
+	results map[string]held
+	next    int64
+}
+
+// Set gives the pool's specification.
+func (bk *Book) Set(spc Spec) { bk.spec = spc }
+
+// Sync makes the book hold just these endpoints; what is known of those that
+// stay is kept. One that was heard to be leaving stays so.
+func (bk *Book) Sync(list []Maker) {
+	byID := make(map[string]*maker, len(list))
+	makers := make([]*maker, 0, len(list))
+	for _, mkr := range list {
+		cur, ok := bk.byID[mkr.ID]
+		if !ok {
+			cur = &maker{speed: 1}
+		}
+		leaving := cur.Leaving || mkr.Leaving
+		cur.Maker = mkr
+		cur.Leaving = leaving
+		byID[mkr.ID] = cur
+		makers = append(makers, cur)
+	}
+	bk.makers, bk.byID = makers, byID
+}
+
+// Leave notes that an endpoint is leaving.
+func (bk *Book) Leave(id string) {
+	if mkr, ok := bk.byID[id]; ok {
+		mkr.Leaving = true
+	}
+}
+
+// Add takes a piece that waits from now on.
+func (bk *Book) Add(pc Piece) { bk.waiting = append(bk.waiting, pc) }
+
+// Remove takes a piece out that nobody wants any more; false if it doesn't wait.
+func (bk *Book) Remove(id int64) bool {
+	before := len(bk.waiting)
+	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool { return pc.ID == id })
+	return before > len(bk.waiting)
+}
+
+// Expired takes out the pieces that can't be made in any use of time and gives
+// them.
+func (bk *Book) Expired(now clock.Milli) []Piece {
+	var gone []Piece
+	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool {
+		if now+bk.spec.Time(1) <= pc.Until {
+			return false
+		}
+		gone = append(gone, pc)
+		return true
+	})
+	return gone
+}
+
+// Waiting gives the number of pieces that wait.
+func (bk *Book) Waiting() int { return len(bk.waiting) }
+
+// Usable counts the endpoints that get calls at all.
+func (bk *Book) Usable() int {
+	n := 0
+	for _, mkr := range bk.makers {
+		if !mkr.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Wait estimates how long a piece that is added now waits until its call begins,
+// if all that is less urgent lets it pass: the calls under way, and the pieces
+// that wait in calls as full as they can be.
+func (bk *Book) Wait(now clock.Milli) clock.Milli {
+	rate := 0.0
+	soonest := clock.Milli(-1)
+	for _, mkr := range bk.makers {
+		if mkr.Leaving || now < mkr.closed {
+			continue
+		}
+		rate += float64(max(bk.spec.Places, 1)) / mkr.speed
+		if left := bk.left(mkr, now); soonest < 0 || left < soonest {
+			soonest = left
+		}
+	}
+	if rate == 0 {
+		return maxBench
+	}
+	full := float64(bk.spec.Time(bk.spec.Most))
+	calls := float64(len(bk.waiting)) / float64(max(bk.spec.Most, 1))
+	return soonest + clock.Milli(calls*full/rate)
+}
+
+// left gives the time until an endpoint's next place comes free.
+func (bk *Book) left(mkr *maker, now clock.Milli) clock.Milli {
+	if mkr.calls < max(bk.spec.Places, 1) {
+		return 0
+	}
+	soonest := clock.Milli(0)
+	for _, cl := range bk.calls {
+		if cl.maker != mkr {
+			continue
+		}
+		if left := max(cl.began+cl.expect-now, 1); soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	return soonest
+}
+
+// Next gives a call to be made now; false if there is nothing to do.
+func (bk *Book) Next(now clock.Milli) (Batch, bool) {
+	if len(bk.waiting) == 0 {
+		return Batch{}, false
+	}
+	bk.forget(now)
+	open := bk.open(now)
+	if len(open) == 0 {
+		return Batch{}, false
+	}
+	bk.sort(now)
+	mkr := bk.choose(open)
+	if mkr == nil {
+		return Batch{}, false
+	}
+	return bk.fill(mkr, now)
+}
+
+// forget drops results that their makers hold no longer.
+func (bk *Book) forget(now clock.Milli) {
+	for handle, res := range bk.results {
+		if now > res.until {
+			res.maker.held -= res.bytes
+			delete(bk.results, handle)
+		}
+	}
+}
+
+// open lists the endpoints with a free place. A slow one is left out while a
+// well one would have made the piece sooner.
+func (bk *Book) open(now clock.Milli) []*maker {
+	var free []*maker
+	soonest := clock.Milli(-1)
+	for _, mkr := range bk.makers {
+		if mkr.Leaving || now < mkr.closed {
+			continue
+		}
+		done := bk.left(mkr, now) + clock.Milli(mkr.speed*float64(bk.spec.Time(1)))
+		if soonest < 0 || done < soonest {
+			soonest = done
+		}
+		if mkr.calls < max(bk.spec.Places, 1) {
+			free = append(free, mkr)
+		}
+	}
+	return slices.DeleteFunc(free, func(mkr *maker) bool {
+		return mkr.speed > slowFrom && clock.Milli(mkr.speed*float64(bk.spec.Time(1))) > soonest
+	})
+}
+
+// sort puts the waiting pieces in their order: those that can still be in time
+// by the instant at which they are due, then the others.
+func (bk *Book) sort(now clock.Milli) {
+	one := bk.spec.Time(1)
+	slices.SortStableFunc(bk.waiting, func(x, y Piece) int {
+		lateX, lateY := now+one > x.Due, now+one > y.Due
+		if lateX != lateY {
+			if lateX {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(x.Due+clock.Milli(x.Rank)*rankStep, y.Due+clock.Milli(y.Rank)*rankStep)
+	})
+}
+
+// choose takes, of the open endpoints with room for the most urgent piece that
+// fits anywhere, the one whose data centre most of the next call wants.
+func (bk *Book) choose(open []*maker) *maker {
+	next := bk.waiting[:min(len(bk.waiting), bk.spec.Most)]
+	var best *maker
+	bestFor := -1
+	for _, mkr := range open {
+		if !bk.fits(mkr, 0, next[0]) {
+			continue
+		}
+		wanted := 0
+		for _, pc := range next {
+			if pc.Zone == mkr.Zone {
+				wanted++
+			}
+		}
+		if wanted > bestFor || wanted == bestFor && (mkr.speed < best.speed || mkr.speed == best.speed && mkr.held < best.held) {
+			best, bestFor = mkr, wanted
+		}
+	}
+	return best
+}
+
+func (bk *Book) fits(mkr *maker, taken int64, pc Piece) bool {
+	return bk.spec.Room == 0 || mkr.held+taken+pc.Bytes <= bk.spec.Room
+}
+
+// fill takes pieces for a call: the most urgent one, then those among the next
+// that want the endpoint's data centre or none, then whatever fits.
+func (bk *Book) fill(mkr *maker, now clock.Milli) (Batch, bool) {
+	look := bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)]
+	taken := map[int64]bool{}
+	var bytes int64
+	bat := Batch{Maker: mkr.Maker}
+	for pass := range 2 {
+		for i, pc := range look {
+			near := i == 0 || pc.Zone == "" || pc.Zone == mkr.Zone
+			if len(bat.Pieces) >= bk.spec.Most || taken[pc.ID] || pass == 0 && !near || !bk.fits(mkr, bytes, pc) {
+				continue
+			}
+			taken[pc.ID] = true
+			bytes += pc.Bytes
+			bat.Pieces = append(bat.Pieces, pc)
+		}
+	}
+	if len(bat.Pieces) == 0 {
+		return Batch{}, false
+	}
+	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool { return taken[pc.ID] })
+	bk.next++
+	bat.ID = bk.next
+	expect := clock.Milli(mkr.speed * float64(bk.spec.Time(len(bat.Pieces))))
+	bat.GiveUp = clock.Milli(hangFactor*float64(max(expect, bk.spec.Time(bk.spec.Most)))) + hangMargin
+	if bk.calls == nil {
+		bk.calls = map[int64]*call{}
+	}
+	bk.calls[bat.ID] = &call{maker: mkr, count: len(bat.Pieces), bytes: bytes, began: now, expect: expect}
+	mkr.calls++
+	mkr.held += bytes
+	return bat, true
+}
+
+// Ended notes the end of a call, with the results that it made.
+func (bk *Book) Ended(id int64, ver Verdict, made []Result, now clock.Milli) {
+	cl, ok := bk.calls[id]
+	if !ok {
+		return
+	}
+	delete(bk.calls, id)
+	mkr := cl.maker
+	mkr.calls--
+	mkr.held -= cl.bytes
+	if bk.results == nil {
+		bk.results = map[string]held{}
+	}
+	for _, res := range made {
+		bk.results[res.Handle] = held{maker: mkr, bytes: res.Bytes, until: now + bk.spec.Keep}
+		mkr.held += res.Bytes
+	}
+	bk.judge(mkr, cl, ver, now)
+}
+
+func (bk *Book) judge(mkr *maker, cl *call, ver Verdict, now clock.Milli) {
+	switch ver {
+	case Made:
+		mkr.failures = 0
+		ratio := float64(max(now-cl.began, 1)) / float64(max(bk.spec.Time(cl.count), 1))
+		mkr.speed += speedShare * (max(ratio, 0.5) - mkr.speed)
+	case Full:
+		// Somebody else gathers here too, or calls of the one before us are
+		// still under way; half a call later a place may be free.
+		mkr.closed = now + bk.spec.Time(1)/2
+	case Failed:
+		mkr.closed = now + min(benchFor<<min(mkr.failures, 5), maxBench)
+		mkr.failures++
+	case GivenUp:
+	}
+}
+
+// Free notes that a result was given back, and tells whose it was; false if it
+// is not known here.
+func (bk *Book) Free(handle string) (Maker, bool) {
+	res, ok := bk.results[handle]
+	if !ok {
+		return Maker{}, false
+	}
+	res.maker.held -= res.bytes
+	delete(bk.results, handle)
+	return res.maker.Maker, true
+}
+
+// Held gives the bytes of results that an endpoint holds, as far as known.
+func (bk *Book) Held(id string) int64 {
+	if mkr, ok := bk.byID[id]; ok {
+		return mkr.held
+	}
+	return 0
+}
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -66,6 +66,18 @@
 	return rank(name, serving)[0]
 }
 
+// Homes lists the live members in the order in which they look after a name: the
+// second takes over when the first can't be reached.
+func (lst *List) Homes(name string) []ident.Incarnation {
+	var serving []ident.Incarnation
+	for who, mbr := range lst.members {
+		if mbr.news.Status == Alive {
+			serving = append(serving, who)
+		}
+	}
+	return rank(name, serving)
+}
+
 // Rank gives the instance's place among the members in the order of their names,
 // so that they can take turns at what one of them should do.
 func (lst *List) Rank() int {
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -60,6 +60,9 @@
 	Beat    uint64 `cbor:"7,keyasint"`
 	// Load is the requests under way at the member.
 	Load int `cbor:"8,keyasint"`
+	// Stale tells that the member may go by old documents; callers are sent to
+	// others while there are any.
+	Stale bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Member is what is known of one instance.
@@ -91,6 +94,9 @@
 // Load gives the requests that it said were under way.
 func (mbr Member) Load() int { return mbr.news.Load }
 
+// Stale tells that the member said it may go by old documents.
+func (mbr Member) Stale() bool { return mbr.news.Stale }
+
 // Heard gives the instant of the last sign of life, direct or by others.
 func (mbr Member) Heard() clock.Milli { return mbr.heard }
 
@@ -149,6 +155,9 @@
 	}
 }
 
+// SetStale notes whether the instance's own documents may be old.
+func (lst *List) SetStale(stale bool) { lst.members[lst.self].news.Stale = stale }
+
 // Find gives what is known of a member.
 func (lst *List) Find(who ident.Incarnation) (Member, bool) {
 	mbr, ok := lst.members[who]
@@ -203,7 +212,7 @@
 	fresh := item.Beat > cur.news.Beat
 	if fresh {
 		// The member itself took another turn since we last heard of it.
-		cur.news.Beat, cur.news.Load = item.Beat, item.Load
+		cur.news.Beat, cur.news.Load, cur.news.Stale = item.Beat, item.Load, item.Stale
 		cur.heard = now
 	}
 	cur.news.Applied = max(cur.news.Applied, item.Applied)
--- a/pkg/outcm/outcm.go
+++ b/pkg/outcm/outcm.go
@@ -56,13 +56,18 @@
 	AnswerLost                       // answer_lost
 	BadResume                        // bad_resume
 	Internal                         // internal
+	NoRoute                          // no_route
+	BadToken                         // bad_token
+	HeaderTooLarge                   // header_too_large
+	BodyTooLarge                     // body_too_large
+	Hopeless                         // hopeless
 )
 
 // Reasons lists every reason, for the counters and for tests that must cover
 // them all.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(Internal)+1)
-	for rs := None; rs <= Internal; rs++ {
+	all := make([]Reason, 0, int(Hopeless)+1)
+	for rs := None; rs <= Hopeless; rs++ {
 		all = append(all, rs)
 	}
 	return all
@@ -161,6 +166,10 @@
 	UnknownService:     http.StatusNotFound,
 	UnknownRequestKind: http.StatusNotFound,
 	UnknownWorkspace:   http.StatusForbidden,
+	NoRoute:            http.StatusNotFound,
+	BadToken:           http.StatusUnauthorized,
+	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
+	BodyTooLarge:       http.StatusRequestEntityTooLarge,
 	KeyConflict:        http.StatusConflict,
 	KeyExpired:         http.StatusGone,
 	TicketElsewhere:    http.StatusMisdirectedRequest,
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -73,15 +73,37 @@
 // Budget is the retry budget of one pool at one instance. The zero value is
 // full. It is not safe for concurrent use.
 type Budget struct {
-	spent float64
+	spent   float64
+	share   float64
+	reserve float64
 }
 
+// NewBudget returns a full budget in which each first attempt pays for a share of
+// a retry, and which holds as many as reserve; zeros stand for the package's own.
+// In any span there are at most reserve retries and a share of the first attempts
+// in it.
+func NewBudget(share, most float64) Budget { return Budget{share: share, reserve: most} }
+
+// SetReserve changes how many retries the budget holds: instances come and go, and
+// what all of them may do is divided among them.
+func (bdg *Budget) SetReserve(most float64) { bdg.reserve = most }
+
 // First notes a first attempt.
-func (bdg *Budget) First() { bdg.spent = max(0, bdg.spent-Share) }
+func (bdg *Budget) First() {
+	share := bdg.share
+	if share == 0 {
+		share = Share
+	}
+	bdg.spent = max(0, bdg.spent-share)
+}
 
 // Take asks for one retry.
 func (bdg *Budget) Take() bool {
-	if bdg.spent+1 > reserve {
+	most := bdg.reserve
+	if most == 0 {
+		most = reserve
+	}
+	if bdg.spent+1 > most {
 		return false
 	}
 	bdg.spent++
