pkg/gather, internal/front: jobs are not split, and pieces wait a little for a near endpoint

Each piece of the last stage fetches all results of the stage before it, six of 60 KB for each of ten pieces, mostly from other data centres; and jobs whose pieces were split over two calls were done only with the later one.

--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -22,6 +22,8 @@
 	// after which they are of no use.
 	Due   clock.Milli `cbor:"10,keyasint"`
 	Until clock.Milli `cbor:"11,keyasint"`
+	// Choosy is the span for which the pieces wait for their data centre.
+	Choosy clock.Milli `cbor:"12,keyasint,omitempty"`
 }
 
 // Filled is what became of an order.
@@ -49,6 +51,8 @@
 // order is an order that is being filled.
 type order struct {
 	Order
+	// job names the order in the book.
+	job     int64
 	results []Handle
 	missing int
 	tries   []int
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -18,9 +18,9 @@
 const (
 	// maxPieces bounds the pieces of one stage of one request.
 	maxPieces = 4096
-	// nearFrom is the size from which a result should be made near its use, in
-	// bytes: below it, which endpoint is free first matters more.
-	nearFrom = 256 << 10
+	// nearFrom is how many bytes a piece must spare between data centres to be
+	// made in a certain one; below it, which endpoint is free first matters more.
+	nearFrom = 128 << 10
 	// soonest and latest bound when a refused caller should come back.
 	soonest = 100 * clock.Milli(1)
 	latest  = 2 * clock.Second
@@ -126,7 +126,7 @@
 		for _, later := range waves[i+1:] {
 			after += cl.waveWork(later)
 		}
-		if res := fr.wave(ctx, cl, wave, after); res.Outcome() != outcm.Pending {
+		if res := fr.wave(ctx, cl, wave, after, len(waves)-i); res.Outcome() != outcm.Pending {
 			return res
 		}
 		fr.giveBackUsed(cl, waves[i+1:])
@@ -136,8 +136,9 @@
 	return nxt(ctx, cl)
 }
 
-// wave runs stages side by side; after is the time that what follows takes.
-func (fr *Front) wave(ctx context.Context, cl *call, wave []int, after clock.Milli) outcm.Result {
+// wave runs stages side by side; after is the time that what follows takes, and
+// left the number of waves from this one on, which share what time is to spare.
+func (fr *Front) wave(ctx context.Context, cl *call, wave []int, after clock.Milli, left int) outcm.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wgr sync.WaitGroup
@@ -149,7 +150,7 @@
 		wgr.Add(1)
 		go func() {
 			defer wgr.Done()
-			outs[i] = fr.stage(ctx, cl, stg, after)
+			outs[i] = fr.stage(ctx, cl, stg, after, left)
 			if outs[i].flaw != talk.NoFlaw {
 				// Its sisters are of no use without it.
 				cancel()
@@ -180,7 +181,7 @@
 	cancelled bool
 }
 
-func (fr *Front) stage(ctx context.Context, cl *call, stg int, after clock.Milli) stageOut {
+func (fr *Front) stage(ctx context.Context, cl *call, stg int, after clock.Milli, left int) stageOut {
 	raw := cl.route.Stages()[stg]
 	ord := batch.Order{
 		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.count(stg), Bytes: raw.Bytes, Rank: cl.rank,
@@ -190,8 +191,9 @@
 	} else {
 		ord.Inputs = cl.handles(raw.After)
 	}
-	if raw.Bytes >= nearFrom {
-		ord.Zone = cl.engine.Zone
+	ord.Zone = cl.near(stg)
+	if slack := cl.due - after - cl.work(stg) - fr.set.Clock.Now(); ord.Zone != "" && slack > 0 {
+		ord.Choosy = slack / clock.Milli(2*(left+1))
 	}
 	fld, home := fr.homes.fill(ctx, fr.set.Control.View(), ord, func() (due, until clock.Milli) {
 		now := fr.set.Clock.Now()
@@ -207,6 +209,32 @@
 	return out
 }
 
+// near gives the data centre in which a stage's pieces should be made: the one that
+// spares most bytes between data centres. Each piece fetches all results that its
+// stage takes, and those of the last stages are fetched by the model engine.
+func (cl *call) near(stg int) string {
+	raw := cl.route.Stages()[stg]
+	pull := map[string]int64{}
+	if slices.Contains(cl.route.Leaves(), stg) {
+		pull[cl.engine.Zone] += raw.Bytes
+	}
+	for _, mad := range cl.made {
+		if !slices.Contains(raw.After, mad.stage) {
+			continue
+		}
+		for _, res := range mad.list {
+			pull[res.Zone] += cl.route.Stages()[mad.stage].Bytes
+		}
+	}
+	best, most := "", int64(nearFrom-1)
+	for zone, bytes := range pull {
+		if bytes > most || bytes == most && zone < best {
+			best, most = zone, bytes
+		}
+	}
+	return best
+}
+
 // refuseStage gives the refusal for a stage that was not made. Nothing with an
 // effect ran.
 func (fr *Front) refuseStage(cl *call, out *stageOut) outcm.Result {
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -63,14 +63,20 @@
 type Piece struct {
 	// ID is given by whoever adds the piece and names it in all that follows.
 	ID int64
+	// Job is the order that the piece belongs to: pieces of one stage of one
+	// request, which is not done before all of them are made.
+	Job int64
 	// Due is the instant by which the piece must be made for its request to be
 	// in time; Until the one after which it is of no use at all.
 	Due   clock.Milli
 	Until clock.Milli
 	// Rank is the request's priority, 0 first.
 	Rank int
-	// Zone is where the result will be used; empty if that matters not.
-	Zone string
+	// Zone is where the piece should be made, for what it takes or for who takes
+	// it; empty if that matters not. Until Choosy the piece waits for an endpoint
+	// there.
+	Zone   string
+	Choosy clock.Milli
 	// Bytes is the rough size of the result.
 	Bytes int64
 }
@@ -258,11 +264,31 @@
 		return Batch{}, false
 	}
 	bk.sort(now)
-	mkr := bk.choose(open)
-	if mkr == nil {
-		return Batch{}, false
+	for len(open) > 0 {
+		mkr := bk.choose(open, now)
+		if mkr == nil {
+			return Batch{}, false
+		}
+		if bat, ok := bk.fill(mkr, now); ok {
+			return bat, true
+		}
+		open = slices.DeleteFunc(open, func(oth *maker) bool { return oth == mkr })
+	}
+	return Batch{}, false
+}
+
+// waitsFor tells whether a piece is still waiting for an endpoint of another data
+// centre than this one.
+func (bk *Book) waitsFor(pc Piece, mkr *maker, now clock.Milli) bool {
+	if pc.Zone == "" || pc.Zone == mkr.Zone || now >= pc.Choosy  {
+		return false
+	}
+	for _, oth := range bk.makers {
+		if oth.Zone == pc.Zone && !oth.Leaving && now >= oth.closed && oth.speed <= slowFrom {
+			return true
+		}
 	}
-	return bk.fill(mkr, now)
+	return false
 }
 
 // forget drops results that their makers hold no longer.
@@ -313,22 +339,26 @@
 	})
 }
 
-// choose takes, of the open endpoints with room for the most urgent piece that
-// fits anywhere, the one whose data centre most of the next call wants.
-func (bk *Book) choose(open []*maker) *maker {
-	next := bk.waiting[:min(len(bk.waiting), bk.spec.Most)]
+// choose takes, of the open endpoints, the one whose data centre most of the next
+// call wants, among those that any of the most urgent pieces may go to now.
+func (bk *Book) choose(open []*maker, now clock.Milli) *maker {
+	next := bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)]
 	var best *maker
 	bestFor := -1
 	for _, mkr := range open {
-		if !bk.fits(mkr, 0, next[0]) {
-			continue
-		}
-		wanted := 0
+		wanted, able := 0, false
 		for _, pc := range next {
+			if bk.waitsFor(pc, mkr, now) || !bk.fits(mkr, 0, pc) {
+				continue
+			}
+			able = true
 			if pc.Zone == mkr.Zone {
 				wanted++
 			}
 		}
+		if !able {
+			continue
+		}
 		if wanted > bestFor || wanted == bestFor && (mkr.speed < best.speed || mkr.speed == best.speed && mkr.held < best.held) {
 			best, bestFor = mkr, wanted
 		}
@@ -340,24 +370,85 @@
 	return bk.spec.Room == 0 || mkr.held+taken+pc.Bytes <= bk.spec.Room
 }
 
-// fill takes pieces for a call: the most urgent one, then those among the next
-// that want the endpoint's data centre or none, then whatever fits.
+// fill takes pieces for a call: the most urgent job, then those of the next that
+// want the endpoint's data centre or none, then the others that fit whole, and last
+// parts of jobs if the call is still less than half full. A job that is split is
+// done only with the later of its calls, and whoever takes its results fetches them
+// from two places.
 func (bk *Book) fill(mkr *maker, now clock.Milli) (Batch, bool) {
-	look := bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)]
-	taken := map[int64]bool{}
-	var bytes int64
-	bat := Batch{Maker: mkr.Maker}
-	for pass := range 2 {
-		for i, pc := range look {
-			near := i == 0 || pc.Zone == "" || pc.Zone == mkr.Zone
-			if len(bat.Pieces) >= bk.spec.Most || taken[pc.ID] || pass == 0 && !near || !bk.fits(mkr, bytes, pc) {
-				continue
+	look := slices.Clone(bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)])
+	look = slices.DeleteFunc(look, func(pc Piece) bool { return bk.waitsFor(pc, mkr, now) || !bk.fits(mkr, 0, pc) })
+	if len(look) == 0 {
+		return Batch{}, false
+	}
+	cl := filling{bk: bk, mkr: mkr, taken: map[int64]bool{}}
+	jobs := jobsOf(look)
+	cl.take(jobs[0])
+	for _, near := range []bool{true, false} {
+		for _, job := range jobs[1:] {
+			if (job[0].Zone == "" || job[0].Zone == mkr.Zone) == near && cl.fits(job) {
+				cl.take(job)
 			}
-			taken[pc.ID] = true
-			bytes += pc.Bytes
-			bat.Pieces = append(bat.Pieces, pc)
 		}
 	}
+	for _, job := range jobs[1:] {
+		if 2*len(cl.pieces) < bk.spec.Most {
+			cl.take(job)
+		}
+	}
+	return bk.begin(mkr, cl, now)
+}
+
+// jobsOf groups pieces by their jobs, in the order of the first piece of each.
+func jobsOf(list []Piece) [][]Piece {
+	at := map[int64]int{}
+	var jobs [][]Piece
+	for _, pc := range list {
+		i, ok := at[pc.Job]
+		if !ok {
+			i = len(jobs)
+			at[pc.Job] = i
+			jobs = append(jobs, nil)
+		}
+		jobs[i] = append(jobs[i], pc)
+	}
+	return jobs
+}
+
+// filling is a call that is being filled.
+type filling struct {
+	bk     *Book
+	mkr    *maker
+	pieces []Piece
+	taken  map[int64]bool
+	bytes  int64
+}
+
+// fits tells whether a whole job has place and room in the call.
+func (cl *filling) fits(job []Piece) bool {
+	var bytes int64
+	for _, pc := range job {
+		bytes += pc.Bytes
+	}
+	return len(cl.pieces)+len(job) <= cl.bk.spec.Most && cl.bk.fits(cl.mkr, cl.bytes+bytes, Piece{})
+}
+
+// take takes as much of a job as fits.
+func (cl *filling) take(job []Piece) {
+	for _, pc := range job {
+		if len(cl.pieces) >= cl.bk.spec.Most || cl.taken[pc.ID] || !cl.bk.fits(cl.mkr, cl.bytes, pc) {
+			continue
+		}
+		cl.taken[pc.ID] = true
+		cl.bytes += pc.Bytes
+		cl.pieces = append(cl.pieces, pc)
+	}
+}
+
+// begin notes a call as begun.
+func (bk *Book) begin(mkr *maker, cl filling, now clock.Milli) (Batch, bool) {
+	bat := Batch{Maker: mkr.Maker, Pieces: cl.pieces}
+	taken, bytes := cl.taken, cl.bytes
 	if len(bat.Pieces) == 0 {
 		return Batch{}, false
 	}
