internal/batch, pkg/gather, internal/front: room is counted as the makers count it

A result counted as given back when its maker had not yet been told; a maker that had no room was asked again every few milliseconds; results of resumable streams were held to their end. Change: room is free when the maker answered, within 4 ms instead of 15; no call for 60 ms after a word of no room unless something was given back; results of a stream go back at its first byte, and it can't be resumed by us after that.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -24,7 +24,7 @@
 	lookAgain = 20 * clock.Milli(1)
 	// freeAfter is how long results to be given back are gathered for one call,
 	// and freeWait bounds the call.
-	freeAfter = 15 * clock.Milli(1)
+	freeAfter = 4 * clock.Milli(1)
 	freeWait  = time.Second
 )
 
@@ -170,9 +170,9 @@
 	if rep.Misdirected {
 		pol.set.Gone(ep.ID, "another endpoint answers at its address")
 	}
-	pol.log(bat, took, err)
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
+	pol.log(bat, made, took, err)
 	pol.take(bat, made, err)
 	pol.run()
 }
@@ -237,7 +237,10 @@
 	}
 	res := Handle{Name: made.Handle, Addr: mkr.Addr, Zone: mkr.Zone}
 	switch {
-	case made.Flaw == talk.NoRoom || made.Flaw == talk.Broken:
+	case made.Flaw == talk.NoRoom:
+		pol.book.Full(mkr.ID, pol.set.Clock.Now())
+		pol.again(id, made.Flaw)
+	case made.Flaw == talk.Broken:
 		pol.again(id, made.Flaw)
 	case made.Flaw != talk.NoFlaw:
 		pol.fail(id, made.Flaw)
@@ -273,13 +276,26 @@
 	pol.add(slt.ord, slt.index)
 }
 
-// log writes a line for a call that failed, or took long.
-func (pol *pool) log(bat gather.Batch, took clock.Milli, err error) {
+// log writes a line for a call that was not answered whole.
+func (pol *pool) log(bat gather.Batch, made []talk.Made, took clock.Milli, err error) {
+	flawed, room := 0, 0
+	for _, mad := range made {
+		if mad.Flaw != talk.NoFlaw {
+			flawed++
+		}
+		if mad.Flaw == talk.NoRoom {
+			room++
+		}
+	}
 	evt := pol.set.Log.Debug()
-	if err != nil {
+	switch {
+	case err != nil:
 		evt = pol.set.Log.Warn().Err(err)
+	case flawed > 0:
+		evt = pol.set.Log.Info()
 	}
-	evt.Str("pool", pol.name).Str("endpoint", bat.Maker.ID).Int("pieces", len(bat.Pieces)).
+	evt.Str("pool", pol.name).Str("endpoint", bat.Maker.ID).Int("pieces", len(bat.Pieces)).Int("flawed", flawed).Int("no_room", room).
+		Int64("held_bytes", pol.book.Held(bat.Maker.ID)).Int("waiting", pol.book.Waiting()).
 		Int64("took_ms", int64(took)).Int64("give_up_ms", int64(bat.GiveUp)).Msg("pieces called for")
 }
 
@@ -290,13 +306,11 @@
 	for _, res := range list {
 		pol.giveBack(res)
 	}
-	pol.run()
 }
 
 // giveBack gathers results for one call to their maker. A call that fails is not
 // repeated: the maker drops the result by itself after a while.
 func (pol *pool) giveBack(res Handle) {
-	pol.book.Free(res.Name)
 	if len(pol.freed[res.Addr]) == 0 {
 		sleep(freeAfter, func() { pol.flush(res.Addr) })
 	}
@@ -312,5 +326,14 @@
 	defer cancel()
 	if err := pol.set.Dialect.Free(ctx, pol.set.Client, addr, list); err != nil {
 		pol.set.Log.Warn().Err(err).Str("pool", pol.name).Str("addr", addr).Int("results", len(list)).Msg("results were not given back")
+		return
 	}
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	// Only now is there room: a call that was made a moment sooner would find
+	// none.
+	for _, name := range list {
+		pol.book.Free(name)
+	}
+	pol.run()
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -167,7 +167,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return res, false
-	case !end.RanNothing() && !cl.route.Repeatable():
+	case !end.RanNothing() && !cl.route.Repeatable(), len(cl.inputs) > 0 && len(cl.made) == 0:
 		return res, false
 	case run.ran >= cl.route.Attempts() || run.ran+run.refused >= cl.route.Attempts()+refusalsMore:
 		return res, false
@@ -201,11 +201,11 @@
 // answer hands an endpoint's answer on.
 func (run *running) answer(ctx context.Context, tgt target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
-	if !cl.route.Repeatable() {
-		// The endpoint has fetched what it takes, and no other one will.
-		fr.giveBack(cl, allStages)
-	}
 	if cl.route.Streams() && rsp.Status == http.StatusOK {
+		// The engine has fetched what it takes. A stream that breaks off can't
+		// go on elsewhere without it, but room is what bounds the stages:
+		// results that were held to the stream's end kept others waiting.
+		fr.giveBack(cl, allStages)
 		return run.stream(ctx, tgt, rsp, began)
 	}
 	body, err := io.ReadAll(io.LimitReader(rsp.Body, keptWhole+1))
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -23,6 +23,9 @@
 	// one until then.
 	hangFactor = 3.0
 	hangMargin = 300 * clock.Milli(1)
+	// fullFor is how long an endpoint that had no room gets no call, unless
+	// something is given back sooner.
+	fullFor = 60 * clock.Milli(1)
 	// lookAhead times the size of a call is how many of the most urgent pieces
 	// are looked at for those of the endpoint's own data centre.
 	lookAhead = 2
@@ -118,6 +121,8 @@
 	speed    float64
 	failures int
 	closed   clock.Milli
+	// full is until when the endpoint has no room, by its own word.
+	full clock.Milli
 }
 
 type call struct {
@@ -307,7 +312,7 @@
 	var free []*maker
 	soonest := clock.Milli(-1)
 	for _, mkr := range bk.makers {
-		if mkr.Leaving || now < mkr.closed {
+		if mkr.Leaving || now < mkr.closed || now < mkr.full {
 			continue
 		}
 		done := bk.left(mkr, now) + clock.Milli(mkr.speed*float64(bk.spec.Time(1)))
@@ -503,6 +508,15 @@
 	}
 }
 
+// Full notes that an endpoint had no room for a piece. Sizes are rough, and another
+// instance may hold results there: whatever our count says, more is not tried until
+// something was given back or a moment has passed.
+func (bk *Book) Full(id string, now clock.Milli) {
+	if mkr, ok := bk.byID[id]; ok {
+		mkr.full = now + fullFor
+	}
+}
+
 // Free notes that a result was given back, and tells whose it was; false if it
 // is not known here.
 func (bk *Book) Free(handle string) (Maker, bool) {
@@ -511,6 +525,7 @@
 		return Maker{}, false
 	}
 	res.maker.held -= res.bytes
+	res.maker.full = 0
 	delete(bk.results, handle)
 	return res.maker.Maker, true
 }
