internal/peer, pkg/gather: replaced instances end old links at once; slow endpoints remembered

Cause: in a rolling stop 85 orders were lost for 700 ms each at an instance that had just started at the address of one before it: its peers still sent on the old connections. And a slow endpoint's call was given up at three times its time, and the endpoint called again half a second later as if it were well. Ruled out: late word of the stop (it reaches all within 100 ms). Change: connections are closed with a word at a planned stop, and by a stateless reset that follows from the address after a kill; a call without an answer counts as slowness, of which half is forgotten in 3 s.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/binary"
@@ -114,6 +115,8 @@
 
 	mtx   sync.Mutex
 	conns map[string]*conn
+	// taken are the connections that others opened.
+	taken map[*quic.Conn]struct{}
 }
 
 type conn struct {
@@ -195,7 +198,11 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	lnk := &Link{trn: &quic.Transport{Conn: sock}, client: client, handle: handle, conns: map[string]*conn{}}
+	reset := resetKey(sock.LocalAddr().String())
+	lnk := &Link{
+		trn: &quic.Transport{Conn: sock, StatelessResetKey: &reset}, client: client, handle: handle,
+		conns: map[string]*conn{}, taken: map[*quic.Conn]struct{}{},
+	}
 	lnk.lsn, err = lnk.trn.Listen(server, settings())
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -203,6 +210,16 @@
 	return lnk, nil
 }
 
+// resetKey gives the key by which a process tells the peers of an earlier process at
+// its address that their connections have ended (RFC 9000, section 10.3). Those send
+// into the void otherwise until they have heard nothing for a while, and requests
+// wait with them. It must be the same for both processes, of which one knows nothing
+// of the other; so it follows from the address. Whoever can read and forge packets
+// on the link could end connections by it, and could do so by dropping packets too.
+func resetKey(addr string) quic.StatelessResetKey {
+	return quic.StatelessResetKey(sha256.Sum256([]byte(protocol + addr)))
+}
+
 func settings() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:       idleFor,
@@ -219,6 +236,7 @@
 	for {
 		qcn, err := lnk.lsn.Accept(ctx)
 		if err != nil {
+			lnk.farewell()
 			_ = lnk.lsn.Close()
 			_ = lnk.trn.Close()
 			_ = lnk.trn.Conn.Close()
@@ -228,7 +246,28 @@
 	}
 }
 
+// farewell closes all connections, so that their other ends needn't find out that
+// we are gone.
+func (lnk *Link) farewell() {
+	lnk.mtx.Lock()
+	defer lnk.mtx.Unlock()
+	for qcn := range lnk.taken {
+		_ = qcn.CloseWithError(0, "stopped")
+	}
+	for _, cur := range lnk.conns {
+		_ = cur.qcn.CloseWithError(0, "stopped")
+	}
+}
+
 func (lnk *Link) accept(ctx context.Context, qcn *quic.Conn) {
+	lnk.mtx.Lock()
+	lnk.taken[qcn] = struct{}{}
+	lnk.mtx.Unlock()
+	defer func() {
+		lnk.mtx.Lock()
+		delete(lnk.taken, qcn)
+		lnk.mtx.Unlock()
+	}()
 	for {
 		str, err := qcn.AcceptStream(ctx)
 		if err != nil {
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"amaranthvalve/pkg/clock"
@@ -14,6 +15,9 @@
 	// slowFrom is how many times its planned time an endpoint takes before it
 	// is passed over while others will be free sooner.
 	slowFrom = 1.6
+	// speedHalf is the time after which half of an endpoint's slowness is
+	// forgotten, so that one which nobody calls is tried again.
+	speedHalf = 3000.0
 	// benchFor is how long an endpoint that failed a call gets none; it doubles
 	// with each failure in a row, up to maxBench.
 	benchFor = 500 * clock.Milli(1)
@@ -119,12 +123,23 @@
 	calls    int
 	held     int64
 	speed    float64
+	speedAt  clock.Milli
 	failures int
 	closed   clock.Milli
 	// full is until when the endpoint has no room, by its own word.
 	full clock.Milli
 }
 
+// slowness gives how many times its planned time the endpoint's calls take.
+func (mkr *maker) slowness(now clock.Milli) float64 {
+	if mkr.speed <= 1 {
+		return mkr.speed
+	}
+	return 1 + (mkr.speed-1)*math.Exp2(-float64(now-mkr.speedAt)/speedHalf)
+}
+
+func (mkr *maker) setSpeed(speed float64, now clock.Milli) { mkr.speed, mkr.speedAt = speed, now }
+
 type call struct {
 	maker  *maker
 	count  int
@@ -228,7 +243,7 @@
 		if mkr.Leaving || now < mkr.closed {
 			continue
 		}
-		rate += float64(max(bk.spec.Places, 1)) / mkr.speed
+		rate += float64(max(bk.spec.Places, 1)) / mkr.slowness(now)
 		if left := bk.left(mkr, now); soonest < 0 || left < soonest {
 			soonest = left
 		}
@@ -289,7 +304,7 @@
 		return false
 	}
 	for _, oth := range bk.makers {
-		if oth.Zone == pc.Zone && !oth.Leaving && now >= oth.closed && oth.speed <= slowFrom {
+		if oth.Zone == pc.Zone && !oth.Leaving && now >= oth.closed && oth.slowness(now) <= slowFrom {
 			return true
 		}
 	}
@@ -315,7 +330,7 @@
 		if mkr.Leaving || now < mkr.closed || now < mkr.full {
 			continue
 		}
-		done := bk.left(mkr, now) + clock.Milli(mkr.speed*float64(bk.spec.Time(1)))
+		done := bk.left(mkr, now) + clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1)))
 		if soonest < 0 || done < soonest {
 			soonest = done
 		}
@@ -324,7 +339,7 @@
 		}
 	}
 	return slices.DeleteFunc(free, func(mkr *maker) bool {
-		return mkr.speed > slowFrom && clock.Milli(mkr.speed*float64(bk.spec.Time(1))) > soonest
+		return mkr.slowness(now) > slowFrom && clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1))) > soonest
 	})
 }
 
@@ -364,13 +379,21 @@
 		if !able {
 			continue
 		}
-		if wanted > bestFor || wanted == bestFor && (mkr.speed < best.speed || mkr.speed == best.speed && mkr.held < best.held) {
+		if wanted > bestFor || wanted == bestFor && better(mkr, best, now) {
 			best, bestFor = mkr, wanted
 		}
 	}
 	return best
 }
 
+// better tells which of two endpoints that are wanted alike is taken.
+func better(mkr, than *maker, now clock.Milli) bool {
+	if mkr.slowness(now) != than.slowness(now) {
+		return mkr.slowness(now) < than.slowness(now)
+	}
+	return mkr.held < than.held
+}
+
 func (bk *Book) fits(mkr *maker, taken int64, pc Piece) bool {
 	return bk.spec.Room == 0 || mkr.held+taken+pc.Bytes <= bk.spec.Room
 }
@@ -460,7 +483,7 @@
 	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool { return taken[pc.ID] })
 	bk.next++
 	bat.ID = bk.next
-	expect := clock.Milli(mkr.speed * float64(bk.spec.Time(len(bat.Pieces))))
+	expect := clock.Milli(mkr.slowness(now) * float64(bk.spec.Time(len(bat.Pieces))))
 	bat.GiveUp = clock.Milli(hangFactor*float64(max(expect, bk.spec.Time(bk.spec.Most)))) + hangMargin
 	if bk.calls == nil {
 		bk.calls = map[int64]*call{}
@@ -496,12 +519,15 @@
 	case Made:
 		mkr.failures = 0
 		ratio := float64(max(now-cl.began, 1)) / float64(max(bk.spec.Time(cl.count), 1))
-		mkr.speed += speedShare * (max(ratio, 0.5) - mkr.speed)
+		was := mkr.slowness(now)
+		mkr.setSpeed(was+speedShare*(max(ratio, 0.5)-was), now)
 	case Full:
 		// Somebody else gathers here too, or calls of the one before us are
 		// still under way; half a call later a place may be free.
 		mkr.closed = now + bk.spec.Time(1)/2
 	case Failed:
+		// No answer says that a call takes at least so long.
+		mkr.setSpeed(max(mkr.slowness(now), float64(now-cl.began)/float64(max(bk.spec.Time(cl.count), 1))), now)
 		mkr.closed = now + min(benchFor<<min(mkr.failures, 5), maxBench)
 		mkr.failures++
 	case GivenUp:
