internal/front: nothing waits for a near endpoint while pools are crowded

Cause: with 200 pieces waiting, calls of the middle stage were filled to 5 of 8: its results hold room until the stage after it has taken them, and that one was waiting for near endpoints.

--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -21,6 +21,9 @@
 	// nearFrom is how many bytes a piece must spare between data centres to be
 	// made in a certain one; below it, which endpoint is free first matters more.
 	nearFrom = 128 << 10
+	// crowdedFrom is the wait at a pool from which on nothing waits for a near
+	// endpoint: about half the time of a call.
+	crowdedFrom = 200 * clock.Milli(1)
 	// soonest and latest bound when a refused caller should come back.
 	soonest = 100 * clock.Milli(1)
 	latest  = 2 * clock.Second
@@ -192,7 +195,7 @@
 		ord.Inputs = cl.handles(raw.After)
 	}
 	ord.Zone = cl.near(stg)
-	if slack := cl.due - after - cl.work(stg) - fr.set.Clock.Now(); ord.Zone != "" && slack > 0 {
+	if slack := cl.due - after - cl.work(stg) - fr.set.Clock.Now(); ord.Zone != "" && slack > 0 && !fr.crowded(cl) {
 		ord.Choosy = slack / clock.Milli(2*(left+1))
 	}
 	fld, home := fr.homes.fill(ctx, fr.set.Control.View(), ord, func() (due, until clock.Milli) {
@@ -209,6 +212,18 @@
 	return out
 }
 
+// crowded tells whether pieces of any of the route's stages wait for long. Results
+// take room at their makers until what follows is made; when room is short, a stage
+// that waits for a near endpoint keeps those before it waiting too.
+func (fr *Front) crowded(cl *call) bool {
+	for _, stg := range cl.route.Stages() {
+		if fr.homes.wait(stg.Pool) > crowdedFrom {
+			return true
+		}
+	}
+	return false
+}
+
 // near gives the data centre in which a stage's pieces should be made: the one that
 // spares most bytes between data centres. Each piece fetches all results that its
 // stage takes, and those of the last stages are fetched by the model engine.
