internal/front, pkg/gather: goals count from when a caller first came; waits by how full calls are

Cause: a caller that was refused and comes back has spent a part of its goal, and was taken for a newcomer; a newcomer that will be late was let into crowded pools; and the wait there was reckoned with full calls, while room kept them half full. Conclusion: kept for the callers who come back, and because refusals come at once.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -45,6 +45,7 @@
 	set     Setup
 	pools   *pools
 	homes   *homes
+	usual   usual
 	head    next
 	under   atomic.Int64
 	closing atomic.Bool
@@ -95,12 +96,13 @@
 	due   clock.Milli
 	until clock.Milli
 	rank  int
+	// spent is how much of its time the caller had spent before it came.
+	spent clock.Milli
 	// engine is the model engine that the request will probably go to.
 	engine prefix.Engine
 	inputs []string
 	made   []made
 	out    *output
-	log    []any
 	// what the line of the end tells
 	attempts int
 	endpoint string
@@ -141,7 +143,7 @@
 	evt := fr.set.Log.Info()
 	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Str("outcome", res.Outcome().String()).
 		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
-		Int64("staged_ms", int64(cl.staged)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
+		Int64("spent_ms", int64(cl.spent)).Int64("staged_ms", int64(cl.staged)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
 		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.view.Age(fr.set.Clock.Now()))).Msg("request ended")
 	if res.Outcome() == outcm.Done {
 		return
--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -66,8 +66,10 @@
 	}
 	cl.until = cl.arrived + span
 	cl.due = cl.until
+	// The goal counts from when the caller first came.
+	cl.spent = fr.usual.spent(cl.route.Name(), cl.ask.Left)
 	if goal := cl.route.Goal(); goal > 0 {
-		cl.due = min(cl.until, cl.arrived+goal)
+		cl.due = min(cl.until, cl.arrived+goal-cl.spent)
 	}
 	cl.rank = cl.route.Priority()
 }
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -85,6 +85,9 @@
 	if left := cl.until - fr.set.Clock.Now(); need > left {
 		return outcm.Refuse(outcm.Hopeless, fr.comeBack(need-left), fmt.Sprintf("%d ms are needed and %d left", need, left))
 	}
+	if left := cl.due - fr.set.Clock.Now(); need > left && cl.spent == 0 && fr.crowded(cl) {
+		return outcm.Refuse(outcm.Crowded, fr.comeBack(need-left), fmt.Sprintf("%d ms are needed and %d left to be in time", need, left))
+	}
 	return nxt(ctx, cl)
 }
 
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -12,6 +12,8 @@
 const (
 	// speedShare is the weight of a new call in an endpoint's speed.
 	speedShare = 0.3
+	// fillShare is the weight of a new call in how full calls are.
+	fillShare = 0.1
 	// slowFrom is how many times its planned time an endpoint takes before it
 	// is passed over while others will be free sooner.
 	slowFrom = 1.6
@@ -164,6 +166,9 @@
 	calls   map[int64]*call
 	results map[string]held
 	next    int64
+	// filled is the mean number of pieces of calls that were begun while there
+	// were enough to fill them.
+	filled float64
 }
 
 // Set gives the pool's specification.
@@ -233,9 +238,9 @@
 	return n
 }
 
-// Wait estimates how long a piece that is added now waits until its call begins,
-// if all that is less urgent lets it pass: the calls under way, and the pieces
-// that wait in calls as full as they can be.
+// Wait estimates how long a piece that is added now waits until its call begins:
+// the calls under way, and the pieces that can still be in time, in calls as full
+// as they can be. Those that are late already let it pass.
 func (bk *Book) Wait(now clock.Milli) clock.Milli {
 	rate := 0.0
 	soonest := clock.Milli(-1)
@@ -251,11 +256,27 @@
 	if rate == 0 {
 		return maxBench
 	}
-	full := float64(bk.spec.Time(bk.spec.Most))
-	calls := float64(len(bk.waiting)) / float64(max(bk.spec.Most, 1))
+	fill := bk.fullness()
+	full := float64(bk.spec.Time(int(fill)))
+	ahead := 0
+	for _, pc := range bk.waiting {
+		if now+bk.spec.Time(1) <= pc.Due {
+			ahead++
+		}
+	}
+	calls := float64(ahead) / fill
 	return soonest + clock.Milli(calls*full/rate)
 }
 
+// fullness gives how many pieces calls hold while there are more than enough: fewer
+// than they could where room is short.
+func (bk *Book) fullness() float64 {
+	if bk.filled == 0 {
+		return float64(max(bk.spec.Most, 1))
+	}
+	return max(bk.filled, 1)
+}
+
 // left gives the time until an endpoint's next place comes free.
 func (bk *Book) left(mkr *maker, now clock.Milli) clock.Milli {
 	if mkr.calls < max(bk.spec.Places, 1) {
@@ -480,6 +501,9 @@
 	if len(bat.Pieces) == 0 {
 		return Batch{}, false
 	}
+	if len(bk.waiting) >= bk.spec.Most {
+		bk.filled = bk.fullness() + fillShare*(float64(len(bat.Pieces))-bk.fullness())
+	}
 	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool { return taken[pc.ID] })
 	bk.next++
 	bat.ID = bk.next
--- a/pkg/outcm/outcm.go
+++ b/pkg/outcm/outcm.go
@@ -61,13 +61,14 @@
 	HeaderTooLarge                   // header_too_large
 	BodyTooLarge                     // body_too_large
 	Hopeless                         // hopeless
+	Crowded                          // crowded
 )
 
 // Reasons lists every reason, for the counters and for tests that must cover
 // them all.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(Hopeless)+1)
-	for rs := None; rs <= Hopeless; rs++ {
+	all := make([]Reason, 0, int(Crowded)+1)
+	for rs := None; rs <= Crowded; rs++ {
 		all = append(all, rs)
 	}
 	return all
