--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -128,6 +128,7 @@
 	}
 	if end == relay.Answered {
 		fr.pools.began(cl.route.Name(), took)
+		cl.first = took
 		return run.answer(ctx, tgt, rsp, began)
 	}
 	fr.pools.finish(cl.pool.Name(), tgt.id, verdictOf(end), took)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,6 +107,7 @@
 	attempts int
 	endpoint string
 	staged   clock.Milli
+	first    clock.Milli
 }
 
 // made are results that were made for a request and take room until given back.
@@ -143,7 +144,7 @@
 	evt := fr.set.Log.Info()
 	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Str("outcome", res.Outcome().String()).
 		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
-		Int64("spent_ms", int64(cl.spent)).Int64("staged_ms", int64(cl.staged)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
+		Int64("spent_ms", int64(cl.spent)).Int64("staged_ms", int64(cl.staged)).Int64("first_ms", int64(cl.first)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
 		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.view.Age(fr.set.Clock.Now()))).Msg("request ended")
 	if res.Outcome() == outcm.Done {
 		return
