pkg/gather: a step of priority counts 300 ms

Cause: the most urgent kind has the longest chain, and under load earned a smaller share than a less urgent one with a single stage.

--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -36,7 +36,7 @@
 	// are looked at for those of the endpoint's own data centre.
 	lookAhead = 2
 	// rankStep is how much earlier each step of priority makes a piece.
-	rankStep = 100 * clock.Milli(1)
+	rankStep = 300 * clock.Milli(1)
 )
 
 // Spec tells how each endpoint of the pool takes pieces.
