--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -2,7 +2,7 @@
 //
 // All faults of a file are shown together with key and line; an unknown key is
 // refused with the nearest known one. Every key is described in
-// docs/OPERATING.md, and a test holds the two together. Settings say only what
+// docs/OPERATIONS.md, and a test holds the two together. Settings say only what
 // one instance can't learn otherwise: its addresses, its data centre, where the
 // platform is and which keys to use. How services behave stands in their
 // documents.
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -28,7 +28,7 @@
 // has a row, and every row of that table is a key.
 func TestReferencePage(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATING.md"))
+	text, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	gom.Expect(err).NotTo(gomega.HaveOccurred())
 	_, table, _ := strings.Cut(string(text), "## 2. Settings")
 	table, _, _ = strings.Cut(table, "## 3.")
--- a/internal/front/pools.go
+++ b/internal/front/pools.go
@@ -159,6 +159,15 @@
 	return fnl.engines.Len() > 0
 }
 
+// Knows tells whether a plain pool has so many endpoints that may be sent work, for
+// tests that wait for it.
+func (fr *Front) Knows(pool string, count int) bool {
+	fr.pools.mtx.Lock()
+	defer fr.pools.mtx.Unlock()
+	fnl := fr.pools.byID[pool]
+	return fnl != nil && fnl.plain != nil && fnl.plain.Usable() == count
+}
+
 // said notes an endpoint's own word on its load.
 func (pls *pools) said(pool, id string, rep talk.Reply) {
 	if !rep.HasLoad {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -4,7 +4,7 @@
 // start, at zero, so that an alarm can be written before the first one happens.
 // Label values come from closed sets or from service documents; a workspace's
 // name is a label only if a document names it, because a caller could otherwise
-// fill the memory with made-up names. docs/OPERATING.md tells for each alarm
+// fill the memory with made-up names. docs/OPERATIONS.md tells for each alarm
 // which counter to watch.
 package meter
 
--- /dev/null
+++ b/internal/node/requests_test.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/platform/fake"
+)
+
+var _ = ginkgo.Describe("a request", func() {
+	ginkgo.It("passes to an endpoint to the letter, with the system's own headers and none of a caller's making", func() {
+		wld := newWorld(1)
+		ans := wld.send(0, ask{path: "/booking/a%2Fb//c?q=1&q=%20", id: "r1", body: "two crews", header: map[string]string{
+			"Amaranthvalve-Tenant-Id": "shiretoko", "Amaranthvalve-Target-Instance": "other", "Amaranthvalve-Hold": "h",
+			"Kv-From": "x", "Connection": "X-Mine", "X-Mine": "1", "X-Other": "kept",
+		}})
+		expect(ans.status).To(equal(http.StatusOK))
+		expect(ans.header.Get("Amaranthvalve-Response-Signature")).To(equal("sig-r1"))
+		ran := runs(wld.plain)
+		expect(ran).To(gomega.HaveLen(1))
+		expect(ran[0].Target).To(equal("/booking/a%2Fb//c?q=1&q=%20"))
+		expect(ran[0].Method + ran[0].Body + ran[0].ID).To(equal("POST" + "two crews" + "r1"))
+		hdr := ran[0].Header
+		expect(hdr.Get("Amaranthvalve-Tenant-Id")).To(equal("corella"))
+		expect(hdr.Get("Amaranthvalve-Request-Priority")).To(equal("1"))
+		expect(hdr.Get("X-Other")).To(equal("kept"))
+		for _, name := range []string{"Authorization", "Amaranthvalve-Hold", "Kv-From", "X-Mine"} {
+			expect(hdr).NotTo(gomega.HaveKey(name))
+		}
+	})
+
+	ginkgo.It("is refused with a status that says why", func() {
+		wld := newWorld(1)
+		expect(wld.send(0, ask{path: "/nowhere/x"}).status).To(equal(http.StatusNotFound))
+		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{"Authorization": "Bearer wrong"}}).status).To(equal(http.StatusUnauthorized))
+		expect(wld.send(0, ask{path: "/open/x", header: map[string]string{"Authorization": ""}}).status).To(equal(http.StatusOK))
+		expect(wld.send(0, ask{path: "/booking/x", body: strings.Repeat("x", 10001)}).status).To(equal(http.StatusRequestEntityTooLarge))
+		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{"X-Long": strings.Repeat("x", 4096)}}).status).To(equal(http.StatusRequestHeaderFieldsTooLarge))
+		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{"Amaranthvalve-Request-Deadline": "soon"}}).status).To(equal(http.StatusBadRequest))
+		expect(runs(wld.plain)).To(gomega.HaveLen(1))
+	})
+
+	// An endpoint runs a booking and its connection is cut before the answer. The
+	// caller is told 502: it may have run. No other endpoint gets it, for the
+	// second booking would put two crews into one block.
+	ginkgo.It("that may not be repeated is not, once it may have run", func() {
+		wld := newWorld(1)
+		for _, flt := range []fake.Fault{fake.Cuts, fake.Foreign, fake.Unsigned} {
+			before := len(runs(wld.plain))
+			fault(wld.plain, flt)
+			expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusBadGateway))
+			expect(runs(wld.plain)).To(gomega.HaveLen(before + 1))
+			for _, ep := range wld.plain {
+				ep.Mend()
+			}
+		}
+	})
+
+	// An endpoint is full and gives its word that it ran nothing. The caller gets
+	// the answer of another one, also to a booking. When both refuse, the caller is
+	// told 503 with when to come back, and nothing has run.
+	ginkgo.It("goes to another endpoint when nothing ran", func() {
+		wld := newWorld(1)
+		wld.plain[0].Fault(fake.Shed)
+		expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusOK))
+		expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusOK))
+		expect(runs(wld.plain)).To(gomega.HaveLen(2))
+		fault(wld.plain, fake.Shed)
+		ans := wld.send(0, ask{path: "/booking/x"})
+		expect(ans.status).To(equal(http.StatusServiceUnavailable))
+		expect(ans.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		expect(runs(wld.plain)).To(gomega.HaveLen(2))
+	})
+
+	// A look into a log is a GET without a body; net/http's client would repeat it
+	// by itself. Its endpoint cuts the connection: one repeat, at another endpoint,
+	// and no more than the route allows.
+	ginkgo.It("that is idempotent is repeated as often as its route allows", func() {
+		wld := newWorld(1)
+		fault(wld.plain, fake.Cuts)
+		ans := wld.send(0, ask{path: "/log/x", method: http.MethodGet})
+		expect(ans.status).To(equal(http.StatusBadGateway))
+		expect(runs(wld.plain)).To(gomega.HaveLen(2))
+		fault(wld.plain, fake.Fails)
+		ans = wld.send(0, ask{path: "/log/x", method: http.MethodGet})
+		expect(ans.status).To(equal(http.StatusInternalServerError))
+		expect(ans.header.Get("Amaranthvalve-Response-Signature")).NotTo(gomega.BeEmpty())
+		expect(runs(wld.plain)).To(gomega.HaveLen(4))
+	})
+
+	// A caller leaves while its endpoint works. The endpoint's connection is closed
+	// within half a second, so that its place is free for others.
+	ginkgo.It("whose caller leaves is let go at its endpoint", func() {
+		wld := newWorld(1)
+		fault(wld.plain, fake.Hangs)
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		expect(wld.sendCtx(ctx, 0, ask{path: "/booking/x"}).err).To(anything())
+		eventually(func() int { return wld.plain[0].Left() + wld.plain[1].Left() }, 500*time.Millisecond).Should(equal(1))
+	})
+
+	// An endpoint hangs until the route's time is up. The caller gets its final
+	// answer then, 504, for it may have run.
+	ginkgo.It("is answered when its route's time is up", func() {
+		wld := newWorld(1)
+		wld.publish(func(doc obj) { doc["routes"].([]obj)[0]["timeoutMs"] = 300 })
+		eventually(func() int64 { return wld.nodes[0].ctl.View().Plan().Version() }, soon).Should(equal(int64(wld.version)))
+		fault(wld.plain, fake.Hangs)
+		began := time.Now()
+		expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusGatewayTimeout))
+		expect(time.Since(began)).To(gomega.BeNumerically("<", 800*time.Millisecond))
+	})
+})
+
+var _ = ginkgo.Describe("a stream", func() {
+	const whole = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\n"
+
+	// An engine crashes in the middle of an event. The route may be resumed: the
+	// caller sees every event once, under the head of the first engine.
+	ginkgo.It("goes on at another engine after the last whole event", func() {
+		wld := newWorld(1)
+		first := wld.engines[0]
+		first.Fault(fake.CutsMidway)
+		ans := wld.send(0, ask{path: "/stream/x", id: "s1"})
+		if len(first.Runs()) == 0 {
+			// The request went to the other one; this time the first is full.
+			wld.engines[1].Fault(fake.CutsMidway)
+			first.Mend()
+			ans = wld.send(0, ask{path: "/stream/x", id: "s1"})
+		}
+		expect(ans.err).NotTo(anything())
+		expect(ans.body).To(equal(whole))
+		after := ""
+		for _, run := range runs(wld.engines) {
+			if last := run.Header.Get("Last-Event-Id"); last != "" {
+				after = last
+			}
+		}
+		expect(after).To(equal("1"))
+	})
+
+	// The same on a route that can't be resumed: the caller's connection breaks, so
+	// that the part that came doesn't look like the whole.
+	ginkgo.It("that can't be resumed breaks off at the caller too", func() {
+		wld := newWorld(1)
+		fault(wld.engines, fake.CutsMidway)
+		ans := wld.send(0, ask{path: "/stream-once/x"})
+		expect(ans.err).To(anything())
+		expect(runs(wld.engines)).To(gomega.HaveLen(1))
+	})
+
+	ginkgo.It("runs with the results of its stages, which are given back", func() {
+		wld := newWorld(2)
+		ans := wld.send(0, ask{path: "/stream-staged/x", id: "st1", header: map[string]string{
+			"Amaranthvalve-Pieces": "2,3", "Amaranthvalve-Piece-Key": "pk",
+		}})
+		expect(ans.status).To(equal(http.StatusOK), ans.body)
+		expect(ans.body).To(equal(whole))
+		var calls [][]string
+		for _, mkr := range wld.makers {
+			calls = append(calls, mkr.Calls()...)
+		}
+		pieces := slices.Sorted(slices.Values(slices.Concat(calls...)))
+		expect(pieces).To(equal([]string{"st1/0/0", "st1/0/1", "st1/1/0", "st1/1/1", "st1/1/2"}))
+		inputs := runs(wld.engines)[0].Header.Get("Amaranthvalve-Inputs")
+		expect(strings.Count(inputs, "/1-")).To(equal(3))
+		expect(strings.Index(inputs, "/1-0-") < strings.Index(inputs, "/1-1-")).To(gomega.BeTrue())
+		eventually(func() int { return held(wld.makers) }, soon).Should(equal(0))
+	})
+
+	// The caller leaves while the stages are made. What was made is given back, and
+	// no engine gets the request.
+	ginkgo.It("whose caller leaves gives back what was made for it", func() {
+		wld := newWorld(2)
+		for _, mkr := range wld.makers {
+			mkr.Takes = 200 * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		wld.sendCtx(ctx, 1, ask{path: "/stream-staged/x", header: map[string]string{
+			"Amaranthvalve-Pieces": "1,1", "Amaranthvalve-Piece-Key": "pk",
+		}})
+		eventually(func() int { return len(wld.makers[0].Calls()) + len(wld.makers[1].Calls()) }, soon).Should(gomega.BeNumerically(">=", 1))
+		eventually(func() int { return held(wld.makers) }, soon).Should(equal(0))
+		expect(runs(wld.engines)).To(gomega.BeEmpty())
+	})
+
+	// The instance that gathers a pool's pieces dies without a word. Requests at the
+	// other one are served all the same.
+	ginkgo.It("outlives the instance that gathers its pieces", func() {
+		wld := newWorld(2)
+		dead := 0
+		if wld.nodes[0].ctl.View().Gatherers("rosters")[0] != wld.nodes[0].ctl.Self() {
+			dead = 1
+		}
+		wld.nodes[dead].Kill()
+		ans := wld.send(1-dead, ask{path: "/stream-staged/x", header: map[string]string{
+			"Amaranthvalve-Pieces": "1,1", "Amaranthvalve-Piece-Key": "pk",
+		}})
+		expect(ans.body).To(equal(whole))
+	})
+})
--- /dev/null
+++ b/internal/node/state_test.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/platform/fake"
+)
+
+var _ = ginkgo.Describe("an instance", func() {
+	// The store falls silent. Requests without a token go on; those with one are
+	// refused once it can't be known that the token is still in force, on every
+	// instance, whatever the instances tell one another.
+	ginkgo.It("honours tokens only while it knows them to be in force", func() {
+		wld := newWorld(2)
+		wld.store.SetMode(fake.Silent)
+		eventually(func() int { return wld.send(0, ask{path: "/booking/x"}).status }, 2*soon).Should(equal(http.StatusServiceUnavailable))
+		eventually(func() int { return wld.send(1, ask{path: "/booking/x"}).status }, soon).Should(equal(http.StatusServiceUnavailable))
+		expect(wld.send(0, ask{path: "/open/x"}).status).To(equal(http.StatusOK))
+		wld.store.SetMode(fake.Well)
+		eventually(func() int { return wld.send(0, ask{path: "/booking/x"}).status }, 2*soon).Should(equal(http.StatusOK))
+	})
+
+	// A token is taken away. Within the bound no instance runs anything for it.
+	ginkgo.It("takes up a change at once", func() {
+		wld := newWorld(2)
+		wld.keys = []string{"another"}
+		wld.publish(nil)
+		for i := range wld.nodes {
+			eventually(func() int { return wld.send(i, ask{path: "/booking/x"}).status }, 2*time.Second).Should(equal(http.StatusUnauthorized))
+		}
+	})
+
+	// A document with a fault in one route: that route is left out, all others are
+	// in force, and a document that is none changes nothing.
+	ginkgo.It("loses nothing by a bad document", func() {
+		wld := newWorld(1)
+		wld.publish(func(doc obj) { doc["routes"].([]obj)[0]["routeType"] = "sometimes" })
+		eventually(func() int { return wld.send(0, ask{path: "/booking/x"}).status }, 2*time.Second).Should(equal(http.StatusNotFound))
+		expect(wld.send(0, ask{path: "/log/x"}).status).To(equal(http.StatusOK))
+		wld.store.PutDocument("no document at all")
+		time.Sleep(300 * time.Millisecond)
+		expect(wld.send(0, ask{path: "/log/x"}).status).To(equal(http.StatusOK))
+	})
+
+	// An endpoint says that it is leaving. It gets no new work, and what another
+	// endpoint at its address answers is not taken for its own.
+	ginkgo.It("sends nothing to endpoints that leave or are replaced", func() {
+		wld := newWorld(1)
+		wld.entry("bookings", "booking-0", wld.servers["booking-0"].Addr(), "draining")
+		eventually(func() bool { return wld.nodes[0].front.Knows("bookings", 1) }, soon).Should(gomega.BeTrue())
+		before := len(wld.plain[0].Runs())
+		for range 10 {
+			expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusOK))
+		}
+		expect(wld.plain[0].Runs()).To(gomega.HaveLen(before))
+
+		wld.entry("bookings", "booking-9", wld.servers["booking-1"].Addr(), "ready")
+		wld.store.RemoveEndpoint("booking-0")
+		eventually(func() int { return wld.send(0, ask{path: "/booking/x"}).status }, soon).Should(equal(http.StatusOK))
+	})
+
+	// A planned stop while a request is under way: it is answered whole. The
+	// instance is out of the answers to "which address" at once, and serves those
+	// who still have its address.
+	ginkgo.It("ends without cutting anything off", func() {
+		wld := newWorld(2)
+		for _, ep := range wld.plain {
+			ep.Takes = 500 * time.Millisecond
+		}
+		done := make(chan got, 1)
+		go func() { done <- wld.send(0, ask{path: "/booking/x"}) }()
+		time.Sleep(100 * time.Millisecond)
+		stopped := make(chan struct{})
+		go func() {
+			wld.nodes[0].Stop(context.Background())
+			close(stopped)
+		}()
+		eventually(func() int { return wld.entries(1) }, soon).Should(equal(1))
+		late := wld.send(0, ask{path: "/booking/x"})
+		expect(late.status).To(equal(http.StatusOK))
+		expect((<-done).status).To(equal(http.StatusOK))
+		eventually(stopped, 2*soon).Should(gomega.BeClosed())
+	})
+
+	// An instance starts while the store is out. It takes the documents from
+	// another instance, and serves what needs no token.
+	ginkgo.It("starts without the store", func() {
+		wld := newWorld(1)
+		wld.store.SetMode(fake.Busy)
+		nod := wld.start()
+		nod.ctl.SetSeeds([]string{wld.nodes[0].set.PeerAddr()})
+		eventually(func() int { return wld.send(1, ask{path: "/open/x"}).status }, 2*soon).Should(equal(http.StatusOK))
+	})
+})
+
+// entries gives how many addresses an instance names.
+func (wld *world) entries(node int) int {
+	res, err := client.Get("http://" + wld.nodes[node].set.EntriesAddr() + "/-/resolve?name=x")
+	if err != nil {
+		return -1
+	}
+	defer func() { _ = res.Body.Close() }()
+	var ans struct {
+		Addresses []string `json:"addresses"`
+	}
+	if decode(res, &ans) != nil {
+		return -1
+	}
+	return len(ans.Addresses)
+}
--- /dev/null
+++ b/internal/node/world_test.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/stand"
+	"amaranthvalve/internal/zlog"
+	"amaranthvalve/platform"
+	"amaranthvalve/platform/fake"
+)
+
+// TestRoutes is the entry of all tests with instances that serve routes.
+func TestRoutes(t *testing.T) {
+	zlog.To(zerolog.Nop())
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	suite.RandomSeed = 1
+	ginkgo.RunSpecs(t, "routes", suite, reporter)
+}
+
+var (
+	expect     = gomega.Expect
+	eventually = gomega.Eventually
+	equal      = gomega.Equal
+	anything   = gomega.HaveOccurred
+)
+
+const (
+	soon     = 5 * time.Second
+	key      = "key-of-corella"
+	host     = "desk.example"
+	deadline = "4000"
+)
+
+// world is a store, endpoints and instances in one process, over loopback.
+type world struct {
+	store   *fake.Store
+	srv     *stand.Server
+	engines []*fake.Endpoint
+	plain   []*fake.Endpoint
+	makers  []*fake.Endpoint
+	servers map[string]*stand.Server
+	nodes   []*Node
+	version int
+	keys    []string
+}
+
+// newWorld starts two engines, two plain endpoints, two makers and so many
+// instances, and waits until all are ready.
+func newWorld(nodes int) *world {
+	wld := &world{store: fake.NewStore(), keys: []string{key}, servers: map[string]*stand.Server{}}
+	var err error
+	wld.srv, err = stand.Serve("127.0.0.1:0", wld.store.Handler())
+	expect(err).NotTo(anything())
+	for i := range 2 {
+		wld.engines = append(wld.engines, wld.add("engines", fmt.Sprintf("engine-%d", i)))
+		wld.plain = append(wld.plain, wld.add("bookings", fmt.Sprintf("booking-%d", i)))
+		wld.makers = append(wld.makers, wld.add("rosters", fmt.Sprintf("roster-%d", i)))
+	}
+	wld.publish(nil)
+	for range nodes {
+		wld.start()
+	}
+	ginkgo.DeferCleanup(func() {
+		wld.store.SetMode(fake.Well)
+		for _, nod := range wld.nodes {
+			nod.Kill()
+		}
+		for _, srv := range wld.servers {
+			srv.Close()
+		}
+		wld.srv.Close()
+	})
+	for _, nod := range wld.nodes {
+		eventually(func() int { return len(nod.ctl.View().Members()) }, soon).Should(equal(nodes))
+		eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) && nod.front.Knows("bookings", 2) }, soon).Should(gomega.BeTrue())
+	}
+	return wld
+}
+
+func (wld *world) add(service, id string) *fake.Endpoint {
+	ep := fake.NewEndpoint(id)
+	srv, err := stand.Serve("127.0.0.1:0", ep.Handler())
+	expect(err).NotTo(anything())
+	ep.SetAddr(srv.Addr())
+	wld.servers[id] = srv
+	wld.entry(service, id, srv.Addr(), "ready")
+	return ep
+}
+
+func (wld *world) entry(service, id, addr, state string) {
+	wld.store.PutEndpoint(id, map[string]any{"service": service, "address": addr, "zone": "dc1", "slots": 8, "state": state})
+}
+
+type obj = map[string]any
+
+// publish writes a new version of the document; change may alter it first.
+func (wld *world) publish(change func(doc obj)) {
+	wld.version++
+	route := func(prefix, kind, service string, more obj) obj {
+		rte := obj{
+			"name": strings.Trim(prefix, "/"), "host": host, "pathPrefix": prefix, "routeType": kind, "service": service,
+			"timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 2,
+		}
+		for name, val := range more {
+			rte[name] = val
+		}
+		return rte
+	}
+	stages := []obj{
+		{"service": "rosters", "after": []int{}, "bytes": 100},
+		{"service": "rosters", "after": []int{0}, "bytes": 100},
+	}
+	doc := obj{
+		"version": wld.version,
+		"routes": []obj{
+			route("/booking/", "non_idempotent", "bookings", nil),
+			route("/log/", "idempotent", "bookings", nil),
+			route("/open/", "idempotent", "bookings", obj{"public": true}),
+			route("/stream/", "streaming", "engines", obj{"resumable": true}),
+			route("/stream-once/", "streaming", "engines", nil),
+			route("/stream-staged/", "streaming", "engines", obj{"stages": stages}),
+		},
+		"services": []obj{
+			{"name": "engines", "engine": obj{"slots": 8, "kvCapacity": 1000}},
+			{"name": "bookings"},
+			{"name": "rosters", "pieces": obj{"slots": 1, "queue": 2, "batch": 4, "callMs": 20.0, "itemMs": 1.0, "roomMb": 1.0, "handleS": 4.0}},
+		},
+		"limits":  obj{"maxHeaderBytes": 4096, "maxBodyBytes": 10000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+		"tenants": []obj{{"name": "corella", "apiKeys": wld.keys, "priority": 1}},
+	}
+	if change != nil {
+		change(doc)
+	}
+	wld.store.PutDocument(doc)
+}
+
+// start starts one more instance.
+func (wld *world) start() *Node {
+	text := fmt.Sprintf(`
+dialect = "platform"
+caller_addr = %q
+entries_addr = %q
+ready_addr = %q
+peer_addr = %q
+zone = "dc1"
+platform = "http://%s"
+keep_ms = 100
+tokens_for_ms = 2000
+stop_ms = 8000
+`, freePort(), freePort(), freePort(), freePort(), wld.srv.Addr())
+	set, fts := conf.Parse([]byte(text))
+	expect(set).NotTo(gomega.BeNil(), "%v", fts)
+	nod, err := New(set, platform.Dialect(), zerolog.Nop())
+	expect(err).NotTo(anything())
+	nod.Start()
+	wld.nodes = append(wld.nodes, nod)
+	return nod
+}
+
+// freePort gives an address that was free a moment ago.
+func freePort() string {
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	expect(err).NotTo(anything())
+	defer func() { _ = lsn.Close() }()
+	return lsn.Addr().String()
+}
+
+// ask is a request that a test sends.
+type ask struct {
+	method string
+	path   string
+	id     string
+	body   string
+	header map[string]string
+}
+
+// got is what came back.
+type got struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+
+// send sends a request to an instance and reads the whole answer.
+func (wld *world) send(node int, ak ask) got {
+	return wld.sendCtx(context.Background(), node, ak)
+}
+
+func (wld *world) sendCtx(ctx context.Context, node int, ak ask) got {
+	if ak.method == "" {
+		ak.method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, ak.method, "http://"+wld.nodes[node].set.CallerAddr()+ak.path, strings.NewReader(ak.body))
+	expect(err).NotTo(anything())
+	req.Host = host
+	if ak.id == "" {
+		ak.id = fmt.Sprintf("id-%d", time.Now().UnixNano())
+	}
+	req.Header.Set("Amaranthvalve-Request-Id", ak.id)
+	req.Header.Set("Amaranthvalve-Request-Deadline", deadline)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for name, val := range ak.header {
+		req.Header.Set(name, val)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return got{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return got{status: res.StatusCode, header: res.Header, body: string(body), err: err}
+}
+
+// runs adds up what endpoints ran.
+func runs(list []*fake.Endpoint) []fake.Run {
+	var all []fake.Run
+	for _, ep := range list {
+		all = append(all, ep.Runs()...)
+	}
+	return all
+}
+
+// fault makes the next request meet a fault, wherever it goes.
+func fault(list []*fake.Endpoint, faults ...fake.Fault) {
+	for _, ep := range list {
+		ep.Fault(faults...)
+	}
+}
+
+// held adds up the results that makers hold.
+func held(list []*fake.Endpoint) int {
+	sum := 0
+	for _, ep := range list {
+		sum += ep.Held()
+	}
+	return sum
+}
+
+func decode(res *http.Response, target any) error { return json.NewDecoder(res.Body).Decode(target) }
--- a/internal/shell/node.go
+++ b/internal/shell/node.go
@@ -22,7 +22,7 @@
 const stopAtMost = 25 * time.Minute
 
 type nodeCmd struct {
-	Config      string `help:"The settings file, see docs/OPERATING.md; by default the one that AMARANTHVALVE_BOOT names." env:"AMARANTHVALVE_BOOT" required:"" placeholder:"FILE"`
+	Config      string `help:"The settings file, see docs/OPERATIONS.md; by default the one that AMARANTHVALVE_BOOT names." env:"AMARANTHVALVE_BOOT" required:"" placeholder:"FILE"`
 	CheckConfig bool   `help:"Check the settings and exit: 0 if they are right, 1 with all faults if not."`
 }
 
--- a/pkg/svcdoc/raw.go
+++ b/pkg/svcdoc/raw.go
@@ -1,7 +1,7 @@
 package svcdoc
 
 // The raw types are the document's shape on paper. Each key is described in
-// docs/OPERATING.md; a test holds the two together.
+// docs/OPERATIONS.md; a test holds the two together.
 
 type rawDoc struct {
 	Name       string         `toml:"name"`
