--- /dev/null
+++ b/pkg/gather/gather_test.go
@@ -0,0 +1,283 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthvalve/pkg/clock"
+)
+
+func newBook(makers int) *Book {
+	bk := &Book{}
+	bk.Set(Spec{Places: 1, Most: 4, Call: 200, Item: 20, Room: 1000, Keep: 4000})
+	var list []Maker
+	for i := range makers {
+		list = append(list, Maker{ID: fmt.Sprintf("m%d", i), Zone: fmt.Sprintf("z%d", i)})
+	}
+	bk.Sync(list)
+	return bk
+}
+
+// add adds a job's pieces.
+func add(bk *Book, job, count, due int64) {
+	for i := range count {
+		bk.Add(Piece{ID: job*100 + i, Job: job, Due: clock.Milli(due), Until: 100000})
+	}
+}
+
+// jobsIn lists the jobs of a call, in the order of their first pieces.
+func jobsIn(bat Batch) []int64 {
+	var list []int64
+	for _, pc := range bat.Pieces {
+		if len(list) == 0 || list[len(list)-1] != pc.Job {
+			list = append(list, pc.Job)
+		}
+	}
+	return list
+}
+
+// TestLateGoLast: a burst leaves pieces that can't be in time any more. Those that
+// still can go first, though they are due later; the late ones follow.
+func TestLateGoLast(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	add(bk, 1, 4, 1100)
+	add(bk, 2, 4, 2000)
+	add(bk, 3, 4, 1800)
+	bat, ok := bk.Next(1000)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{3}))
+	_, ok = bk.Next(1000)
+	gom.Expect(ok).To(gomega.BeFalse(), "the only place is taken")
+	bk.Ended(bat.ID, Made, nil, 1280)
+	bat, _ = bk.Next(1280)
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{2}))
+	bk.Ended(bat.ID, Made, nil, 1560)
+	bat, _ = bk.Next(1560)
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{1}))
+}
+
+// TestPriorityCounts: of two jobs due at nearly the same instant the more urgent
+// kind goes first; of two far apart the one that is due.
+func TestPriorityCounts(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	bk.Add(Piece{ID: 1, Job: 1, Due: 5000, Until: 9000, Rank: 2})
+	bk.Add(Piece{ID: 2, Job: 2, Due: 5400, Until: 9000, Rank: 0})
+	bk.Add(Piece{ID: 3, Job: 3, Due: 4000, Until: 9000, Rank: 2})
+	bk.spec.Most = 1
+	var order []int64
+	for now := clock.Milli(0); bk.Waiting() > 0; now += 300 {
+		bat, _ := bk.Next(now)
+		order = append(order, bat.Pieces[0].Job)
+		bk.Ended(bat.ID, Made, nil, now+220)
+	}
+	gom.Expect(order).To(gomega.Equal([]int64{3, 2, 1}))
+}
+
+// TestJobsStayWhole: a call has place for four. Jobs of three, two and one wait in
+// this order. The second would be split, and done only with the next call; the
+// third fits and goes along.
+func TestJobsStayWhole(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	add(bk, 1, 3, 5000)
+	add(bk, 2, 2, 5001)
+	add(bk, 3, 1, 5002)
+	bat, _ := bk.Next(0)
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{1, 3}))
+}
+
+// TestNearWhileThereIsTime: a job's inputs lie in z1, whose endpoint is busy. It
+// waits for it while it may be choosy, and no longer; and not at all when more than
+// a call waits, for then a place that stays empty costs more than the bytes.
+func TestNearWhileThereIsTime(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(2)
+	add(bk, 1, 4, 9000)
+	for i := range bk.waiting {
+		bk.waiting[i].Zone, bk.waiting[i].Choosy = "z1", 9000
+	}
+	first, _ := bk.Next(0)
+	gom.Expect(first.Maker.Zone).To(gomega.Equal("z1"))
+
+	bk.Add(Piece{ID: 1, Job: 9, Due: 9000, Until: 9000, Zone: "z1", Choosy: 100})
+	_, ok := bk.Next(50)
+	gom.Expect(ok).To(gomega.BeFalse(), "z1 will be free soon")
+	bat, ok := bk.Next(101)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Maker.Zone).To(gomega.Equal("z0"))
+	bk.Ended(bat.ID, Made, nil, 200)
+
+	add(bk, 10, 5, 9000)
+	for i := range bk.waiting {
+		bk.waiting[i].Zone, bk.waiting[i].Choosy = "z1", 9000
+	}
+	bat, ok = bk.Next(210)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Maker.Zone).To(gomega.Equal("z0"))
+}
+
+// TestRoomIsKept: results hold room until they are given back or expire. An endpoint
+// that says it has none gets no call for a moment, or until something is given back:
+// asked again at once it says the same, and each time is a repeat that the budget
+// counts.
+func TestRoomIsKept(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	for i := range int64(3) {
+		bk.Add(Piece{ID: i, Job: i, Due: 9000, Until: 99000, Bytes: 600})
+	}
+	bat, _ := bk.Next(0)
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(1))
+	bk.Ended(bat.ID, Made, []Result{{Handle: "h", Bytes: 600}}, 220)
+	_, ok := bk.Next(220)
+	gom.Expect(ok).To(gomega.BeFalse())
+	mkr, ok := bk.Free("h")
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(mkr.ID).To(gomega.Equal("m0"))
+	bat, ok = bk.Next(230)
+	gom.Expect(ok).To(gomega.BeTrue())
+	bk.Ended(bat.ID, Made, []Result{{Handle: "lost", Bytes: 600}}, 450)
+	_, ok = bk.Next(4000)
+	gom.Expect(ok).To(gomega.BeFalse())
+	bat, ok = bk.Next(4451)
+	gom.Expect(ok).To(gomega.BeTrue(), "its maker holds a result no longer than that")
+	bk.Ended(bat.ID, Made, nil, 4600)
+
+	add(bk, 50, 1, 9000)
+	bk.Full("m0", 4600)
+	_, ok = bk.Next(4601)
+	gom.Expect(ok).To(gomega.BeFalse())
+	_, ok = bk.Next(4600 + fullFor)
+	gom.Expect(ok).To(gomega.BeTrue())
+}
+
+// TestSlowIsPassedOver: an endpoint gives no answer in three times its time. It is
+// called again only when the others would be later still, and after some seconds
+// its slowness is forgotten.
+func TestSlowIsPassedOver(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(2)
+	add(bk, 1, 4, 9000)
+	bat, _ := bk.Next(0)
+	slow := bat.Maker.ID
+	bk.Ended(bat.ID, Failed, nil, 1140)
+	add(bk, 2, 4, 9000)
+	bat, _ = bk.Next(2000)
+	gom.Expect(bat.Maker.ID).NotTo(gomega.Equal(slow))
+	add(bk, 3, 4, 9000)
+	_, ok := bk.Next(2010)
+	gom.Expect(ok).To(gomega.BeFalse(), "the well one will be done sooner")
+	bk.Ended(bat.ID, Made, nil, 2280)
+	bat, _ = bk.Next(2280)
+	add(bk, 4, 4, 30000)
+	_, ok = bk.Next(20000)
+	gom.Expect(ok).To(gomega.BeTrue(), "forgotten by now")
+	gom.Expect(bat.Maker.ID).NotTo(gomega.Equal(slow))
+}
+
+// TestExpired: what can't be made in any use of time is taken out and told at once.
+func TestExpired(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	bk.Add(Piece{ID: 1, Job: 1, Due: 100, Until: 300})
+	gom.Expect(bk.Expired(80)).To(gomega.BeEmpty())
+	gom.Expect(bk.Expired(81)).To(gomega.HaveLen(1))
+	gom.Expect(bk.Waiting()).To(gomega.Equal(0))
+}
+
+// TestWait: the estimate counts what is ahead of a newcomer that can be in time, by
+// how full calls really are.
+func TestWait(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(2)
+	gom.Expect(bk.Wait(0)).To(gomega.Equal(clock.Milli(0)))
+	add(bk, 1, 8, 9000)
+	gom.Expect(bk.Wait(0)).To(gomega.Equal(clock.Milli(280)))
+	gom.Expect(bk.Wait(9500)).To(gomega.Equal(clock.Milli(0)), "the late let newcomers pass")
+	bk.Sync(nil)
+	gom.Expect(bk.Wait(0)).To(gomega.Equal(maxBench))
+}
+
+// TestInvariants draws events in any order. Never is a piece in two places, a call
+// fuller than it may be, an endpoint given more calls or results than it takes, or
+// a leaving endpoint called.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bk := newBook(3)
+		now, next := clock.Milli(0), int64(0)
+		calls := map[int64]Batch{}
+		handles := map[string]int{}
+		held := map[string]int64{}
+		leaving := ""
+		seen := map[int64]bool{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += clock.Milli(rapid.IntRange(0, 200).Draw(t, "ms"))
+			switch rapid.SampledFrom([]string{"add", "next", "next", "end", "free", "leave", "full"}).Draw(t, "event") {
+			case "add":
+				next++
+				for i := range int64(rapid.IntRange(1, 6).Draw(t, "count")) {
+					zone := rapid.SampledFrom([]string{"", "z0", "z1"}).Draw(t, "zone")
+					bk.Add(Piece{ID: next*100 + i, Job: next, Due: now + 500, Until: now + 90000, Zone: zone, Choosy: now + 100, Bytes: 150})
+				}
+			case "next":
+				bat, ok := bk.Next(now)
+				if !ok {
+					continue
+				}
+				var bytes int64
+				for _, pc := range bat.Pieces {
+					if seen[pc.ID] {
+						t.Fatalf("piece %d is in two calls", pc.ID)
+					}
+					seen[pc.ID] = true
+					bytes += pc.Bytes
+				}
+				for _, oth := range calls {
+					if oth.Maker.ID == bat.Maker.ID {
+						t.Fatalf("%s has two calls", bat.Maker.ID)
+					}
+				}
+				held[bat.Maker.ID] += bytes
+				if len(bat.Pieces) > 4 || len(bat.Pieces) == 0 || held[bat.Maker.ID] > 1000 || bat.Maker.ID == leaving {
+					t.Fatalf("call %+v, held %d, leaving %q", bat, held[bat.Maker.ID], leaving)
+				}
+				calls[bat.ID] = bat
+			case "end":
+				for id, bat := range calls {
+					var made []Result
+					for i := range bat.Pieces {
+						name := fmt.Sprintf("%d-%d", id, i)
+						handles[name] = 1
+						made = append(made, Result{Handle: name, Bytes: 150})
+					}
+					bk.Ended(id, Made, made, now)
+					delete(calls, id)
+					break
+				}
+			case "free":
+				for name := range handles {
+					if mkr, ok := bk.Free(name); ok {
+						held[mkr.ID] -= 150
+					}
+					delete(handles, name)
+					break
+				}
+			case "leave":
+				if leaving == "" {
+					leaving = "m2"
+					bk.Leave(leaving)
+				}
+			case "full":
+				bk.Full("m1", now)
+			}
+			if now > 3500 {
+				return // results would expire by themselves
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/plan/plan_test.go
@@ -0,0 +1,97 @@
+package plan
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func draft() Draft {
+	return Draft{
+		Version: 7,
+		Routes: []DraftRoute{
+			{Name: "all", Host: "a.example", Prefix: "/a/", Kind: "idempotent", Targets: []DraftTarget{{Pool: "plain", Weight: 1}}},
+			{Name: "part", Host: "a.example", Prefix: "/a/b/", Kind: "streaming", Resumable: true, Targets: []DraftTarget{{Pool: "plain", Weight: 3}, {Pool: "engines", Weight: 1}}},
+		},
+		Pools: []DraftPool{
+			{Name: "plain"},
+			{Name: "engines", Engine: &DraftEngine{Places: 8}},
+			{Name: "makers", Batch: &DraftBatch{Places: 1, Most: 4}},
+		},
+		Workspaces: []DraftWorkspace{{Name: "corella", Tokens: []string{"k1", "k2"}}, {Name: "shiretoko", Tokens: []string{"k2", "k3"}}},
+	}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	pln, _ := Compile(draft())
+	for path, want := range map[string]string{"/a/x": "all", "/a/b/x": "part", "/a/b": "all", "/a": "", "/b/": ""} {
+		rte, ok := pln.Match("a.example", path)
+		gom.Expect(ok).To(gomega.Equal(want != ""), path)
+		if ok {
+			gom.Expect(rte.Name()).To(gomega.Equal(want), path)
+		}
+	}
+	_, ok := pln.Match("b.example", "/a/x")
+	gom.Expect(ok).To(gomega.BeFalse())
+}
+
+func TestTargetsByWeight(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	pln, _ := Compile(draft())
+	rte, _ := pln.Match("a.example", "/a/b/x")
+	gom.Expect(rte.Target(0)).To(gomega.Equal("plain"))
+	gom.Expect(rte.Target(0.74)).To(gomega.Equal("plain"))
+	gom.Expect(rte.Target(0.76)).To(gomega.Equal("engines"))
+	gom.Expect(rte.Target(1)).To(gomega.Equal("engines"))
+	gom.Expect(rte.Repeatable()).To(gomega.BeTrue())
+}
+
+// TestFaultsAreCollected: each faulty part is told with its place and left out; the
+// rest is in force.
+func TestFaultsAreCollected(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	drf := draft()
+	drf.Routes = append(drf.Routes,
+		DraftRoute{Name: "kind", Host: "a", Prefix: "/k/", Kind: "sometimes"},
+		DraftRoute{Name: "slash", Host: "a", Prefix: "/k", Kind: "idempotent"},
+		DraftRoute{Name: "pool", Host: "a", Prefix: "/k/", Kind: "idempotent", Targets: []DraftTarget{{Pool: "nobody", Weight: 1}}},
+		DraftRoute{Name: "stage", Host: "a", Prefix: "/k/", Kind: "idempotent", Targets: []DraftTarget{{Pool: "plain", Weight: 1}}, Stages: []DraftStage{{Pool: "plain"}}},
+		DraftRoute{Name: "after", Host: "a", Prefix: "/k/", Kind: "idempotent", Targets: []DraftTarget{{Pool: "plain", Weight: 1}}, Stages: []DraftStage{{Pool: "makers", After: []int{0}}}},
+		DraftRoute{Name: "weights", Host: "a", Prefix: "/k/", Kind: "idempotent", Targets: []DraftTarget{{Pool: "plain"}}},
+	)
+	drf.Pools = append(drf.Pools, DraftPool{Name: "empty", Batch: &DraftBatch{}})
+	pln, fts := Compile(drf)
+	gom.Expect(pln.Routes()).To(gomega.HaveLen(2))
+	var texts []string
+	for _, ft := range fts {
+		texts = append(texts, ft.Error())
+	}
+	gom.Expect(texts).To(gomega.HaveLen(8))
+	for i, part := range []string{`services[3] "empty"`, `kind "sometimes" is not one of`, "begin and end with a slash", `"nobody", which is not named`, `"plain" takes no pieces`, "does not stand before it", "sum up to 0", `also one of "corella"`} {
+		gom.Expect(texts[i]).To(gomega.ContainSubstring(part))
+	}
+}
+
+// TestTokensAreExclusive: a token stands under two workspaces. It stays the first
+// one's: whoever comes second must not act in the first one's name.
+func TestTokensAreExclusive(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	pln, _ := Compile(draft())
+	for token, want := range map[string]string{"k1": "corella", "k2": "corella", "k3": "shiretoko"} {
+		wsp, _ := pln.Workspace(token)
+		gom.Expect(wsp.Name()).To(gomega.Equal(want))
+	}
+	_, ok := pln.Workspace("")
+	gom.Expect(ok).To(gomega.BeFalse())
+}
+
+// TestWaves: a stage that only the final call needs runs beside the last of the
+// others, for its result takes room all the while.
+func TestWaves(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	stages := []DraftStage{{}, {}, {After: []int{1}}, {After: []int{2}}}
+	gom.Expect(waves(stages)).To(gomega.Equal([][]int{{1}, {2}, {0, 3}}))
+	gom.Expect(leaves(stages)).To(gomega.Equal([]int{0, 3}))
+	gom.Expect(waves([]DraftStage{{}})).To(gomega.Equal([][]int{{0}}))
+}
