internal/state, pkg/clock: a few instances read the store for all; suspended time counts

And the clock behind leases and views stood still while a machine was suspended. Ruled out: longer polls (a leaving endpoint must be known within two seconds). Change: two instances, and one more for each 32, read the store; the others hold one question at one of them, which answers when something changed or after 1.5 s with the age of its own view. Who reads follows from the membership; a silent reader, or one with an old view, is left for the next one and then for the store. pkg/clock reads the clock since boot; TestSuspendedTimeCounts failed to build against the old one, which had no notion of it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,12 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	nod.link.Slow = func(ctx context.Context, msg peer.Message) peer.Message { return nod.front.Gather(ctx, msg) }
+	nod.link.Slow = func(ctx context.Context, msg peer.Message) peer.Message {
+		if msg.Kind == peer.NewsWanted {
+			return nod.ctl.Tell(ctx, msg)
+		}
+		return nod.front.Gather(ctx, msg)
+	}
 	nod.link.Refused = func(err error) {
 		nod.mtr.Event(meter.EventPeerRefused)
 		nod.log.Warn().Err(err).Msg("a peer was refused")
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -71,6 +71,9 @@
 	// PiecesWanted asks for pieces of a stage; PiecesFreed gives results back.
 	PiecesWanted
 	PiecesFreed
+	// NewsWanted asks for the next change of what the receiver reads from the
+	// store; it is answered when there is one, or after a while.
+	NewsWanted
 	// Working is sent while an answer is being made, so that a receiver which
 	// hears nothing knows that the sender is gone.
 	Working
@@ -295,7 +298,7 @@
 		str.CancelWrite(0)
 		return
 	}
-	if msg.Kind == PiecesWanted && lnk.Slow != nil {
+	if lnk.Slow != nil && (msg.Kind == PiecesWanted || msg.Kind == NewsWanted) {
 		lnk.answerSlowly(str, msg)
 		return
 	}
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -61,6 +61,8 @@
 	endpts  endptsCtl
 	leaving bool
 	dirty   bool
+	// turned is closed when a view with another plan or other endpoints is there.
+	turned atomic.Pointer[chan struct{}]
 }
 
 // New returns a control thread that has not started.
@@ -72,9 +74,11 @@
 		Self: set.Self, List: ctl.list, Link: set.Link, Offer: ctl.offer, Go: ctl.goDo,
 		Now: set.Clock.Now, Dress: ctl.dress, Heard: ctl.heard,
 	}
-	ctl.docs = docsCtl{ctl: ctl, offset: -1}
+	ctl.docs.ctl, ctl.docs.offset = ctl, -1
 	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}}
 	ctl.view.Store(&View{offset: -1})
+	turned := make(chan struct{})
+	ctl.turned.Store(&turned)
 	return ctl
 }
 
@@ -128,7 +132,8 @@
 	old := ctl.view.Load()
 	vw := &View{
 		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list,
-		members: ctl.list.All(), homes: old.homes, leaving: ctl.leaving,
+		members: ctl.list.All(), homes: old.homes, leaving: ctl.leaving, text: ctl.docs.doc.Text,
+		readers: readers(ctl.list.Homes(readersName)),
 	}
 	for _, mbr := range vw.members {
 		if mbr.Who() != ctl.set.Self && mbr.Status() == member.Alive && !mbr.Stale() {
@@ -145,6 +150,10 @@
 	}
 	ctl.tell(old, vw, now)
 	ctl.view.Store(vw)
+	if ctl.dirty {
+		next := make(chan struct{})
+		close(*ctl.turned.Swap(&next))
+	}
 	if ctl.dirty && ctl.set.Changed != nil {
 		ctl.set.Changed(vw)
 	}
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -38,12 +38,19 @@
 	asOf   clock.Milli
 	asking bool
 	down   bool
+	silent silence
 }
 
 // watch reads the documents, and then waits in the store for newer ones.
 func (dct *docsCtl) watch(ctx context.Context) {
 	from := int64(-1)
 	for ctx.Err() == nil {
+		if who, ok := dct.ctl.reader(dct.ctl.set.Clock.Now()); ok {
+			// Whoever reads the store again later starts with a whole read.
+			from = -1
+			dct.followOnce(ctx, who)
+			continue
+		}
 		next, err := dct.read(ctx, from)
 		dct.contact(ctx, err)
 		if err != nil {
@@ -57,6 +64,18 @@
 	}
 }
 
+// followOnce follows a reader for one answer. One that fails is left alone for a
+// while.
+func (dct *docsCtl) followOnce(ctx context.Context, who ident.Incarnation) {
+	err := dct.follow(ctx, who)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	now := dct.ctl.set.Clock.Now()
+	dct.silent.add(who, now+readerSilent)
+	dct.ctl.set.Log.Info().Err(err).Str("reader", string(who)).Int64("view_age_ms", int64(dct.ctl.View().Age(now))).Msg("reader of the store lost")
+}
+
 // read waits for a change if from is known, and reads the newest documents. It
 // gives the offset from which to watch.
 func (dct *docsCtl) read(ctx context.Context, from int64) (int64, error) {
@@ -236,9 +255,19 @@
 			return
 		}
 		pause(ctx, meetEvery[min(turn, len(meetEvery)-1)])
+		for turn >= len(meetEvery) && ctl.follows() && ctx.Err() == nil {
+			// Readers look for all; news of who came travels on the probes.
+			pause(ctx, meetEvery[len(meetEvery)-1])
+		}
 	}
 }
 
+// follows tells whether this instance is told by others what stands in the store.
+func (ctl *Control) follows() bool {
+	_, ok := ctl.reader(ctl.set.Clock.Now())
+	return ok
+}
+
 // meetEvery are the pauses between two looks at who else there is: all start
 // within a moment of each other, later ones are told of by the probes.
 var meetEvery = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -13,6 +13,8 @@
 	// pollEvery is the time between two looks at the endpoints' entries. A
 	// leaving endpoint must get no work some two seconds after it said so.
 	pollEvery = 700 * time.Millisecond
+	// toldFor is how long after a reader's last word the store is left to it.
+	toldFor = 2500 * clock.Milli(1)
 	// backAfter is how long after an outage of the store entries that lapsed
 	// in it are waited for: their writers are back within two seconds, and our
 	// own look may be one poll late.
@@ -33,11 +35,17 @@
 	down    bool
 	seen    bool
 	faults  map[string]bool
+	// followed is when a reader of the store last told us.
+	followed clock.Milli
 }
 
 // poll reads the endpoints' entries.
 func (ect *endptsCtl) poll(ctx context.Context) {
 	for ctx.Err() == nil {
+		if ect.told(ctx) {
+			pause(ctx, pollEvery)
+			continue
+		}
 		rctx, cancel := context.WithTimeout(ctx, readWait)
 		list, faults, err := ect.ctl.set.Store.Endpoints(rctx)
 		cancel()
@@ -48,6 +56,18 @@
 	}
 }
 
+// told tells whether a reader of the store has told us lately. The outage behind a
+// silence of the readers may be the store's own: what lapsed in it is waited for
+// again.
+func (ect *endptsCtl) told(ctx context.Context) bool {
+	told := false
+	ect.ctl.do(ctx, func(now clock.Milli) {
+		told = now-ect.followed < toldFor
+		ect.down = ect.down || told
+	})
+	return told
+}
+
 func (ect *endptsCtl) read(list []talk.Endpoint, faults []error, err error, now clock.Milli) {
 	if err != nil {
 		ect.down = true
--- /dev/null
+++ b/internal/state/follow.go
@@ -0,0 +1,198 @@
+package state
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+)
+
+// A few instances read the store, and tell the others: each read is paid for, and
+// the store bears so many a second from all of them. Who reads follows from the
+// membership alone. An instance whose reader is silent, or knows nothing newer than
+// it does itself, goes to the next one and then to the store.
+
+const (
+	// readersLeast instances read the store, and one more for each readersPer:
+	// two so that one may die, and so many that a reader answers some tens.
+	readersLeast = 2
+	readersPer   = 32
+	// newsHold is how long a reader waits for a change before it answers.
+	newsHold = 1500 * time.Millisecond
+	// newsOld is the age of a reader's own view from which it is of no use to
+	// others: its way to the store is lost.
+	newsOld = 2200 * clock.Milli(1)
+	// readerSilent is how long a reader that failed is not asked.
+	readerSilent = 3 * clock.Second
+	// readersName is what the readers are ranked by.
+	readersName = "readers of the store"
+)
+
+var (
+	errOldNews = errors.New("the reader's own view is old")
+	errNoNews  = errors.New("the reader has nothing to tell")
+)
+
+// news is a reader's answer.
+type news struct {
+	Offset int64 `cbor:"1,keyasint"`
+	// Text is there if the asker's documents are older.
+	Text []byte `cbor:"2,keyasint,omitempty"`
+	// Age is how old the reader's view was when it answered, Held how long it
+	// had waited before.
+	Age  clock.Milli `cbor:"3,keyasint"`
+	Held clock.Milli `cbor:"4,keyasint"`
+	// Listed tells that Endpoints are there, since the asker's differ.
+	Listed    bool            `cbor:"5,keyasint,omitempty"`
+	Endpoints []talk.Endpoint `cbor:"6,keyasint,omitempty"`
+}
+
+// wanted is what a follower says of itself.
+type wanted struct {
+	Offset int64  `cbor:"1,keyasint"`
+	Digest uint64 `cbor:"2,keyasint"`
+}
+
+// digest names a list of endpoints.
+func digest(list []talk.Endpoint) uint64 {
+	sum := xxhash.New()
+	for _, ep := range list {
+		_, _ = sum.WriteString(ep.ID + "\x00" + ep.Addr + "\x00" + ep.Pool + "\x00" + strconv.FormatBool(ep.Leaving) + "\x00")
+	}
+	return sum.Sum64()
+}
+
+// readers lists the instances that read the store, of all in their order.
+func readers(ranked []ident.Incarnation) []ident.Incarnation {
+	return ranked[:min(len(ranked), readersLeast+len(ranked)/readersPer)]
+}
+
+// reader gives the instance to follow; false if this one reads the store itself.
+func (ctl *Control) reader(now clock.Milli) (ident.Incarnation, bool) {
+	vw := ctl.View()
+	if ctl.set.Link == nil || vw.plan == nil || len(vw.readers) < readersLeast || slices.Contains(vw.readers, ctl.set.Self) {
+		return "", false
+	}
+	from := int(xxhash.Sum64String(string(ctl.set.Self)) % uint64(len(vw.readers)))
+	for i := range vw.readers {
+		who := vw.readers[(from+i)%len(vw.readers)]
+		if now >= ctl.docs.silent.until(who) {
+			return who, true
+		}
+	}
+	return "", false
+}
+
+// follow asks a reader for the next change, and takes it.
+func (dct *docsCtl) follow(ctx context.Context, who ident.Incarnation) error {
+	ctl := dct.ctl
+	vw := ctl.View()
+	body, err := cbor.Marshal(wanted{Offset: vw.offset, Digest: digest(vw.endpoints)})
+	if err != nil {
+		return err
+	}
+	sent := ctl.set.Clock.Now()
+	ans, err := ctl.set.Link.AskSlowly(ctx, who.Addr(), peer.Message{Kind: peer.NewsWanted, From: ctl.set.Self, To: who, Body: body})
+	if err != nil {
+		return err
+	}
+	var nws news
+	if ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &nws) != nil {
+		return errNoNews
+	}
+	if nws.Age > newsOld {
+		return errOldNews
+	}
+	// The reader answered no sooner than it had held the question.
+	asOf := sent + nws.Held - nws.Age
+	ctl.do(ctx, func(now clock.Milli) {
+		switch {
+		case nws.Text != nil:
+			dct.take(talk.Document{Offset: nws.Offset, Text: nws.Text}, asOf, now, string(who))
+		case nws.Offset == dct.offset:
+			dct.confirm(asOf)
+		}
+		if nws.Listed {
+			ctl.endpts.take(nws.Endpoints, now)
+		}
+		ctl.endpts.followed = now
+	})
+	return nil
+}
+
+// Tell answers a follower; it is given to the link.
+func (ctl *Control) Tell(ctx context.Context, msg peer.Message) peer.Message {
+	ans := peer.Message{Kind: peer.Nack, From: ctl.set.Self}
+	var wnt wanted
+	if cbor.Unmarshal(msg.Body, &wnt) != nil {
+		return ans
+	}
+	began := ctl.set.Clock.Now()
+	vw := ctl.waitFor(ctx, func(vw *View) bool { return vw.offset > wnt.Offset || digest(vw.endpoints) != wnt.Digest })
+	now := ctl.set.Clock.Now()
+	if vw.plan == nil {
+		return ans
+	}
+	nws := news{Offset: vw.offset, Age: vw.Age(now), Held: now - began}
+	if vw.offset > wnt.Offset {
+		nws.Text = vw.text
+	}
+	if digest(vw.endpoints) != wnt.Digest {
+		nws.Listed, nws.Endpoints = true, vw.endpoints
+	}
+	if body, err := cbor.Marshal(nws); err == nil {
+		ans.Kind, ans.Body = peer.OK, body
+	}
+	return ans
+}
+
+// waitFor waits for a view that is wanted, for as long as a question is held.
+func (ctl *Control) waitFor(ctx context.Context, want func(vw *View) bool) *View {
+	tmr := time.NewTimer(newsHold)
+	defer tmr.Stop()
+	for {
+		turned := *ctl.turned.Load()
+		vw := ctl.View()
+		if want(vw) {
+			return vw
+		}
+		select {
+		case <-turned:
+		case <-tmr.C:
+			return ctl.View()
+		case <-ctx.Done():
+			return ctl.View()
+		}
+	}
+}
+
+// silence remembers which readers failed, and until when they are not asked.
+type silence struct {
+	mtx  sync.Mutex
+	ends map[ident.Incarnation]clock.Milli
+}
+
+func (sln *silence) until(who ident.Incarnation) clock.Milli {
+	sln.mtx.Lock()
+	defer sln.mtx.Unlock()
+	return sln.ends[who]
+}
+
+func (sln *silence) add(who ident.Incarnation, end clock.Milli) {
+	sln.mtx.Lock()
+	defer sln.mtx.Unlock()
+	if sln.ends == nil {
+		sln.ends = map[ident.Incarnation]clock.Milli{}
+	}
+	sln.ends[who] = end
+}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -16,6 +16,8 @@
 	endpoints []talk.Endpoint
 	members   []member.Member
 	homes     map[string][]ident.Incarnation
+	readers   []ident.Incarnation
+	text      []byte
 	leaving   bool
 	othersOK  bool
 }
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Milli is an instant (milliseconds since the Unix epoch) or a span of
@@ -37,24 +39,45 @@
 // New returns a clock that asks now; it is the seam for tests.
 func New(now func() Milli) Clock { return Clock{now: now} }
 
-// Now gives the present instant. It never runs backwards within a process:
-// the machine's wall clock is read once, at start, and the monotonic clock is
-// added to it. A wall clock set back by an operator would otherwise make a
-// lapsed lease look valid again.
+// Now gives the present instant. It never runs backwards within a process: the
+// machine's wall clock is read once, at start, and a clock that only goes on is
+// added to it. A wall clock set back by an operator would otherwise make a lapsed
+// lease look valid again.
+//
+// The clock that is added counts the time for which the machine was suspended. The
+// usual steady clock doesn't, and with it a lease or a view that ran out meanwhile
+// would look fresh to a process that wakes.
 func (c Clock) Now() Milli {
 	if c.now != nil {
 		return c.now()
 	}
-	return FromDuration(time.Since(started)) + startedAt
+	return onward.at(boot())
 }
 
 // Since gives the span from then to the present instant.
 func (c Clock) Since(then Milli) Milli { return c.Now() - then }
 
-var (
-	started   = time.Now()
-	startedAt = Milli(started.UnixMilli())
-)
+// origin ties a reading of the machine's clock since boot to an instant.
+type origin struct {
+	instant Milli
+	reading time.Duration
+}
+
+func (org origin) at(reading time.Duration) Milli {
+	return org.instant + FromDuration(reading-org.reading)
+}
+
+var onward = origin{instant: Milli(time.Now().UnixMilli()), reading: boot()}
+
+// boot reads the machine's clock since boot, suspended time included.
+func boot() time.Duration {
+	var spec unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &spec); err != nil {
+		// Every Linux since 2.6.39 has this clock.
+		panic(err)
+	}
+	return time.Duration(spec.Nano())
+}
 
 // Fake is a clock that moves only when it is told to. The zero value stands
 // at the epoch and may be used by several goroutines.
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -32,3 +32,18 @@
 	fmt.Println(clk.Since(then), clk.Since(then).Seconds())
 	// Output: 2000 2
 }
+
+// TestSuspendedTimeCounts: a machine is suspended for a minute. The clock since boot
+// counts the minute, and so must ours: else a process that wakes would take a view
+// or a lease that ran out for fresh.
+func TestSuspendedTimeCounts(t *testing.T) {
+	org := origin{instant: 1_000_000, reading: 5 * time.Second}
+	if got := org.at(65*time.Second + 200*time.Millisecond); got != 1_060_200 {
+		t.Errorf("%d", got)
+	}
+	before, at := boot(), time.Now()
+	time.Sleep(20 * time.Millisecond)
+	if drift := (boot() - before) - time.Since(at); drift < -5*time.Millisecond {
+		t.Errorf("the clock lost %v of running time", -drift)
+	}
+}
