internal/state: followers leave a reader whose view is more than a second old

Cause: its instance followed a reader that the store had begun to turn away; readers were left only when their view was 2.2 s old, after a question held for 1.5 s. Change: reads are held for 0.7 s, questions for 0.5 s, and a reader with a view older than 1.1 s is left for the store, so that a follower is at most some 1.2 s behind. Test: 'is not held back by readers that lost the store'; fails with the old figures.

--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -87,6 +87,31 @@
 		eventually(stopped, 2*soon).Should(gomega.BeClosed())
 	})
 
+	// Of three instances two read the store for all. The readers' ways to it go
+	// silent without a reset, then a token is taken away. The third one's own way
+	// is sound: within two seconds it must run nothing for the token, though the
+	// readers, whom it follows, have heard nothing.
+	ginkgo.It("is not held back by readers that lost the store", func() {
+		wld := newWorld(3)
+		follower := -1
+		eventually(func() int {
+			for i, nod := range wld.nodes {
+				if nod.ctl.Follows() {
+					follower = i
+				}
+			}
+			return follower
+		}, soon).ShouldNot(equal(-1))
+		// Its last own read of the store, which is held there, comes back.
+		time.Sleep(1200 * time.Millisecond)
+		for i, wy := range wld.ways {
+			wy.cut.Store(i != follower)
+		}
+		wld.keys = []string{"another"}
+		wld.publish(nil)
+		eventually(func() int { return wld.send(follower, ask{path: "/booking/x"}).status }, 2*time.Second).Should(equal(http.StatusUnauthorized))
+	})
+
 	// An instance starts while the store is out. It takes the documents from
 	// another instance, and serves what needs no token.
 	ginkgo.It("starts without the store", func() {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +56,7 @@
 	makers  []*fake.Endpoint
 	servers map[string]*stand.Server
 	nodes   []*Node
+	ways    []*way
 	version int
 	keys    []string
 }
@@ -76,6 +79,9 @@
 	}
 	ginkgo.DeferCleanup(func() {
 		wld.store.SetMode(fake.Well)
+		for _, wy := range wld.ways {
+			wy.cut.Store(false)
+		}
 		for _, nod := range wld.nodes {
 			nod.Kill()
 		}
@@ -148,8 +154,33 @@
 	wld.store.PutDocument(doc)
 }
 
+// way is one instance's way to the store. While it is cut nothing comes through,
+// also what was under way.
+type way struct {
+	cut   atomic.Bool
+	store http.Handler
+}
+
+func (wy *way) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	rec := httptest.NewRecorder()
+	if !wy.cut.Load() {
+		wy.store.ServeHTTP(rec, req)
+	}
+	if wy.cut.Load() {
+		<-req.Context().Done()
+		return
+	}
+	wrt.WriteHeader(rec.Code)
+	_, _ = wrt.Write(rec.Body.Bytes())
+}
+
 // start starts one more instance.
 func (wld *world) start() *Node {
+	wy := &way{store: wld.store.Handler()}
+	srv, err := stand.Serve("127.0.0.1:0", wy)
+	expect(err).NotTo(anything())
+	ginkgo.DeferCleanup(srv.Close)
+	wld.ways = append(wld.ways, wy)
 	text := fmt.Sprintf(`
 dialect = "platform"
 caller_addr = %q
@@ -161,10 +192,11 @@
 keep_ms = 100
 tokens_for_ms = 2000
 stop_ms = 8000
-`, freePort(), freePort(), freePort(), freePort(), wld.srv.Addr())
+`, freePort(), freePort(), freePort(), freePort(), srv.Addr())
 	set, fts := conf.Parse([]byte(text))
 	expect(set).NotTo(gomega.BeNil(), "%v", fts)
-	nod, err := New(set, platform.Dialect(), zerolog.Nop())
+	var nod *Node
+	nod, err = New(set, platform.Dialect(), zerolog.Nop())
 	expect(err).NotTo(anything())
 	nod.Start()
 	wld.nodes = append(wld.nodes, nod)
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -18,7 +18,7 @@
 	// holdFor is how long the store is asked to hold a read. A change ends it
 	// at once; the time only sets how often a quiet store is asked and how old
 	// a view becomes before it is known to be in force.
-	holdFor = clock.Second
+	holdFor = 700 * clock.Milli(1)
 	// readWait bounds a read beyond the time it is held: a slow store answers
 	// in some hundred milliseconds, a silent connection never does.
 	readWait = 1500 * time.Millisecond
@@ -73,6 +73,7 @@
 	}
 	now := dct.ctl.set.Clock.Now()
 	dct.silent.add(who, now+readerSilent)
+	dct.ctl.do(ctx, func(clock.Milli) { dct.ctl.endpts.followed = 0 })
 	dct.ctl.set.Log.Info().Err(err).Str("reader", string(who)).Int64("view_age_ms", int64(dct.ctl.View().Age(now))).Msg("reader of the store lost")
 }
 
@@ -255,15 +256,15 @@
 			return
 		}
 		pause(ctx, meetEvery[min(turn, len(meetEvery)-1)])
-		for turn >= len(meetEvery) && ctl.follows() && ctx.Err() == nil {
+		for turn >= len(meetEvery) && ctl.Follows() && ctx.Err() == nil {
 			// Readers look for all; news of who came travels on the probes.
 			pause(ctx, meetEvery[len(meetEvery)-1])
 		}
 	}
 }
 
-// follows tells whether this instance is told by others what stands in the store.
-func (ctl *Control) follows() bool {
+// Follows tells whether this instance is told by others what stands in the store.
+func (ctl *Control) Follows() bool {
 	_, ok := ctl.reader(ctl.set.Clock.Now())
 	return ok
 }
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -28,10 +28,14 @@
 	readersLeast = 2
 	readersPer   = 32
 	// newsHold is how long a reader waits for a change before it answers.
-	newsHold = 1500 * time.Millisecond
+	newsHold = 500 * time.Millisecond
 	// newsOld is the age of a reader's own view from which it is of no use to
-	// others: its way to the store is lost.
-	newsOld = 2200 * clock.Milli(1)
+	// others: its way to the store may be lost, while theirs is not. A view is
+	// no older than holdFor and an answer of the store; with newsHold and the
+	// time until a silent reader is left, a follower reads the store itself
+	// about 1.2 s after its reader last knew it to be unchanged, well within the
+	// two seconds in which a change must be in force.
+	newsOld = 1100 * clock.Milli(1)
 	// readerSilent is how long a reader that failed is not asked.
 	readerSilent = 3 * clock.Second
 	// readersName is what the readers are ranked by.
