internal/state: endpoints that left don't come back after following; readers judged by their silence

Cause: an instance that had followed a reader took its own first read of the store for the one after an outage, in which missing entries are waited for. And readers were left for views that are old by nature: a held read says what was in force when it was sent. Change: what a reader told counts as contact; a reader is judged by how long the store has been silent towards it.

--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -132,7 +132,7 @@
 	old := ctl.view.Load()
 	vw := &View{
 		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list,
-		members: ctl.list.All(), homes: old.homes, leaving: ctl.leaving, text: ctl.docs.doc.Text,
+		members: ctl.list.All(), homes: old.homes, leaving: ctl.leaving, text: ctl.docs.doc.Text, heard: ctl.docs.heardAt,
 		readers: readers(ctl.list.Homes(readersName)),
 	}
 	for _, mbr := range vw.members {
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -39,6 +39,8 @@
 	asking bool
 	down   bool
 	silent silence
+	// heardAt is when the store answered last.
+	heardAt clock.Milli
 }
 
 // watch reads the documents, and then waits in the store for newer ones.
@@ -108,6 +110,9 @@
 // contact writes down a lost or regained store.
 func (dct *docsCtl) contact(ctx context.Context, err error) {
 	dct.ctl.do(ctx, func(now clock.Milli) {
+		if err == nil {
+			dct.heardAt = now
+		}
 		if dct.down == (err != nil) {
 			return
 		}
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -56,15 +56,20 @@
 	}
 }
 
-// told tells whether a reader of the store has told us lately. The outage behind a
-// silence of the readers may be the store's own: what lapsed in it is waited for
-// again.
+// told tells whether a reader of the store has told us lately. That we didn't read
+// meanwhile is no outage: what a reader's list lacks is gone, and must not come back
+// for a while with the first list that we read ourselves.
 func (ect *endptsCtl) told(ctx context.Context) bool {
 	told := false
-	ect.ctl.do(ctx, func(now clock.Milli) {
-		told = now-ect.followed < toldFor
-		ect.down = ect.down || told
-	})
+	ect.ctl.do(ctx, func(now clock.Milli) { told = ect.toldAt(now) })
+	return told
+}
+
+func (ect *endptsCtl) toldAt(now clock.Milli) bool {
+	told := now-ect.followed < toldFor
+	if told {
+		ect.seen, ect.down = true, false
+	}
 	return told
 }
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -29,13 +29,12 @@
 	readersPer   = 32
 	// newsHold is how long a reader waits for a change before it answers.
 	newsHold = 500 * time.Millisecond
-	// newsOld is the age of a reader's own view from which it is of no use to
-	// others: its way to the store may be lost, while theirs is not. A view is
-	// no older than holdFor and an answer of the store; with newsHold and the
-	// time until a silent reader is left, a follower reads the store itself
-	// about 1.2 s after its reader last knew it to be unchanged, well within the
-	// two seconds in which a change must be in force.
-	newsOld = 1100 * clock.Milli(1)
+	// newsOld is how long a reader may have heard nothing from the store to be of
+	// use to others: its way there may be lost, while theirs is not. The store
+	// answers it every holdFor. With newsHold and the time until a silent reader
+	// is left, a follower reads the store itself some 1.2 s after its reader last
+	// heard it, well within the two seconds in which a change must be in force.
+	newsOld = 1000 * clock.Milli(1)
 	// readerSilent is how long a reader that failed is not asked.
 	readerSilent = 3 * clock.Second
 	// readersName is what the readers are ranked by.
@@ -43,7 +42,7 @@
 )
 
 var (
-	errOldNews = errors.New("the reader's own view is old")
+	errOldNews = errors.New("the reader hears nothing from the store")
 	errNoNews  = errors.New("the reader has nothing to tell")
 )
 
@@ -56,6 +55,8 @@
 	// had waited before.
 	Age  clock.Milli `cbor:"3,keyasint"`
 	Held clock.Milli `cbor:"4,keyasint"`
+	// Silent is how long the reader had heard nothing from the store.
+	Silent clock.Milli `cbor:"7,keyasint"`
 	// Listed tells that Endpoints are there, since the asker's differ.
 	Listed    bool            `cbor:"5,keyasint,omitempty"`
 	Endpoints []talk.Endpoint `cbor:"6,keyasint,omitempty"`
@@ -114,7 +115,7 @@
 	if ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &nws) != nil {
 		return errNoNews
 	}
-	if nws.Age > newsOld {
+	if nws.Silent > newsOld {
 		return errOldNews
 	}
 	// The reader answered no sooner than it had held the question.
@@ -147,7 +148,7 @@
 	if vw.plan == nil {
 		return ans
 	}
-	nws := news{Offset: vw.offset, Age: vw.Age(now), Held: now - began}
+	nws := news{Offset: vw.offset, Age: vw.Age(now), Held: now - began, Silent: now - vw.heard}
 	if vw.offset > wnt.Offset {
 		nws.Text = vw.text
 	}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -16,10 +16,12 @@
 	endpoints []talk.Endpoint
 	members   []member.Member
 	homes     map[string][]ident.Incarnation
-	readers   []ident.Incarnation
-	text      []byte
-	leaving   bool
-	othersOK  bool
+	// heard is when the store answered last.
+	heard    clock.Milli
+	readers  []ident.Incarnation
+	text     []byte
+	leaving  bool
+	othersOK bool
 }
 
 // Plan gives the plan in force, nil while none is known.
