internal/shell: amv explain puts a request's story in order; a script waits for its endpoint

Lines carry milliseconds and their instance.

Cause: the instance could read the platform's list before the endpoint had written its line, and looks again a second later. Ruled out: the shared probes (the list alone decides).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,8 @@
 	if self == "" {
 		self = nod.set.CallerAddr()
 	}
+	inc := ident.NewIncarnation(self)
+	nod.log = nod.log.With().Str("instance", string(inc)).Logger()
 	kept := relay.Kept(keptIdle)
 	share, most, window := nod.set.Retries()
 	desk := batch.New(batch.Setup{
@@ -128,7 +130,7 @@
 		Gone: func(id, why string) { nod.ctl.Left(id, why) },
 	})
 	nod.ctl = state.New(state.Setup{
-		Self: ident.NewIncarnation(self), Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(),
+		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(),
 		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link,
 		Changed: func(vw *state.View) {
@@ -214,7 +216,7 @@
 	for i, srv := range nod.others {
 		go func() { _ = srv.Serve(nod.lsns[i]) }()
 	}
-	nod.log.Info().Str("instance", string(nod.ctl.Self())).Str("zone", nod.set.Zone()).Str("callers", nod.set.CallerAddr()).
+	nod.log.Info().Str("zone", nod.set.Zone()).Str("callers", nod.set.CallerAddr()).
 		Str("store", nod.set.Store()).Strs("seeds", nod.set.Peers()).Msg("started")
 }
 
--- a/internal/shell/amv.go
+++ b/internal/shell/amv.go
@@ -9,6 +9,7 @@
 	Doc     docCmd     `cmd:"" help:"Check, publish and show service documents."`
 	Entries entriesCmd `cmd:"" help:"Ask which addresses to use for a service. Example: amv entries booking"`
 	Call    callCmd    `cmd:"" help:"Send a request. Example: amv call booking --workspace corella-track --key k1 --expires 1h"`
+	Explain explainCmd `cmd:"" help:"Put a request's story in order, from the instances' logs. Example: amv explain 9c41d07be2a35f68 node-*.log"`
 	Status  statusCmd  `cmd:"" help:"Show how an instance and what it knows of stand. Example: amv status"`
 }
 
--- a/internal/shell/script_test.go
+++ b/internal/shell/script_test.go
@@ -6,12 +6,14 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/entry"
+	"amaranthvalve/internal/platf"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/internal/zlog"
@@ -54,6 +56,12 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go stand.Enlist(ctx, "http://"+plt.Addr(), wire.Instance{ID: "booking-1", Addr: ept.Addr(), Pool: "booking", Zone: "dc1", State: wire.StateLive})
+	// An instance that reads the list before the endpoint stands in it reads it again
+	// a second later; the script would find no endpoint meanwhile.
+	if err := waitListed(ctx, plt.Addr()); err != nil {
+		cancel()
+		return err
+	}
 	set, fts := conf.Parse([]byte(fmt.Sprintf("caller_addr = \"127.0.0.1:0\"\nops_addr = \"127.0.0.1:0\"\nzone = \"dc1\"\nplatform = \"http://%s\"\nresume_key_hex = %q\n", plt.Addr(), ident.NewID())))
 	if set == nil {
 		cancel()
@@ -80,3 +88,17 @@
 	env.Setenv("USER", "anna")
 	return os.WriteFile(filepath.Join(env.WorkDir, "booking.toml"), text, 0o600)
 }
+
+// waitListed waits until the platform lists an endpoint.
+func waitListed(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	cli := platf.New("http://" + addr)
+	for {
+		list, err := cli.List(ctx)
+		if err != nil || len(list) > 0 {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/zlog/lines.go
+++ b/internal/zlog/lines.go
@@ -26,8 +26,13 @@
 	budget  *rate.Limiter
 }
 
+// timeFormat has milliseconds: a request's lines at several instances are put in
+// order by it.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Open returns a logger that writes to wrt within the bounds.
 func Open(wrt io.Writer, level zerolog.Level) (zerolog.Logger, *Lines) {
+	zerolog.TimeFieldFormat = timeFormat
 	lns := &Lines{budget: rate.NewLimiter(linesPerSecond, linesBurst)}
 	buf := diode.NewWriter(wrt, room, 0, func(missed int) { lns.dropped.Add(int64(missed)) })
 	return zerolog.New(buf).Level(level).With().Timestamp().Logger().Sample(lns).Hook(lns), lns
