--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,6 +108,7 @@
 	endpoint string
 	staged   clock.Milli
 	first    clock.Milli
+	viewAge  clock.Milli
 }
 
 // made are results that were made for a request and take room until given back.
@@ -121,6 +122,7 @@
 // ServeHTTP serves one request.
 func (fr *Front) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
 	cl := &call{view: fr.set.Control.View(), http: req, arrived: fr.set.Clock.Now()}
+	cl.viewAge = cl.view.Age(cl.arrived)
 	cl.out = newOutput(fr, wrt)
 	fr.set.Control.SetLoad(fr.under.Add(1))
 	defer func() { fr.set.Control.SetLoad(fr.under.Add(-1)) }()
@@ -145,7 +147,7 @@
 	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Str("outcome", res.Outcome().String()).
 		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
 		Int64("spent_ms", int64(cl.spent)).Int64("staged_ms", int64(cl.staged)).Int64("first_ms", int64(cl.first)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
-		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.view.Age(fr.set.Clock.Now()))).Msg("request ended")
+		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.viewAge)).Msg("request ended")
 	if res.Outcome() == outcm.Done {
 		return
 	}
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -24,6 +24,8 @@
 	// crowdedFrom is the wait at a pool from which on nothing waits for a near
 	// endpoint: about half the time of a call.
 	crowdedFrom = 200 * clock.Milli(1)
+	// slowStage times its planned time makes a stage's line worth writing.
+	slowStage = 2
 	// soonest and latest bound when a refused caller should come back.
 	soonest = 100 * clock.Milli(1)
 	latest  = 2 * clock.Second
@@ -201,10 +203,12 @@
 	if slack := cl.due - after - cl.work(stg) - fr.set.Clock.Now(); ord.Zone != "" && slack > 0 && !fr.crowded(cl) {
 		ord.Choosy = slack / clock.Milli(2*(left+1))
 	}
+	began := fr.set.Clock.Now()
 	fld, home := fr.homes.fill(ctx, fr.set.Control.View(), ord, func() (due, until clock.Milli) {
 		now := fr.set.Clock.Now()
 		return cl.due - after - now, cl.until - after - now
 	})
+	fr.tell(cl, stg, home, fr.set.Clock.Since(began), fld)
 	out := stageOut{stage: stg, flaw: fld.Flaw, cancelled: ctx.Err() != nil}
 	if out.flaw == talk.NoFlaw && len(fld.Results) != ord.Count {
 		out.flaw = talk.Late
@@ -227,6 +231,16 @@
 	return false
 }
 
+// tell writes a line for a stage that failed or took far longer than its work: it is
+// what makes requests late.
+func (fr *Front) tell(cl *call, stg int, home string, took clock.Milli, fld batch.Filled) {
+	if planned := cl.work(stg); fld.Flaw != talk.NoFlaw || took > slowStage*planned {
+		fr.set.Log.Info().Str("request", cl.ask.ID).Int("stage", stg).Str("pool", cl.route.Stages()[stg].Pool).
+			Int("pieces", cl.count(stg)).Str("gatherer", home).Int64("took_ms", int64(took)).Int64("planned_ms", int64(planned)).
+			Int("flaw", int(fld.Flaw)).Int64("pool_wait_ms", int64(fld.Wait)).Msg("stage waited")
+	}
+}
+
 // near gives the data centre in which a stage's pieces should be made: the one that
 // spares most bytes between data centres. Each piece fetches all results that its
 // stage takes, and those of the last stages are fetched by the model engine.
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -40,6 +40,9 @@
 	anything   = gomega.HaveOccurred
 )
 
+// nodeLog is where instances write.
+var nodeLog = zerolog.Nop()
+
 const (
 	soon     = 5 * time.Second
 	key      = "key-of-corella"
@@ -196,7 +199,7 @@
 	set, fts := conf.Parse([]byte(text))
 	expect(set).NotTo(gomega.BeNil(), "%v", fts)
 	var nod *Node
-	nod, err = New(set, platform.Dialect(), zerolog.Nop())
+	nod, err = New(set, platform.Dialect(), nodeLog)
 	expect(err).NotTo(anything())
 	nod.Start()
 	wld.nodes = append(wld.nodes, nod)
