pkg/member, internal/state: pools are gathered and the store read by the stronger instances

Cause: on the grown deployments instances have 0.19 to 0.8 cores, and each pool's gatherer and each reader of the store was drawn evenly.

Tests: TestHomesByCapacity. One of four runs of ./internal/node failed in setup, 'address in use': ports that were free a moment ago lay in the range of outgoing connections, and a test's own caller had taken one. They lie below that range now; four runs passed.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -50,6 +50,7 @@
 	RetryWindowMs  int64    `toml:"retry_window_ms"`
 	StopMs         int64    `toml:"stop_ms"`
 	MemoryMB       int64    `toml:"memory_mb"`
+	CapacityCores  float64  `toml:"capacity_cores"`
 	TLS            rawTLS   `toml:"tls"`
 }
 
@@ -160,6 +161,9 @@
 // Stop gives how long a planned stop may take.
 func (set *Settings) Stop() clock.Milli { return clock.Milli(set.raw.StopMs) }
 
+// Capacity gives how strong the instance is, in cores; zero counts 1.
+func (set *Settings) Capacity() float64 { return set.raw.CapacityCores }
+
 // Memory gives the bytes that the process may use, zero for no bound.
 func (set *Settings) Memory() int64 { return set.raw.MemoryMB << 20 }
 
@@ -250,6 +254,9 @@
 	if set.raw.RetryReserve < 0 {
 		fts.Add("retry_reserve", "%g is below 0", set.raw.RetryReserve)
 	}
+	if set.raw.CapacityCores < 0 {
+		fts.Add("capacity_cores", "%g is below 0", set.raw.CapacityCores)
+	}
 	if set.raw.MemoryMB < 0 {
 		fts.Add("memory_mb", "%d is below 0", set.raw.MemoryMB)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,7 +130,7 @@
 		Gone: func(id, why string) { nod.ctl.Left(id, why) },
 	})
 	nod.ctl = state.New(state.Setup{
-		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(),
+		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
 		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link,
 		Changed: func(vw *state.View) {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -206,12 +207,26 @@
 	return nod
 }
 
-// freePort gives an address that was free a moment ago.
+// Ports for instances lie below those that the machine gives to outgoing connections:
+// one that was free a moment ago would now and then be taken by a test's own caller.
+const (
+	firstPort = 21000
+	lastPort  = 31000
+)
+
+var nextPort = firstPort + os.Getpid()%5000
+
+// freePort gives an address whose port nobody listens on.
 func freePort() string {
-	lsn, err := net.Listen("tcp", "127.0.0.1:0")
-	expect(err).NotTo(anything())
-	defer func() { _ = lsn.Close() }()
-	return lsn.Addr().String()
+	for {
+		nextPort++
+		expect(nextPort).To(gomega.BeNumerically("<", lastPort))
+		lsn, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			_ = lsn.Close()
+			return lsn.Addr().String()
+		}
+	}
 }
 
 // ask is a request that a test sends.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -33,10 +33,12 @@
 	Zone   string
 	Caller string
 	Seeds  []string
-	Clock  clock.Clock
-	Store  talk.Store
-	Meter  *meter.Meter
-	Log    zerolog.Logger
+	// Capacity is how strong this instance is, in cores; zero counts 1.
+	Capacity float64
+	Clock    clock.Clock
+	Store    talk.Store
+	Meter    *meter.Meter
+	Log      zerolog.Logger
 	// Dialect compiles documents.
 	Dialect *talk.Dialect
 	// Link is nil for an instance that stands alone.
@@ -70,6 +72,7 @@
 	ctl := &Control{set: set, events: make(chan func(clock.Milli), eventRoom)}
 	now := set.Clock.Now()
 	ctl.list = member.New(set.Self, set.Zone, set.Caller, now)
+	ctl.list.SetCapacity(set.Capacity)
 	ctl.group = group.Group{
 		Self: set.Self, List: ctl.list, Link: set.Link, Offer: ctl.offer, Go: ctl.goDo,
 		Now: set.Clock.Now, Dress: ctl.dress, Heard: ctl.heard,
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -67,15 +69,58 @@
 }
 
 // Homes lists the live members in the order in which they look after a name: the
-// second takes over when the first can't be reached.
+// second takes over when the first can't be reached. Members are ranked by weighted
+// rendezvous hashing (J. Mosheyev and others, "Weighted distributed hash tables", 2005,
+// in the form of the logarithmic method), so that one of twice the capacity looks after
+// twice as many names; those below weakBelow of the strongest come last, for a single
+// name may be as much work as they can do at all.
 func (lst *List) Homes(name string) []ident.Incarnation {
-	var serving []ident.Incarnation
-	for who, mbr := range lst.members {
+	var serving []*Member
+	strongest := 0.0
+	for _, mbr := range lst.members {
 		if mbr.news.Status == Alive {
-			serving = append(serving, who)
+			serving = append(serving, mbr)
+			strongest = max(strongest, mbr.capacity())
 		}
 	}
-	return rank(name, serving)
+	slices.SortFunc(serving, func(x, y *Member) int {
+		weakX, weakY := x.capacity() < weakBelow*strongest, y.capacity() < weakBelow*strongest
+		if weakX != weakY {
+			if weakX {
+				return 1
+			}
+			return -1
+		}
+		if sx, sy := x.score(name), y.score(name); sx != sy {
+			return cmp.Compare(sy, sx)
+		}
+		return compare(x.Who(), y.Who())
+	})
+	whos := make([]ident.Incarnation, len(serving))
+	for i, mbr := range serving {
+		whos[i] = mbr.Who()
+	}
+	return whos
+}
+
+// weakBelow is the part of the strongest member's capacity below which a member looks
+// after names only when nobody else does.
+const weakBelow = 0.5
+
+// capacity gives what a member said of its strength; one that says nothing counts 1.
+func (mbr *Member) capacity() float64 {
+	if mbr.news.Capacity <= 0 {
+		return 1
+	}
+	return mbr.news.Capacity
+}
+
+// score is the member's rank for a name: its capacity over an exponential draw that
+// only the two names decide.
+func (mbr *Member) score(name string) float64 {
+	hash := xxhash.Sum64String(name + "\x00" + string(mbr.news.Who))
+	even := (float64(hash>>11) + 0.5) / (1 << 53)
+	return mbr.capacity() / -math.Log(even)
 }
 
 // Rank gives the instance's place among the members in the order of their names,
--- /dev/null
+++ b/pkg/member/homes_test.go
@@ -0,0 +1,37 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/pkg/ident"
+)
+
+// TestHomesByCapacity: the strong look after names by their strength, and the weak
+// only when nobody else is there: one of a fifth of a core that gathered a pool for
+// all would make everybody late. All members rank alike.
+func TestHomesByCapacity(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	capacity := map[ident.Incarnation]float64{"a#1": 0.8, "b#1": 0.4, "c#1": 0.1, "d#1": 0.8}
+	build := func(self ident.Incarnation) *List {
+		lst := New(self, "z", "", 0)
+		lst.SetCapacity(capacity[self])
+		for who, cores := range capacity {
+			lst.Learn([]News{{Who: who, Seq: 1, Beat: 1, Capacity: cores}}, 0)
+		}
+		return lst
+	}
+	one, two := build("a#1"), build("c#1")
+	first := map[ident.Incarnation]int{}
+	for i := range 1000 {
+		name := fmt.Sprint(i)
+		homes := one.Homes(name)
+		gom.Expect(homes).To(gomega.Equal(two.Homes(name)))
+		gom.Expect(homes[3]).To(gomega.BeEquivalentTo("c#1"))
+		first[homes[0]]++
+	}
+	gom.Expect(first["a#1"]).To(gomega.BeNumerically("~", 400, 60))
+	gom.Expect(first["b#1"]).To(gomega.BeNumerically("~", 200, 50))
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -63,6 +63,8 @@
 	// Stale tells that the member may go by old documents; callers are sent to
 	// others while there are any.
 	Stale bool `cbor:"9,keyasint,omitempty"`
+	// Capacity is how strong the member is, in cores; zero counts 1.
+	Capacity float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Member is what is known of one instance.
@@ -155,6 +157,9 @@
 	}
 }
 
+// SetCapacity notes how strong the instance is, in cores.
+func (lst *List) SetCapacity(cores float64) { lst.members[lst.self].news.Capacity = cores }
+
 // SetStale notes whether the instance's own documents may be old.
 func (lst *List) SetStale(stale bool) { lst.members[lst.self].news.Stale = stale }
 
@@ -213,6 +218,7 @@
 	if fresh {
 		// The member itself took another turn since we last heard of it.
 		cur.news.Beat, cur.news.Load, cur.news.Stale = item.Beat, item.Load, item.Stale
+		cur.news.Capacity = item.Capacity
 		cur.heard = now
 	}
 	cur.news.Applied = max(cur.news.Applied, item.Applied)
