--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -257,7 +257,7 @@
 			listed = listed || inst.Name == me.Name
 		}
 		said = said && (err != nil || listed)
-		if !ctl.do(ctx, func(now clock.Milli) { ctl.greet(list, err == nil, now) }) {
+		if !ctl.do(ctx, func(clock.Milli) { ctl.greet(list, err == nil) }) {
 			return
 		}
 		pause(ctx, meetEvery[min(turn, len(meetEvery)-1)])
@@ -278,7 +278,7 @@
 // within a moment of each other, later ones are told of by the probes.
 var meetEvery = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
 
-func (ctl *Control) greet(list []talk.Instance, read bool, now clock.Milli) {
+func (ctl *Control) greet(list []talk.Instance, read bool) {
 	known := map[string]member.Status{}
 	for _, mbr := range ctl.list.All() {
 		known[string(mbr.Who())] = mbr.Status()
