--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -244,7 +244,7 @@
 	}
 	akg.end()
 	holder := st.Holder()
-	cct.ctl.goDo(func(ctx context.Context) { akg.reply <- cct.fetch(ctx, holder.Addr(), st.Attempt(), res) })
+	cct.ctl.loop.Go(func(ctx context.Context) { akg.reply <- cct.fetch(ctx, holder.Addr(), st.Attempt(), res) })
 }
 
 // fetch asks the holder for an answer that was too large for the log.
@@ -313,7 +313,7 @@
 	// The event may still be on its way to the control thread; giving up is
 	// one too and comes after it, so that the attempt ends either way.
 	var won *Claimed
-	if !ctl.Do(ctl.ctx, func(now clock.Milli) {
+	if !ctl.Do(ctl.loop.Context(), func(now clock.Milli) {
 		if akg.done {
 			select {
 			case cld := <-akg.reply:
@@ -337,7 +337,7 @@
 
 // Release gives a key back whose request ran nothing with an effect.
 func (ctl *Control) Release(ask ClaimAsk) {
-	ctl.Do(ctl.ctx, func(now clock.Milli) {
+	ctl.Do(ctl.loop.Context(), func(now clock.Milli) {
 		if ctl.claims.isOurs(ask.Boot) {
 			ctl.claims.desk.Release(ask.Key, ask.Attempt)
 			ctl.claims.judgeAll(ask.Key, now)
@@ -351,7 +351,7 @@
 // without waiting for it: until it is in the log a repeat elsewhere waits, and
 // if this instance dies first the repeat is told "unknown".
 func (ctl *Control) Settle(ask ClaimAsk, res outcm.Result, answer string) {
-	ctl.Do(ctl.ctx, func(now clock.Milli) { ctl.claims.settle(ask, res, answer, now) })
+	ctl.Do(ctl.loop.Context(), func(now clock.Milli) { ctl.claims.settle(ask, res, answer, now) })
 }
 
 func (cct *claimsCtl) settle(ask ClaimAsk, res outcm.Result, answer string, now clock.Milli) {
--- a/internal/contr/control.go
+++ b/internal/contr/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/feed"
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/platf"
@@ -20,8 +20,6 @@
 )
 
 const (
-	// eventRoom is the length of the control thread's channel.
-	eventRoom = 1024
 	// tickEvery is the time between two steps of the controllers.
 	tickEvery = 50 * time.Millisecond
 )
@@ -45,12 +43,10 @@
 
 // Control owns the control state of an instance.
 type Control struct {
-	set    Setup
-	events chan func(now clock.Milli)
-	view   atomic.Pointer[View]
-	work   sync.WaitGroup
-	ctx    context.Context
-	load   atomic.Int64
+	set  Setup
+	loop *loop.Loop
+	view atomic.Pointer[View]
+	load atomic.Int64
 	// demands is what the other instances see of each workspace.
 	demands atomic.Pointer[map[ident.Incarnation]map[string]float64]
 
@@ -106,7 +102,7 @@
 
 // New returns a control thread that has not started.
 func New(set Setup) *Control {
-	ctl := &Control{set: set, events: make(chan func(clock.Milli), eventRoom)}
+	ctl := &Control{set: set, loop: loop.New(set.Clock, func() { set.Meter.Event(meter.EventDropped) })}
 	now := set.Clock.Now()
 	ctl.startedAt = now
 	ctl.members.open(ctl, now)
@@ -132,29 +128,16 @@
 
 // Run owns the state until the context ends, then waits for its workers.
 func (ctl *Control) Run(ctx context.Context) {
-	ctl.ctx = ctx
-	ctl.claims.app = ctl.appender(platf.StreamClaims)
-	ctl.docs.app = ctl.appender(platf.StreamDocs)
-	ctl.leases.app = ctl.appender(platf.StreamLeases)
-	ctl.goDo(ctl.docs.tail)
-	ctl.goDo(ctl.claims.tail)
-	ctl.goDo(ctl.leases.tail)
-	ctl.goDo(ctl.endpts.watchList)
-	ctl.goDo(ctl.endpts.askLoads)
-	tkr := time.NewTicker(tickEvery)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			ctl.work.Wait()
-			return
-		case event := <-ctl.events:
-			event(ctl.set.Clock.Now())
-		case <-tkr.C:
-			ctl.step(ctl.set.Clock.Now())
-		}
-		ctl.publish(ctl.set.Clock.Now())
-	}
+	ctl.loop.Run(ctx, tickEvery, func() {
+		ctl.claims.app = ctl.appender(platf.StreamClaims)
+		ctl.docs.app = ctl.appender(platf.StreamDocs)
+		ctl.leases.app = ctl.appender(platf.StreamLeases)
+		ctl.loop.Go(ctl.docs.tail)
+		ctl.loop.Go(ctl.claims.tail)
+		ctl.loop.Go(ctl.leases.tail)
+		ctl.loop.Go(ctl.endpts.watchList)
+		ctl.loop.Go(ctl.endpts.askLoads)
+	}, ctl.step, ctl.publish)
 }
 
 // feed gives what reading and appending need.
@@ -164,7 +147,7 @@
 
 func (ctl *Control) appender(stream string) *feed.Appender {
 	app := feed.NewAppender(ctl.feed(), stream)
-	ctl.goDo(app.Run)
+	ctl.loop.Go(app.Run)
 	return app
 }
 
@@ -175,48 +158,18 @@
 	ctl.endpts.step(now)
 	ctl.claims.step(now)
 	ctl.leases.step(now)
-	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(len(ctl.events)))
-}
-
-// goDo starts a worker that is waited for at the end.
-func (ctl *Control) goDo(work func(ctx context.Context)) {
-	ctl.work.Add(1)
-	go func() {
-		defer ctl.work.Done()
-		work(ctl.ctx)
-	}()
+	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(ctl.loop.Waiting()))
 }
 
-// Do runs an event on the control thread and waits for it. It gives false if
-// the context ended first; the event may then run later or never.
+// Do runs an event on the control thread and waits for it. It gives false if the
+// context ended first; the event may then run later or never.
 func (ctl *Control) Do(ctx context.Context, event func(now clock.Milli)) bool {
-	done := make(chan struct{})
-	select {
-	case ctl.events <- func(now clock.Milli) { event(now); close(done) }:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// offer hands an event over without waiting. When the channel is full it is
-// dropped and counted: what is offered is learned again in a moment.
-func (ctl *Control) offer(event func(now clock.Milli)) {
-	select {
-	case ctl.events <- event:
-	default:
-		ctl.set.Meter.Event(meter.EventDropped)
-	}
+	return ctl.loop.Do(ctx, event)
 }
 
 // Left is told by traffic that an endpoint said it is leaving.
 func (ctl *Control) Left(pool, id string) {
-	ctl.offer(func(now clock.Milli) { ctl.endpts.heardLeaving(pool+"/"+id, now) })
+	ctl.loop.Offer(func(now clock.Milli) { ctl.endpts.heardLeaving(pool+"/"+id, now) })
 }
 
 // Leave starts a planned stop: the instance tells the others that it is leaving
--- a/internal/contr/docs.go
+++ b/internal/contr/docs.go
@@ -198,7 +198,7 @@
 		addrs = dct.ctl.set.Peers[:min(len(dct.ctl.set.Peers), statePeers)]
 	}
 	dct.asking, dct.askedAt = true, now
-	dct.ctl.goDo(func(ctx context.Context) { dct.fetch(ctx, addrs) })
+	dct.ctl.loop.Go(func(ctx context.Context) { dct.fetch(ctx, addrs) })
 }
 
 func (dct *docsCtl) fetch(ctx context.Context, addrs []string) {
--- a/internal/contr/leases.go
+++ b/internal/contr/leases.go
@@ -73,7 +73,7 @@
 	if lct.grant.Valid(now) && !lct.busy && now >= lct.dueAt {
 		lct.busy, lct.dueAt = true, now+clock.FromDuration(orderEvery)
 		grt := lct.grant
-		lct.ctl.goDo(func(ctx context.Context) {
+		lct.ctl.loop.Go(func(ctx context.Context) {
 			lct.order(ctx, grt, wanted)
 			lct.ctl.Do(ctx, func(clock.Milli) { lct.busy = false })
 		})
--- a/internal/contr/members.go
+++ b/internal/contr/members.go
@@ -24,7 +24,7 @@
 	mct.ctl = ctl
 	mct.list = member.New(ctl.set.Self, ctl.set.Zone, ctl.set.CallerAddr, now)
 	mct.group = group.Group{
-		Self: ctl.set.Self, List: mct.list, Link: ctl.set.Link, Offer: ctl.offer, Go: ctl.goDo,
+		Self: ctl.set.Self, List: mct.list, Link: ctl.set.Link, Offer: ctl.loop.Offer, Go: ctl.loop.Go,
 		Now: ctl.set.Clock.Now, Dress: mct.dress, Heard: mct.heard,
 	}
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
@@ -35,7 +36,7 @@
 	if !fr.stillAllowed(cl) {
 		return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
 	}
-	fr.pools.sent(cl.pool.Name())
+	fr.pools.Sent(cl.pool.Name())
 	run := &running{fr: fr, cl: cl, after: cl.ask.After}
 	if !cl.route.Resumable() {
 		run.after = ""
@@ -77,15 +78,15 @@
 }
 
 // place finds an endpoint; a full pool is waited for a moment.
-func (run *running) place(ctx context.Context) (target, outcm.Result) {
+func (run *running) place(ctx context.Context) (pools.Target, outcm.Result) {
 	fr, cl := run.fr, run.cl
 	until := fr.set.Clock.Now() + max(cl.due-cl.arrived, 0)/waitShare
 	for {
-		if tgt, ok := fr.pools.pick(cl, run.avoid); ok {
+		if tgt, ok := fr.pools.Pick(cl.pool.Name(), cl.want(run.avoid)); ok {
 			return tgt, outcm.Result{}
 		}
 		if len(run.avoid) > 0 || ctx.Err() != nil || fr.set.Clock.Now() >= until {
-			return target{}, outcm.Refuse(outcm.QueueFull, fr.comeBack(soonest), "all endpoints are full")
+			return pools.Target{}, outcm.Refuse(outcm.QueueFull, fr.comeBack(soonest), "all endpoints are full")
 		}
 		select {
 		case <-time.After(waitStep):
@@ -110,32 +111,32 @@
 
 // attempt sends the request once. It tells whether another endpoint may be tried;
 // the result then is what the caller gets if there is none.
-func (run *running) attempt(ctx context.Context, tgt target) (outcm.Result, bool) {
+func (run *running) attempt(ctx context.Context, tgt pools.Target) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
 	cl.attempts++
-	cl.endpoint = tgt.id
-	run.avoid = append(run.avoid, tgt.id)
+	cl.endpoint = tgt.ID
+	run.avoid = append(run.avoid, tgt.ID)
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := fr.set.Clock.Now()
-	rsp, end := fr.set.Relay.Do(actx, tgt.addr, cl.req, talk.Send{
-		Endpoint: tgt.id, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, After: run.after,
+	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, cl.req, talk.Send{
+		Endpoint: tgt.ID, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, After: run.after,
 	})
 	took := fr.set.Clock.Since(began)
 	if rsp != nil {
 		defer func() { _ = rsp.Body.Close() }()
-		fr.pools.said(cl.pool.Name(), tgt.id, rsp.Reply)
+		fr.pools.Said(cl.pool.Name(), tgt.ID, rsp.Reply)
 	}
 	if end == relay.Answered {
-		fr.pools.began(cl.route.Name(), took)
+		fr.pools.Began(cl.route.Name(), took)
 		cl.first = took
 		return run.answer(ctx, tgt, rsp, began)
 	}
-	fr.pools.finish(cl.pool.Name(), tgt.id, verdictOf(end), took)
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.id).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
+	fr.pools.Finish(cl.pool.Name(), tgt.ID, verdictOf(end), took)
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
 		Str("ending", end.String()).Int64("took_ms", int64(took)).Msg("attempt failed")
 	if rsp != nil && rsp.Reply.Misdirected {
-		fr.set.Control.Left(tgt.id, "another endpoint answers at its address")
+		fr.set.Control.Left(tgt.ID, "another endpoint answers at its address")
 	}
 	return run.judge(ctx, end)
 }
@@ -174,7 +175,7 @@
 		return res, false
 	case !fr.stillAllowed(cl):
 		return res, false
-	case end != relay.NothingSent && !fr.pools.repeat(cl.pool.Name(), fr.set.Control.View()):
+	case end != relay.NothingSent && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
 	}
 	fr.set.Meter.Retried(causes[end])
@@ -200,7 +201,7 @@
 }
 
 // answer hands an endpoint's answer on.
-func (run *running) answer(ctx context.Context, tgt target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
+func (run *running) answer(ctx context.Context, tgt pools.Target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
 	if cl.route.Streams() && rsp.Status == http.StatusOK {
 		// The engine has fetched what it takes. A stream that breaks off can't
@@ -213,13 +214,13 @@
 	took := fr.set.Clock.Since(began)
 	switch {
 	case err != nil:
-		fr.pools.finish(cl.pool.Name(), tgt.id, cutVerdict(ctx), took)
+		fr.pools.Finish(cl.pool.Name(), tgt.ID, cutVerdict(ctx), took)
 		return run.judge(ctx, cutOr(ctx))
 	case len(body) > keptWhole:
-		fr.pools.finish(cl.pool.Name(), tgt.id, route.Good, took)
+		fr.pools.Finish(cl.pool.Name(), tgt.ID, route.Good, took)
 		return run.large(rsp, body)
 	}
-	fr.pools.finish(cl.pool.Name(), tgt.id, statusVerdict(rsp.Status), took)
+	fr.pools.Finish(cl.pool.Name(), tgt.ID, statusVerdict(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.begun {
 		run.kept = &kept{rsp: rsp, body: body}
 		if res, again := run.judge(ctx, relay.Cut); again {
@@ -277,12 +278,12 @@
 // stream hands on the events of a stream as they come. What broke off goes on at
 // another endpoint after the last whole event, if the route allows that, under the
 // head of the first one.
-func (run *running) stream(ctx context.Context, tgt target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
+func (run *running) stream(ctx context.Context, tgt pools.Target, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
 	if !cl.out.begun {
 		cl.out.head(rsp, -1)
 		if cl.out.ctl.Flush() != nil {
-			fr.pools.finish(cl.pool.Name(), tgt.id, route.Neutral, 0)
+			fr.pools.Finish(cl.pool.Name(), tgt.ID, route.Neutral, 0)
 			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
 		}
 	}
@@ -290,22 +291,22 @@
 	for {
 		event, err := evs.Next()
 		if errors.Is(err, io.EOF) {
-			fr.pools.finish(cl.pool.Name(), tgt.id, route.Good, fr.set.Clock.Since(began))
+			fr.pools.Finish(cl.pool.Name(), tgt.ID, route.Good, fr.set.Clock.Since(began))
 			return outcm.OK(), false
 		}
 		if err != nil {
 			break
 		}
 		if cl.out.write(event) != nil {
-			fr.pools.finish(cl.pool.Name(), tgt.id, route.Neutral, 0)
+			fr.pools.Finish(cl.pool.Name(), tgt.ID, route.Neutral, 0)
 			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
 		}
 		if name, ok := fr.set.Dialect.EventName(event); ok {
 			run.after = name
 		}
 	}
-	fr.pools.finish(cl.pool.Name(), tgt.id, cutVerdict(ctx), fr.set.Clock.Since(began))
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.id).Str("after", run.after).Msg("stream cut")
+	fr.pools.Finish(cl.pool.Name(), tgt.ID, cutVerdict(ctx), fr.set.Clock.Since(began))
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("after", run.after).Msg("stream cut")
 	res, again := run.judge(ctx, cutOr(ctx))
 	if again {
 		fr.set.Meter.Retried(retry.Resumed)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,8 +9,9 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/meter"
-	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/internal/state"
 	"amaranthvalve/internal/talk"
@@ -25,26 +26,20 @@
 	Control *state.Control
 	Dialect *talk.Dialect
 	Relay   *relay.Relay
-	Desk    *batch.Desk
-	// Link is nil for an instance that stands alone.
-	Link  *peer.Link
-	Clock clock.Clock
-	Meter *meter.Meter
-	Log   zerolog.Logger
-	Zone  string
+	Pools   *pools.Pools
+	Homes   *homes.Homes
+	Clock   clock.Clock
+	Meter   *meter.Meter
+	Log     zerolog.Logger
 	// TokensFor is the age up to which a view's tokens are honoured.
 	TokensFor clock.Milli
-	// Repeats is how many requests a pool may get again in a while, from all
-	// instances, beyond the share of RepeatShare of its first ones.
-	Repeats     float64
-	RepeatShare float64
 }
 
 // Front serves callers. It is made by [New].
 type Front struct {
 	set     Setup
-	pools   *pools
-	homes   *homes
+	pools   *pools.Pools
+	homes   *homes.Homes
 	usual   usual
 	head    next
 	under   atomic.Int64
@@ -59,7 +54,7 @@
 
 // New returns a front with its filters in their order.
 func New(set Setup) *Front {
-	fr := &Front{set: set, pools: newPools(set), homes: newHomes(set)}
+	fr := &Front{set: set, pools: set.Pools, homes: set.Homes}
 	fr.head = fr.final
 	steps := []step{fr.match, fr.identify, fr.admit, fr.stages}
 	for i := len(steps) - 1; i >= 0; i-- {
@@ -72,9 +67,6 @@
 	return func(ctx context.Context, cl *call) outcm.Result { return stp(ctx, cl, nxt) }
 }
 
-// Sync takes a new view's plan and endpoints.
-func (fr *Front) Sync(vw *state.View) { fr.pools.sync(vw) }
-
 // Closing makes each answer from now on ask the caller to close its connection.
 func (fr *Front) Closing() { fr.closing.Store(true) }
 
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/homes"
+	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
@@ -16,8 +18,6 @@
 )
 
 const (
-	// maxPieces bounds the pieces of one stage of one request.
-	maxPieces = 4096
 	// nearFrom is how many bytes a piece must spare between data centres to be
 	// made in a certain one; below it, which endpoint is free first matters more.
 	nearFrom = 128 << 10
@@ -41,6 +41,15 @@
 	return cl.ask.Pieces[stage]
 }
 
+// want gives what the final call is placed by.
+func (cl *call) want(avoid []string) pools.Want {
+	wnt := pools.Want{Salt: cl.ask.ID, Aimed: cl.engine.ID, Avoid: avoid}
+	if cl.ask.Prompt != nil {
+		wnt.Prompt = *cl.ask.Prompt
+	}
+	return wnt
+}
+
 // batchOf gives how a stage's pool takes pieces.
 func (cl *call) batchOf(stage int) *plan.DraftBatch {
 	pol, ok := cl.view.Plan().Pool(cl.route.Stages()[stage].Pool)
@@ -76,11 +85,11 @@
 func (fr *Front) admit(ctx context.Context, cl *call, nxt next) outcm.Result {
 	name := cl.route.Target(rand.Float64())
 	pol, ok := cl.view.Plan().Pool(name)
-	if !ok || !fr.pools.usable(name) {
+	if !ok || !fr.pools.Usable(name) {
 		return outcm.Refuse(outcm.NoEndpoint, spread(staleRetry), "no endpoint is known that could run it")
 	}
 	cl.pool = pol
-	if len(cl.ask.Pieces) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Pieces), 0)) > maxPieces {
+	if len(cl.ask.Pieces) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Pieces), 0)) > homes.MaxPieces {
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "more pieces than the route has stages for, or too many")
 	}
 	need := fr.need(cl)
@@ -98,12 +107,12 @@
 	if len(cl.route.Stages()) == 0 {
 		return 0
 	}
-	need := fr.pools.first(cl.route.Name())
+	need := fr.pools.First(cl.route.Name())
 	for _, wave := range cl.route.Waves() {
 		longest := clock.Milli(0)
 		for _, stg := range wave {
 			if cl.count(stg) > 0 {
-				longest = max(longest, fr.homes.wait(cl.route.Stages()[stg].Pool)+cl.work(stg))
+				longest = max(longest, fr.homes.Wait(cl.route.Stages()[stg].Pool)+cl.work(stg))
 			}
 		}
 		need += longest
@@ -126,11 +135,13 @@
 	if len(cl.route.Stages()) == 0 || len(cl.ask.Pieces) == 0 {
 		return nxt(ctx, cl)
 	}
-	fr.pools.aim(cl)
+	if eng, ok := fr.pools.Aim(cl.pool.Name(), cl.want(nil)); ok {
+		cl.engine = eng
+	}
 	began := fr.set.Clock.Now()
 	waves := cl.route.Waves()
 	for i, wave := range waves {
-		after := fr.pools.first(cl.route.Name())
+		after := fr.pools.First(cl.route.Name())
 		for _, later := range waves[i+1:] {
 			after += cl.waveWork(later)
 		}
@@ -204,7 +215,7 @@
 		ord.Choosy = slack / clock.Milli(2*(left+1))
 	}
 	began := fr.set.Clock.Now()
-	fld, home := fr.homes.fill(ctx, fr.set.Control.View(), ord, func() (due, until clock.Milli) {
+	fld, home := fr.homes.Fill(ctx, fr.set.Control.View(), ord, func() (due, until clock.Milli) {
 		now := fr.set.Clock.Now()
 		return cl.due - after - now, cl.until - after - now
 	})
@@ -224,7 +235,7 @@
 // that waits for a near endpoint keeps those before it waiting too.
 func (fr *Front) crowded(cl *call) bool {
 	for _, stg := range cl.route.Stages() {
-		if fr.homes.wait(stg.Pool) > crowdedFrom {
+		if fr.homes.Wait(stg.Pool) > crowdedFrom {
 			return true
 		}
 	}
@@ -271,7 +282,7 @@
 // effect ran.
 func (fr *Front) refuseStage(cl *call, out *stageOut) outcm.Result {
 	pool := cl.route.Stages()[out.stage].Pool
-	after := fr.comeBack(fr.homes.wait(pool))
+	after := fr.comeBack(fr.homes.Wait(pool))
 	switch {
 	case fr.set.Clock.Now() >= cl.until:
 		return outcm.Refuse(outcm.DeadlinePassed, after, fmt.Sprintf("stage %d was not made in time", out.stage))
@@ -322,7 +333,7 @@
 		if stg != allStages && mad.stage != stg {
 			return false
 		}
-		fr.homes.free(mad.home, batch.Freed{Pool: mad.pool, Results: mad.list})
+		fr.homes.Free(mad.home, batch.Freed{Pool: mad.pool, Results: mad.list})
 		return true
 	})
 }
--- a/internal/front/homes.go
+++ b/internal/homes/homes.go
@@ -1,4 +1,10 @@
-package front
+// Package homes finds the instance that gathers a pool's pieces, and has orders filled
+// there.
+//
+// The gatherers follow from the membership. One that gives no sign of work is left for
+// the next, and this instance gathers alone when two have failed: a request must not
+// fail, nor run out of time, because another instance died.
+package homes
 
 import (
 	"context"
@@ -7,6 +13,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/peer"
@@ -16,6 +23,8 @@
 )
 
 const (
+	// MaxPieces bounds the pieces of one stage of one request.
+	MaxPieces = 4096
 	// homesTried is how many instances are asked for an order before this one
 	// gathers alone.
 	homesTried = 2
@@ -29,9 +38,19 @@
 // errNoAnswer tells that a gatherer didn't answer an order.
 var errNoAnswer = errors.New("the gatherer refused the order")
 
-// homes finds the instances that gather pools, and remembers which were silent
+// Setup is what homes are made of.
+type Setup struct {
+	Control *state.Control
+	Desk    *batch.Desk
+	// Link is nil for an instance that stands alone.
+	Link  *peer.Link
+	Clock clock.Clock
+	Log   zerolog.Logger
+}
+
+// Homes finds the instances that gather pools, and remembers which were silent
 // and how long pieces wait there.
-type homes struct {
+type Homes struct {
 	set Setup
 
 	mtx    sync.Mutex
@@ -45,13 +64,14 @@
 	at   clock.Milli
 }
 
-func newHomes(set Setup) *homes {
-	return &homes{set: set, silent: map[ident.Incarnation]clock.Milli{}, waits: map[string]waited{}}
+// New returns homes that know of no silence.
+func New(set Setup) *Homes {
+	return &Homes{set: set, silent: map[ident.Incarnation]clock.Milli{}, waits: map[string]waited{}}
 }
 
-// fill has an order filled by the pool's gatherer, or the one after it, or here.
+// Fill has an order filled by the pool's gatherer, or the one after it, or here.
 // It gives the address of who did, empty for this instance.
-func (hms *homes) fill(ctx context.Context, vw *state.View, ord batch.Order, left func() (due, until clock.Milli)) (batch.Filled, string) {
+func (hms *Homes) Fill(ctx context.Context, vw *state.View, ord batch.Order, left func() (due, until clock.Milli)) (batch.Filled, string) {
 	tried := 0
 	for _, who := range vw.Gatherers(ord.Pool) {
 		if who == hms.set.Control.Self() || tried >= homesTried {
@@ -78,7 +98,7 @@
 	return fld, ""
 }
 
-func (hms *homes) ask(ctx context.Context, who ident.Incarnation, ord batch.Order) (batch.Filled, error) {
+func (hms *Homes) ask(ctx context.Context, who ident.Incarnation, ord batch.Order) (batch.Filled, error) {
 	body, err := cbor.Marshal(ord)
 	if err != nil {
 		return batch.Filled{}, err
@@ -95,37 +115,37 @@
 	return fld, cbor.Unmarshal(ans.Body, &fld)
 }
 
-func (hms *homes) isSilent(who ident.Incarnation) bool {
+func (hms *Homes) isSilent(who ident.Incarnation) bool {
 	hms.mtx.Lock()
 	defer hms.mtx.Unlock()
 	return hms.set.Clock.Now() < hms.silent[who]
 }
 
-func (hms *homes) lost(who ident.Incarnation, ord batch.Order, err error) {
+func (hms *Homes) lost(who ident.Incarnation, ord batch.Order, err error) {
 	hms.set.Log.Warn().Err(err).Str("request", ord.Request).Str("pool", ord.Pool).Str("gatherer", string(who)).Msg("gatherer lost")
 	hms.mtx.Lock()
 	defer hms.mtx.Unlock()
 	hms.silent[who] = hms.set.Clock.Now() + silentFor
 }
 
-func (hms *homes) note(pool string, span clock.Milli) {
+func (hms *Homes) note(pool string, span clock.Milli) {
 	hms.mtx.Lock()
 	defer hms.mtx.Unlock()
 	hms.waits[pool] = waited{span: span, at: hms.set.Clock.Now()}
 }
 
-// wait estimates how long a piece of a pool would wait: what its gatherer said
+// Wait estimates how long a piece of a pool would wait: what its gatherer said
 // last, less the time since.
-func (hms *homes) wait(pool string) clock.Milli {
+func (hms *Homes) Wait(pool string) clock.Milli {
 	hms.mtx.Lock()
 	defer hms.mtx.Unlock()
 	wtd := hms.waits[pool]
 	return max(wtd.span-hms.set.Clock.Since(wtd.at), 0)
 }
 
-// free gives results back by whoever had them made. When that instance can't be
+// Free gives results back by whoever had them made. When that instance can't be
 // reached this one tells the makers.
-func (hms *homes) free(home string, frd batch.Freed) {
+func (hms *Homes) Free(home string, frd batch.Freed) {
 	if home == "" || hms.set.Link == nil {
 		hms.set.Desk.Free(frd)
 		return
@@ -145,13 +165,13 @@
 }
 
 // Gather answers another instance that wants pieces; it is given to the link.
-func (fr *Front) Gather(ctx context.Context, msg peer.Message) peer.Message {
-	ans := peer.Message{Kind: peer.Nack, From: fr.set.Control.Self()}
+func (hms *Homes) Gather(ctx context.Context, msg peer.Message) peer.Message {
+	ans := peer.Message{Kind: peer.Nack, From: hms.set.Control.Self()}
 	var ord batch.Order
-	if cbor.Unmarshal(msg.Body, &ord) != nil || ord.Count < 1 || ord.Count > maxPieces {
+	if cbor.Unmarshal(msg.Body, &ord) != nil || ord.Count < 1 || ord.Count > MaxPieces {
 		return ans
 	}
-	body, err := cbor.Marshal(fr.set.Desk.Make(ctx, ord))
+	body, err := cbor.Marshal(hms.set.Desk.Make(ctx, ord))
 	if err == nil {
 		ans.Kind, ans.Body = peer.OK, body
 	}
@@ -159,11 +179,11 @@
 }
 
 // Freed takes results that another instance gives back; it is given to the link.
-func (fr *Front) Freed(msg peer.Message) peer.Message {
+func (hms *Homes) Freed(msg peer.Message) peer.Message {
 	var frd batch.Freed
 	if cbor.Unmarshal(msg.Body, &frd) != nil {
-		return peer.Message{Kind: peer.Nack, From: fr.set.Control.Self()}
+		return peer.Message{Kind: peer.Nack, From: hms.set.Control.Self()}
 	}
-	fr.set.Desk.Free(frd)
-	return peer.Message{Kind: peer.OK, From: fr.set.Control.Self()}
+	hms.set.Desk.Free(frd)
+	return peer.Message{Kind: peer.OK, From: hms.set.Control.Self()}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,8 +16,10 @@
 	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/front"
+	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/internal/serve"
 	"amaranthvalve/internal/state"
@@ -58,6 +60,8 @@
 	mtr   *meter.Meter
 	ctl   *state.Control
 	front *front.Front
+	pools *pools.Pools
+	homes *homes.Homes
 	link  *peer.Link
 
 	calls  *serve.Server
@@ -95,7 +99,7 @@
 	}
 	nod.link, err = peer.Listen(nod.set.PeerAddr(), server, client, func(ctx context.Context, msg peer.Message) peer.Message {
 		if msg.Kind == peer.PiecesFreed {
-			return nod.front.Freed(msg)
+			return nod.homes.Freed(msg)
 		}
 		return nod.ctl.Handle(ctx, msg)
 	})
@@ -106,7 +110,7 @@
 		if msg.Kind == peer.NewsWanted {
 			return nod.ctl.Tell(ctx, msg)
 		}
-		return nod.front.Gather(ctx, msg)
+		return nod.homes.Gather(ctx, msg)
 	}
 	nod.link.Refused = func(err error) {
 		nod.mtr.Event(meter.EventPeerRefused)
@@ -129,21 +133,24 @@
 		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Reserve: most, Window: window,
 		Gone: func(id, why string) { nod.ctl.Left(id, why) },
 	})
+	pls := pools.New(pools.Setup{Clock: nod.clk, Zone: nod.set.Zone(), RepeatShare: share, Repeats: most})
+	nod.pools = pls
 	nod.ctl = state.New(state.Setup{
 		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
 		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link,
 		Changed: func(vw *state.View) {
 			desk.Sync(vw.Plan(), vw.Endpoints())
-			nod.front.Sync(vw)
+			pls.Sync(vw)
 			if pln := vw.Plan(); pln != nil {
 				nod.calls.SetLimits(serve.Limits{Header: pln.Limits().HeaderTime, Idle: pln.Limits().IdleTime})
 			}
 		},
 	})
+	nod.homes = homes.New(homes.Setup{Control: nod.ctl, Desk: desk, Link: nod.link, Clock: nod.clk, Log: nod.log})
 	nod.front = front.New(front.Setup{
-		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia), Desk: desk, Link: nod.link, Clock: nod.clk,
-		Meter: nod.mtr, Log: nod.log, Zone: nod.set.Zone(), RepeatShare: share, Repeats: most,
+		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia), Pools: pls, Homes: nod.homes, Clock: nod.clk,
+		Meter: nod.mtr, Log: nod.log,
 		TokensFor: clock.Milli(tokensShare * float64(nod.set.TokensFor())),
 	})
 }
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -52,7 +52,7 @@
 	ginkgo.It("sends nothing to endpoints that leave or are replaced", func() {
 		wld := newWorld(1)
 		wld.entry("bookings", "booking-0", wld.servers["booking-0"].Addr(), "draining")
-		eventually(func() bool { return wld.nodes[0].front.Knows("bookings", 1) }, soon).Should(gomega.BeTrue())
+		eventually(func() bool { return wld.nodes[0].pools.Knows("bookings", 1) }, soon).Should(gomega.BeTrue())
 		before := len(wld.plain[0].Runs())
 		for range 10 {
 			expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusOK))
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -96,7 +96,7 @@
 	})
 	for _, nod := range wld.nodes {
 		eventually(func() int { return len(nod.ctl.View().Members()) }, soon).Should(equal(nodes))
-		eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) && nod.front.Knows("bookings", 2) }, soon).Should(gomega.BeTrue())
+		eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) && nod.pools.Knows("bookings", 2) }, soon).Should(gomega.BeTrue())
 	}
 	return wld
 }
--- a/internal/front/pools.go
+++ b/internal/pools/pools.go
@@ -1,4 +1,7 @@
-package front
+// Package pools holds what an instance knows of the pools that final calls go to, and
+// chooses the endpoint of each call: model engines by their prompts (package prefix),
+// plain endpoints by two choices (package route). It keeps the pools' retry budgets.
+package pools
 
 import (
 	"math/rand/v2"
@@ -24,15 +27,35 @@
 	keptReserve = 0.8
 )
 
-// target is an endpoint picked for a final call.
-type target struct {
-	id   string
-	addr string
-	zone string
+// Setup is what pools are made of.
+type Setup struct {
+	Clock clock.Clock
+	Zone  string
+	// Repeats is how many requests a pool may get again in a while, from all
+	// instances, beyond the share of RepeatShare of its first ones.
+	Repeats     float64
+	RepeatShare float64
 }
 
-// pools holds what this instance knows of the pools that final calls go to.
-type pools struct {
+// Target is an endpoint picked for a final call.
+type Target struct {
+	ID   string
+	Addr string
+}
+
+// Want is what a final call is to be placed by.
+type Want struct {
+	Prompt prefix.Prompt
+	// Salt spreads requests that share nothing.
+	Salt string
+	// Aimed is the engine that was chosen beforehand; empty for none.
+	Aimed string
+	// Avoid lists the endpoints that were tried.
+	Avoid []string
+}
+
+// Pools is safe for concurrent use. It is made by [New].
+type Pools struct {
 	set  Setup
 	mtx  sync.Mutex
 	byID map[string]*finals
@@ -47,12 +70,13 @@
 	budget  retry.Budget
 }
 
-func newPools(set Setup) *pools {
-	return &pools{set: set, byID: map[string]*finals{}, firsts: map[string]float64{}}
+// New returns no pools.
+func New(set Setup) *Pools {
+	return &Pools{set: set, byID: map[string]*finals{}, firsts: map[string]float64{}}
 }
 
-// sync takes a view's endpoints.
-func (pls *pools) sync(vw *state.View) {
+// Sync takes a view's endpoints.
+func (pls *Pools) Sync(vw *state.View) {
 	pln := vw.Plan()
 	if pln == nil {
 		return
@@ -69,7 +93,7 @@
 }
 
 // pool finds a pool, or makes it of its kind.
-func (pls *pools) pool(name string, pol *plan.Pool) *finals {
+func (pls *Pools) pool(name string, pol *plan.Pool) *finals {
 	fnl, ok := pls.byID[name]
 	if ok && (fnl.engines != nil) == (pol.Engine() != nil) {
 		return fnl
@@ -100,53 +124,44 @@
 	fnl.plain.Sync(plain)
 }
 
-// aim chooses the model engine that a request will probably go to, so that its
-// results can be made near it.
-func (pls *pools) aim(cl *call) {
+// Aim chooses the model engine that a request will probably go to, so that its results
+// can be made near it; false if the pool has no engines.
+func (pls *Pools) Aim(pool string, wnt Want) (prefix.Engine, bool) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
-	fnl := pls.byID[cl.pool.Name()]
+	fnl := pls.byID[pool]
 	if fnl == nil || fnl.engines == nil {
-		return
-	}
-	if eng, ok := fnl.engines.Pick(cl.prompt(), cl.ask.ID, nil, pls.set.Clock.Now()); ok {
-		cl.engine = eng
+		return prefix.Engine{}, false
 	}
+	return fnl.engines.Pick(wnt.Prompt, wnt.Salt, nil, pls.set.Clock.Now())
 }
 
-func (cl *call) prompt() prefix.Prompt {
-	if cl.ask.Prompt == nil {
-		return prefix.Prompt{}
-	}
-	return *cl.ask.Prompt
-}
-
-// pick chooses the endpoint of a final call at the moment of sending, and counts
-// the request there. The engine aimed at is taken if it still may be.
-func (pls *pools) pick(cl *call, avoid []string) (target, bool) {
+// Pick chooses the endpoint of a final call at the moment of sending, and counts the
+// request there. The engine aimed at is taken if it still may be.
+func (pls *Pools) Pick(pool string, wnt Want) (Target, bool) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	now := pls.set.Clock.Now()
-	fnl := pls.byID[cl.pool.Name()]
+	fnl := pls.byID[pool]
 	if fnl == nil {
-		return target{}, false
+		return Target{}, false
 	}
 	if fnl.plain != nil {
-		ep, ok := fnl.plain.Pick(route.Ask{Avoid: avoid}, now)
-		return target{id: ep.ID, addr: ep.Addr, zone: ep.Zone}, ok
+		ep, ok := fnl.plain.Pick(route.Ask{Avoid: wnt.Avoid}, now)
+		return Target{ID: ep.ID, Addr: ep.Addr}, ok
 	}
-	eng, ok := fnl.engines.Find(cl.engine.ID)
-	if len(avoid) > 0 || !ok || !fnl.engines.Usable(eng.ID, now) {
-		eng, ok = fnl.engines.Pick(cl.prompt(), cl.ask.ID, avoid, now)
+	eng, ok := fnl.engines.Find(wnt.Aimed)
+	if len(wnt.Avoid) > 0 || !ok || !fnl.engines.Usable(eng.ID, now) {
+		eng, ok = fnl.engines.Pick(wnt.Prompt, wnt.Salt, wnt.Avoid, now)
 	}
 	if ok {
 		fnl.engines.Begin(eng.ID)
 	}
-	return target{id: eng.ID, addr: eng.Addr, zone: eng.Zone}, ok
+	return Target{ID: eng.ID, Addr: eng.Addr}, ok
 }
 
-// usable tells whether a pool has endpoints that could be sent work.
-func (pls *pools) usable(name string) bool {
+// Usable tells whether a pool has endpoints that could be sent work.
+func (pls *Pools) Usable(name string) bool {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	fnl := pls.byID[name]
@@ -161,15 +176,15 @@
 
 // Knows tells whether a plain pool has so many endpoints that may be sent work, for
 // tests that wait for it.
-func (fr *Front) Knows(pool string, count int) bool {
-	fr.pools.mtx.Lock()
-	defer fr.pools.mtx.Unlock()
-	fnl := fr.pools.byID[pool]
+func (pls *Pools) Knows(pool string, count int) bool {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	fnl := pls.byID[pool]
 	return fnl != nil && fnl.plain != nil && fnl.plain.Usable() == count
 }
 
-// said notes an endpoint's own word on its load.
-func (pls *pools) said(pool, id string, rep talk.Reply) {
+// Said notes an endpoint's own word on its load.
+func (pls *Pools) Said(pool, id string, rep talk.Reply) {
 	if !rep.HasLoad {
 		return
 	}
@@ -180,8 +195,8 @@
 	}
 }
 
-// finish notes the end of a request at an endpoint.
-func (pls *pools) finish(pool, id string, ver route.Verdict, took clock.Milli) {
+// Finish notes the end of a request at an endpoint.
+func (pls *Pools) Finish(pool, id string, ver route.Verdict, took clock.Milli) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	fnl, now := pls.byID[pool], pls.set.Clock.Now()
@@ -196,8 +211,8 @@
 	}
 }
 
-// sent notes a first attempt, which pays into the pool's budget.
-func (pls *pools) sent(pool string) {
+// Sent notes a first attempt, which pays into the pool's budget.
+func (pls *Pools) Sent(pool string) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	if fnl := pls.byID[pool]; fnl != nil {
@@ -205,9 +220,9 @@
 	}
 }
 
-// repeat asks for a further attempt. What all instances may do together is divided
+// Repeat asks for a further attempt. What all instances may do together is divided
 // among those that are known.
-func (pls *pools) repeat(pool string, vw *state.View) bool {
+func (pls *Pools) Repeat(pool string, vw *state.View) bool {
 	alive := 0
 	for _, mbr := range vw.Members() {
 		if mbr.Status() != member.Dead {
@@ -224,8 +239,8 @@
 	return fnl.budget.Take()
 }
 
-// first gives the mean time from a route's final call to its first byte.
-func (pls *pools) first(route string) clock.Milli {
+// First gives the mean time from a route's final call to its first byte.
+func (pls *Pools) First(route string) clock.Milli {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	if mean, ok := pls.firsts[route]; ok {
@@ -234,8 +249,8 @@
 	return clock.Milli(firstGuess)
 }
 
-// began notes a time to a first byte.
-func (pls *pools) began(route string, took clock.Milli) {
+// Began notes a time to a first byte.
+func (pls *Pools) Began(route string, took clock.Milli) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	mean, ok := pls.firsts[route]
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/group"
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/talk"
@@ -18,8 +18,6 @@
 )
 
 const (
-	// eventRoom is the length of the control thread's channel.
-	eventRoom = 1024
 	// tickEvery is the time between two steps of the control thread.
 	tickEvery = 100 * time.Millisecond
 	// staleAfter is the age from which a view may well be an old one: two and a
@@ -50,12 +48,10 @@
 
 // Control owns the control state of an instance.
 type Control struct {
-	set    Setup
-	events chan func(now clock.Milli)
-	view   atomic.Pointer[View]
-	load   atomic.Int64
-	work   sync.WaitGroup
-	ctx    context.Context
+	set  Setup
+	loop *loop.Loop
+	view atomic.Pointer[View]
+	load atomic.Int64
 
 	group   group.Group
 	list    *member.List
@@ -69,12 +65,12 @@
 
 // New returns a control thread that has not started.
 func New(set Setup) *Control {
-	ctl := &Control{set: set, events: make(chan func(clock.Milli), eventRoom)}
+	ctl := &Control{set: set, loop: loop.New(set.Clock, func() { set.Meter.Event(meter.EventDropped) })}
 	now := set.Clock.Now()
 	ctl.list = member.New(set.Self, set.Zone, set.Caller, now)
 	ctl.list.SetCapacity(set.Capacity)
 	ctl.group = group.Group{
-		Self: set.Self, List: ctl.list, Link: set.Link, Offer: ctl.offer, Go: ctl.goDo,
+		Self: set.Self, List: ctl.list, Link: set.Link, Offer: ctl.loop.Offer, Go: ctl.loop.Go,
 		Now: set.Clock.Now, Dress: ctl.dress, Heard: ctl.heard,
 	}
 	ctl.docs.ctl, ctl.docs.offset = ctl, -1
@@ -96,29 +92,16 @@
 
 // SetSeeds changes the addresses that are asked while nobody else is known.
 func (ctl *Control) SetSeeds(seeds []string) {
-	ctl.offer(func(clock.Milli) { ctl.set.Seeds = seeds })
+	ctl.loop.Offer(func(clock.Milli) { ctl.set.Seeds = seeds })
 }
 
 // Run owns the state until the context ends, then waits for its workers.
 func (ctl *Control) Run(ctx context.Context) {
-	ctl.ctx = ctx
-	ctl.goDo(ctl.docs.watch)
-	ctl.goDo(ctl.endpts.poll)
-	ctl.goDo(ctl.meet)
-	tkr := time.NewTicker(tickEvery)
-	defer tkr.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			ctl.work.Wait()
-			return
-		case event := <-ctl.events:
-			event(ctl.set.Clock.Now())
-		case <-tkr.C:
-			ctl.step(ctl.set.Clock.Now())
-		}
-		ctl.publish(ctl.set.Clock.Now())
-	}
+	ctl.loop.Run(ctx, tickEvery, func() {
+		ctl.loop.Go(ctl.docs.watch)
+		ctl.loop.Go(ctl.endpts.poll)
+		ctl.loop.Go(ctl.meet)
+	}, ctl.step, ctl.publish)
 }
 
 func (ctl *Control) step(now clock.Milli) {
@@ -127,7 +110,7 @@
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
 	ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-ctl.docs.asOf))
-	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(len(ctl.events)))
+	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(ctl.loop.Waiting()))
 }
 
 // publish makes a new view.
@@ -176,51 +159,15 @@
 	ctl.set.Meter.Set(meter.GaugeApplied, float64(vw.offset))
 }
 
-// goDo starts a worker that is waited for at the end.
-func (ctl *Control) goDo(work func(ctx context.Context)) {
-	ctl.work.Add(1)
-	go func() {
-		defer ctl.work.Done()
-		work(ctl.ctx)
-	}()
-}
-
-// do runs an event on the control thread and waits for it; false if the context
-// ended first.
-func (ctl *Control) do(ctx context.Context, event func(now clock.Milli)) bool {
-	done := make(chan struct{})
-	select {
-	case ctl.events <- func(now clock.Milli) { event(now); close(done) }:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// offer hands an event over without waiting. When the channel is full it is
-// dropped and counted: what is offered is learned again in a moment.
-func (ctl *Control) offer(event func(now clock.Milli)) {
-	select {
-	case ctl.events <- event:
-	default:
-		ctl.set.Meter.Event(meter.EventDropped)
-	}
-}
-
 // Left is told by traffic that an endpoint said it is leaving, or is gone.
 func (ctl *Control) Left(id, why string) {
-	ctl.offer(func(now clock.Milli) { ctl.endpts.heardLeaving(id, why, now) })
+	ctl.loop.Offer(func(now clock.Milli) { ctl.endpts.heardLeaving(id, why, now) })
 }
 
 // Leave starts a planned stop: the others are told at once, and this instance is
 // named to callers no longer. It goes on serving.
 func (ctl *Control) Leave(ctx context.Context) {
-	ctl.do(ctx, func(now clock.Milli) {
+	ctl.loop.Do(ctx, func(now clock.Milli) {
 		ctl.leaving = true
 		ctl.step(now)
 		for _, mbr := range ctl.list.All() {
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -75,7 +75,7 @@
 	}
 	now := dct.ctl.set.Clock.Now()
 	dct.silent.add(who, now+readerSilent)
-	dct.ctl.do(ctx, func(clock.Milli) { dct.ctl.endpts.followed = 0 })
+	dct.ctl.loop.Do(ctx, func(clock.Milli) { dct.ctl.endpts.followed = 0 })
 	dct.ctl.set.Log.Info().Err(err).Str("reader", string(who)).Int64("view_age_ms", int64(dct.ctl.View().Age(now))).Msg("reader of the store lost")
 }
 
@@ -92,7 +92,7 @@
 			return 0, err
 		}
 		if !changed {
-			dct.ctl.do(ctx, func(clock.Milli) { dct.confirm(sent) })
+			dct.ctl.loop.Do(ctx, func(clock.Milli) { dct.confirm(sent) })
 			return from, nil
 		}
 	}
@@ -103,13 +103,13 @@
 	if err != nil {
 		return 0, err
 	}
-	dct.ctl.do(ctx, func(now clock.Milli) { dct.take(doc, sent, now, "store") })
+	dct.ctl.loop.Do(ctx, func(now clock.Milli) { dct.take(doc, sent, now, "store") })
 	return doc.End, nil
 }
 
 // contact writes down a lost or regained store.
 func (dct *docsCtl) contact(ctx context.Context, err error) {
-	dct.ctl.do(ctx, func(now clock.Milli) {
+	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
 		if err == nil {
 			dct.heardAt = now
 		}
@@ -192,12 +192,12 @@
 		return
 	}
 	dct.asking = true
-	dct.ctl.goDo(func(ctx context.Context) {
+	dct.ctl.loop.Go(func(ctx context.Context) {
 		actx, cancel := context.WithTimeout(ctx, stateWait)
 		defer cancel()
 		sent := dct.ctl.set.Clock.Now()
 		ans, err := dct.ctl.set.Link.Ask(actx, from.Addr(), peer.Message{Kind: peer.StateWanted, From: dct.ctl.set.Self, To: from})
-		dct.ctl.do(ctx, func(now clock.Milli) {
+		dct.ctl.loop.Do(ctx, func(now clock.Milli) {
 			dct.asking = false
 			var shr shared
 			if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &shr) != nil {
@@ -215,7 +215,7 @@
 	if msg.Kind == peer.Indirect {
 		return ctl.group.ProbeFor(ctx, msg)
 	}
-	ctl.do(ctx, func(now clock.Milli) {
+	ctl.loop.Do(ctx, func(now clock.Milli) {
 		ctl.group.Learn(msg, 0, now)
 		switch msg.Kind {
 		case peer.Probe:
@@ -257,7 +257,7 @@
 			listed = listed || inst.Name == me.Name
 		}
 		said = said && (err != nil || listed)
-		if !ctl.do(ctx, func(clock.Milli) { ctl.greet(list, err == nil) }) {
+		if !ctl.loop.Do(ctx, func(clock.Milli) { ctl.greet(list, err == nil) }) {
 			return
 		}
 		pause(ctx, meetEvery[min(turn, len(meetEvery)-1)])
@@ -311,7 +311,7 @@
 	for _, inst := range list {
 		mbr, ok := ctl.list.Find(ident.Incarnation(inst.Name))
 		if ok && mbr.Status() == member.Dead {
-			ctl.goDo(func(ctx context.Context) {
+			ctl.loop.Go(func(ctx context.Context) {
 				wctx, cancel := context.WithTimeout(ctx, readWait)
 				defer cancel()
 				// A line that stays is seen again at the next look.
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -49,7 +49,7 @@
 		rctx, cancel := context.WithTimeout(ctx, readWait)
 		list, faults, err := ect.ctl.set.Store.Endpoints(rctx)
 		cancel()
-		if !ect.ctl.do(ctx, func(now clock.Milli) { ect.read(list, faults, err, now) }) {
+		if !ect.ctl.loop.Do(ctx, func(now clock.Milli) { ect.read(list, faults, err, now) }) {
 			return
 		}
 		pause(ctx, pollEvery)
@@ -61,7 +61,7 @@
 // for a while with the first list that we read ourselves.
 func (ect *endptsCtl) told(ctx context.Context) bool {
 	told := false
-	ect.ctl.do(ctx, func(now clock.Milli) { told = ect.toldAt(now) })
+	ect.ctl.loop.Do(ctx, func(now clock.Milli) { told = ect.toldAt(now) })
 	return told
 }
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -120,7 +120,7 @@
 	}
 	// The reader answered no sooner than it had held the question.
 	asOf := sent + nws.Held - nws.Age
-	ctl.do(ctx, func(now clock.Milli) {
+	ctl.loop.Do(ctx, func(now clock.Milli) {
 		switch {
 		case nws.Text != nil:
 			dct.take(talk.Document{Offset: nws.Offset, Text: nws.Text}, asOf, now, string(who))
--- /dev/null
+++ b/pkg/gather/choose.go
@@ -0,0 +1,232 @@
+package gather
+
+import (
+	"cmp"
+	"slices"
+
+	"amaranthvalve/pkg/clock"
+)
+
+// Next gives a call to be made now; false if there is nothing to do.
+func (bk *Book) Next(now clock.Milli) (Batch, bool) {
+	if len(bk.waiting) == 0 {
+		return Batch{}, false
+	}
+	bk.forget(now)
+	open := bk.open(now)
+	if len(open) == 0 {
+		return Batch{}, false
+	}
+	bk.sort(now)
+	for len(open) > 0 {
+		mkr := bk.choose(open, now)
+		if mkr == nil {
+			return Batch{}, false
+		}
+		if bat, ok := bk.fill(mkr, now); ok {
+			return bat, true
+		}
+		open = slices.DeleteFunc(open, func(oth *maker) bool { return oth == mkr })
+	}
+	return Batch{}, false
+}
+
+// waitsFor tells whether a piece is still waiting for an endpoint of another data
+// centre than this one.
+func (bk *Book) waitsFor(pc Piece, mkr *maker, now clock.Milli) bool {
+	if pc.Zone == "" || pc.Zone == mkr.Zone || now >= pc.Choosy {
+		return false
+	}
+	for _, oth := range bk.makers {
+		if oth.Zone == pc.Zone && !oth.Leaving && now >= oth.closed && oth.slowness(now) <= slowFrom {
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops results that their makers hold no longer.
+func (bk *Book) forget(now clock.Milli) {
+	for handle, res := range bk.results {
+		if now > res.until {
+			res.maker.held -= res.bytes
+			delete(bk.results, handle)
+		}
+	}
+}
+
+// open lists the endpoints with a free place. A slow one is left out while a
+// well one would have made the piece sooner.
+func (bk *Book) open(now clock.Milli) []*maker {
+	var free []*maker
+	soonest := clock.Milli(-1)
+	for _, mkr := range bk.makers {
+		if mkr.Leaving || now < mkr.closed || now < mkr.full {
+			continue
+		}
+		done := bk.left(mkr, now) + clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1)))
+		if soonest < 0 || done < soonest {
+			soonest = done
+		}
+		if mkr.calls < max(bk.spec.Places, 1) {
+			free = append(free, mkr)
+		}
+	}
+	return slices.DeleteFunc(free, func(mkr *maker) bool {
+		return mkr.slowness(now) > slowFrom && clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1))) > soonest
+	})
+}
+
+// sort puts the waiting pieces in their order: those that can still be in time
+// by the instant at which they are due, then the others.
+func (bk *Book) sort(now clock.Milli) {
+	one := bk.spec.Time(1)
+	slices.SortStableFunc(bk.waiting, func(x, y Piece) int {
+		lateX, lateY := now+one > x.Due, now+one > y.Due
+		if lateX != lateY {
+			if lateX {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(x.Due+clock.Milli(x.Rank)*rankStep, y.Due+clock.Milli(y.Rank)*rankStep)
+	})
+}
+
+// choose takes, of the open endpoints, the one whose data centre most of the next
+// call wants, among those that any of the most urgent pieces may go to now.
+func (bk *Book) choose(open []*maker, now clock.Milli) *maker {
+	next := bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)]
+	var best *maker
+	bestFor := -1
+	for _, mkr := range open {
+		wanted, able := 0, false
+		for _, pc := range next {
+			if bk.waitsFor(pc, mkr, now) || !bk.fits(mkr, 0, pc) {
+				continue
+			}
+			able = true
+			if pc.Zone == mkr.Zone {
+				wanted++
+			}
+		}
+		if !able {
+			continue
+		}
+		if wanted > bestFor || wanted == bestFor && better(mkr, best, now) {
+			best, bestFor = mkr, wanted
+		}
+	}
+	return best
+}
+
+// better tells which of two endpoints that are wanted alike is taken.
+func better(mkr, than *maker, now clock.Milli) bool {
+	if mkr.slowness(now) != than.slowness(now) {
+		return mkr.slowness(now) < than.slowness(now)
+	}
+	return mkr.held < than.held
+}
+
+func (bk *Book) fits(mkr *maker, taken int64, pc Piece) bool {
+	return bk.spec.Room == 0 || mkr.held+taken+pc.Bytes <= bk.spec.Room
+}
+
+// fill takes pieces for a call: the most urgent job, then those of the next that
+// want the endpoint's data centre or none, then the others that fit whole, and last
+// parts of jobs if the call is still less than half full. A job that is split is
+// done only with the later of its calls, and whoever takes its results fetches them
+// from two places.
+func (bk *Book) fill(mkr *maker, now clock.Milli) (Batch, bool) {
+	look := slices.Clone(bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)])
+	look = slices.DeleteFunc(look, func(pc Piece) bool { return bk.waitsFor(pc, mkr, now) || !bk.fits(mkr, 0, pc) })
+	if len(look) == 0 {
+		return Batch{}, false
+	}
+	cl := filling{bk: bk, mkr: mkr, taken: map[int64]bool{}}
+	jobs := jobsOf(look)
+	cl.take(jobs[0])
+	for _, near := range []bool{true, false} {
+		for _, job := range jobs[1:] {
+			if (job[0].Zone == "" || job[0].Zone == mkr.Zone) == near && cl.fits(job) {
+				cl.take(job)
+			}
+		}
+	}
+	for _, job := range jobs[1:] {
+		if 2*len(cl.pieces) < bk.spec.Most {
+			cl.take(job)
+		}
+	}
+	return bk.begin(mkr, cl, now)
+}
+
+// jobsOf groups pieces by their jobs, in the order of the first piece of each.
+func jobsOf(list []Piece) [][]Piece {
+	at := map[int64]int{}
+	var jobs [][]Piece
+	for _, pc := range list {
+		i, ok := at[pc.Job]
+		if !ok {
+			i = len(jobs)
+			at[pc.Job] = i
+			jobs = append(jobs, nil)
+		}
+		jobs[i] = append(jobs[i], pc)
+	}
+	return jobs
+}
+
+// filling is a call that is being filled.
+type filling struct {
+	bk     *Book
+	mkr    *maker
+	pieces []Piece
+	taken  map[int64]bool
+	bytes  int64
+}
+
+// fits tells whether a whole job has place and room in the call.
+func (cl *filling) fits(job []Piece) bool {
+	var bytes int64
+	for _, pc := range job {
+		bytes += pc.Bytes
+	}
+	return len(cl.pieces)+len(job) <= cl.bk.spec.Most && cl.bk.fits(cl.mkr, cl.bytes+bytes, Piece{})
+}
+
+// take takes as much of a job as fits.
+func (cl *filling) take(job []Piece) {
+	for _, pc := range job {
+		if len(cl.pieces) >= cl.bk.spec.Most || cl.taken[pc.ID] || !cl.bk.fits(cl.mkr, cl.bytes, pc) {
+			continue
+		}
+		cl.taken[pc.ID] = true
+		cl.bytes += pc.Bytes
+		cl.pieces = append(cl.pieces, pc)
+	}
+}
+
+// begin notes a call as begun.
+func (bk *Book) begin(mkr *maker, cl filling, now clock.Milli) (Batch, bool) {
+	bat := Batch{Maker: mkr.Maker, Pieces: cl.pieces}
+	taken, bytes := cl.taken, cl.bytes
+	if len(bat.Pieces) == 0 {
+		return Batch{}, false
+	}
+	if len(bk.waiting) >= bk.spec.Most {
+		bk.filled = bk.fullness() + fillShare*(float64(len(bat.Pieces))-bk.fullness())
+	}
+	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool { return taken[pc.ID] })
+	bk.next++
+	bat.ID = bk.next
+	expect := clock.Milli(mkr.slowness(now) * float64(bk.spec.Time(len(bat.Pieces))))
+	bat.GiveUp = clock.Milli(hangFactor*float64(max(expect, bk.spec.Time(bk.spec.Most)))) + hangMargin
+	if bk.calls == nil {
+		bk.calls = map[int64]*call{}
+	}
+	bk.calls[bat.ID] = &call{maker: mkr, count: len(bat.Pieces), bytes: bytes, began: now, expect: expect}
+	mkr.calls++
+	mkr.held += bytes
+	return bat, true
+}
