--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -10,7 +10,6 @@
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
-	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
 )
 
@@ -239,84 +238,3 @@
 	}
 	return peer.Message{Kind: peer.OK, From: ctl.set.Self, Body: body}
 }
-
-// meet makes this instance known and finds the others: by the store, and by the
-// seeds while nobody else is known.
-func (ctl *Control) meet(ctx context.Context) {
-	me := talk.Instance{Name: string(ctl.set.Self), Addr: ctl.set.Self.Addr()}
-	said := false
-	for turn := 0; ctx.Err() == nil; turn++ {
-		cctx, cancel := context.WithTimeout(ctx, readWait)
-		if !said {
-			said = ctl.set.Store.Announce(cctx, me) == nil
-		}
-		list, err := ctl.set.Store.Instances(cctx)
-		cancel()
-		listed := false
-		for _, inst := range list {
-			listed = listed || inst.Name == me.Name
-		}
-		said = said && (err != nil || listed)
-		if !ctl.loop.Do(ctx, func(clock.Milli) { ctl.greet(list, err == nil) }) {
-			return
-		}
-		pause(ctx, meetEvery[min(turn, len(meetEvery)-1)])
-		for turn >= len(meetEvery) && ctl.Follows() && ctx.Err() == nil {
-			// Readers look for all; news of who came travels on the probes.
-			pause(ctx, meetEvery[len(meetEvery)-1])
-		}
-	}
-}
-
-// Follows tells whether this instance is told by others what stands in the store.
-func (ctl *Control) Follows() bool {
-	_, ok := ctl.reader(ctl.set.Clock.Now())
-	return ok
-}
-
-// meetEvery are the pauses between two looks at who else there is: all start
-// within a moment of each other, later ones are told of by the probes.
-var meetEvery = []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
-
-func (ctl *Control) greet(list []talk.Instance, read bool) {
-	known := map[string]member.Status{}
-	for _, mbr := range ctl.list.All() {
-		known[string(mbr.Who())] = mbr.Status()
-	}
-	listed := map[string]bool{}
-	for _, inst := range list {
-		listed[inst.Name] = true
-		if _, ok := known[inst.Name]; !ok {
-			ctl.group.Greet(inst.Addr, ident.Incarnation(inst.Name))
-		}
-	}
-	if len(known) <= 1 {
-		for _, addr := range ctl.set.Seeds {
-			if addr != ctl.set.Self.Addr() {
-				ctl.group.Greet(addr, "")
-			}
-		}
-	}
-	if read {
-		ctl.tidy(list)
-	}
-}
-
-// tidy takes the lines of instances out of the store that have ended for certain;
-// one instance does it.
-func (ctl *Control) tidy(list []talk.Instance) {
-	if ctl.list.Rank() != 0 {
-		return
-	}
-	for _, inst := range list {
-		mbr, ok := ctl.list.Find(ident.Incarnation(inst.Name))
-		if ok && mbr.Status() == member.Dead {
-			ctl.loop.Go(func(ctx context.Context) {
-				wctx, cancel := context.WithTimeout(ctx, readWait)
-				defer cancel()
-				// A line that stays is seen again at the next look.
-				_ = ctl.set.Store.Withdraw(wctx, inst.Name)
-			})
-		}
-	}
-}
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -85,6 +85,11 @@
 	// Name is the incarnation, Addr where its peers reach it.
 	Name string `json:"name"`
 	Addr string `json:"addr"`
+	// Zone is its data centre, Caller where it serves callers, Capacity how
+	// strong it is, in cores.
+	Zone     string  `json:"zone,omitempty"`
+	Caller   string  `json:"caller,omitempty"`
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Item is a piece to be made.
@@ -174,7 +179,8 @@
 	// from an offset on, and tells whether there are any.
 	Newest func(ctx context.Context) (Document, error)
 	Watch  func(ctx context.Context, from int64, hold clock.Milli) (bool, error)
-	// Endpoints lists the endpoints, Instances the system's own.
+	// Endpoints lists the endpoints, Instances the system's own, the oldest line
+	// first.
 	Endpoints func(ctx context.Context) ([]Endpoint, []error, error)
 	Instances func(ctx context.Context) ([]Instance, error)
 	// Announce writes our own line, Withdraw takes one out.
