internal/front: the age up to which tokens are honoured stands in one place

The mutant routed_token_for_ever survived: the rule stood twice, on a request's arrival and before it is sent. It is one function now. The fifteen mutants of the routed path, the gatherers and the readers, and go_zero_kills: each meant test fails.

--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/plan"
@@ -132,7 +133,7 @@
 	if !ok {
 		return fr.deny(cl, outcm.New(outcm.NotRun, outcm.BadToken, "the token is not one of a workspace that may call"))
 	}
-	if cl.view.Age(fr.set.Clock.Now()) > fr.set.TokensFor {
+	if !fr.honours(cl.view) {
 		return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
 	}
 	cl.wsp = wsp.Name()
@@ -142,6 +143,11 @@
 	return nxt(ctx, cl)
 }
 
+// honours tells whether a view is new enough for its tokens to be honoured.
+func (fr *Front) honours(vw *state.View) bool {
+	return vw.Age(fr.set.Clock.Now()) <= fr.set.TokensFor
+}
+
 // stillAllowed looks once more right before something is sent: a request may have
 // waited for its stages for seconds, and its token may be gone meanwhile.
 func (fr *Front) stillAllowed(cl *call) bool {
@@ -150,5 +156,5 @@
 	}
 	vw := fr.set.Control.View()
 	wsp, ok := vw.Plan().Workspace(cl.ask.Token)
-	return ok && wsp.Name() == cl.wsp && vw.Age(fr.set.Clock.Now()) <= fr.set.TokensFor
+	return ok && wsp.Name() == cl.wsp && fr.honours(vw)
 }
