platform/fake, internal/node: the tests' wire names stand in platform/ too

Headers, fields and paths that the tests of internal/node spelled out are functions and constants of platform/fake now, so that no Go file outside platform/ knows them.

--- a/internal/node/explain_test.go
+++ b/internal/node/explain_test.go
@@ -52,7 +52,7 @@
 		wld := newWorld(1)
 		staged := func(id, left string) got {
 			return wld.send(0, ask{path: "/stream-staged/x", id: id, header: map[string]string{
-				"Amaranthvalve-Pieces": "1,1", "Amaranthvalve-Piece-Key": "pk", "Amaranthvalve-Request-Deadline": left,
+				fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk", fake.HeaderDeadline: left,
 			}})
 		}
 		expect(staged("refused", "30").status).To(equal(http.StatusServiceUnavailable))
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -17,20 +17,20 @@
 	ginkgo.It("passes to an endpoint to the letter, with the system's own headers and none of a caller's making", func() {
 		wld := newWorld(1)
 		ans := wld.send(0, ask{path: "/booking/a%2Fb//c?q=1&q=%20", id: "r1", body: "two crews", header: map[string]string{
-			"Amaranthvalve-Tenant-Id": "shiretoko", "Amaranthvalve-Target-Instance": "other", "Amaranthvalve-Hold": "h",
-			"Kv-From": "x", "Connection": "X-Mine", "X-Mine": "1", "X-Other": "kept",
+			fake.HeaderTenant: "shiretoko", fake.HeaderTarget: "other", fake.HeaderHold: "h",
+			fake.HeaderKvFrom: "x", "Connection": "X-Mine", "X-Mine": "1", "X-Other": "kept",
 		}})
 		expect(ans.status).To(equal(http.StatusOK))
-		expect(ans.header.Get("Amaranthvalve-Response-Signature")).To(equal("sig-r1"))
+		expect(ans.header.Get(fake.HeaderSignature)).To(equal("sig-r1"))
 		ran := runs(wld.plain)
 		expect(ran).To(gomega.HaveLen(1))
 		expect(ran[0].Target).To(equal("/booking/a%2Fb//c?q=1&q=%20"))
 		expect(ran[0].Method + ran[0].Body + ran[0].ID).To(equal("POST" + "two crews" + "r1"))
 		hdr := ran[0].Header
-		expect(hdr.Get("Amaranthvalve-Tenant-Id")).To(equal("corella"))
-		expect(hdr.Get("Amaranthvalve-Request-Priority")).To(equal("1"))
+		expect(hdr.Get(fake.HeaderTenant)).To(equal("corella"))
+		expect(hdr.Get(fake.HeaderPriority)).To(equal("1"))
 		expect(hdr.Get("X-Other")).To(equal("kept"))
-		for _, name := range []string{"Authorization", "Amaranthvalve-Hold", "Kv-From", "X-Mine"} {
+		for _, name := range []string{fake.HeaderAuthorize, fake.HeaderHold, fake.HeaderKvFrom, "X-Mine"} {
 			expect(hdr).NotTo(gomega.HaveKey(name))
 		}
 	})
@@ -38,11 +38,11 @@
 	ginkgo.It("is refused with a status that says why", func() {
 		wld := newWorld(1)
 		expect(wld.send(0, ask{path: "/nowhere/x"}).status).To(equal(http.StatusNotFound))
-		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{"Authorization": "Bearer wrong"}}).status).To(equal(http.StatusUnauthorized))
-		expect(wld.send(0, ask{path: "/open/x", header: map[string]string{"Authorization": ""}}).status).To(equal(http.StatusOK))
+		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{fake.HeaderAuthorize: fake.Bearer + "wrong"}}).status).To(equal(http.StatusUnauthorized))
+		expect(wld.send(0, ask{path: "/open/x", header: map[string]string{fake.HeaderAuthorize: ""}}).status).To(equal(http.StatusOK))
 		expect(wld.send(0, ask{path: "/booking/x", body: strings.Repeat("x", 10001)}).status).To(equal(http.StatusRequestEntityTooLarge))
 		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{"X-Long": strings.Repeat("x", 4096)}}).status).To(equal(http.StatusRequestHeaderFieldsTooLarge))
-		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{"Amaranthvalve-Request-Deadline": "soon"}}).status).To(equal(http.StatusBadRequest))
+		expect(wld.send(0, ask{path: "/booking/x", header: map[string]string{fake.HeaderDeadline: "soon"}}).status).To(equal(http.StatusBadRequest))
 		expect(runs(wld.plain)).To(gomega.HaveLen(1))
 	})
 
@@ -90,7 +90,7 @@
 		fault(wld.plain, fake.Fails)
 		ans = wld.send(0, ask{path: "/log/x", method: http.MethodGet})
 		expect(ans.status).To(equal(http.StatusInternalServerError))
-		expect(ans.header.Get("Amaranthvalve-Response-Signature")).NotTo(gomega.BeEmpty())
+		expect(ans.header.Get(fake.HeaderSignature)).NotTo(gomega.BeEmpty())
 		expect(runs(wld.plain)).To(gomega.HaveLen(4))
 	})
 
@@ -109,7 +109,7 @@
 	// answer then, 504, for it may have run.
 	ginkgo.It("is answered when its route's time is up", func() {
 		wld := newWorld(1)
-		wld.publish(func(doc obj) { doc["routes"].([]obj)[0]["timeoutMs"] = 300 })
+		wld.publish(func(doc *fake.Document) { doc.Timeouts = map[string]int{"booking": 300} })
 		eventually(func() int64 { return wld.nodes[0].ctl.View().Plan().Version() }, soon).Should(equal(int64(wld.version)))
 		fault(wld.plain, fake.Hangs)
 		began := time.Now()
@@ -138,7 +138,7 @@
 		expect(ans.body).To(equal(whole))
 		after := ""
 		for _, run := range runs(wld.engines) {
-			if last := run.Header.Get("Last-Event-Id"); last != "" {
+			if last := run.Header.Get(fake.HeaderLastEvent); last != "" {
 				after = last
 			}
 		}
@@ -158,7 +158,7 @@
 	ginkgo.It("runs with the results of its stages, which are given back", func() {
 		wld := newWorld(2)
 		ans := wld.send(0, ask{path: "/stream-staged/x", id: "st1", header: map[string]string{
-			"Amaranthvalve-Pieces": "2,3", "Amaranthvalve-Piece-Key": "pk",
+			fake.HeaderPieces: "2,3", fake.HeaderPieceKey: "pk",
 		}})
 		expect(ans.status).To(equal(http.StatusOK), ans.body)
 		expect(ans.body).To(equal(whole))
@@ -168,7 +168,7 @@
 		}
 		pieces := slices.Sorted(slices.Values(slices.Concat(calls...)))
 		expect(pieces).To(equal([]string{"st1/0/0", "st1/0/1", "st1/1/0", "st1/1/1", "st1/1/2"}))
-		inputs := runs(wld.engines)[0].Header.Get("Amaranthvalve-Inputs")
+		inputs := runs(wld.engines)[0].Header.Get(fake.HeaderInputs)
 		expect(strings.Count(inputs, "/1-")).To(equal(3))
 		expect(strings.Index(inputs, "/1-0-") < strings.Index(inputs, "/1-1-")).To(gomega.BeTrue())
 		eventually(func() int { return held(wld.makers) }, soon).Should(equal(0))
@@ -184,7 +184,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
 		wld.sendCtx(ctx, 1, ask{path: "/stream-staged/x", header: map[string]string{
-			"Amaranthvalve-Pieces": "1,1", "Amaranthvalve-Piece-Key": "pk",
+			fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk",
 		}})
 		eventually(func() int { return len(wld.makers[0].Calls()) + len(wld.makers[1].Calls()) }, soon).Should(gomega.BeNumerically(">=", 1))
 		eventually(func() int { return held(wld.makers) }, soon).Should(equal(0))
@@ -201,7 +201,7 @@
 		}
 		wld.nodes[dead].Kill()
 		ans := wld.send(1-dead, ask{path: "/stream-staged/x", header: map[string]string{
-			"Amaranthvalve-Pieces": "1,1", "Amaranthvalve-Piece-Key": "pk",
+			fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk",
 		}})
 		expect(ans.body).To(equal(whole))
 	})
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -39,7 +39,7 @@
 	// in force, and a document that is none changes nothing.
 	ginkgo.It("loses nothing by a bad document", func() {
 		wld := newWorld(1)
-		wld.publish(func(doc obj) { doc["routes"].([]obj)[0]["routeType"] = "sometimes" })
+		wld.publish(func(doc *fake.Document) { doc.Kinds = map[string]string{"booking": "sometimes"} })
 		eventually(func() int { return wld.send(0, ask{path: "/booking/x"}).status }, 2*time.Second).Should(equal(http.StatusNotFound))
 		expect(wld.send(0, ask{path: "/log/x"}).status).To(equal(http.StatusOK))
 		wld.store.PutDocument("no document at all")
@@ -51,7 +51,7 @@
 	// endpoint at its address answers is not taken for its own.
 	ginkgo.It("sends nothing to endpoints that leave or are replaced", func() {
 		wld := newWorld(1)
-		wld.entry("bookings", "booking-0", wld.servers["booking-0"].Addr(), "draining")
+		wld.entry("bookings", "booking-0", wld.servers["booking-0"].Addr(), true)
 		eventually(func() bool { return wld.nodes[0].pools.Knows("bookings", 1) }, soon).Should(gomega.BeTrue())
 		before := len(wld.plain[0].Runs())
 		for range 10 {
@@ -59,7 +59,7 @@
 		}
 		expect(wld.plain[0].Runs()).To(gomega.HaveLen(before))
 
-		wld.entry("bookings", "booking-9", wld.servers["booking-1"].Addr(), "ready")
+		wld.entry("bookings", "booking-9", wld.servers["booking-1"].Addr(), false)
 		wld.store.RemoveEndpoint("booking-0")
 		eventually(func() int { return wld.send(0, ask{path: "/booking/x"}).status }, soon).Should(equal(http.StatusOK))
 	})
@@ -125,16 +125,5 @@
 
 // entries gives how many addresses an instance names.
 func (wld *world) entries(node int) int {
-	res, err := client.Get("http://" + wld.nodes[node].set.EntriesAddr() + "/-/resolve?name=x")
-	if err != nil {
-		return -1
-	}
-	defer func() { _ = res.Body.Close() }()
-	var ans struct {
-		Addresses []string `json:"addresses"`
-	}
-	if decode(res, &ans) != nil {
-		return -1
-	}
-	return len(ans.Addresses)
+	return fake.Addresses(client, wld.nodes[node].set.EntriesAddr())
 }
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -107,55 +105,22 @@
 	expect(err).NotTo(anything())
 	ep.SetAddr(srv.Addr())
 	wld.servers[id] = srv
-	wld.entry(service, id, srv.Addr(), "ready")
+	wld.entry(service, id, srv.Addr(), false)
 	return ep
 }
 
-func (wld *world) entry(service, id, addr, state string) {
-	wld.store.PutEndpoint(id, map[string]any{"service": service, "address": addr, "zone": "dc1", "slots": 8, "state": state})
+func (wld *world) entry(service, id, addr string, draining bool) {
+	wld.store.PutEndpoint(id, fake.Entry(service, addr, draining))
 }
 
-type obj = map[string]any
-
 // publish writes a new version of the document; change may alter it first.
-func (wld *world) publish(change func(doc obj)) {
+func (wld *world) publish(change func(doc *fake.Document)) {
 	wld.version++
-	route := func(prefix, kind, service string, more obj) obj {
-		rte := obj{
-			"name": strings.Trim(prefix, "/"), "host": host, "pathPrefix": prefix, "routeType": kind, "service": service,
-			"timeoutMs": 4000, "targetLatencyMs": 1000, "maxAttempts": 2,
-		}
-		for name, val := range more {
-			rte[name] = val
-		}
-		return rte
-	}
-	stages := []obj{
-		{"service": "rosters", "after": []int{}, "bytes": 100},
-		{"service": "rosters", "after": []int{0}, "bytes": 100},
-	}
-	doc := obj{
-		"version": wld.version,
-		"routes": []obj{
-			route("/booking/", "non_idempotent", "bookings", nil),
-			route("/log/", "idempotent", "bookings", nil),
-			route("/open/", "idempotent", "bookings", obj{"public": true}),
-			route("/stream/", "streaming", "engines", obj{"resumable": true}),
-			route("/stream-once/", "streaming", "engines", nil),
-			route("/stream-staged/", "streaming", "engines", obj{"stages": stages}),
-		},
-		"services": []obj{
-			{"name": "engines", "engine": obj{"slots": 8, "kvCapacity": 1000}},
-			{"name": "bookings"},
-			{"name": "rosters", "pieces": obj{"slots": 1, "queue": 2, "batch": 4, "callMs": 20.0, "itemMs": 1.0, "roomMb": 1.0, "handleS": 4.0}},
-		},
-		"limits":  obj{"maxHeaderBytes": 4096, "maxBodyBytes": 10000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
-		"tenants": []obj{{"name": "corella", "apiKeys": wld.keys, "priority": 1}},
-	}
+	doc := fake.Document{Version: wld.version, Host: host, Tenant: "corella", Keys: wld.keys}
 	if change != nil {
-		change(doc)
+		change(&doc)
 	}
-	wld.store.PutDocument(doc)
+	wld.store.PutDocument(doc.JSON())
 }
 
 // way is one instance's way to the store. While it is cut nothing comes through,
@@ -257,19 +222,12 @@
 	if ak.method == "" {
 		ak.method = http.MethodPost
 	}
-	req, err := http.NewRequestWithContext(ctx, ak.method, "http://"+wld.nodes[node].set.CallerAddr()+ak.path, strings.NewReader(ak.body))
-	expect(err).NotTo(anything())
-	req.Host = host
 	if ak.id == "" {
 		ak.id = fmt.Sprintf("id-%d", time.Now().UnixNano())
 	}
-	req.Header.Set("Amaranthvalve-Request-Id", ak.id)
-	req.Header.Set("Amaranthvalve-Request-Deadline", deadline)
-	req.Header.Set("Authorization", "Bearer "+key)
-	for name, val := range ak.header {
-		req.Header.Set(name, val)
-	}
-	res, err := client.Do(req)
+	req, err := fake.Request(ak.method, wld.nodes[node].set.CallerAddr(), ak.path, host, ak.id, deadline, key, ak.body, ak.header)
+	expect(err).NotTo(anything())
+	res, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		return got{err: err}
 	}
@@ -302,5 +260,3 @@
 	}
 	return sum
 }
-
-func decode(res *http.Response, target any) error { return json.NewDecoder(res.Body).Decode(target) }
