internal/state: after an outage of its own an instance keeps nothing that has left

Cause: an instance that had been cut off from everything took its first read of the store for the one after an outage of the store, and waited for what was missing. Change: instances tell for how long the store has answered them; an outage that another one knows nothing of was our own, and what is missing after it is gone.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -98,6 +98,8 @@
 	Known   bool        `cbor:"9,keyasint,omitempty"`
 	Applied int64       `cbor:"10,keyasint,omitempty"`
 	Age     clock.Milli `cbor:"11,keyasint,omitempty"`
+	// Up is for how long the store has answered the sender without a failure.
+	Up clock.Milli `cbor:"12,keyasint,omitempty"`
 }
 
 // Link is one instance's end of the links to all others.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -74,7 +74,7 @@
 		Now: set.Clock.Now, Dress: ctl.dress, Heard: ctl.heard,
 	}
 	ctl.docs.ctl, ctl.docs.offset = ctl, -1
-	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}}
+	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}, upElse: never}
 	ctl.view.Store(&View{offset: -1})
 	turned := make(chan struct{})
 	ctl.turned.Store(&turned)
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -156,6 +156,7 @@
 // dress adds the age of our documents to what we tell others.
 func (ctl *Control) dress(msg *peer.Message) {
 	msg.Left = ctl.endpts.lately()
+	msg.Up = ctl.endpts.up(ctl.set.Clock.Now())
 	if ctl.docs.plan != nil {
 		msg.Known, msg.Applied, msg.Age = true, ctl.docs.offset, ctl.set.Clock.Since(ctl.docs.asOf)
 	}
@@ -168,6 +169,9 @@
 	for _, id := range msg.Left {
 		ctl.endpts.heardLeaving(id, "told by another instance", now)
 	}
+	if sent > 0 {
+		ctl.endpts.heardUpFor(msg.Up, sent)
+	}
 	switch {
 	case !msg.Known:
 	case msg.Applied > ctl.docs.offset:
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -25,6 +25,9 @@
 	maxLeft = 32
 )
 
+// never is an instant after all others.
+const never = clock.Milli(1 << 62)
+
 // endptsCtl keeps the endpoints.
 type endptsCtl struct {
 	ctl  *Control
@@ -32,9 +35,11 @@
 	left map[string]clock.Milli
 	// upSince is since when the store has answered without a failure between.
 	upSince clock.Milli
-	down    bool
-	seen    bool
-	faults  map[string]bool
+	// upElse is since when it has answered another instance, as far as was told.
+	upElse clock.Milli
+	down   bool
+	seen   bool
+	faults map[string]bool
 	// followed is when a reader of the store last told us.
 	followed clock.Milli
 }
@@ -56,6 +61,23 @@
 	}
 }
 
+// up gives for how long the store has answered without a failure, zero if it doesn't.
+func (ect *endptsCtl) up(now clock.Milli) clock.Milli {
+	if ect.down || !ect.seen {
+		return 0
+	}
+	return now - ect.upSince
+}
+
+// heardUpFor notes for how long the store has answered another instance. An outage
+// that it knows nothing of was our own: what is missing after it is gone, and would
+// get work for seconds more if it were waited for.
+func (ect *endptsCtl) heardUpFor(span, now clock.Milli) {
+	if span > 0 {
+		ect.upElse = now - span
+	}
+}
+
 // told tells whether a reader of the store has told us lately. That we didn't read
 // meanwhile is no outage: what a reader's list lacks is gone, and must not come back
 // for a while with the first list that we read ourselves.
@@ -75,6 +97,10 @@
 
 func (ect *endptsCtl) read(list []talk.Endpoint, faults []error, err error, now clock.Milli) {
 	if err != nil {
+		if !ect.down {
+			// What others said before speaks of no outage that begins now.
+			ect.upElse = never
+		}
 		ect.down = true
 		return
 	}
@@ -83,7 +109,7 @@
 	}
 	ect.down, ect.seen = false, true
 	ect.tellFaults(faults)
-	if now-ect.upSince < backAfter {
+	if now-min(ect.upSince, ect.upElse) < backAfter {
 		list = ect.withLapsed(list)
 	}
 	ect.take(list, now)
--- a/internal/state/endpts_test.go
+++ b/internal/state/endpts_test.go
@@ -69,6 +69,23 @@
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b"}))
 }
 
+// TestOwnOutageKeepsNothing: an instance is cut off for a while, from the store and all
+// others, and an endpoint leaves meanwhile. Back in touch, it hears from another one
+// that the store has been up all the while: the outage was its own, and what is
+// missing is gone. Waited for, the endpoint would get work three seconds after it left.
+func TestOwnOutageKeepsNothing(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ect := newEndpts()
+	ect.read(list("a", "b"), nil, nil, 0)
+	ect.heardUpFor(1000, 4000)
+	ect.read(nil, nil, errors.New("cut off"), 5000)
+	ect.read(list("a"), nil, nil, 10000)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b"}), "what was said before the outage tells nothing of it")
+	ect.heardUpFor(9000, 10100)
+	ect.read(list("a"), nil, nil, 10200)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
+}
+
 // TestReplacedDontComeBack: while the store was down an endpoint died and another
 // one took its address. The dead one's line is not kept beside it.
 func TestReplacedDontComeBack(t *testing.T) {
