internal/peer: of those who want a link at the same time one dials

Ruled out: a stale reset (both ends were new), the certificate (it would be a crypto error). Change: one dial an address; the others wait for it. A dial that fails is not shared, since it may have been its asker's time that ran out.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -120,6 +120,8 @@
 
 	mtx   sync.Mutex
 	conns map[string]*conn
+	// dials has a channel for each address that is being dialled, closed at the end.
+	dials map[string]chan struct{}
 	// taken are the connections that others opened.
 	taken map[*quic.Conn]struct{}
 }
@@ -206,7 +208,7 @@
 	reset := resetKey(sock.LocalAddr().String())
 	lnk := &Link{
 		trn: &quic.Transport{Conn: sock, StatelessResetKey: &reset}, client: client, handle: handle,
-		conns: map[string]*conn{}, taken: map[*quic.Conn]struct{}{},
+		conns: map[string]*conn{}, dials: map[string]chan struct{}{}, taken: map[*quic.Conn]struct{}{},
 	}
 	lnk.lsn, err = lnk.trn.Listen(server, settings())
 	if err != nil {
@@ -338,15 +340,45 @@
 	return ans, err
 }
 
+// conn gives the kept connection to an address, or opens one.
+//
+// Of those who want one at the same time a single one dials. When each did, a burst of
+// questions opened as many connections, a handshake each, of which all but the last
+// were left to idle; and a peer that is slow to accept refuses those beyond its queue
+// of 32, so that questions failed although it was well. A dial that fails is not
+// shared: it may have been its asker's time that ran out, and the next one dials.
 func (lnk *Link) conn(ctx context.Context, addr string) (*quic.Conn, error) {
-	lnk.mtx.Lock()
-	cur, ok := lnk.conns[addr]
-	if ok && cur.qcn.Context().Err() == nil {
-		cur.used = time.Now()
+	for {
+		lnk.mtx.Lock()
+		if cur, ok := lnk.conns[addr]; ok && cur.qcn.Context().Err() == nil {
+			cur.used = time.Now()
+			lnk.mtx.Unlock()
+			return cur.qcn, nil
+		}
+		other, busy := lnk.dials[addr]
+		if !busy {
+			ended := make(chan struct{})
+			lnk.dials[addr] = ended
+			lnk.mtx.Unlock()
+			return lnk.dial(ctx, addr, ended)
+		}
 		lnk.mtx.Unlock()
-		return cur.qcn, nil
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return nil, Error.Wrap(ctx.Err())
+		}
 	}
-	lnk.mtx.Unlock()
+}
+
+// dial opens a connection and lets those go on who wait for it.
+func (lnk *Link) dial(ctx context.Context, addr string, ended chan struct{}) (*quic.Conn, error) {
+	defer func() {
+		lnk.mtx.Lock()
+		delete(lnk.dials, addr)
+		lnk.mtx.Unlock()
+		close(ended)
+	}()
 	udp, err := net.ResolveUDPAddr("udp", addr)
 	if err != nil {
 		return nil, Error.Wrap(err)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -128,6 +128,71 @@
 	}
 }
 
+// TestBurstDialsOnce: sixty questions come at once for a peer that nobody has spoken
+// to yet, as when a gatherer is lost and all requests turn to the next. Each dialled
+// for itself, a peer accepts 32 at a time, and the rest were refused by a peer that
+// was well. All are answered over one connection.
+func TestBurstDialsOnce(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ath := authority(t)
+	one, two := link(t, ath, "one#1"), link(t, ath, "two#1")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	errs := make(chan error, 60)
+	for range cap(errs) {
+		go func() {
+			_, err := one.Ask(ctx, two.Addr(), Message{Kind: Probe})
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		gom.Expect(<-errs).NotTo(gomega.HaveOccurred())
+	}
+	two.mtx.Lock()
+	defer two.mtx.Unlock()
+	gom.Expect(two.taken).To(gomega.HaveLen(1))
+}
+
+// TestDialFailureIsNotShared: a question with little time dials a peer that is not
+// there yet, and others wait for its dial. Its time runs out and the peer comes up.
+// The others dial anew and are answered.
+func TestDialFailureIsNotShared(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ath := authority(t)
+	one, two := link(t, ath, "one#1"), link(t, ath, "two#1")
+	away, err := net.ListenPacket("udp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	addr := away.LocalAddr().String()
+	short, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	first := make(chan error, 1)
+	go func() {
+		_, err := one.Ask(short, addr, Message{Kind: Probe})
+		first <- err
+	}()
+	gom.Eventually(func() int {
+		one.mtx.Lock()
+		defer one.mtx.Unlock()
+		return len(one.dials)
+	}).Should(gomega.Equal(1))
+	second := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := one.Ask(ctx, addr, Message{Kind: Probe})
+		second <- err
+	}()
+	_ = away.Close()
+	server, client := keysOf(t, ath)
+	late, err := Listen(addr, server, client, two.handle)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(<-first).To(gomega.HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go late.Serve(ctx)
+	gom.Expect(<-second).NotTo(gomega.HaveOccurred())
+}
+
 // TestSlopes measures what the link costs on the wire, with IP and UDP headers:
 // a handshake, a probe with its answer, and a kept connection that is idle.
 func TestSlopes(t *testing.T) {
