internal/soak: drawn troubles over real processes, promises judged by what callers and endpoints see

Change: instances as processes, the platform's stand-ins in the test, proxies on loopback between instances and store, instances and endpoints, callers and instances; fourteen kinds of trouble in series that overlap; the promises listed in docs/SOAK.md. Not covered, and said so: the link between instances, clocks.

--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -125,5 +125,5 @@
 
 // entries gives how many addresses an instance names.
 func (wld *world) entries(node int) int {
-	return fake.Addresses(client, wld.nodes[node].set.EntriesAddr())
+	return len(fake.Addresses(client, wld.nodes[node].set.EntriesAddr()))
 }
--- /dev/null
+++ b/internal/soak/inst_test.go
@@ -0,0 +1,214 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// instance is one place where a process of the daemon runs, and the next one after it.
+type instance struct {
+	name    string
+	settled string
+	calls   string
+	entries string
+	// store is its way to the store, front the callers' way to it.
+	store *wire
+	front *wire
+	log   *lines
+
+	mtx sync.Mutex
+	cmd *exec.Cmd
+	// life counts its processes; up tells that one runs.
+	life int
+	up   bool
+	// wanted tells that the end of the process is our doing.
+	wanted bool
+	ended  chan struct{}
+	// troubled is until when something was done to it, apart from planned stops;
+	// leaving since when it was asked to stop.
+	troubled time.Time
+	leaving  time.Time
+	byItself []string
+}
+
+// lines keeps what a process wrote and counts lines that are no JSON.
+type lines struct {
+	mtx  sync.Mutex
+	file *os.File
+	rest []byte
+	all  int
+	bad  []string
+}
+
+func (lns *lines) Write(text []byte) (int, error) {
+	lns.mtx.Lock()
+	defer lns.mtx.Unlock()
+	_, _ = lns.file.Write(text)
+	lns.rest = append(lns.rest, text...)
+	for {
+		at := bytes.IndexByte(lns.rest, '\n')
+		if at < 0 {
+			return len(text), nil
+		}
+		lns.all++
+		if !json.Valid(lns.rest[:at]) {
+			lns.bad = append(lns.bad, string(lns.rest[:at]))
+		}
+		lns.rest = lns.rest[at+1:]
+	}
+}
+
+// settings of the instances under soak; tokensFor and stopIn are what is judged too.
+const (
+	tokensFor = 2 * time.Second
+	stopIn    = 6 * time.Second
+	keepFor   = 300 * time.Millisecond
+)
+
+func newInstance(dir, name, store string, ports []int) (*instance, error) {
+	way, err := newWire(store)
+	if err != nil {
+		return nil, err
+	}
+	at := func(i int) string { return fmt.Sprintf("%s:%d", loopback, ports[i]) }
+	ins := &instance{name: name, calls: at(0), entries: at(1), store: way, settled: filepath.Join(dir, name+".toml")}
+	if ins.front, err = newWire(ins.calls); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(`dialect = "platform"
+caller_addr = %q
+entries_addr = %q
+ready_addr = %q
+peer_addr = %q
+metrics_addr = %q
+zone = "dc1"
+platform = "http://%s"
+keep_ms = %d
+tokens_for_ms = %d
+stop_ms = %d
+memory_mb = 256
+`, ins.calls, ins.entries, at(2), at(3), at(4), way.addr(), keepFor.Milliseconds(), tokensFor.Milliseconds(), stopIn.Milliseconds())
+	if err := os.WriteFile(ins.settled, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	file, err := os.Create(filepath.Join(dir, name+".log"))
+	ins.log = &lines{file: file}
+	return ins, err
+}
+
+// start starts a process, if none runs.
+func (ins *instance) start(program string) error {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	if ins.up {
+		return nil
+	}
+	cmd := exec.Command(program, "--config", ins.settled)
+	cmd.Stdout, cmd.Stderr = ins.log, ins.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ins.cmd, ins.up, ins.wanted, ins.leaving = cmd, true, false, time.Time{}
+	ins.life++
+	ins.troubled = later(ins.troubled, time.Now())
+	ended := make(chan struct{})
+	ins.ended = ended
+	go ins.wait(cmd, ended)
+	return nil
+}
+
+func (ins *instance) wait(cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	ins.up = false
+	if !ins.wanted {
+		ins.byItself = append(ins.byItself, fmt.Sprintf("%s ended by itself: %v", ins.name, err))
+	}
+	close(ended)
+}
+
+// signal sends a signal to the process that runs, if any. Only processes that the
+// soak started are ever signalled.
+func (ins *instance) signal(sig syscall.Signal) {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	if !ins.up {
+		return
+	}
+	switch sig {
+	case syscall.SIGKILL:
+		ins.wanted, ins.troubled = true, time.Now()
+		_ = ins.cmd.Process.Signal(syscall.SIGCONT)
+	case syscall.SIGTERM:
+		ins.wanted = true
+		if ins.leaving.IsZero() {
+			ins.leaving = time.Now()
+		}
+	case syscall.SIGSTOP, syscall.SIGCONT:
+		ins.troubled = time.Now()
+	}
+	_ = ins.cmd.Process.Signal(sig)
+}
+
+// gone waits for the end of the process, or ends it.
+func (ins *instance) gone(within time.Duration) bool {
+	ins.mtx.Lock()
+	ended, up := ins.ended, ins.up
+	ins.mtx.Unlock()
+	if !up {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(within):
+		ins.signal(syscall.SIGKILL)
+		<-ended
+		return false
+	}
+}
+
+// trouble notes that something is done to the instance's surroundings until an instant.
+func (ins *instance) trouble(until time.Time) {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	ins.troubled = later(ins.troubled, until)
+}
+
+func later(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+// calm tells whether nothing was done to the instance for a while before an instant;
+// a planned stop counts as nothing.
+func (ins *instance) calm(at time.Time) bool {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	return ins.up && at.Sub(ins.troubled) > settleFor
+}
+
+// standing gives the number of the process and whether it was asked to stop.
+func (ins *instance) standing() (life int, up, leaving bool) {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	return ins.life, ins.up, !ins.leaving.IsZero()
+}
+
+func (ins *instance) close() {
+	ins.signal(syscall.SIGKILL)
+	ins.gone(time.Second)
+	ins.store.close()
+	ins.front.close()
+	_ = ins.log.file.Close()
+}
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"amaranthvalve/platform/fake"
+)
+
+const (
+	// settleFor is how long after a trouble an instance is held to promises with
+	// a time bound.
+	settleFor = 3 * time.Second
+	// applyFor is the time after which a document must be in force, drainFor that
+	// after which a leaving endpoint gets nothing new; both with a margin for the
+	// way of a request.
+	applyFor = 2500 * time.Millisecond
+	drainFor = 2700 * time.Millisecond
+	// backFor is how much later a request must be sent for an older version to
+	// count as a step back.
+	backFor = 250 * time.Millisecond
+	// sentSlack covers a request's way to its endpoint.
+	sentSlack = 500 * time.Millisecond
+)
+
+// promise tells whether a status promises that nothing ran and nothing will.
+func promise(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// judge holds one answer against the promises that can be judged at once.
+func (wld *world) judge(att *attempt) {
+	if att.err != nil {
+		if att.ended.Sub(att.sent) >= deadline+patience && att.calm {
+			wld.breaks("held: %s at %s had no answer %v after its deadline", att.id, att.ins.name, patience)
+		}
+		return
+	}
+	sig := att.header.Get(fake.HeaderSignature)
+	switch {
+	case att.status >= 200 && att.status < 300:
+		if sig != "sig-"+att.id || !att.right() {
+			wld.breaks("mixed: %s at %s got signature %q and %q", att.id, att.ins.name, sig, att.answer)
+		}
+	case sig != "":
+		if att.status != http.StatusInternalServerError {
+			wld.breaks("mixed: %s at %s got %d with an endpoint's signature", att.id, att.ins.name, att.status)
+		}
+	case promise(att.status):
+		if att.header.Get("Retry-After") == "" {
+			wld.breaks("refusal: %s at %s got %d without when to come back", att.id, att.ins.name, att.status)
+		}
+	case att.status < 500:
+		wld.judgeDenial(att)
+	}
+}
+
+// right tells whether the body is the whole answer to this request.
+func (att *attempt) right() bool {
+	if att.stream {
+		return att.answer == wholeStream
+	}
+	return strings.HasPrefix(att.answer, "answer of ") && strings.HasSuffix(att.answer, " to "+att.id)
+}
+
+// judgeDenial: what all versions allow is never denied.
+func (wld *world) judgeDenial(att *attempt) {
+	wld.mtx.Lock()
+	_, revoked := wld.revoked[att.key]
+	wld.mtx.Unlock()
+	if att.number > 0 || revoked {
+		return
+	}
+	// A key that is not yet known everywhere may be denied for a moment.
+	if att.key == mainKey {
+		wld.breaks("denied: %s at %s got %d: %s", att.id, att.ins.name, att.status, att.answer)
+	}
+}
+
+// judgeAll holds what the endpoints ran against what was asked and answered.
+func (wld *world) judgeAll() {
+	runs := map[string][]fake.Run{}
+	for _, ep := range wld.eps {
+		for _, run := range ep.Runs() {
+			runs[run.ID] = append(runs[run.ID], run)
+			wld.judgeRun(ep, run)
+		}
+	}
+	for _, att := range wld.order {
+		ran := runs[att.id]
+		if att.once && len(ran) > 1 {
+			wld.breaks("twice: %s ran %d times, last at %s", att.id, len(ran), ran[1].Endpoint)
+		}
+		if att.err == nil && promise(att.status) && att.header.Get(fake.HeaderSignature) == "" && len(ran) > 0 {
+			wld.breaks("refused: %s was told %d by %s and ran at %s", att.id, att.status, att.ins.name, ran[0].Endpoint)
+		}
+		wld.judgeCut(att, ran)
+	}
+	wld.judgeVersions()
+}
+
+// judgeRun holds one run against the request that it belongs to.
+func (wld *world) judgeRun(ep *endpoint, run fake.Run) {
+	att, ok := wld.attempts[run.ID]
+	if !ok {
+		wld.breaks("unasked: %s ran %q", ep.ID(), run.ID)
+		return
+	}
+	if run.Method != att.method || run.Target != att.path || run.Body != att.body {
+		wld.breaks("unasked: %s ran %s as %s %s %q", ep.ID(), run.ID, run.Method, run.Target, run.Body)
+	}
+	if run.Header.Get(fake.HeaderTenant) != workspace || run.Header.Get(fake.HeaderAuthorize) != "" {
+		wld.breaks("unasked: %s ran %s for workspace %q, key passed on: %v", ep.ID(), run.ID, run.Header.Get(fake.HeaderTenant), run.Header.Get(fake.HeaderAuthorize) != "")
+	}
+	if at, taken := wld.revoked[att.key]; taken && att.sent.Sub(at) > tokensFor {
+		wld.breaks("revoked: %s was sent to %s %v after its key was taken away, and ran", att.id, att.ins.name, att.sent.Sub(at))
+	}
+	if !ep.drained.IsZero() && run.At.Sub(ep.drained) > drainFor && att.calm {
+		wld.breaks("drain: %s got %s from %s %v after it said it leaves", ep.ID(), att.id, att.ins.name, run.At.Sub(ep.drained))
+	}
+}
+
+// judgeCut: a planned stop cuts nothing off that was passed on to an endpoint that is
+// well.
+func (wld *world) judgeCut(att *attempt, ran []fake.Run) {
+	if att.err == nil || !att.calm || !att.leaving || len(ran) == 0 || att.ended.Sub(att.sent) >= deadline {
+		return
+	}
+	for _, run := range ran {
+		if run.Fault != fake.None || wld.disturbed(run.Endpoint, att.sent) {
+			return
+		}
+	}
+	wld.breaks("cut off: %s at %s, which was asked to stop: %v", att.id, att.ins.name, att.err)
+}
+
+// disturbed tells whether something was done to an endpoint after an instant or shortly
+// before.
+func (wld *world) disturbed(id string, at time.Time) bool {
+	for _, ep := range wld.eps {
+		if ep.ID() == id {
+			return ep.gone || !ep.drained.IsZero() || at.Sub(ep.troubled) < settleFor
+		}
+	}
+	return true
+}
+
+// judgeVersions: documents are in force in time, and no process goes back.
+func (wld *world) judgeVersions() {
+	type process struct {
+		ins  *instance
+		life int
+	}
+	seen := map[process]*attempt{}
+	for _, att := range wld.order {
+		if att.number == 0 || att.err != nil {
+			continue
+		}
+		wld.judgeInForce(att)
+		if att.status != http.StatusOK {
+			continue
+		}
+		prc := process{att.ins, att.life}
+		high := seen[prc]
+		if high != nil && att.number < high.number && att.sent.Sub(high.ended) > backFor {
+			wld.breaks("back: %s served version %d %v after version %d", att.ins.name, att.number, att.sent.Sub(high.ended), high.number)
+		}
+		if high == nil || att.number > high.number {
+			seen[prc] = att
+		}
+	}
+}
+
+func (wld *world) judgeInForce(att *attempt) {
+	if !att.calm {
+		return
+	}
+	least, last := 0, 0
+	for _, ver := range wld.docs {
+		if att.sent.Sub(ver.at) > applyFor {
+			least = ver.number
+		}
+		if ver.at.Before(att.ended) {
+			last = ver.number
+		}
+	}
+	if att.status == http.StatusOK && att.number < least {
+		wld.breaks("documents: %s served version %d while %d had to be in force", att.ins.name, att.number, least)
+	}
+	if att.status == http.StatusNotFound && att.number == least && least == last {
+		wld.breaks("documents: %s didn't know version %d", att.ins.name, least)
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,216 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/zlog"
+)
+
+const (
+	usualInstances = 4
+	usualCallers   = 8
+	// usualSpan is how long troubles are drawn in CI; some minutes by hand.
+	usualSpan = 8 * time.Second
+	// backWithin is the time in which a deployment that is well again serves.
+	backWithin = 15 * time.Second
+	// linesASecond bounds what one process writes under this load.
+	linesASecond = 2000
+)
+
+// number reads a number from the environment.
+func number(t *testing.T, name string, usual int) int {
+	text := os.Getenv(name)
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("%s=%q is not a number above 0", name, text)
+	}
+	return n
+}
+
+// TestSoak plays one run for each seed: the few of CI, those that ever failed, or those
+// that the environment asks for (docs/SOAK.md).
+func TestSoak(t *testing.T) {
+	zlog.To(zerolog.Nop())
+	program := build(t)
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, program, seed) })
+	}
+}
+
+// seeds lists the seeds to play.
+func seeds(t *testing.T) []uint64 {
+	if text := os.Getenv("AMV_SOAK_SEED"); text != "" {
+		return []uint64{uint64(number(t, "AMV_SOAK_SEED", 1))}
+	}
+	if text := os.Getenv("AMV_SOAK_SEEDS"); text != "" {
+		first := uint64(number(t, "AMV_SOAK_FROM", int(time.Now().Unix())))
+		var list []uint64
+		for i := range number(t, "AMV_SOAK_SEEDS", 1) {
+			list = append(list, first+uint64(i))
+		}
+		return list
+	}
+	return kept(t)
+}
+
+// kept reads the seeds that CI plays: a seed a line, and what it showed.
+func kept(t *testing.T) []uint64 {
+	file, err := os.Open(filepath.Join("testdata", "seeds.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	var list []uint64
+	for scn := bufio.NewScanner(file); scn.Scan(); {
+		word, _, _ := strings.Cut(scn.Text(), " ")
+		if word == "" || word == "#" {
+			continue
+		}
+		seed, err := strconv.ParseUint(word, 10, 64)
+		if err != nil {
+			t.Fatalf("testdata/seeds.txt: %v", err)
+		}
+		list = append(list, seed)
+	}
+	return list
+}
+
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "amvnode")
+	if out, err := exec.Command("go", "build", "-o", program, "amaranthvalve/cmd/amvnode").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	return program
+}
+
+// soak plays one seed and tells what it broke.
+func soak(t *testing.T, program string, seed uint64) {
+	wld := newWorld(t, program, seed, number(t, "AMV_SOAK_INSTANCES", usualInstances))
+	if !wld.serves() {
+		wld.breaks("not served at the start")
+		wld.report(t)
+		return
+	}
+	span := usualSpan
+	if os.Getenv("AMV_SOAK_SECONDS") != "" {
+		span = time.Duration(number(t, "AMV_SOAK_SECONDS", 1)) * time.Second
+	}
+	began := time.Now()
+	wld.traffic(t, span)
+	for _, ins := range wld.insts {
+		wld.judgeProcess(ins, time.Since(began))
+	}
+	wld.judgeAll()
+	wld.report(t)
+}
+
+// traffic plays troubles under the callers' load, then looks whether all is well again.
+func (wld *world) traffic(t *testing.T, span time.Duration) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wgr sync.WaitGroup
+	for i := range number(t, "AMV_SOAK_CALLERS", usualCallers) {
+		clr := wld.newCaller(i)
+		wgr.Add(1)
+		go func() {
+			defer wgr.Done()
+			if i == 0 {
+				clr.probe(ctx)
+				return
+			}
+			clr.run(ctx)
+		}()
+	}
+	faults, stop := context.WithTimeout(ctx, span)
+	wld.play(faults, t.Logf)
+	stop()
+	wld.heal()
+	if !wld.serves() {
+		wld.breaks("recovery: not served %v after everything was well again", backWithin)
+	}
+	cancel()
+	wgr.Wait()
+}
+
+// serves waits until every instance serves every kind of request.
+func (wld *world) serves() bool {
+	clr := wld.newCaller(1000 + wld.draw(1<<20))
+	until := time.Now().Add(backWithin)
+	for time.Now().Before(until) {
+		well := true
+		for _, ins := range wld.insts {
+			for _, knd := range kinds {
+				well = well && clr.sendTo(ins, knd, mainKey, 0).status == http.StatusOK
+			}
+		}
+		if well {
+			return true
+		}
+		time.Sleep(leastGap)
+	}
+	return false
+}
+
+// judgeProcess: processes end when they are told to, and write lines that can be read,
+// not too many.
+func (wld *world) judgeProcess(ins *instance, took time.Duration) {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	for _, what := range ins.byItself {
+		wld.breaks("%s", what)
+	}
+	ins.log.mtx.Lock()
+	defer ins.log.mtx.Unlock()
+	for _, line := range ins.log.bad {
+		wld.breaks("log: %s wrote %q", ins.name, line)
+	}
+	if most := linesASecond * int(took.Seconds()+1); ins.log.all > most {
+		wld.breaks("log: %s wrote %d lines in %v", ins.name, ins.log.all, took)
+	}
+}
+
+// report tells what was asked, how it ended and what was broken; the logs of a run that
+// broke something are kept.
+func (wld *world) report(t *testing.T) {
+	ends := map[string]int{}
+	for _, att := range wld.order {
+		end := strconv.Itoa(att.status)
+		if att.err != nil {
+			end = "cut"
+		}
+		ends[end]++
+	}
+	t.Logf("seed %d: %d requests, ended %v", wld.seed, len(wld.order), ends)
+	if len(wld.broken) == 0 {
+		return
+	}
+	for _, what := range wld.broken {
+		t.Errorf("seed %d: %s", wld.seed, what)
+	}
+	keep := os.Getenv("AMV_SOAK_LOGS")
+	if keep == "" {
+		return
+	}
+	for _, ins := range wld.insts {
+		text, err := os.ReadFile(ins.log.file.Name())
+		if err == nil {
+			_ = os.MkdirAll(keep, 0o755)
+			_ = os.WriteFile(filepath.Join(keep, fmt.Sprintf("%d-%s.log", wld.seed, ins.name)), text, 0o600)
+		}
+	}
+}
