internal/front, pkg/graph, pkg/plan: stages begin when what they take is made; equal workspaces' requests are ranked by route

(2) Stages ran in waves: each waited for the slowest pool of the wave before, a chat's last wave for the most crowded pool of all, and results beside it lapsed meanwhile (557 pieces with an input gone). Ruled out: capacity. Pools were at 60 of 100 outside bursts, and engines had places. Change: a rank is the workspace's priority first, and the route's among equal ones. pkg/graph tells when stages begin; a stage whose results only the final call takes is held while the chain beside it has the longer way. Stages may now stand in any order in a document; circles are told.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/pools"
@@ -103,14 +102,6 @@
 	viewAge  clock.Milli
 }
 
-// made are results that were made for a request and take room until given back.
-type made struct {
-	pool  string
-	stage int
-	list  []batch.Handle
-	home  string
-}
-
 // ServeHTTP serves one request.
 func (fr *Front) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
 	cl := &call{view: fr.set.Control.View(), http: req, arrived: fr.set.Clock.Now()}
@@ -136,7 +127,7 @@
 	}
 	fr.set.Meter.Answered(name, res, took)
 	evt := fr.set.Log.Info()
-	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Str("outcome", res.Outcome().String()).
+	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Int("rank", cl.rank).Str("outcome", res.Outcome().String()).
 		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
 		Int64("spent_ms", int64(cl.spent)).Int64("staged_ms", int64(cl.staged)).Int64("first_ms", int64(cl.first)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
 		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.viewAge)).Msg("request ended")
--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -72,7 +72,7 @@
 	if goal := cl.route.Goal(); goal > 0 {
 		cl.due = min(cl.until, cl.arrived+goal-cl.spent)
 	}
-	cl.rank = cl.route.Priority()
+	cl.rank = cl.view.Plan().Rank(cl.route, nil)
 }
 
 // deny gives a final no, unless a newer version may allow it.
@@ -137,9 +137,7 @@
 		return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
 	}
 	cl.wsp = wsp.Name()
-	if rank, ok := wsp.Priority(); ok {
-		cl.rank = rank
-	}
+	cl.rank = cl.view.Plan().Rank(cl.route, wsp)
 	return nxt(ctx, cl)
 }
 
--- /dev/null
+++ b/internal/front/results.go
@@ -0,0 +1,76 @@
+package front
+
+import (
+	"slices"
+
+	"amaranthvalve/internal/batch"
+)
+
+const (
+	// nearFrom is how many bytes a piece must spare between data centres to be
+	// made in a certain one; below it, which endpoint is free first matters more.
+	nearFrom = 128 << 10
+	// allStages stands for all of a request's results.
+	allStages = -1
+)
+
+// made are results that were made for a request and take room until given back.
+type made struct {
+	pool  string
+	stage int
+	list  []batch.Handle
+	home  string
+}
+
+// near gives the data centre in which a stage's pieces should be made: the one that
+// spares most bytes between data centres. Each piece fetches all results that its
+// stage takes, and those of the last stages are fetched by the model engine.
+func (cl *call) near(stg int) string {
+	raw := cl.route.Stages()[stg]
+	pull := map[string]int64{}
+	if cl.route.Graph().IsLeaf(stg) {
+		pull[cl.engine.Zone] += raw.Bytes
+	}
+	for _, mad := range cl.made {
+		if !slices.Contains(raw.After, mad.stage) {
+			continue
+		}
+		for _, res := range mad.list {
+			pull[res.Zone] += cl.route.Stages()[mad.stage].Bytes
+		}
+	}
+	best, most := "", int64(nearFrom-1)
+	for zone, bytes := range pull {
+		if bytes > most || bytes == most && zone < best {
+			best, most = zone, bytes
+		}
+	}
+	return best
+}
+
+// handles lists the results of stages, in the order of the stages and pieces.
+func (cl *call) handles(stages []int) []string {
+	var names []string
+	for _, stg := range slices.Sorted(slices.Values(stages)) {
+		for _, mad := range cl.made {
+			if mad.stage != stg {
+				continue
+			}
+			for _, res := range mad.list {
+				names = append(names, res.Name)
+			}
+		}
+	}
+	return names
+}
+
+// giveBack gives back a stage's results, or all.
+func (fr *Front) giveBack(cl *call, stg int) {
+	cl.made = slices.DeleteFunc(cl.made, func(mad made) bool {
+		if stg != allStages && mad.stage != stg {
+			return false
+		}
+		fr.homes.Free(mad.home, batch.Freed{Pool: mad.pool, Results: mad.list})
+		return true
+	})
+}
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 
 	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/homes"
@@ -18,9 +17,6 @@
 )
 
 const (
-	// nearFrom is how many bytes a piece must spare between data centres to be
-	// made in a certain one; below it, which endpoint is free first matters more.
-	nearFrom = 128 << 10
 	// crowdedShare of the time of a full call is the wait at a pool from which on
 	// it is crowded: nothing waits for a near endpoint, and newcomers that will be
 	// late are refused. Measured with calls of 0.37 s: 60 ms and 200 ms did alike.
@@ -30,8 +26,6 @@
 	// soonest and latest bound when a refused caller should come back.
 	soonest = 100 * clock.Milli(1)
 	latest  = 2 * clock.Second
-	// allStages stands for all of a request's results.
-	allStages = -1
 )
 
 // count gives the number of pieces that a request has of a stage.
@@ -71,15 +65,6 @@
 	return clock.Milli(spc.Call + spc.Item*float64(min(n, spc.Most)) + spc.Call*float64(calls-1))
 }
 
-// waveWork gives the planned time of a wave, whose stages run side by side.
-func (cl *call) waveWork(wave []int) clock.Milli {
-	longest := clock.Milli(0)
-	for _, stg := range wave {
-		longest = max(longest, cl.work(stg))
-	}
-	return longest
-}
-
 // admit chooses the final pool, and refuses at once what can't be answered before
 // its caller leaves. What will merely be late is let in: the gatherers put it
 // behind what can still be in time.
@@ -108,17 +93,15 @@
 	if len(cl.route.Stages()) == 0 {
 		return 0
 	}
-	need := fr.pools.First(cl.route.Name())
-	for _, wave := range cl.route.Waves() {
-		longest := clock.Milli(0)
-		for _, stg := range wave {
-			if cl.count(stg) > 0 {
-				longest = max(longest, fr.homes.Wait(cl.route.Stages()[stg].Pool)+cl.work(stg))
-			}
-		}
-		need += longest
+	return fr.pools.First(cl.route.Name()) + cl.route.Graph().Longest(func(stg int) clock.Milli { return fr.span(cl, stg) })
+}
+
+// span estimates the time of a stage that begins now, its wait included.
+func (fr *Front) span(cl *call, stg int) clock.Milli {
+	if cl.count(stg) == 0 {
+		return 0
 	}
-	return need
+	return fr.homes.Wait(cl.route.Stages()[stg].Pool) + cl.work(stg)
 }
 
 // comeBack gives a span to come back after, spread so that those refused together
@@ -140,97 +123,110 @@
 		cl.engine = eng
 	}
 	began := fr.set.Clock.Now()
-	waves := cl.route.Waves()
-	for i, wave := range waves {
-		after := fr.pools.First(cl.route.Name())
-		for _, later := range waves[i+1:] {
-			after += cl.waveWork(later)
-		}
-		if res := fr.wave(ctx, cl, wave, after, len(waves)-i); res.Outcome() != outcm.Pending {
-			return res
-		}
-		fr.giveBackUsed(cl, waves[i+1:])
+	if res := fr.makeAll(ctx, cl); res.Outcome() != outcm.Pending {
+		return res
 	}
 	cl.staged = fr.set.Clock.Since(began)
-	cl.inputs = cl.handles(cl.route.Leaves())
+	cl.inputs = cl.handles(cl.route.Graph().Leaves())
 	return nxt(ctx, cl)
 }
 
-// wave runs stages side by side; after is the time that what follows takes, and
-// left the number of waves from this one on, which share what time is to spare.
-func (fr *Front) wave(ctx context.Context, cl *call, wave []int, after clock.Milli, left int) outcm.Result {
+// makeAll has each stage made as soon as it may begin. When one can't be made, the
+// others are of no use and are withdrawn.
+func (fr *Front) makeAll(ctx context.Context, cl *call) outcm.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var wgr sync.WaitGroup
-	outs := make([]stageOut, len(wave))
-	for i, stg := range wave {
-		if cl.count(stg) == 0 {
-			continue
+	run := cl.route.Graph().Run(func(stg int) bool { return cl.count(stg) == 0 })
+	ends := make(chan stageOut, len(cl.route.Stages()))
+	under := 0
+	for !run.Over() {
+		for _, stg := range run.Begin(func(stg int) clock.Milli { return fr.span(cl, stg) }) {
+			ord := fr.order(cl, stg)
+			under++
+			go func() { ends <- fr.stage(ctx, cl, ord) }()
 		}
-		wgr.Add(1)
-		go func() {
-			defer wgr.Done()
-			outs[i] = fr.stage(ctx, cl, stg, after, left)
-			if outs[i].flaw != talk.NoFlaw {
-				// Its sisters are of no use without it.
-				cancel()
+		out := <-ends
+		under--
+		if out.flaw != talk.NoFlaw {
+			cancel()
+			for range under {
+				cl.keep(<-ends)
 			}
-		}()
-	}
-	wgr.Wait()
-	var flawed *stageOut
-	for i := range outs {
-		if len(outs[i].made.list) > 0 {
-			cl.made = append(cl.made, outs[i].made)
+			return fr.refuseStage(cl, out)
 		}
-		if outs[i].flaw != talk.NoFlaw && (flawed == nil || flawed.cancelled) {
-			flawed = &outs[i]
+		cl.keep(out)
+		for _, unused := range run.Done(out.stage) {
+			fr.giveBack(cl, unused)
 		}
 	}
-	if flawed == nil {
-		return outcm.Result{}
-	}
-	return fr.refuseStage(cl, flawed)
+	return outcm.Result{}
 }
 
-// stageOut is what became of a stage.
-type stageOut struct {
-	made      made
-	stage     int
-	flaw      talk.Flaw
-	cancelled bool
+// keep notes the results of a stage, which are given back later.
+func (cl *call) keep(out stageOut) {
+	if out.flaw == talk.NoFlaw {
+		cl.made = append(cl.made, out.made)
+	}
 }
 
-func (fr *Front) stage(ctx context.Context, cl *call, stg int, after clock.Milli, left int) stageOut {
+// order makes the order for a stage's pieces.
+func (fr *Front) order(cl *call, stg int) batch.Order {
 	raw := cl.route.Stages()[stg]
 	ord := batch.Order{
-		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.count(stg), Bytes: raw.Bytes, Rank: cl.rank,
+		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.count(stg), Bytes: raw.Bytes, Rank: cl.rank, Zone: cl.near(stg),
 	}
 	if len(raw.After) == 0 {
 		ord.Key = cl.ask.PieceKey
 	} else {
 		ord.Inputs = cl.handles(raw.After)
 	}
-	ord.Zone = cl.near(stg)
-	if slack := cl.due - after - cl.work(stg) - fr.set.Clock.Now(); ord.Zone != "" && slack > 0 && !fr.crowded(cl) {
-		ord.NearUntil = slack / clock.Milli(2*(left+1))
-	}
+	return ord
+}
+
+// stageOut is what became of a stage.
+type stageOut struct {
+	made  made
+	stage int
+	flaw  talk.Flaw
+}
+
+// stage has an order filled.
+func (fr *Front) stage(ctx context.Context, cl *call, ord batch.Order) stageOut {
+	after := fr.after(cl, ord.Stage)
+	ord.NearUntil = fr.nearFor(cl, ord, after)
 	began := fr.set.Clock.Now()
 	fld, home := fr.homes.Fill(ctx, fr.set.Control.View(), ord, func() (due, until clock.Milli) {
 		now := fr.set.Clock.Now()
 		return cl.due - after - now, cl.until - after - now
 	})
-	fr.tell(cl, stg, home, fr.set.Clock.Since(began), fld)
-	out := stageOut{stage: stg, flaw: fld.Flaw, cancelled: ctx.Err() != nil}
+	fr.tell(cl, ord.Stage, home, fr.set.Clock.Since(began), fld)
+	out := stageOut{stage: ord.Stage, flaw: fld.Flaw}
 	if out.flaw == talk.NoFlaw && len(fld.Results) != ord.Count {
 		out.flaw = talk.Late
 	}
 	if out.flaw == talk.NoFlaw {
-		out.made = made{pool: raw.Pool, stage: stg, list: fld.Results, home: home}
+		out.made = made{pool: ord.Pool, stage: ord.Stage, list: fld.Results, home: home}
 	}
 	return out
 }
 
+// after gives the planned time from a stage's end to the request's first byte.
+func (fr *Front) after(cl *call, stg int) clock.Milli {
+	ways := cl.route.Graph().Ways(cl.work)
+	return fr.pools.First(cl.route.Name()) + ways[stg] - cl.work(stg)
+}
+
+// nearFor gives how long a stage's pieces wait for an endpoint of their data centre: a
+// part of the time to spare, which the stages that follow share.
+func (fr *Front) nearFor(cl *call, ord batch.Order, after clock.Milli) clock.Milli {
+	slack := cl.due - after - cl.work(ord.Stage) - fr.set.Clock.Now()
+	if ord.Zone == "" || slack <= 0 || fr.crowded(cl) {
+		return 0
+	}
+	left := cl.route.Graph().Ways(func(int) clock.Milli { return 1 })[ord.Stage]
+	return slack / (2 * (left + 1))
+}
+
 // crowded tells whether pieces of any of the route's stages wait for long. Results
 // take room at their makers until what follows is made; when room is short, a stage
 // that waits for a near endpoint keeps those before it waiting too.
@@ -258,35 +254,9 @@
 	}
 }
 
-// near gives the data centre in which a stage's pieces should be made: the one that
-// spares most bytes between data centres. Each piece fetches all results that its
-// stage takes, and those of the last stages are fetched by the model engine.
-func (cl *call) near(stg int) string {
-	raw := cl.route.Stages()[stg]
-	pull := map[string]int64{}
-	if slices.Contains(cl.route.Leaves(), stg) {
-		pull[cl.engine.Zone] += raw.Bytes
-	}
-	for _, mad := range cl.made {
-		if !slices.Contains(raw.After, mad.stage) {
-			continue
-		}
-		for _, res := range mad.list {
-			pull[res.Zone] += cl.route.Stages()[mad.stage].Bytes
-		}
-	}
-	best, most := "", int64(nearFrom-1)
-	for zone, bytes := range pull {
-		if bytes > most || bytes == most && zone < best {
-			best, most = zone, bytes
-		}
-	}
-	return best
-}
-
 // refuseStage gives the refusal for a stage that was not made. Nothing with an
 // effect ran.
-func (fr *Front) refuseStage(cl *call, out *stageOut) outcm.Result {
+func (fr *Front) refuseStage(cl *call, out stageOut) outcm.Result {
 	pool := cl.route.Stages()[out.stage].Pool
 	after := fr.comeBack(fr.homes.Wait(pool))
 	switch {
@@ -297,49 +267,3 @@
 	}
 	return outcm.Refuse(outcm.StageRefused, after, fmt.Sprintf("stage %d could not be made: flaw %d", out.stage, out.flaw))
 }
-
-// handles lists the results of stages, in the order of the stages and pieces.
-func (cl *call) handles(stages []int) []string {
-	var names []string
-	for _, stg := range slices.Sorted(slices.Values(stages)) {
-		for _, mad := range cl.made {
-			if mad.stage != stg {
-				continue
-			}
-			for _, res := range mad.list {
-				names = append(names, res.Name)
-			}
-		}
-	}
-	return names
-}
-
-// giveBackUsed gives back the results that no later wave and not the final call
-// takes: each holds room that others wait for.
-func (fr *Front) giveBackUsed(cl *call, later [][]int) {
-	for stg := range cl.route.Stages() {
-		if slices.Contains(cl.route.Leaves(), stg) {
-			continue
-		}
-		needed := false
-		for _, wave := range later {
-			for _, oth := range wave {
-				needed = needed || slices.Contains(cl.route.Stages()[oth].After, stg)
-			}
-		}
-		if !needed {
-			fr.giveBack(cl, stg)
-		}
-	}
-}
-
-// giveBack gives back a stage's results, or all.
-func (fr *Front) giveBack(cl *call, stg int) {
-	cl.made = slices.DeleteFunc(cl.made, func(mad made) bool {
-		if stg != allStages && mad.stage != stg {
-			return false
-		}
-		fr.homes.Free(mad.home, batch.Freed{Pool: mad.pool, Results: mad.list})
-		return true
-	})
-}
--- a/pkg/plan/doc.go
+++ b/pkg/plan/doc.go
@@ -10,9 +10,7 @@
 // to a pool that is not named, say) is left out and the rest holds, so that one
 // bad line doesn't take every other route out of force.
 //
-// A route's stages form a graph. They run in waves, see [Route.Waves]: a stage
-// that only the final call needs runs beside the last stage before it, and not
-// first, because its result takes room at its maker all the while.
+// A route's stages form a graph; package graph tells when they begin.
 //
 // The package decides nothing about endpoints and knows no wire format.
 package plan
--- a/pkg/plan/draft.go
+++ b/pkg/plan/draft.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/graph"
 )
 
 // Error is the class of a draft's faults.
@@ -121,6 +122,7 @@
 		slices.SortStableFunc(list, func(x, y *Route) int { return len(y.raw.Prefix) - len(x.raw.Prefix) })
 	}
 	fts = append(fts, pln.workspaces(drf.Workspaces)...)
+	pln.rank()
 	if len(pln.routes) == 0 && len(drf.Routes) > 0 {
 		return nil, fts
 	}
@@ -178,14 +180,11 @@
 	if err := pln.checkTargets(raw.Targets); err != nil {
 		return nil, err
 	}
-	if err := pln.checkStages(raw.Stages); err != nil {
+	gr, err := pln.stages(raw.Stages)
+	if err != nil {
 		return nil, err
 	}
-	rte := &Route{raw: raw, kind: kind}
-	if len(raw.Stages) > 0 {
-		rte.waves, rte.leaves = waves(raw.Stages), leaves(raw.Stages)
-	}
-	return rte, nil
+	return &Route{raw: raw, kind: kind, graph: gr}, nil
 }
 
 func parseKind(name string) (Kind, error) {
@@ -217,17 +216,19 @@
 	return nil
 }
 
-func (pln *Plan) checkStages(list []DraftStage) error {
+// stages checks a route's stages and gives their graph.
+func (pln *Plan) stages(list []DraftStage) (graph.Graph, error) {
+	after := make([][]int, len(list))
 	for i, stg := range list {
 		pol, ok := pln.pools[stg.Pool]
 		if !ok || pol.raw.Batch == nil {
-			return fmt.Errorf("stages[%d]: pool %q takes no pieces", i, stg.Pool)
-		}
-		for _, pre := range stg.After {
-			if pre < 0 || pre >= i {
-				return fmt.Errorf("stages[%d]: it comes after stage %d, which does not stand before it", i, pre)
-			}
+			return graph.Graph{}, fmt.Errorf("stages[%d]: pool %q takes no pieces", i, stg.Pool)
 		}
+		after[i] = stg.After
 	}
-	return nil
+	gr, err := graph.New(after)
+	if err != nil {
+		return graph.Graph{}, fmt.Errorf("stages: %w", err)
+	}
+	return gr, nil
 }
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -1,10 +1,10 @@
 package plan
 
 import (
-	"slices"
 	"strings"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/graph"
 )
 
 //go:generate go tool stringer -type=Kind -linecomment -output=kind_string.go
@@ -27,6 +27,8 @@
 	pools   map[string]*Pool
 	tokens  map[string]*Workspace
 	limits  Limits
+	// urgencies are those that requests can have, the most urgent first.
+	urgencies []urgency
 }
 
 // Version gives the document's own number, for logs.
@@ -88,16 +90,11 @@
 // Name gives the workspace's name.
 func (wsp *Workspace) Name() string { return wsp.name }
 
-// Priority gives the workspace's own rank, which goes before a route's; false
-// if it has none.
-func (wsp *Workspace) Priority() (int, bool) { return wsp.priority, wsp.ranked }
-
 // Route is one kind of request: where it goes and what may be done with it.
 type Route struct {
-	raw    DraftRoute
-	kind   Kind
-	waves  [][]int
-	leaves []int
+	raw   DraftRoute
+	kind  Kind
+	graph graph.Graph
 }
 
 // Name gives the route's name.
@@ -131,21 +128,14 @@
 // Gap gives the longest pause between two events of a stream that is on time.
 func (rte *Route) Gap() clock.Milli { return rte.raw.Gap }
 
-// Priority gives the rank, 0 first.
-func (rte *Route) Priority() int { return rte.raw.Priority }
-
 // Attempts gives how many endpoints one request may be sent to, at least 1.
 func (rte *Route) Attempts() int { return max(rte.raw.Attempts, 1) }
 
 // Stages gives the stages that come before the final call.
 func (rte *Route) Stages() []DraftStage { return rte.raw.Stages }
 
-// Waves gives the stages in the order in which they run: those of one wave side
-// by side, each wave after the one before it.
-func (rte *Route) Waves() [][]int { return rte.waves }
-
-// Leaves gives the stages whose results the final call takes.
-func (rte *Route) Leaves() []int { return rte.leaves }
+// Graph tells which of the stages take the results of which.
+func (rte *Route) Graph() graph.Graph { return rte.graph }
 
 // Targets gives the pools that the final call may go to, with their weights.
 func (rte *Route) Targets() []DraftTarget { return rte.raw.Targets }
@@ -179,31 +169,3 @@
 
 // Engine gives what the pool's model engines can do; nil for plain services.
 func (pol *Pool) Engine() *DraftEngine { return pol.raw.Engine }
-
-// waves sorts stages by the longest chain of stages that follow them.
-func waves(stages []DraftStage) [][]int {
-	heights := make([]int, len(stages))
-	most := 0
-	for i := len(stages) - 1; i >= 0; i-- {
-		for _, pre := range stages[i].After {
-			heights[pre] = max(heights[pre], heights[i]+1)
-			most = max(most, heights[pre])
-		}
-	}
-	sorted := make([][]int, most+1)
-	for i, high := range heights {
-		sorted[most-high] = append(sorted[most-high], i)
-	}
-	return sorted
-}
-
-// leaves lists the stages that no other stage follows.
-func leaves(stages []DraftStage) []int {
-	var last []int
-	for i := range stages {
-		if !slices.ContainsFunc(stages, func(stg DraftStage) bool { return slices.Contains(stg.After, i) }) {
-			last = append(last, i)
-		}
-	}
-	return last
-}
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -68,7 +68,7 @@
 		texts = append(texts, ft.Error())
 	}
 	gom.Expect(texts).To(gomega.HaveLen(8))
-	for i, part := range []string{`services[3] "empty"`, `kind "sometimes" is not one of`, "begin and end with a slash", `"nobody", which is not named`, `"plain" takes no pieces`, "does not stand before it", "sum up to 0", `also one of "corella"`} {
+	for i, part := range []string{`services[3] "empty"`, `kind "sometimes" is not one of`, "begin and end with a slash", `"nobody", which is not named`, `"plain" takes no pieces`, "in a circle", "sum up to 0", `also one of "corella"`} {
 		gom.Expect(texts[i]).To(gomega.ContainSubstring(part))
 	}
 }
@@ -86,12 +86,36 @@
 	gom.Expect(ok).To(gomega.BeFalse())
 }
 
-// TestWaves: a stage that only the final call needs runs beside the last of the
-// others, for its result takes room all the while.
-func TestWaves(t *testing.T) {
+// TestRanks: all workspaces have the same priority, as most documents give it. Their
+// requests are ranked by their routes then; a workspace with a better one goes first
+// with all of its requests, and one without is ranked by the route alone.
+func TestRanks(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	stages := []DraftStage{{}, {}, {After: []int{1}}, {After: []int{2}}}
-	gom.Expect(waves(stages)).To(gomega.Equal([][]int{{1}, {2}, {0, 3}}))
-	gom.Expect(leaves(stages)).To(gomega.Equal([]int{0, 3}))
-	gom.Expect(waves([]DraftStage{{}})).To(gomega.Equal([][]int{{0}}))
+	same, better := 1, 0
+	drf := Draft{Pools: []DraftPool{{Name: "p"}}}
+	for i, name := range []string{"digest", "plan", "chat"} {
+		drf.Routes = append(drf.Routes, DraftRoute{Name: name, Host: "a", Prefix: "/" + name + "/", Kind: "streaming", Priority: i, Targets: []DraftTarget{{Pool: "p", Weight: 1}}})
+	}
+	drf.Workspaces = []DraftWorkspace{
+		{Name: "one", Tokens: []string{"1"}, Priority: &same}, {Name: "two", Tokens: []string{"2"}, Priority: &same},
+	}
+	ranks := func() map[string][]int {
+		pln, fts := Compile(drf)
+		gom.Expect(fts).To(gomega.BeEmpty())
+		got := map[string][]int{}
+		for _, token := range []string{"1", "2"} {
+			wsp, _ := pln.Workspace(token)
+			for _, rte := range pln.Routes() {
+				got[wsp.Name()] = append(got[wsp.Name()], pln.Rank(rte, wsp))
+			}
+		}
+		return got
+	}
+	got := ranks()
+	gom.Expect(got["one"]).To(gomega.Equal(got["two"]))
+	gom.Expect(got["one"][0]).To(gomega.BeNumerically("<", got["one"][1]))
+	gom.Expect(got["one"][1]).To(gomega.BeNumerically("<", got["one"][2]))
+	drf.Workspaces[1].Priority = &better
+	got = ranks()
+	gom.Expect(got["two"][2]).To(gomega.BeNumerically("<", got["one"][0]))
 }
