internal/node: amv status asks an instance on the platform too

Cause: an instance that serves routes told counters only; whoever is on call had no one place for who else there is, which documents are in force, how old that knowledge is and who gathers what. Change: the address of the counters answers /v1/status in the shape that `amv status` prints, with the gatherers besides. Ruled out: an address of its own; the platform gives an instance none for operators. Test: "tells members, documents, their age, endpoints and gatherers". Nothing that decides is touched.

--- a/internal/entry/ops.go
+++ b/internal/entry/ops.go
@@ -21,7 +21,7 @@
 		{Method: http.MethodGet, Path: "/v1/docs/:service", Handler: nod.showDoc},
 		{Method: http.MethodGet, Path: "/v1/docs/:service/history", Handler: nod.showHistory},
 		{Method: http.MethodPost, Path: "/v1/docs/:service", Handler: nod.publish},
-		{Method: http.MethodGet, Path: "/v1/status", Handler: nod.showStatus},
+		{Method: http.MethodGet, Path: wire.StatusPath, Handler: nod.showStatus},
 		{Method: http.MethodGet, Path: "/v1/entries", Handler: nod.entries},
 		{Method: http.MethodGet, Path: "/v1/health", Handler: nod.health},
 		{Method: http.MethodGet, Path: "/v1/ready", Handler: nod.ready},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,6 +166,7 @@
 	add(nod.set.EntriesAddr(), dia.EntriesPath, nod.entries(dia))
 	add(nod.set.ReadyAddr(), dia.ReadyPath, nod.ready)
 	add(nod.set.MetricsAddr(), "/metrics", nod.mtr.Handler().ServeHTTP)
+	add(nod.set.MetricsAddr(), wire.StatusPath, nod.showStatus)
 	for addr, routes := range byAddr {
 		handler, err := serve.Router(routes)
 		if err != nil {
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"net/http/httptest"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/wire"
 	"amaranthvalve/platform/fake"
 )
 
@@ -123,6 +126,28 @@
 	})
 })
 
+var _ = ginkgo.Describe("the status of an instance", func() {
+	// Somebody on call asks an instance how it stands: who else there is, which
+	// documents are in force and how old that knowledge is, and who gathers what.
+	ginkgo.It("tells members, documents, their age, endpoints and gatherers", func() {
+		wld := newWorld(2)
+		nod := wld.nodes[0]
+		rec := httptest.NewRecorder()
+		nod.showStatus(rec, nil)
+		var st wire.Status
+		expect(json.Unmarshal(rec.Body.Bytes(), &st)).To(gomega.Succeed())
+		expect(st.Ready).To(gomega.BeTrue(), st.Why)
+		expect(st.Members).To(gomega.HaveLen(2))
+		expect(st.Services[0].Revision).To(equal(int64(wld.version)))
+		expect(st.LogAgeMs).To(gomega.BeNumerically("<", 3000))
+		expect(st.Endpoints).To(gomega.HaveLen(6))
+		expect(st.Gatherers).To(gomega.HaveLen(1))
+		expect(st.Gatherers[0].Instance).To(gomega.BeElementOf(string(nod.ctl.Self()), string(wld.nodes[1].ctl.Self())))
+		nod.ctl.Leave(context.Background())
+		eventually(func() string { return nod.status(nod.clk.Now()).Why }, soon).Should(equal(whyLeaving))
+	})
+})
+
 // entries gives how many addresses an instance names.
 func (wld *world) entries(node int) int {
 	return len(fake.Addresses(client, wld.nodes[node].set.EntriesAddr()))
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/clock"
+)
+
+// Why an instance isn't ready, in the words of the operators' page.
+const (
+	whyNoDocuments = "no documents are known yet"
+	whyLeaving     = "a planned stop is under way"
+	whyOld         = "the documents here may be old, and another instance knows newer ones"
+)
+
+// showStatus answers `amv status`, on the address of the counters: how the instance
+// stands, in the same shape as an instance that speaks the product's own protocol.
+func (nod *Node) showStatus(wrt http.ResponseWriter, _ *http.Request) {
+	wire.WriteJSON(wrt, http.StatusOK, nod.status(nod.clk.Now()))
+}
+
+func (nod *Node) status(now clock.Milli) wire.Status {
+	vw := nod.ctl.View()
+	st := wire.Status{
+		Instance: string(nod.ctl.Self()), Zone: nod.set.Zone(), Ready: vw.Ready(now), Applied: vw.Offset(), LogAgeMs: vw.Age(now),
+		Members: []wire.StatusMember{}, Services: []wire.StatusService{}, Endpoints: []wire.StatusEndpoint{},
+		Leases: []wire.StatusLease{}, Refusals: nod.mtr.Refusals(),
+	}
+	pln := vw.Plan()
+	switch {
+	case pln == nil:
+		st.Why, st.LogAgeMs = whyNoDocuments, 0
+	case vw.Leaving():
+		st.Why = whyLeaving
+	case !st.Ready:
+		st.Why = whyOld
+	}
+	for _, mbr := range vw.Members() {
+		st.Members = append(st.Members, wire.StatusMember{
+			Instance: string(mbr.Who()), Zone: mbr.Zone(), Status: mbr.Status().String(), Applied: mbr.Applied(), Load: mbr.Load(),
+		})
+	}
+	for _, ep := range vw.Endpoints() {
+		state := "ready"
+		if ep.Leaving {
+			state = "leaving"
+		}
+		st.Endpoints = append(st.Endpoints, wire.StatusEndpoint{Pool: ep.Pool, ID: ep.ID, Addr: ep.Addr, State: state})
+	}
+	if pln != nil {
+		st.Services = append(st.Services, wire.StatusService{Service: "all routes", Revision: pln.Version()})
+		for name, pol := range pln.Pools() {
+			if homes := vw.Gatherers(name); pol.Batch() != nil && len(homes) > 0 {
+				st.Gatherers = append(st.Gatherers, wire.StatusGatherer{Pool: name, Instance: string(homes[0])})
+			}
+		}
+	}
+	slices.SortFunc(st.Gatherers, func(x, y wire.StatusGatherer) int { return cmp.Compare(x.Pool, y.Pool) })
+	return st
+}
--- a/internal/opers/opers.go
+++ b/internal/opers/opers.go
@@ -63,7 +63,7 @@
 // Status gives the instance's status.
 func (cli *Client) Status(ctx context.Context) (wire.Status, error) {
 	var st wire.Status
-	return st, cli.call(ctx, http.MethodGet, "/v1/status", nil, &st)
+	return st, cli.call(ctx, http.MethodGet, wire.StatusPath, nil, &st)
 }
 
 func (cli *Client) call(ctx context.Context, method, path string, body, answer any) error {
--- a/internal/shell/status.go
+++ b/internal/shell/status.go
@@ -44,10 +44,21 @@
 	for _, ept := range st.Endpoints {
 		con.printf("%-16s %-20s %-22s %6d %6d %10.1f %s\n", ept.Pool, ept.ID, ept.Addr, ept.InFlight, ept.Limit, ept.Latency, ept.State)
 	}
+	printGatherers(con, st.Gatherers)
 	printLeases(con, st.Leases)
 	printRefusals(con, st.Refusals)
 }
 
+func printGatherers(con *console, list []wire.StatusGatherer) {
+	if len(list) == 0 {
+		return
+	}
+	con.printf("\n%-16s %s\n", "POOL", "GATHERED AT")
+	for _, gth := range list {
+		con.printf("%-16s %s\n", gth.Pool, gth.Instance)
+	}
+}
+
 func printLeases(con *console, list []wire.StatusLease) {
 	con.printf("\n%-12s %-40s %8s\n", "LEASE", "HOLDER", "FENCE")
 	for _, lse := range list {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -245,6 +245,9 @@
 	Detail  string      `json:"detail,omitempty"`
 }
 
+// StatusPath is where an instance tells how it stands.
+const StatusPath = "/v1/status"
+
 // Status is what an instance tells a person of itself.
 type Status struct {
 	Instance  string           `json:"instance"`
@@ -257,6 +260,8 @@
 	Services  []StatusService  `json:"services"`
 	Endpoints []StatusEndpoint `json:"endpoints"`
 	Leases    []StatusLease    `json:"leases"`
+	// Gatherers are the instances that gather pools' pieces.
+	Gatherers []StatusGatherer `json:"gatherers,omitempty"`
 	Refusals  map[string]int64 `json:"refusals"`
 	Keys      int              `json:"keys"`
 }
@@ -270,6 +275,12 @@
 	Load     int    `json:"load"`
 }
 
+// StatusGatherer is the instance that gathers a pool's pieces, in a [Status].
+type StatusGatherer struct {
+	Pool     string `json:"pool"`
+	Instance string `json:"instance"`
+}
+
 // StatusService is one document in a [Status].
 type StatusService struct {
 	Service  string `json:"service"`
