pkg/gather: what waits of begun jobs goes first; jobs stay whole when room is short

A call took what fitted of the most urgent job; the rest waited for room, and once its request was late it stood behind all others, with the part that was made taking room for up to 3.8 s (lines "stage waited": 78 and 79 orders in two seconds ended so).

Ruled out: the endpoints' places (calls of 8 to 12 pieces of 16, places free), the stage behind (its queue was empty).

Change: pieces of begun jobs go before all others, late or not; a job that fits into one call is not split for want of room, unless its results take more than a quarter of an endpoint's.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -76,7 +76,7 @@
 	pol.next++
 	ord.job = pol.next
 	for i := range ask.Count {
-		pol.add(ord, i)
+		pol.add(ord, i, false)
 	}
 	pol.run()
 	pol.mtx.Unlock()
@@ -116,11 +116,13 @@
 	}
 }
 
-func (pol *pool) add(ord *order, index int) {
+// add puts a piece of an order in the book; rest tells that others of the order are
+// made or under way.
+func (pol *pool) add(ord *order, index int, rest bool) {
 	pol.next++
 	pol.slots[pol.next] = slot{ord: ord, index: index}
 	pol.book.Add(gather.Piece{
-		ID: pol.next, Job: ord.job, Due: ord.Due, Until: ord.Until, Rank: ord.Rank, Zone: ord.Zone, NearUntil: ord.NearUntil, Bytes: ord.Bytes,
+		ID: pol.next, Job: ord.job, Due: ord.Due, Until: ord.Until, Rank: ord.Rank, Zone: ord.Zone, NearUntil: ord.NearUntil, Bytes: ord.Bytes, Rest: rest,
 	})
 }
 
@@ -274,7 +276,7 @@
 		return
 	}
 	pol.set.Meter.Retried(retry.Refused)
-	pol.add(slt.ord, slt.index)
+	pol.add(slt.ord, slt.index, slt.ord.Count > 1)
 }
 
 // log writes a line for a call that was not answered whole.
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -77,26 +77,45 @@
 	})
 }
 
-// sort puts the waiting pieces in their order: those that can still be in time
-// by the instant at which they are due, then the others.
+// sort puts the waiting pieces in their order: the rests of jobs, then those that can
+// still be in time, then the others; among each the earliest due first.
+//
+// Rests go first even if they are late. The results of a job that was begun can't be
+// used, nor given back, before the last of its pieces is made. Behind all others the
+// rests of late jobs waited until their time was up, while what had been made of them
+// took the room that the others waited for: the pool stood still with its endpoints idle.
 func (bk *Book) sort(now clock.Milli) {
-	one := bk.spec.Time(1)
 	slices.SortStableFunc(bk.waiting, func(x, y Piece) int {
-		lateX, lateY := now+one > x.Due, now+one > y.Due
-		if lateX != lateY {
-			if lateX {
-				return 1
-			}
-			return -1
+		if turnX, turnY := bk.turn(x, now), bk.turn(y, now); turnX != turnY {
+			return cmp.Compare(turnX, turnY)
 		}
 		return cmp.Compare(x.Due+clock.Milli(x.Rank)*rankStep, y.Due+clock.Milli(y.Rank)*rankStep)
 	})
 }
 
+// turn is which of the pieces go before which, whenever they are due.
+type turn int
+
+const (
+	restTurn turn = iota
+	timelyTurn
+	lateTurn
+)
+
+func (bk *Book) turn(pc Piece, now clock.Milli) turn {
+	switch {
+	case pc.Rest:
+		return restTurn
+	case now+bk.spec.Time(1) <= pc.Due:
+		return timelyTurn
+	}
+	return lateTurn
+}
+
 // choose takes, of the open endpoints, the one whose data centre most of the next
 // call wants, among those that any of the most urgent pieces may go to now.
 func (bk *Book) choose(open []*maker, now clock.Milli) *maker {
-	next := bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)]
+	next := bk.ahead()
 	var best *maker
 	bestFor := -1
 	for _, mkr := range open {
@@ -133,34 +152,39 @@
 }
 
 // fill takes pieces for a call: the most urgent job, then those of the next that
-// want the endpoint's data centre or none, then the others that fit whole, and last
-// parts of jobs if the call is still less than half full. A job that is split is
-// done only with the later of its calls, and whoever takes its results fetches them
-// from two places.
+// want the endpoint's data centre or none, then the others. Jobs go whole into a call
+// if they can. One that is split is done only with the later of its calls; what the
+// sooner one made takes room for nothing until then, and whoever takes the results
+// fetches them from two places.
 func (bk *Book) fill(mkr *maker, now clock.Milli) (Batch, bool) {
-	look := slices.Clone(bk.waiting[:min(len(bk.waiting), lookAhead*bk.spec.Most)])
-	look = slices.DeleteFunc(look, func(pc Piece) bool { return bk.waitsFor(pc, mkr, now) || !bk.fits(mkr, 0, pc) })
-	if len(look) == 0 {
-		return Batch{}, false
-	}
+	look := slices.Clone(bk.ahead())
+	look = slices.DeleteFunc(look, func(pc Piece) bool { return bk.waitsFor(pc, mkr, now) })
 	cl := filling{bk: bk, mkr: mkr, taken: map[int64]bool{}}
 	jobs := jobsOf(look)
-	cl.take(jobs[0])
+	first := slices.IndexFunc(jobs, cl.fits)
+	if first < 0 {
+		return Batch{}, false
+	}
+	cl.take(jobs[first])
 	for _, near := range []bool{true, false} {
-		for _, job := range jobs[1:] {
+		for _, job := range jobs[first+1:] {
 			if (job[0].Zone == "" || job[0].Zone == mkr.Zone) == near && cl.fits(job) {
 				cl.take(job)
 			}
 		}
 	}
-	for _, job := range jobs[1:] {
-		if 2*len(cl.pieces) < bk.spec.Most {
-			cl.take(job)
-		}
-	}
 	return bk.begin(mkr, cl, now)
 }
 
+// ahead gives the most urgent of the sorted pieces that wait, up to the end of a job.
+func (bk *Book) ahead() []Piece {
+	n := min(len(bk.waiting), lookAhead*bk.spec.Most)
+	for n > 0 && n < len(bk.waiting) && bk.waiting[n].Job == bk.waiting[n-1].Job {
+		n++
+	}
+	return bk.waiting[:n]
+}
+
 // jobsOf groups pieces by their jobs, in the order of the first piece of each.
 func jobsOf(list []Piece) [][]Piece {
 	at := map[int64]int{}
@@ -186,15 +210,25 @@
 	bytes  int64
 }
 
-// fits tells whether a whole job has place and room in the call.
+// fits tells whether a job has place and room in the call: the whole of it, or, if it is
+// one that is split, its first piece.
 func (cl *filling) fits(job []Piece) bool {
 	var bytes int64
 	for _, pc := range job {
 		bytes += pc.Bytes
 	}
+	if cl.bk.splits(job, bytes) {
+		return len(cl.pieces) < cl.bk.spec.Most && cl.bk.fits(cl.mkr, cl.bytes, job[0])
+	}
 	return len(cl.pieces)+len(job) <= cl.bk.spec.Most && cl.bk.fits(cl.mkr, cl.bytes+bytes, Piece{})
 }
 
+// splits tells whether a job is made in parts: one that was already, and one that is too
+// large for a call.
+func (bk *Book) splits(job []Piece, bytes int64) bool {
+	return job[0].Rest || len(job) > bk.spec.Most || bk.spec.Room > 0 && float64(bytes) > wholeShare*float64(bk.spec.Room)
+}
+
 // take takes as much of a job as fits.
 func (cl *filling) take(job []Piece) {
 	for _, pc := range job {
@@ -207,6 +241,17 @@
 	}
 }
 
+// markRests marks what waits of jobs that a call has begun.
+func (bk *Book) markRests(pieces []Piece) {
+	begun := make(map[int64]bool, len(pieces))
+	for _, pc := range pieces {
+		begun[pc.Job] = true
+	}
+	for i := range bk.waiting {
+		bk.waiting[i].Rest = bk.waiting[i].Rest || begun[bk.waiting[i].Job]
+	}
+}
+
 // begin notes a call as begun.
 func (bk *Book) begin(mkr *maker, cl filling, now clock.Milli) (Batch, bool) {
 	bat := Batch{Maker: mkr.Maker, Pieces: cl.pieces}
@@ -218,6 +263,7 @@
 		bk.filled = bk.fullness() + fillShare*(float64(len(bat.Pieces))-bk.fullness())
 	}
 	bk.waiting = slices.DeleteFunc(bk.waiting, func(pc Piece) bool { return taken[pc.ID] })
+	bk.markRests(cl.pieces)
 	bk.pace.note(len(bat.Pieces), len(bk.waiting) >= bk.spec.Most, now)
 	bk.next++
 	bat.ID = bk.next
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -36,6 +36,10 @@
 	lookAhead = 2
 	// rankStep is how much earlier each step of priority makes a piece.
 	rankStep = 300 * clock.Milli(1)
+	// wholeShare of an endpoint's room is the most that the results of a job may take
+	// if it is to be made in one call. Larger ones would wait for long until so much
+	// room is free at one endpoint, while small ones take each bit of it.
+	wholeShare = 0.25
 )
 
 // Spec tells how each endpoint of the pool takes pieces.
@@ -87,6 +91,9 @@
 	NearUntil clock.Milli
 	// Bytes is the rough size of the result.
 	Bytes int64
+	// Rest tells that other pieces of its job are made or under way: their results
+	// take room until this piece is made too.
+	Rest bool
 }
 
 // Batch is a call to be made.
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -91,6 +91,50 @@
 	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{1, 3}))
 }
 
+// TestRestsGoFirst: an endpoint made three pieces of a job of five, and the job is late
+// by now. Jobs that can still be in time wait too. The two that are missing go first:
+// behind the others they waited until their caller left, and the three took the room
+// that the others waited for.
+func TestRestsGoFirst(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	add(bk, 1, 5, 1000)
+	bat, _ := bk.Next(0)
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{1}))
+	bk.Ended(bat.ID, Made, nil, 1500)
+	add(bk, 2, 4, 3000)
+	bat, _ = bk.Next(1500)
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{1}))
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(1), "the other job is made whole in the next call")
+}
+
+// TestWantOfRoomSplitsNoJob: the one endpoint has room for two more results, and a job of
+// three waits. Two of its pieces would be made now and take the room until the third
+// is, which waits for that room. The job waits until it fits, and a smaller one that
+// does goes before it.
+func TestWantOfRoomSplitsNoJob(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	piece := func(job, index int64, due clock.Milli) Piece {
+		return Piece{ID: 10*job + index, Job: job, Due: due, Until: 9000, Bytes: 80}
+	}
+	bk.makers[0].held = 10 * 80
+	for i := range int64(3) {
+		bk.Add(piece(1, i, 1000))
+	}
+	_, ok := bk.Next(0)
+	gom.Expect(ok).To(gomega.BeFalse())
+	bk.Add(piece(2, 0, 2000))
+	bat, ok := bk.Next(0)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{2}))
+	bk.Ended(bat.ID, Made, nil, 220)
+	bk.makers[0].held -= 160
+	bat, _ = bk.Next(220)
+	gom.Expect(jobsIn(bat)).To(gomega.Equal([]int64{1}))
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(3))
+}
+
 // TestNearWhileThereIsTime: a job's inputs lie in z1, whose endpoint is busy. It
 // waits for it while it may wait, and no longer.
 func TestNearWhileThereIsTime(t *testing.T) {
