internal/batch, internal/front: inputs are given back once fetched; lost ones made again

Cause: results of a stage were held to the end of the call that took them, 0.4 to 0.55 s, of which their endpoint used the first moment to fetch them.

Change: an order names the inputs that nobody else takes; the gatherer gives them back when all its pieces have been under way for 60 ms and four times the time that the link needs for them. A piece whose call fails after that can't be repeated: the stage before it is made again, once a request and within the pool's retry budget, which also serves requests whose makers died with their results (they were refused). While calls are found to be late at an endpoint, since another instance gathers the pool too, inputs are held to the end for 3 s.

--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -26,6 +26,9 @@
 	// them may be at once; the other half comes back evenly.
 	Reserve float64
 	Window  clock.Milli
+	// Fetched is told of results that have been fetched by all that take them, to be
+	// given back.
+	Fetched func(lots []Lot)
 	// Gone is told of an endpoint whose address answers as another one.
 	Gone func(id, why string)
 }
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -25,6 +25,19 @@
 	// NearUntil is the span for which the pieces wait for an endpoint of their data
 	// centre.
 	NearUntil clock.Milli `cbor:"12,keyasint,omitempty"`
+	// InputBytes is what the inputs of one piece weigh.
+	InputBytes int64 `cbor:"13,keyasint,omitempty"`
+	// Last are those of the inputs that nobody else takes: they are given back as
+	// soon as all pieces have fetched them.
+	Last []Lot `cbor:"14,keyasint,omitempty"`
+	// Again tells that the pieces were made before, and lost.
+	Again bool `cbor:"15,keyasint,omitempty"`
+}
+
+// Lot is results of a pool, and the address of the instance that had them made.
+type Lot struct {
+	Home  string `cbor:"1,keyasint"`
+	Freed Freed  `cbor:"2,keyasint"`
 }
 
 // Filled is what became of an order.
@@ -34,6 +47,8 @@
 	Flaw    talk.Flaw `cbor:"2,keyasint,omitempty"`
 	// Wait is how long a piece that is added now would wait here.
 	Wait clock.Milli `cbor:"3,keyasint,omitempty"`
+	// Fetched tells that the order's last inputs were given back.
+	Fetched bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Handle names a result and where it is.
@@ -57,6 +72,7 @@
 	results []Handle
 	missing int
 	tries   []int
+	fetch   fetch
 	flaw    talk.Flaw
 	ended   bool
 	done    chan struct{}
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -39,13 +39,17 @@
 	set  Setup
 	name string
 
-	mtx     sync.Mutex
-	book    gather.Book
-	slots   map[int64]slot
-	next    int64
-	budget  *rate.Limiter
-	looking bool
-	freed   map[string][]string
+	mtx   sync.Mutex
+	book  gather.Book
+	slots map[int64]slot
+	next  int64
+	// link is how fast the endpoints fetch, in Mbit/s; zero if it isn't known.
+	link float64
+	// holdUntil is the instant until which inputs are held to their calls' ends.
+	holdUntil clock.Milli
+	budget    *rate.Limiter
+	looking   bool
+	freed     map[string][]string
 }
 
 func newPool(name string, set Setup) *pool {
@@ -56,6 +60,7 @@
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
 	pol.book.Set(gather.Spec{Places: spc.Places, Most: spc.Most, Call: spc.Call, Item: spc.Item, Room: spc.Room, Keep: spc.Keep})
+	pol.link = spc.Link
 	pol.book.Sync(makers)
 	pol.run()
 }
@@ -71,6 +76,10 @@
 	ord := &order{Order: ask, results: make([]Handle, ask.Count), missing: ask.Count, tries: make([]int, ask.Count), done: make(chan struct{})}
 	pol.mtx.Lock()
 	now := pol.set.Clock.Now()
+	if ask.Again && !pol.budget.AllowN(time.Now(), ask.Count) {
+		defer pol.mtx.Unlock()
+		return Filled{Flaw: talk.InputGone, Wait: pol.book.Wait(now)}
+	}
 	// From here on the spans are instants of our own clock.
 	ord.Due, ord.Until, ord.NearUntil = now+ask.Due, now+ask.Until, now+ask.NearUntil
 	pol.next++
@@ -92,7 +101,7 @@
 // settle ends an order. What was made of one that failed is given back.
 func (pol *pool) settle(ord *order) Filled {
 	ord.end(talk.Late)
-	out := Filled{Flaw: ord.flaw, Wait: pol.book.Wait(pol.set.Clock.Now())}
+	out := Filled{Flaw: ord.flaw, Wait: pol.book.Wait(pol.set.Clock.Now()), Fetched: ord.fetch.over}
 	if ord.flaw == talk.NoFlaw {
 		out.Results = ord.results
 		return out
@@ -167,6 +176,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), bat.GiveUp.Duration())
 	defer cancel()
 	ep := talk.Endpoint{ID: bat.Maker.ID, Pool: pol.name, Addr: bat.Maker.Addr, Zone: bat.Maker.Zone}
+	fetch := time.AfterFunc(pol.fetchTime(bat), func() { pol.fetched(bat) })
+	defer fetch.Stop()
 	began := pol.set.Clock.Now()
 	made, rep, err := pol.set.Dialect.Run(ctx, pol.set.Client, ep, items)
 	took := pol.set.Clock.Since(began)
@@ -245,6 +256,9 @@
 		pol.again(id, made.Flaw)
 	case made.Flaw == talk.Broken:
 		pol.again(id, made.Flaw)
+	case made.Flaw == talk.InputGone && slt.ord.fetch.over:
+		pol.holdUntil = pol.set.Clock.Now() + heldFor
+		pol.fail(id, made.Flaw)
 	case made.Flaw != talk.NoFlaw:
 		pol.fail(id, made.Flaw)
 	case slt.ord.ended:
@@ -270,8 +284,13 @@
 	if slt.ord.ended {
 		return
 	}
+	slt.ord.fetch.set(slt.index, slt.ord.Count, false)
 	slt.ord.tries[slt.index]++
-	if slt.ord.tries[slt.index] >= maxTries || !pol.budget.Allow() {
+	switch {
+	case slt.ord.fetch.over:
+		slt.ord.end(talk.InputGone)
+		return
+	case slt.ord.tries[slt.index] >= maxTries || !pol.budget.Allow():
 		slt.ord.end(flaw)
 		return
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -99,6 +99,8 @@
 	out  *output
 	// what the line of the end tells
 	attempts int
+	remakes  int
+	again    []int
 	endpoint string
 	staged   clock.Milli
 	first    clock.Milli
--- a/internal/front/results.go
+++ b/internal/front/results.go
@@ -86,6 +86,40 @@
 	return names
 }
 
+// weight gives the bytes of the results of stages.
+func (cl *call) weight(stages []int) int64 {
+	var bytes int64
+	for _, mad := range cl.made {
+		if slices.Contains(stages, mad.stage) {
+			bytes += int64(len(mad.list)) * cl.route.Stages()[mad.stage].Bytes
+		}
+	}
+	return bytes
+}
+
+// lots lists the results of stages with those who had them made.
+func (cl *call) lots(stages []int) []batch.Lot {
+	var lots []batch.Lot
+	for _, mad := range cl.made {
+		if slices.Contains(stages, mad.stage) {
+			lots = append(lots, batch.Lot{Home: mad.home, Freed: batch.Freed{Pool: mad.pool, Results: mad.list}})
+		}
+	}
+	return lots
+}
+
+// forget drops the results of stages that were given back by others.
+func (cl *call) forget(stages []int) {
+	cl.mtx.Lock()
+	defer cl.mtx.Unlock()
+	cl.made = slices.DeleteFunc(cl.made, func(mad made) bool { return slices.Contains(stages, mad.stage) })
+}
+
+// holdsOf tells whether the results of a stage are still held.
+func (cl *call) holdsOf(stg int) bool {
+	return slices.ContainsFunc(cl.made, func(mad made) bool { return mad.stage == stg })
+}
+
 // holds tells whether any of a request's results are still held.
 func (cl *call) holds() bool {
 	cl.mtx.Lock()
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -11,6 +11,7 @@
 	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/graph"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/retry"
@@ -29,6 +30,10 @@
 	admitShare = 0.75
 	// slowStage times its planned time makes a stage's line worth writing.
 	slowStage = 2
+	// maxRemakes is how often stages are made again whose results were lost: an
+	// endpoint that dies takes those of a moment with it, and a second loss in one
+	// request's time is that of a pool that is failing.
+	maxRemakes = 1
 	// soonest and latest bound when a refused caller should come back.
 	soonest = 100 * clock.Milli(1)
 	latest  = 2 * clock.Second
@@ -147,12 +152,16 @@
 	under := 0
 	for !run.Over() {
 		for _, stg := range run.Begin(func(stg int) clock.Milli { return fr.span(cl, stg) }) {
-			jb := fr.job(cl, stg)
+			jb := fr.job(cl, stg, run.Last(stg))
 			under++
 			go func() { ends <- fr.stage(ctx, cl, jb) }()
 		}
 		out := <-ends
 		under--
+		cl.forget(out.fetched)
+		if out.flaw == talk.InputGone && fr.remake(cl, run, out.stage) {
+			continue
+		}
 		if out.flaw != talk.NoFlaw {
 			cancel()
 			for range under {
@@ -168,6 +177,25 @@
 	return outcm.Result{}
 }
 
+// remake takes the stages back that must be made again because the inputs of one are
+// gone: their maker died, or they had been given back when a call that had fetched them
+// failed. False if that would be of no use.
+func (fr *Front) remake(cl *call, run *graph.Run, stg int) bool {
+	if cl.remakes >= maxRemakes || fr.need(cl) > cl.until-fr.set.Clock.Now() {
+		return false
+	}
+	cl.remakes++
+	lost := run.Undo(stg, cl.holdsOf)
+	cl.again = append(lost, stg)
+	for _, pre := range lost {
+		fr.giveBack(cl, pre)
+	}
+	fr.set.Meter.Retried(retry.InputLost)
+	fr.set.Log.Info().Str("request", cl.ask.ID).Int("stage", stg).Ints("again", lost).
+		Int64("left_ms", int64(cl.until-fr.set.Clock.Now())).Msg("inputs lost")
+	return true
+}
+
 // keep notes the results of a stage, which are given back later.
 func (cl *call) keep(out stageOut) {
 	if out.flaw == talk.NoFlaw {
@@ -183,21 +211,26 @@
 	ord   batch.Order
 	due   clock.Milli
 	until clock.Milli
+	// last are the stages whose results nobody else takes.
+	last []int
 }
 
-// job makes the order for a stage that begins now.
-func (fr *Front) job(cl *call, stg int) job {
+// job makes the order for a stage that begins now and is the last to take the results
+// of some others.
+func (fr *Front) job(cl *call, stg int, last []int) job {
 	raw := cl.route.Stages()[stg]
 	ord := batch.Order{
 		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.count(stg), Bytes: raw.Bytes, Rank: cl.rank, Zone: cl.near(stg),
+		Last: cl.lots(last), Again: slices.Contains(cl.again, stg),
 	}
 	if len(raw.After) == 0 {
 		ord.Key = cl.ask.PieceKey
 	} else {
 		ord.Inputs = cl.handles(raw.After)
+		ord.InputBytes = cl.weight(raw.After)
 	}
 	after := fr.after(cl, stg)
-	jb := job{ord: ord, due: cl.due - after, until: min(cl.until-after, cl.lapses(stg))}
+	jb := job{ord: ord, due: cl.due - after, until: min(cl.until-after, cl.lapses(stg)), last: last}
 	jb.ord.NearUntil = fr.nearFor(cl, jb)
 	return jb
 }
@@ -207,6 +240,8 @@
 	made  made
 	stage int
 	flaw  talk.Flaw
+	// fetched are the stages whose results were given back when they had been fetched.
+	fetched []int
 }
 
 // stage has an order filled.
@@ -219,6 +254,9 @@
 	ended := fr.set.Clock.Now()
 	fr.tell(cl, jb.ord.Stage, home, ended-began, fld)
 	out := stageOut{stage: jb.ord.Stage, flaw: fld.Flaw}
+	if fld.Fetched {
+		out.fetched = jb.last
+	}
 	if out.flaw == talk.NoFlaw && len(fld.Results) != jb.ord.Count {
 		out.flaw = talk.Late
 	}
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -70,7 +70,7 @@
 }
 
 // Fill has an order filled by the pool's gatherer, or the one after it, or here.
-// It gives the address of who did, empty for this instance.
+// It gives the address of who did.
 func (hms *Homes) Fill(ctx context.Context, vw *state.View, ord batch.Order, left func() (due, until clock.Milli)) (batch.Filled, string) {
 	tried := 0
 	for _, who := range vw.Gatherers(ord.Pool) {
@@ -88,14 +88,14 @@
 			return fld, who.Addr()
 		}
 		if ctx.Err() != nil {
-			return batch.Filled{}, ""
+			return batch.Filled{}, who.Addr()
 		}
 		hms.lost(who, ord, err)
 	}
 	ord.Due, ord.Until = left()
 	fld := hms.set.Desk.Make(ctx, ord)
 	hms.note(ord.Pool, fld.Wait)
-	return fld, ""
+	return fld, hms.set.Control.Self().Addr()
 }
 
 func (hms *Homes) ask(ctx context.Context, who ident.Incarnation, ord batch.Order) (batch.Filled, error) {
@@ -143,10 +143,17 @@
 	return max(wtd.span-hms.set.Clock.Since(wtd.at), 0)
 }
 
+// FreeAll gives lots of results back.
+func (hms *Homes) FreeAll(lots []batch.Lot) {
+	for _, lot := range lots {
+		hms.Free(lot.Home, lot.Freed)
+	}
+}
+
 // Free gives results back by whoever had them made. When that instance can't be
 // reached this one tells the makers.
 func (hms *Homes) Free(home string, frd batch.Freed) {
-	if home == "" || hms.set.Link == nil {
+	if home == "" || home == hms.set.Control.Self().Addr() || hms.set.Link == nil {
 		hms.set.Desk.Free(frd)
 		return
 	}
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -193,6 +193,52 @@
 		expect(wld.engines[0].Left()+wld.engines[1].Left()).To(equal(0), "the engine still works")
 	})
 
+	// A stage's call is under way for some hundred milliseconds; its maker fetched the results
+	// that it takes in the first moment. They are given back while it works.
+	ginkgo.It("gives back what a stage has fetched while its call is under way", func() {
+		wld := newWorld(2)
+		for _, mkr := range wld.makers {
+			mkr.Takes = 300 * time.Millisecond
+		}
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			done <- wld.send(0, ask{path: "/stream-staged/x", id: "early", header: map[string]string{
+				fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk",
+			}})
+		}()
+		eventually(func() int { return held(wld.makers) }, soon).Should(equal(1))
+		eventually(func() int { return held(wld.makers) }, soon).Should(equal(0))
+		expect(len(wld.makers[0].Calls()) + len(wld.makers[1].Calls())).To(equal(1))
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.status).To(equal(http.StatusOK))
+	})
+
+	// A maker dies with the results of a first stage; whoever is to take them is told
+	// that they are gone. The stage is made again and the request is served, where it
+	// was refused. A second loss refuses it.
+	ginkgo.It("whose stage's results are lost has them made again, once", func() {
+		wld := newWorld(2)
+		staged := func() got {
+			return wld.send(0, ask{path: "/stream-staged/x", header: map[string]string{
+				fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk",
+			}})
+		}
+		lose := func(times int) {
+			for _, mkr := range wld.makers {
+				mkr.LoseInputs(times)
+			}
+		}
+		lose(1)
+		expect(staged().status).To(equal(http.StatusOK))
+		lose(4)
+		ans := staged()
+		expect(ans.status).To(equal(http.StatusServiceUnavailable))
+		expect(ans.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		eventually(func() int { return held(wld.makers) }, soon).Should(equal(0))
+	})
+
 	// The caller leaves while the stages are made. What was made is given back, and
 	// no engine gets the request.
 	ginkgo.It("whose caller leaves gives back what was made for it", func() {
--- a/pkg/graph/graph_test.go
+++ b/pkg/graph/graph_test.go
@@ -136,3 +136,48 @@
 		}
 	})
 }
+
+// TestLostInputs: the inputs of a stage are gone, for their maker died. The stages that
+// made them begin once more, and what these take too unless it is still held; the stage
+// itself begins after them. Sisters that are done stay so.
+func TestLostInputs(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	even := func(int) clock.Milli { return 300 }
+	begun := func() *Run {
+		run := chat(t).Run(func(stg int) bool { return stg == 0 })
+		for _, stg := range []int{1, 2} {
+			gom.Expect(run.Begin(even)).To(gomega.Equal([]int{stg}))
+			run.Done(stg)
+		}
+		gom.Expect(run.Begin(even)).To(gomega.Equal([]int{3}))
+		return run
+	}
+	run := begun()
+	gom.Expect(run.Undo(3, all)).To(gomega.Equal([]int{2, 1}))
+	for _, stg := range []int{1, 2, 3} {
+		gom.Expect(run.Begin(even)).To(gomega.Equal([]int{stg}))
+		run.Done(stg)
+	}
+	gom.Expect(run.Over()).To(gomega.BeTrue())
+
+	run = begun()
+	held := func(stg int) bool { return stg == 1 }
+	gom.Expect(run.Undo(3, held)).To(gomega.Equal([]int{2}))
+	gom.Expect(run.Begin(even)).To(gomega.Equal([]int{2}))
+}
+
+// TestLastToTake: two stages take the results of one. Only the second of them to be done
+// is the last that takes them.
+func TestLastToTake(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	gr, err := New([][]int{{}, {0}, {0}})
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	span := func(int) clock.Milli { return 100 }
+	run := gr.Run(all)
+	run.Begin(span)
+	run.Done(0)
+	gom.Expect(run.Begin(span)).To(gomega.Equal([]int{1, 2}))
+	gom.Expect(run.Last(1)).To(gomega.BeEmpty())
+	run.Done(1)
+	gom.Expect(run.Last(2)).To(gomega.Equal([]int{0}))
+}
--- a/pkg/graph/run.go
+++ b/pkg/graph/run.go
@@ -20,15 +20,17 @@
 type Run struct {
 	gr     Graph
 	states []state
+	// without tells of each stage whether it is left out.
+	without []bool
 }
 
 // Run returns a run in which nothing has begun. Stages without pieces are left out:
 // whoever takes their results takes none.
 func (gr Graph) Run(without func(stg int) bool) *Run {
-	run := &Run{gr: gr, states: make([]state, gr.Len())}
+	run := &Run{gr: gr, states: make([]state, gr.Len()), without: make([]bool, gr.Len())}
 	for stg := range run.states {
 		if without(stg) {
-			run.states[stg] = done
+			run.states[stg], run.without[stg] = done, true
 		}
 	}
 	return run
@@ -90,6 +92,40 @@
 	return unused
 }
 
+// Last lists the stages whose results a stage is the last one to take: no other stage
+// that isn't done takes them.
+func (run *Run) Last(stg int) []int {
+	return slices.DeleteFunc(slices.Clone(run.gr.after[stg]), func(pre int) bool {
+		return slices.ContainsFunc(run.gr.next[pre], func(oth int) bool { return oth != stg && run.states[oth] != done })
+	})
+}
+
+// Undo takes a stage back that was begun and found its inputs gone, and the stages that
+// must be made again for it: those that it takes, and what these take unless it is still
+// held. It gives the stages that were done and aren't any more.
+func (run *Run) Undo(stg int, held func(stg int) bool) []int {
+	run.states[stg] = pending
+	var lost []int
+	for _, pre := range run.gr.after[stg] {
+		lost = append(lost, run.lose(pre, held)...)
+	}
+	return lost
+}
+
+func (run *Run) lose(stg int, held func(stg int) bool) []int {
+	if run.states[stg] != done || run.without[stg] {
+		return nil
+	}
+	run.states[stg] = pending
+	lost := []int{stg}
+	for _, pre := range run.gr.after[stg] {
+		if !held(pre) {
+			lost = append(lost, run.lose(pre, held)...)
+		}
+	}
+	return lost
+}
+
 func (run *Run) allDone(list []int) bool {
 	return !slices.ContainsFunc(list, func(stg int) bool { return run.states[stg] != done })
 }
--- a/pkg/plan/draft.go
+++ b/pkg/plan/draft.go
@@ -77,6 +77,8 @@
 	Room int64
 	// Keep is how long a result is held that nobody gives back.
 	Keep clock.Milli
+	// Link is how fast results are fetched, in Mbit/s; zero if it isn't known.
+	Link float64
 }
 
 // DraftEngine tells what a model engine can do.
--- a/pkg/retry/cause_string.go
+++ b/pkg/retry/cause_string.go
@@ -15,11 +15,12 @@
 	_ = x[Resumed-4]
 	_ = x[Hedged-5]
 	_ = x[ReadConflict-6]
+	_ = x[InputLost-7]
 }
 
-const _Cause_name = "nothing_sentrefusedcutwrong_answerresumedhedgedread_conflict"
+const _Cause_name = "nothing_sentrefusedcutwrong_answerresumedhedgedread_conflictinput_lost"
 
-var _Cause_index = [...]uint8{0, 12, 19, 22, 34, 41, 47, 60}
+var _Cause_index = [...]uint8{0, 12, 19, 22, 34, 41, 47, 60, 70}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -31,11 +31,12 @@
 	Resumed                   // resumed
 	Hedged                    // hedged
 	ReadConflict              // read_conflict
+	InputLost                 // input_lost
 )
 
 // Causes lists all causes, for the counters.
 func Causes() []Cause {
-	return []Cause{NothingSent, Refused, Cut, WrongAnswer, Resumed, Hedged, ReadConflict}
+	return []Cause{NothingSent, Refused, Cut, WrongAnswer, Resumed, Hedged, ReadConflict, InputLost}
 }
 
 // Shares of a budget.
