internal/homes, internal/peer: requests are let in by the queue as it is now

Each of 71 instances learnt of a pool's queue with the answer to its own orders, and counted the word down by the time since: with two requests a second an instance took a queue of 0.8 s for one of 0.3 s when the next request came.

Ruled out: fuller calls (they are full while pieces wait), room (1.1 of 2.1 MB held).

Change: before a request is let in, the gatherers of its pools are asked for their word if it is older than 100 ms; one question an instance and gatherer, 30 ms at the most. So that such a question doesn't end the link when it runs out of time, a connection over which others were answered within 0.7 s is kept (an open finding).

--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -56,6 +56,17 @@
 	return wnt
 }
 
+// pools lists the pools that a request has pieces for.
+func (cl *call) pools() []string {
+	var names []string
+	for i, stg := range cl.route.Stages() {
+		if cl.count(i) > 0 && !slices.Contains(names, stg.Pool) {
+			names = append(names, stg.Pool)
+		}
+	}
+	return names
+}
+
 // batchOf gives how a stage's pool takes pieces.
 func (cl *call) batchOf(stage int) *plan.DraftBatch {
 	pol, ok := cl.view.Plan().Pool(cl.route.Stages()[stage].Pool)
@@ -89,6 +100,7 @@
 	if len(cl.ask.Pieces) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Pieces), 0)) > homes.MaxPieces {
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "more pieces than the route has stages for, or too many")
 	}
+	fr.homes.Refresh(ctx, cl.view, cl.pools())
 	need := fr.need(cl)
 	if left := cl.until - fr.set.Clock.Now(); need > left {
 		return outcm.Refuse(outcm.Hopeless, fr.comeBack(need-left), fmt.Sprintf("%d ms are needed and %d left", need, left))
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -58,12 +58,6 @@
 	waits  map[string]waited
 }
 
-// waited is a gatherer's word on its queue at an instant.
-type waited struct {
-	span clock.Milli
-	at   clock.Milli
-}
-
 // New returns homes that know of no silence.
 func New(set Setup) *Homes {
 	return &Homes{set: set, silent: map[ident.Incarnation]clock.Milli{}, waits: map[string]waited{}}
@@ -128,21 +122,6 @@
 	hms.silent[who] = hms.set.Clock.Now() + silentFor
 }
 
-func (hms *Homes) note(pool string, span clock.Milli) {
-	hms.mtx.Lock()
-	defer hms.mtx.Unlock()
-	hms.waits[pool] = waited{span: span, at: hms.set.Clock.Now()}
-}
-
-// Wait estimates how long a piece of a pool would wait: what its gatherer said
-// last, less the time since.
-func (hms *Homes) Wait(pool string) clock.Milli {
-	hms.mtx.Lock()
-	defer hms.mtx.Unlock()
-	wtd := hms.waits[pool]
-	return max(wtd.span-hms.set.Clock.Since(wtd.at), 0)
-}
-
 // FreeAll gives lots of results back.
 func (hms *Homes) FreeAll(lots []batch.Lot) {
 	for _, lot := range lots {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,8 +98,11 @@
 		return Error.Wrap(err)
 	}
 	nod.link, err = peer.Listen(nod.set.PeerAddr(), server, client, func(ctx context.Context, msg peer.Message) peer.Message {
-		if msg.Kind == peer.PiecesFreed {
+		switch msg.Kind {
+		case peer.PiecesFreed:
 			return nod.homes.Freed(msg)
+		case peer.WaitWanted:
+			return nod.homes.Waits(msg)
 		}
 		return nod.ctl.Handle(ctx, msg)
 	})
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -193,6 +193,39 @@
 		expect(wld.engines[0].Left()+wld.engines[1].Left()).To(equal(0), "the engine still works")
 	})
 
+	// One instance gathers the pieces of a pool that has work for seconds. A caller with
+	// less time comes to the other, which has sent no order yet and so was never told
+	// of the queue. It is refused at once, not when its time is up.
+	ginkgo.It("is refused at once when the queue at another instance is too long for it", func() {
+		wld := newWorld(2)
+		for _, mkr := range wld.makers {
+			mkr.Takes = 300 * time.Millisecond
+		}
+		home := 0
+		if wld.nodes[0].ctl.View().Gatherers("rosters")[0] != wld.nodes[0].ctl.Self() {
+			home = 1
+		}
+		staged := func(ctx context.Context, node int, left string) got {
+			return wld.sendCtx(ctx, node, ask{path: "/stream-staged/x", header: map[string]string{
+				fake.HeaderPieces: "4,1", fake.HeaderPieceKey: "pk", fake.HeaderDeadline: left,
+			}})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 40 {
+			go func() {
+				defer ginkgo.GinkgoRecover()
+				staged(ctx, home, "20000")
+			}()
+		}
+		eventually(func() int { return len(wld.makers[0].Calls()) + len(wld.makers[1].Calls()) }, soon).Should(gomega.BeNumerically(">=", 2))
+		began := time.Now()
+		ans := staged(context.Background(), 1-home, "1500")
+		expect(ans.status).To(equal(http.StatusServiceUnavailable))
+		expect(ans.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+	})
+
 	// A stage's call is under way for some hundred milliseconds; its maker fetched the results
 	// that it takes in the first moment. They are given back while it works.
 	ginkgo.It("gives back what a stage has fetched while its call is under way", func() {
--- a/internal/peer/conns.go
+++ b/internal/peer/conns.go
@@ -12,6 +12,8 @@
 type conn struct {
 	qcn  *quic.Conn
 	used time.Time
+	// heard is when something was last read from it.
+	heard time.Time
 }
 
 // conn gives the kept connection to an address, or opens one.
@@ -69,7 +71,7 @@
 func (lnk *Link) keep(addr string, qcn *quic.Conn) {
 	lnk.mtx.Lock()
 	defer lnk.mtx.Unlock()
-	lnk.conns[addr] = &conn{qcn: qcn, used: time.Now()}
+	lnk.conns[addr] = &conn{qcn: qcn, used: time.Now(), heard: time.Now()}
 	if len(lnk.conns) <= maxConns {
 		return
 	}
@@ -83,6 +85,29 @@
 	delete(lnk.conns, oldest)
 }
 
+// heard notes that something was read from a connection.
+func (lnk *Link) heard(addr string, qcn *quic.Conn) {
+	lnk.mtx.Lock()
+	defer lnk.mtx.Unlock()
+	if cur, ok := lnk.conns[addr]; ok && cur.qcn == qcn {
+		cur.heard = time.Now()
+	}
+}
+
+// failed notes that a question got no answer. If it was the asker's time that ran out,
+// while others were answered over the connection a moment ago, the peer is merely slow
+// with this one: a connection that was dropped for it took the orders of many requests
+// along, which then all went to the next instance.
+func (lnk *Link) failed(ctx context.Context, addr string, qcn *quic.Conn) {
+	lnk.mtx.Lock()
+	cur, ok := lnk.conns[addr]
+	alive := ok && cur.qcn == qcn && qcn.Context().Err() == nil && time.Since(cur.heard) < silentAfter
+	lnk.mtx.Unlock()
+	if ctx.Err() == nil || !alive {
+		lnk.drop(addr, qcn)
+	}
+}
+
 // drop forgets a connection that failed. A frozen peer's connection looks
 // alive for its idle time; a new one tells sooner whether the peer is back.
 func (lnk *Link) drop(addr string, qcn *quic.Conn) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -74,6 +74,8 @@
 	// NewsWanted asks for the next change of what the receiver reads from the
 	// store; it is answered when there is one, or after a while.
 	NewsWanted
+	// WaitWanted asks how long pieces of pools wait at the receiver.
+	WaitWanted
 	// Working is sent while an answer is being made, so that a receiver which
 	// hears nothing knows that the sender is gone.
 	Working
@@ -330,9 +332,12 @@
 	_ = str.Close()
 	ans, err := read(str)
 	if err != nil {
-		lnk.drop(addr, qcn)
+		str.CancelRead(0)
+		lnk.failed(ctx, addr, qcn)
+		return ans, err
 	}
-	return ans, err
+	lnk.heard(addr, qcn)
+	return ans, nil
 }
 
 func write(wrt io.Writer, msg Message) error {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -195,6 +195,44 @@
 	gom.Expect(<-second).NotTo(gomega.HaveOccurred())
 }
 
+// TestSlowAnswerCostsNoOthers: a peer takes its time over one question, and its asker's
+// time runs out. Another question waits on the same connection meanwhile, answered with
+// signs of work; it gets its answer. The connection was dropped with the first one, and
+// took the orders of many requests along.
+func TestSlowAnswerCostsNoOthers(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ath := authority(t)
+	one, two := link(t, ath, "one#1"), link(t, ath, "two#1")
+	hold, answer := make(chan struct{}), make(chan struct{})
+	two.handle = func(context.Context, Message) Message {
+		<-hold
+		return Message{Kind: OK}
+	}
+	two.Slow = func(context.Context, Message) Message {
+		<-answer
+		return Message{Kind: OK, Body: []byte("whole")}
+	}
+	slow := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := one.AskSlowly(ctx, two.Addr(), Message{Kind: PiecesWanted})
+		slow <- err
+	}()
+	gom.Eventually(func() int {
+		one.mtx.Lock()
+		defer one.mtx.Unlock()
+		return len(one.conns)
+	}, 5*time.Second).Should(gomega.Equal(1))
+	short, cancel := context.WithTimeout(context.Background(), 2*workingEvery)
+	defer cancel()
+	_, err := one.Ask(short, two.Addr(), Message{Kind: Probe})
+	gom.Expect(err).To(gomega.HaveOccurred())
+	close(answer)
+	gom.Expect(<-slow).NotTo(gomega.HaveOccurred())
+	close(hold)
+}
+
 // TestSlopes measures what the link costs on the wire, with IP and UDP headers:
 // a handshake, a probe with its answer, and a kept connection that is idle.
 func TestSlopes(t *testing.T) {
--- a/internal/peer/slow.go
+++ b/internal/peer/slow.go
@@ -69,6 +69,7 @@
 			str.CancelRead(0)
 			return Message{}, err
 		}
+		lnk.heard(addr, qcn)
 		if ans.Kind != Working {
 			return ans, nil
 		}
