pkg/gather: a long queue is sorted by place

Of the waiting pieces two calls' worth were looked at, some seven jobs of four data centres, of which a call holds three.

The most urgent job goes first whatever is found.

--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -155,6 +155,25 @@
 	gom.Expect(bat.Maker.Zone).To(gomega.Equal("z0"))
 }
 
+// TestLongQueueGoesByPlace: the inputs of twenty four jobs lie in four data centres, in
+// turn. The call of an endpoint in one of them is filled with its own jobs, though others
+// are a little more urgent: each job would fetch its inputs from another data centre
+// otherwise, and there are enough for a full call everywhere. The most urgent of all
+// goes with the first call.
+func TestLongQueueGoesByPlace(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(4)
+	for i := range int64(24) {
+		bk.Add(Piece{ID: i, Job: i, Due: clock.Milli(5000 + i), Until: 100000, Zone: fmt.Sprintf("z%d", i%4)})
+	}
+	bat, _ := bk.Next(0)
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(4))
+	gom.Expect(bat.Pieces[0].Job).To(gomega.Equal(int64(0)))
+	for _, pc := range bat.Pieces {
+		gom.Expect(pc.Zone).To(gomega.Equal(bat.Maker.Zone))
+	}
+}
+
 // TestRoomIsKept: results hold room until they are given back or expire. An endpoint
 // that says it has none gets no call for a moment, or until something is given back:
 // asked again at once it says the same, and each time is a repeat that the budget
