internal/state, pkg/member, pkg/prefix: work that grows with the system is done once for each change

Measured alone: a choice among 1,600 model engines 2.5 ms, twice a request; the ranks of all members for each pool anew with each event; a digest of all endpoints with each question of a follower, and the whole list to each follower for each change (240 KB at 3,000).

A fault beside it: a follower that heard sooner than its reader that an endpoint leaves had another list for good, so that the reader answered each of its questions at once, some hundred times a second until it heard too.

Ruled out: the pools' books and the plan (synced once a change, linear).

Change: an engine's rank is mixed from two hashes in one pass; ranks and the view's members follow a count of changes; a follower names the list that it was told last, and a reader that remembers it tells the changes alone.

Measured: choice among 60 engines 47 to 1.7 us, among 1,600 2,520 to 42 us.

--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -59,6 +59,10 @@
 	endpts  endptsCtl
 	leaving bool
 	dirty   bool
+	// ranked are the changes of the members that the view's ranks follow from; beats
+	// tells that a step has passed, and with it signs of life and loads.
+	ranked uint64
+	beats  bool
 	// listed are the lines of instances that were read in the store.
 	listed map[string]bool
 	// turned is closed when a view with another plan or other endpoints is there.
@@ -109,33 +113,36 @@
 func (ctl *Control) step(now clock.Milli) {
 	ctl.list.SetSelf(ctl.docs.offset, int(ctl.load.Load()), ctl.leaving, now)
 	ctl.list.SetStale(ctl.docs.plan == nil || now-ctl.docs.asOf > staleAfter)
+	ctl.beats = true
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
 	ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-ctl.docs.asOf))
 	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(ctl.loop.Waiting()))
 }
 
-// publish makes a new view.
+// publish makes a new view. What follows from the members alone is kept while they stay
+// the same: ranked anew for each event, 300 instances took a quarter of their processor.
 func (ctl *Control) publish(now clock.Milli) {
 	old := ctl.view.Load()
 	vw := &View{
-		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list,
-		members: ctl.list.All(), homes: old.homes, leaving: ctl.leaving, text: ctl.docs.doc.Text, heard: ctl.docs.heardAt,
-		readers: readers(ctl.list.Homes(readersName)),
+		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, digest: old.digest, past: old.past,
+		members: old.members, homes: old.homes, readers: old.readers, othersOK: old.othersOK,
+		leaving: ctl.leaving, text: ctl.docs.doc.Text, heard: ctl.docs.heardAt,
 	}
-	for _, mbr := range vw.members {
-		if mbr.Who() != ctl.set.Self && mbr.Status() == member.Alive && !mbr.Stale() {
-			vw.othersOK = true
-		}
+	if changed := ctl.list.Changes(); changed != ctl.ranked || ctl.beats {
+		vw.members = ctl.list.All()
 	}
-	if vw.plan != nil {
-		vw.homes = make(map[string][]ident.Incarnation, len(vw.plan.Pools()))
-		for name, pol := range vw.plan.Pools() {
-			if pol.Batch() != nil {
-				vw.homes[name] = ctl.list.Homes(name)
-			}
-		}
+	if changed := ctl.list.Changes(); changed != ctl.ranked || ctl.dirty {
+		ctl.ranked = changed
+		ctl.rank(vw)
+	}
+	if ctl.dirty {
+		vw.digest = digest(vw.endpoints)
 	}
+	if vw.digest != old.digest {
+		vw.past = remember(old.past, listed{Digest: old.digest, List: old.endpoints})
+	}
+	ctl.beats = false
 	ctl.tell(old, vw, now)
 	ctl.view.Store(vw)
 	if ctl.dirty {
@@ -148,6 +155,26 @@
 	ctl.dirty = false
 }
 
+// rank sets what follows from who is there.
+func (ctl *Control) rank(vw *View) {
+	vw.readers = readers(ctl.list.Homes(readersName))
+	vw.othersOK = false
+	for _, mbr := range vw.members {
+		if mbr.Who() != ctl.set.Self && mbr.Status() == member.Alive && !mbr.Stale() {
+			vw.othersOK = true
+		}
+	}
+	if vw.plan == nil {
+		return
+	}
+	vw.homes = make(map[string][]ident.Incarnation, len(vw.plan.Pools()))
+	for name, pol := range vw.plan.Pools() {
+		if pol.Batch() != nil {
+			vw.homes[name] = ctl.list.Homes(name)
+		}
+	}
+}
+
 // tell writes down what changed.
 func (ctl *Control) tell(old, vw *View, now clock.Milli) {
 	if was, is := old.Ready(now), vw.Ready(now); was != is {
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -39,6 +39,9 @@
 	asking bool
 	down   bool
 	silent silence
+	// told is the list of endpoints that a reader told last, empty once the store was
+	// read itself.
+	told listed
 	// heardAt is when the store answered last.
 	heardAt clock.Milli
 }
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -96,6 +96,7 @@
 }
 
 func (ect *endptsCtl) read(list []talk.Endpoint, faults []error, err error, now clock.Milli) {
+	ect.ctl.docs.told = listed{}
 	if err != nil {
 		if !ect.down {
 			// What others said before speaks of no outage that begins now.
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -57,26 +56,24 @@
 	Held clock.Milli `cbor:"4,keyasint"`
 	// Silent is how long the reader had heard nothing from the store.
 	Silent clock.Milli `cbor:"7,keyasint"`
-	// Listed tells that Endpoints are there, since the asker's differ.
+	// Listed tells that Endpoints are there, since they are others than the asker was
+	// told of: all of them, or, if Changed, those that are new or different and the
+	// names of those that are gone. Digest names the whole list.
 	Listed    bool            `cbor:"5,keyasint,omitempty"`
 	Endpoints []talk.Endpoint `cbor:"6,keyasint,omitempty"`
+	Changed   bool            `cbor:"8,keyasint,omitempty"`
+	Gone      []string        `cbor:"9,keyasint,omitempty"`
+	Digest    uint64          `cbor:"10,keyasint,omitempty"`
 }
 
-// wanted is what a follower says of itself.
+// wanted is what a follower says of itself: its documents, and the list of endpoints
+// that a reader told it last. Its own list may differ, for it may have heard sooner of
+// endpoints that leave; asked by that, a reader would have news for it all the time.
 type wanted struct {
 	Offset int64  `cbor:"1,keyasint"`
 	Digest uint64 `cbor:"2,keyasint"`
 }
 
-// digest names a list of endpoints.
-func digest(list []talk.Endpoint) uint64 {
-	sum := xxhash.New()
-	for _, ep := range list {
-		_, _ = sum.WriteString(ep.ID + "\x00" + ep.Addr + "\x00" + ep.Pool + "\x00" + strconv.FormatBool(ep.Leaving) + "\x00")
-	}
-	return sum.Sum64()
-}
-
 // readers lists the instances that read the store, of all in their order.
 func readers(ranked []ident.Incarnation) []ident.Incarnation {
 	return ranked[:min(len(ranked), readersLeast+len(ranked)/readersPer)]
@@ -101,8 +98,9 @@
 // follow asks a reader for the next change, and takes it.
 func (dct *docsCtl) follow(ctx context.Context, who ident.Incarnation) error {
 	ctl := dct.ctl
-	vw := ctl.View()
-	body, err := cbor.Marshal(wanted{Offset: vw.offset, Digest: digest(vw.endpoints)})
+	var wnt wanted
+	ctl.loop.Do(ctx, func(clock.Milli) { wnt = dct.wanted() })
+	body, err := cbor.Marshal(wnt)
 	if err != nil {
 		return err
 	}
@@ -128,13 +126,16 @@
 			dct.confirm(asOf)
 		}
 		if nws.Listed {
-			ctl.endpts.take(nws.Endpoints, now)
+			dct.told.take(nws)
+			ctl.endpts.take(slices.Clone(dct.told.List), now)
 		}
 		ctl.endpts.followed = now
 	})
 	return nil
 }
 
+func (dct *docsCtl) wanted() wanted { return wanted{Offset: dct.offset, Digest: dct.told.Digest} }
+
 // Tell answers a follower; it is given to the link.
 func (ctl *Control) Tell(ctx context.Context, msg peer.Message) peer.Message {
 	ans := peer.Message{Kind: peer.Nack, From: ctl.set.Self}
@@ -143,7 +144,7 @@
 		return ans
 	}
 	began := ctl.set.Clock.Now()
-	vw := ctl.waitFor(ctx, func(vw *View) bool { return vw.offset > wnt.Offset || digest(vw.endpoints) != wnt.Digest })
+	vw := ctl.waitFor(ctx, func(vw *View) bool { return vw.offset > wnt.Offset || vw.digest != wnt.Digest })
 	now := ctl.set.Clock.Now()
 	if vw.plan == nil {
 		return ans
@@ -152,8 +153,8 @@
 	if vw.offset > wnt.Offset {
 		nws.Text = vw.text
 	}
-	if digest(vw.endpoints) != wnt.Digest {
-		nws.Listed, nws.Endpoints = true, vw.endpoints
+	if vw.digest != wnt.Digest {
+		nws.list(vw, wnt.Digest)
 	}
 	if body, err := cbor.Marshal(nws); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -14,8 +14,11 @@
 	offset    int64
 	asOf      clock.Milli
 	endpoints []talk.Endpoint
-	members   []member.Member
-	homes     map[string][]ident.Incarnation
+	// digest names the list of endpoints; past has those before it.
+	digest  uint64
+	past    []listed
+	members []member.Member
+	homes   map[string][]ident.Incarnation
 	// heard is when the store answered last.
 	heard    clock.Milli
 	readers  []ident.Incarnation
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -75,30 +75,34 @@
 // twice as many names; those below weakBelow of the strongest come last, for a single
 // name may be as much work as they can do at all.
 func (lst *List) Homes(name string) []ident.Incarnation {
-	var serving []*Member
+	type scored struct {
+		who   ident.Incarnation
+		cores float64
+		score float64
+	}
+	var serving []scored
 	strongest := 0.0
-	for _, mbr := range lst.members {
+	for who, mbr := range lst.members {
 		if mbr.news.Status == Alive {
-			serving = append(serving, mbr)
+			serving = append(serving, scored{who: who, cores: mbr.capacity(), score: mbr.score(name)})
 			strongest = max(strongest, mbr.capacity())
 		}
 	}
-	slices.SortFunc(serving, func(x, y *Member) int {
-		weakX, weakY := x.capacity() < weakBelow*strongest, y.capacity() < weakBelow*strongest
-		if weakX != weakY {
-			if weakX {
-				return 1
-			}
+	slices.SortFunc(serving, func(x, y scored) int {
+		weakX, weakY := x.cores < weakBelow*strongest, y.cores < weakBelow*strongest
+		switch {
+		case weakX && !weakY:
+			return 1
+		case weakY && !weakX:
 			return -1
+		case x.score != y.score:
+			return cmp.Compare(y.score, x.score)
 		}
-		if sx, sy := x.score(name), y.score(name); sx != sy {
-			return cmp.Compare(sy, sx)
-		}
-		return compare(x.Who(), y.Who())
+		return compare(x.who, y.who)
 	})
 	whos := make([]ident.Incarnation, len(serving))
-	for i, mbr := range serving {
-		whos[i] = mbr.Who()
+	for i, sc := range serving {
+		whos[i] = sc.who
 	}
 	return whos
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -144,6 +144,8 @@
 	allowed   float64
 	allowedAt clock.Milli
 	spreadDue clock.Milli
+	// changes counts what All and Homes follow from, signs of life and loads left out.
+	changes uint64
 }
 
 type pending struct {
@@ -174,15 +176,28 @@
 		me.news.Status = Leaving
 		me.news.Seq++
 		me.told = 0
+		lst.changes++
 		lst.spread = SpreadEach
 	}
 }
 
 // SetCapacity notes how strong the instance is, in cores.
-func (lst *List) SetCapacity(cores float64) { lst.members[lst.self].news.Capacity = cores }
+func (lst *List) SetCapacity(cores float64) {
+	lst.members[lst.self].news.Capacity = cores
+	lst.changes++
+}
 
 // SetStale notes whether the instance's own documents may be old.
-func (lst *List) SetStale(stale bool) { lst.members[lst.self].news.Stale = stale }
+func (lst *List) SetStale(stale bool) {
+	if me := lst.members[lst.self]; me.news.Stale != stale {
+		me.news.Stale = stale
+		lst.changes++
+	}
+}
+
+// Changes grows whenever a member comes or goes or its status, strength or staleness
+// changes. While it stays the same, whatever follows from who is there does too.
+func (lst *List) Changes() uint64 { return lst.changes }
 
 // Find gives what is known of a member.
 func (lst *List) Find(who ident.Incarnation) (Member, bool) {
@@ -245,6 +260,9 @@
 	fresh := item.Beat > cur.news.Beat
 	if fresh {
 		// The member itself took another turn since we last heard of it.
+		if cur.news.Stale != item.Stale || cur.news.Capacity != item.Capacity {
+			lst.changes++
+		}
 		cur.news.Beat, cur.news.Load, cur.news.Stale = item.Beat, item.Load, item.Stale
 		cur.news.Capacity = item.Capacity
 		cur.heard = now
@@ -258,6 +276,7 @@
 	}
 	cur.news.Seq, cur.news.Status = item.Seq, item.Status
 	cur.since, cur.told = now, 0
+	lst.changes++
 	return true
 }
 
@@ -291,11 +310,13 @@
 func (lst *List) add(item News, now clock.Milli) {
 	lst.members[item.Who] = &Member{news: item, heard: now, since: now}
 	lst.spread = SpreadEach
+	lst.changes++
 }
 
 func (lst *List) kill(mbr *Member, now clock.Milli) {
 	mbr.news.Status = Dead
 	mbr.since, mbr.told = now, 0
+	lst.changes++
 }
 
 // Tick makes time pass: suspicions mature, the dead are forgotten, and once a
@@ -348,6 +369,7 @@
 			lst.kill(mbr, now)
 		case mbr.news.Gone && now-mbr.since >= ForgetAfter:
 			delete(lst.members, who)
+			lst.changes++
 		}
 	}
 }
@@ -376,6 +398,7 @@
 	if ok && mbr.news.Status <= Leaving {
 		mbr.news.Status = Suspect
 		mbr.since, mbr.told = now, 0
+		lst.changes++
 	}
 }
 
--- a/pkg/prefix/prefix.go
+++ b/pkg/prefix/prefix.go
@@ -62,6 +62,8 @@
 
 type engine struct {
 	Engine
+	// hash is that of its name.
+	hash     uint64
 	mine     int
 	others   float64
 	saidAt   clock.Milli
@@ -85,7 +87,7 @@
 	for _, eng := range list {
 		cur, ok := bk.byID[eng.ID]
 		if !ok {
-			cur = &engine{}
+			cur = &engine{hash: xxhash.Sum64String(eng.ID)}
 		}
 		leaving := cur.Leaving || eng.Leaving
 		cur.Engine = eng
@@ -101,6 +103,9 @@
 
 // Pick chooses an engine for a prompt, without those in avoid. salt spreads
 // prompts that share nothing. It takes no place: see [Book.Begin].
+//
+// It is the engine that ranks first for the prompt, by rendezvous hashing, among those
+// that are loaded little enough; if none is, the least loaded.
 func (bk *Book) Pick(prm Prompt, salt string, avoid []string, now clock.Milli) (Engine, bool) {
 	open := bk.open(avoid, now)
 	if len(open) == 0 {
@@ -110,31 +115,45 @@
 	if key == "" {
 		key = salt
 	}
-	slices.SortFunc(open, func(x, y *engine) int {
-		hx, hy := xxhash.Sum64String(key+"\x00"+x.ID), xxhash.Sum64String(key+"\x00"+y.ID)
-		switch {
-		case hx > hy:
-			return -1
-		case hx < hy:
-			return 1
+	hash := xxhash.Sum64String(key)
+	bound := bk.bound(open, now)
+	var first, least *engine
+	for _, eng := range open {
+		load := eng.load(now)
+		if least == nil || load < least.load(now) {
+			least = eng
+		}
+		if load > bound || eng.Places > 0 && load >= float64(eng.Places) {
+			continue
 		}
-		return 0
-	})
+		if first == nil || mixed(hash, eng.hash) > mixed(hash, first.hash) {
+			first = eng
+		}
+	}
+	if first == nil {
+		first = least
+	}
+	return first.Engine, true
+}
+
+// bound gives the load up to which engines are taken for their prompts.
+func (bk *Book) bound(open []*engine, now clock.Milli) float64 {
 	sum := 0.0
 	for _, eng := range open {
 		sum += eng.load(now)
 	}
-	bound := loadBound*sum/float64(len(open)) + loadSlack
-	least := open[0]
-	for _, eng := range open {
-		if load := eng.load(now); load <= bound && (eng.Places == 0 || load < float64(eng.Places)) {
-			return eng.Engine, true
-		}
-		if eng.load(now) < least.load(now) {
-			least = eng
-		}
-	}
-	return least.Engine, true
+	return loadBound*sum/float64(len(open)) + loadSlack
+}
+
+// mixed gives the rank of an engine for a prompt from the hashes of both, by the
+// finalizer of SplitMix64 (G. Steele and others, "Fast splittable pseudorandom number
+// generators", 2014). Hashing the two names together for each engine took 2.5 ms with
+// 1,600 engines.
+func mixed(prompt, engine uint64) uint64 {
+	val := prompt ^ engine
+	val = (val ^ val>>30) * 0xbf58476d1ce4e5b9
+	val = (val ^ val>>27) * 0x94d049bb133111eb
+	return val ^ val>>31
 }
 
 // open lists the engines that may be taken: those that are well, or, if there is
