--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -181,12 +181,16 @@
 
 var nextPort = firstPort + os.Getpid()%5000
 
+// loopback is an address of this test process alone: the same tests run side by side, and a
+// port that was free a moment ago would now and then be taken by the other process.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+
 // freePort gives an address whose port nobody listens on.
 func freePort() string {
 	for {
 		nextPort++
 		expect(nextPort).To(gomega.BeNumerically("<", lastPort))
-		lsn, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		lsn, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, nextPort))
 		if err == nil {
 			_ = lsn.Close()
 			return lsn.Addr().String()
--- a/pkg/prefix/bench_test.go
+++ b/pkg/prefix/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 )
 
+// BenchmarkPick measures the choice among the engines of today and of two years from now.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{60, 1600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
