pkg/ending, internal/chain: one list of endings and one filter chain for both dialects

Cause: the product's own protocol and the routed one told how a call ended in two lists (engin.Ending, relay.Ending) with two copies of what proves that nothing ran, what a repeat is counted as and what routing learns; two chains of filters were linked by the same lines, and refused callers were spread by three copies of one line.

Change: pkg/ending has the endings with RanNothing, Cause, Verdict and Broken; internal/chain links the filters of both; retry.Spread. The routed path counted an attempt that was given up as one for which nothing was sent, had it ever been repeated; it is a cut now.

Ruled out for now: routed requests and own ones through one set of filters, see docs/PLATFORM.md, 2.

--- a/internal/contr/leases.go
+++ b/internal/contr/leases.go
@@ -11,6 +11,7 @@
 	"amaranthvalve/internal/platf"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/lease"
 	"amaranthvalve/pkg/oplog"
@@ -163,7 +164,7 @@
 func (lct *leasesCtl) send(ctx context.Context, cli *engin.Client, wnt want, grt lease.Grant) {
 	end := cli.Order(ctx, wnt.addr, wire.Order{Fence: grt.Fence(), Model: wnt.model})
 	lct.ctl.set.Meter.Event(meter.EventOrderSent)
-	if end == engin.Refused {
+	if end == ending.Refused {
 		lct.ctl.set.Meter.Event(meter.EventOrderRefused)
 	}
 	lct.ctl.set.Log.Info().Str("endpoint", wnt.id).Str("model", wnt.model).Int64("fence", grt.Fence()).
--- a/internal/engin/engin.go
+++ b/internal/engin/engin.go
@@ -2,7 +2,7 @@
 // stream, gives orders and asks for reports.
 //
 // It never tries anything twice. What it adds to the bare call is a truthful
-// [Ending]: whether it is proved that nothing was sent, or that nothing ran, or
+// [ending.Ending]: whether it is proved that nothing was sent, or that nothing ran, or
 // whether the work may have run without an answer. Retries are decided by
 // package stage from the ending and the document.
 package engin
@@ -24,34 +24,9 @@
 
 	"amaranthvalve/internal/platf"
 	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/ending"
 )
 
-//go:generate go tool stringer -type=Ending -linecomment -output=ending_string.go
-
-// Ending is how a call to an endpoint ended.
-type Ending int
-
-// The endings.
-const (
-	// Answered: the whole answer to this attempt came.
-	Answered Ending = iota // answered
-	// NothingSent: no connection was had, so no byte was written.
-	NothingSent // nothing_sent
-	// Refused: the endpoint gave its word that nothing ran.
-	Refused // refused
-	// Errored: the endpoint answered with an error; it may have run.
-	Errored // errored
-	// Cut: the connection ended before the whole answer; it may have run.
-	Cut // cut
-	// Foreign: the answer belonged to another attempt; ours may have run.
-	Foreign // foreign
-	// GaveUp: our own context ended; it may have run.
-	GaveUp // gave_up
-)
-
-// RanNothing tells whether it is proved that nothing ran.
-func (end Ending) RanNothing() bool { return end == NothingSent || end == Refused }
-
 // maxAnswer bounds an endpoint's answer, in bytes.
 const maxAnswer = 8 << 20
 
@@ -82,40 +57,40 @@
 }
 
 // Run runs a stage once at the endpoint at addr.
-func (cli *Client) Run(ctx context.Context, addr string, run wire.Run) (wire.Ran, Report, Ending) {
+func (cli *Client) Run(ctx context.Context, addr string, run wire.Run) (wire.Ran, Report, ending.Ending) {
 	res, end := cli.post(ctx, addr, "/v1/run", run)
 	if res == nil {
 		return wire.Ran{}, Report{}, end
 	}
 	defer func() { _ = res.Body.Close() }()
 	rep := readReport(res)
-	if end != Answered {
+	if end != ending.Answered {
 		return wire.Ran{}, rep, end
 	}
 	var ran wire.Ran
 	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
 	if err != nil || json.Unmarshal(text, &ran) != nil {
-		return wire.Ran{}, rep, cutOr(ctx)
+		return wire.Ran{}, rep, ending.Broken(ctx)
 	}
 	// A late answer of an abandoned attempt, or one meant for another caller,
 	// must never be matched to this request: a conflict check would answer
 	// somebody else's booking.
 	if ran.Attempt != run.Attempt {
-		return wire.Ran{}, rep, Foreign
+		return wire.Ran{}, rep, ending.Foreign
 	}
-	return ran, rep, Answered
+	return ran, rep, ending.Answered
 }
 
 // Generate starts a generation and hands each token to take, in order and
 // without a gap from run.From. It gives the index after the last token handed
 // on. Only a closing event with the right count makes the ending Answered.
-func (cli *Client) Generate(ctx context.Context, addr string, run wire.Run, take func(wire.Token) error) (int, wire.End, Report, Ending) {
+func (cli *Client) Generate(ctx context.Context, addr string, run wire.Run, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
 	res, end := cli.post(ctx, addr, "/v1/generate", run)
 	return readStream(ctx, res, end, run.Attempt, run.From, take)
 }
 
 // Resume takes up an engine's stream at an index.
-func (cli *Client) Resume(ctx context.Context, addr, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, Ending) {
+func (cli *Client) Resume(ctx context.Context, addr, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
 	path := "/v1/streams/" + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
 	res, end := cli.do(ctx, http.MethodGet, addr, path, nil, attempt)
 	return readStream(ctx, res, end, attempt, from, take)
@@ -137,28 +112,28 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	var rep wire.Load
-	ok := end == Answered && json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(&rep) == nil
+	ok := end == ending.Answered && json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(&rep) == nil
 	return rep, ok
 }
 
 // Order gives an endpoint an order. Refused tells that the fencing number was
 // old.
-func (cli *Client) Order(ctx context.Context, addr string, ord wire.Order) Ending {
+func (cli *Client) Order(ctx context.Context, addr string, ord wire.Order) ending.Ending {
 	res, end := cli.post(ctx, addr, "/v1/orders", ord)
 	if res == nil {
 		return end
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode == http.StatusConflict {
-		return Refused
+		return ending.Refused
 	}
 	return end
 }
 
-func (cli *Client) post(ctx context.Context, addr, path string, body any) (*http.Response, Ending) {
+func (cli *Client) post(ctx context.Context, addr, path string, body any) (*http.Response, ending.Ending) {
 	text, err := json.Marshal(body)
 	if err != nil {
-		return nil, NothingSent
+		return nil, ending.NothingSent
 	}
 	attempt := ""
 	if run, ok := body.(wire.Run); ok {
@@ -167,7 +142,7 @@
 	return cli.do(ctx, http.MethodPost, addr, path, text, attempt)
 }
 
-func (cli *Client) do(ctx context.Context, method, addr, path string, body []byte, attempt string) (*http.Response, Ending) {
+func (cli *Client) do(ctx context.Context, method, addr, path string, body []byte, attempt string) (*http.Response, ending.Ending) {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -178,7 +153,7 @@
 	}
 	req, err := http.NewRequestWithContext(traced, method, "http://"+addr+path, rdr)
 	if err != nil {
-		return nil, NothingSent
+		return nil, ending.NothingSent
 	}
 	// Without GetBody the transport can't send the body a second time.
 	req.GetBody = nil
@@ -192,77 +167,70 @@
 	return res, endingOfStatus(res)
 }
 
-func endingOf(ctx context.Context, err error, connected bool) Ending {
+func endingOf(ctx context.Context, err error, connected bool) ending.Ending {
 	switch {
 	case !connected || errors.Is(err, breaker.ErrServiceUnavailable):
-		return NothingSent
+		return ending.NothingSent
 	default:
-		return cutOr(ctx)
-	}
-}
-
-func cutOr(ctx context.Context) Ending {
-	if ctx.Err() != nil {
-		return GaveUp
+		return ending.Broken(ctx)
 	}
-	return Cut
 }
 
-func endingOfStatus(res *http.Response) Ending {
+func endingOfStatus(res *http.Response) ending.Ending {
 	switch {
 	case res.StatusCode == http.StatusOK:
-		return Answered
+		return ending.Answered
 	case res.Header.Get(wire.HeaderRan) == wire.RanNo:
-		return Refused
+		return ending.Refused
 	}
-	return Errored
+	return ending.Errored
 }
 
-func readStream(ctx context.Context, res *http.Response, end Ending, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, Ending) {
+func readStream(ctx context.Context, res *http.Response, end ending.Ending, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
 	if res == nil {
 		return from, wire.End{}, Report{}, end
 	}
 	defer func() { _ = res.Body.Close() }()
 	rep := readReport(res)
-	if end != Answered {
+	if end != ending.Answered {
 		return from, wire.End{}, rep, end
 	}
 	next, last, end := readTokens(ctx, wire.NewEventReader(res.Body), attempt, from, take)
 	return next, last, rep, end
 }
 
-func readTokens(ctx context.Context, erd *wire.EventReader, attempt string, from int, take func(wire.Token) error) (int, wire.End, Ending) {
+func readTokens(ctx context.Context, erd *wire.EventReader, attempt string, from int, take func(wire.Token) error) (int, wire.End, ending.Ending) {
 	for {
 		name, data, err := erd.Next()
 		if err != nil {
-			return from, wire.End{}, cutOr(ctx)
+			return from, wire.End{}, ending.Broken(ctx)
 		}
 		switch name {
 		case wire.EventToken:
 			var tok wire.Token
 			if json.Unmarshal(data, &tok) != nil || tok.Attempt != attempt {
-				return from, wire.End{}, Foreign
+				return from, wire.End{}, ending.Foreign
 			}
 			if tok.Index < from {
 				continue
 			}
 			if tok.Index > from {
-				return from, wire.End{}, Cut
+				return from, wire.End{}, ending.Cut
 			}
 			if take(tok) != nil {
-				return from, wire.End{}, GaveUp
+				return from, wire.End{}, ending.GaveUp
 			}
 			from++
 		case wire.EventEnd:
 			var last wire.End
 			if json.Unmarshal(data, &last) != nil || last.Attempt != attempt {
-				return from, wire.End{}, Foreign
+				return from, wire.End{}, ending.Foreign
 			}
 			// A stream that closes early is a cut one, whatever it says.
 			if last.Count != from {
-				return from, wire.End{}, Cut
+				return from, wire.End{}, ending.Cut
 			}
-			return from, last, Answered
+			return from, last, ending.Answered
 		}
 	}
 }
--- a/internal/engin/twice_test.go
+++ b/internal/engin/twice_test.go
@@ -16,6 +16,7 @@
 
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/internal/zlog"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/ident"
 )
 
@@ -62,18 +63,18 @@
 		}
 	}()
 	cli := New()
-	endings := map[Ending]int{}
+	endings := map[ending.Ending]int{}
 	for i := range 40 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		input := fmt.Sprintf("request %d", i)
 		ran, _, end := cli.Run(ctx, lsn.Addr().String(), wire.Run{Attempt: ident.NewID(), Input: input})
 		cancel()
 		endings[end]++
-		if end == Answered {
+		if end == ending.Answered {
 			gom.Expect(ran.Output).To(gomega.Equal(input))
 		}
 		gom.Expect(end.RanNothing()).To(gomega.BeFalse(), "it did run")
 	}
-	gom.Expect(endings[Answered]).To(gomega.BeNumerically(">", 0))
-	gom.Expect(endings[Foreign]).To(gomega.BeNumerically(">", 0))
+	gom.Expect(endings[ending.Answered]).To(gomega.BeNumerically(">", 0))
+	gom.Expect(endings[ending.Foreign]).To(gomega.BeNumerically(">", 0))
 }
--- a/internal/filter/entry.go
+++ b/internal/filter/entry.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"regexp"
 
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/contr"
 	"amaranthvalve/pkg/claim"
 	"amaranthvalve/pkg/clock"
@@ -31,7 +32,7 @@
 
 // ready refuses new work while it is not known that the documents are in force,
 // and at the end of a planned stop.
-func (chn *Chain) ready(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) ready(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	if chn.ctl.Stopping() {
 		return outcm.Refuse(outcm.Stopping, stopRetry, "this instance is stopping, use another address")
 	}
@@ -42,7 +43,7 @@
 }
 
 // document finds the service and the kind of request.
-func (chn *Chain) document(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) document(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	hld, ok := chn.ctl.View().Doc(cl.Service)
 	if !ok {
 		return outcm.New(outcm.NotRun, outcm.UnknownService, fmt.Sprintf("no document names a service %q", cl.Service))
@@ -59,7 +60,7 @@
 // identify finds the workspace and checks its token. An unknown workspace and a
 // wrong token are told in the same words, so that names can't be found out by
 // trying.
-func (chn *Chain) identify(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) identify(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	wsp, ok := cl.doc.Workspace(cl.Workspace)
 	if !ok || !tokenFits(wsp, cl.Token) {
 		return outcm.New(outcm.NotRun, outcm.UnknownWorkspace, "the workspace may not call this service, or its token is wrong")
@@ -78,7 +79,7 @@
 }
 
 // check looks at the request itself.
-func (chn *Chain) check(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) check(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	if res := chn.checkDeadline(cl); res.Outcome() != outcm.Pending {
 		return res
 	}
@@ -153,7 +154,7 @@
 }
 
 // claim takes a non-idempotent request's key, or hands out what became of it.
-func (chn *Chain) claim(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) claim(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	if !cl.kind.NonIdempotent() {
 		return next(ctx, cl)
 	}
@@ -196,7 +197,7 @@
 // runClaimed runs a request whose key is held by this attempt, and then gives
 // the key back or settles it. The caller's going away does not stop it: the
 // effect may have begun, and the answer is wanted by a repeat.
-func (chn *Chain) runClaimed(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) runClaimed(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	res := next(context.WithoutCancel(ctx), cl)
 	switch res.Outcome() {
 	case outcm.Done, outcm.Unknown:
@@ -208,7 +209,7 @@
 }
 
 // admit refuses at once what can't be answered in time.
-func (chn *Chain) admit(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (chn *Chain) admit(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	if res := chn.rnr.Admit(cl.job(chn)); res.Outcome() != outcm.Pending {
 		return res
 	}
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"fmt"
 
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/contr"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/stage"
@@ -63,12 +64,6 @@
 	return cl.doc.Name()
 }
 
-// Next is the rest of the chain.
-type Next func(ctx context.Context, cl *Call) outcm.Result
-
-// step is one filter.
-type step func(ctx context.Context, cl *Call, next Next) outcm.Result
-
 // Chain is the chain of all filters.
 type Chain struct {
 	ctl   *contr.Control
@@ -77,7 +72,7 @@
 	mtr   *meter.Meter
 	keys  sealer
 	limit *limitFilter
-	head  Next
+	head  chain.Next[*Call]
 }
 
 // Setup is what a chain is made of.
@@ -96,21 +91,14 @@
 		ctl: set.Control, rnr: set.Runner, clk: set.Clock, mtr: set.Meter,
 		keys: sealer{key: set.ResumeKey}, limit: newLimit(set),
 	}
-	steps := []step{
+	chn.head = chain.Link(
+		chn.run,
 		chn.ready, chn.document, chn.identify, chn.check,
 		chn.limit.pass, chn.claim, chn.admit,
-	}
-	chn.head = chn.run
-	for i := len(steps) - 1; i >= 0; i-- {
-		chn.head = link(steps[i], chn.head)
-	}
+	)
 	return chn
 }
 
-func link(stp step, next Next) Next {
-	return func(ctx context.Context, cl *Call) outcm.Result { return stp(ctx, cl, next) }
-}
-
 // Serve takes a request through the chain and counts its end.
 func (chn *Chain) Serve(ctx context.Context, cl *Call) outcm.Result {
 	cl.arrived = chn.clk.Now()
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/contr"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/limit"
@@ -50,7 +50,7 @@
 	return &limitFilter{ctl: set.Control, clk: set.Clock, most: set.MaxInFlight, tables: map[string]*table{}}
 }
 
-func (lft *limitFilter) pass(ctx context.Context, cl *Call, next Next) outcm.Result {
+func (lft *limitFilter) pass(ctx context.Context, cl *Call, next chain.Next[*Call]) outcm.Result {
 	tbl, res := lft.enter(cl)
 	if res.Outcome() != outcm.Pending {
 		return res
@@ -64,7 +64,7 @@
 	defer lft.mtx.Unlock()
 	now := lft.clk.Now()
 	if lft.inFlight >= lft.room(cl.doc.Priority()) {
-		return nil, outcm.Refuse(outcm.QueueFull, spread(busyRetry), "too many requests are under way at this instance")
+		return nil, outcm.Refuse(outcm.QueueFull, retry.Spread(busyRetry), "too many requests are under way at this instance")
 	}
 	tbl := lft.table(cl, now)
 	tbl.seen(now)
@@ -72,9 +72,9 @@
 	tbl.wsp.Set(lft.ctl.Part(cl.Workspace, perSecond, tbl.rate), burst, cl.wsp.InFlight(), now)
 	switch ver, wait := tbl.wsp.Enter(now); ver {
 	case limit.TooFast:
-		return nil, outcm.Refuse(outcm.WorkspaceRate, max(wait, spread(busyRetry)), "the workspace's requests_per_second is used up")
+		return nil, outcm.Refuse(outcm.WorkspaceRate, max(wait, retry.Spread(busyRetry)), "the workspace's requests_per_second is used up")
 	case limit.TooMany:
-		return nil, outcm.Refuse(outcm.WorkspaceBusy, spread(busyRetry), "the workspace's in_flight is used up at this instance")
+		return nil, outcm.Refuse(outcm.WorkspaceBusy, retry.Spread(busyRetry), "the workspace's in_flight is used up at this instance")
 	}
 	lft.inFlight++
 	lft.ctl.SetLoad(int64(lft.inFlight))
@@ -89,10 +89,6 @@
 	return lft.most - kept + kept*priority/svcdoc.MaxPriority
 }
 
-func spread(base clock.Milli) clock.Milli {
-	return retry.After(base, 1, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-}
-
 func (lft *limitFilter) leave(tbl *table) {
 	lft.mtx.Lock()
 	defer lft.mtx.Unlock()
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -11,6 +11,7 @@
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/retry"
 	"amaranthvalve/pkg/route"
@@ -135,12 +136,12 @@
 		defer func() { _ = rsp.Body.Close() }()
 		fr.pools.Said(cl.pool.Name(), tgt.ID, rsp.Reply)
 	}
-	if end == relay.Answered {
+	if end == ending.Answered {
 		fr.pools.Began(cl.route.Name(), took)
 		cl.first = took
 		return run.answer(ctx, tgt, rsp, began)
 	}
-	fr.pools.Finish(cl.pool.Name(), tgt.ID, verdictOf(end), took)
+	fr.pools.Finish(cl.pool.Name(), tgt.ID, end.Verdict(false), took)
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
 		Str("ending", end.String()).Int64("took_ms", int64(took)).Msg("attempt failed")
 	if rsp != nil && rsp.Reply.Misdirected {
@@ -176,24 +177,9 @@
 	return rqs, func() { close(ended) }
 }
 
-func verdictOf(end relay.Ending) route.Verdict {
-	switch end {
-	case relay.Refused:
-		return route.Overload
-	case relay.GaveUp:
-		return route.Neutral
-	}
-	return route.Broken
-}
-
-var causes = map[relay.Ending]retry.Cause{
-	relay.NothingSent: retry.NothingSent, relay.Refused: retry.Refused, relay.Cut: retry.Cut,
-	relay.Foreign: retry.WrongAnswer, relay.Unsigned: retry.WrongAnswer,
-}
-
 // judge tells what an attempt without an answer means, and whether there may be
 // another one.
-func (run *running) judge(ctx context.Context, end relay.Ending) (outcm.Result, bool) {
+func (run *running) judge(ctx context.Context, end ending.Ending) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
 	if end.RanNothing() {
 		run.refused++
@@ -211,16 +197,16 @@
 		return res, false
 	case !fr.stillAllowed(cl):
 		return res, false
-	case end != relay.NothingSent && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
+	case end != ending.NothingSent && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
 	}
-	fr.set.Meter.Retried(causes[end])
+	fr.set.Meter.Retried(end.Cause())
 	return res, true
 }
 
 // resultOf gives the result of an ending after which nothing more is tried. Once
 // any attempt may have run, "not run" can't be said any more.
-func (run *running) resultOf(end relay.Ending) outcm.Result {
+func (run *running) resultOf(end ending.Ending) outcm.Result {
 	fr, cl := run.fr, run.cl
 	passed := fr.set.Clock.Now() >= cl.until
 	switch {
@@ -230,7 +216,7 @@
 		return outcm.Refuse(outcm.NoEndpoint, fr.comeBack(soonest), "the endpoints that were asked ran nothing: "+end.String())
 	case passed:
 		return outcm.New(outcm.Unknown, outcm.DeadlinePassed, "the time is up; it may have run")
-	case end == relay.Foreign || end == relay.Unsigned:
+	case end == ending.Foreign || end == ending.Unsigned:
 		return outcm.New(outcm.Unknown, outcm.WrongAttempt, "the endpoint's answer was not to this request; it may have run")
 	}
 	return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the endpoint's connection was cut; it may have run")
@@ -250,8 +236,8 @@
 	took := fr.set.Clock.Since(began)
 	switch {
 	case err != nil:
-		fr.pools.Finish(cl.pool.Name(), tgt.ID, cutVerdict(ctx), took)
-		return run.judge(ctx, cutOr(ctx))
+		fr.pools.Finish(cl.pool.Name(), tgt.ID, ending.Broken(ctx).Verdict(false), took)
+		return run.judge(ctx, ending.Broken(ctx))
 	case len(body) > keptWhole:
 		fr.pools.Finish(cl.pool.Name(), tgt.ID, route.Good, took)
 		return run.large(rsp, body)
@@ -259,7 +245,7 @@
 	fr.pools.Finish(cl.pool.Name(), tgt.ID, statusVerdict(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.begun {
 		run.kept = &kept{rsp: rsp, body: body}
-		if res, again := run.judge(ctx, relay.Cut); again {
+		if res, again := run.judge(ctx, ending.Cut); again {
 			return res, true
 		}
 	}
@@ -295,15 +281,6 @@
 	}
 }
 
-func cutOr(ctx context.Context) relay.Ending {
-	if ctx.Err() != nil {
-		return relay.GaveUp
-	}
-	return relay.Cut
-}
-
-func cutVerdict(ctx context.Context) route.Verdict { return verdictOf(cutOr(ctx)) }
-
 func statusVerdict(status int) route.Verdict {
 	if status >= http.StatusInternalServerError {
 		return route.Broken
@@ -341,9 +318,9 @@
 			run.after = name
 		}
 	}
-	fr.pools.Finish(cl.pool.Name(), tgt.ID, cutVerdict(ctx), fr.set.Clock.Since(began))
+	fr.pools.Finish(cl.pool.Name(), tgt.ID, ending.Broken(ctx).Verdict(false), fr.set.Clock.Since(began))
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("after", run.after).Msg("stream cut")
-	res, again := run.judge(ctx, cutOr(ctx))
+	res, again := run.judge(ctx, ending.Broken(ctx))
 	if again {
 		fr.set.Meter.Retried(retry.Resumed)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -9,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/pools"
@@ -40,32 +40,18 @@
 	set     Setup
 	pools   *pools.Pools
 	homes   *homes.Homes
-	head    next
+	head    chain.Next[*call]
 	under   atomic.Int64
 	closing atomic.Bool
 }
 
-// next is the rest of the chain.
-type next func(ctx context.Context, cl *call) outcm.Result
-
-// step is one filter.
-type step func(ctx context.Context, cl *call, nxt next) outcm.Result
-
 // New returns a front with its filters in their order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, homes: set.Homes}
-	fr.head = fr.final
-	steps := []step{fr.match, fr.identify, fr.admit, fr.stages}
-	for i := len(steps) - 1; i >= 0; i-- {
-		fr.head = link(steps[i], fr.head)
-	}
+	fr.head = chain.Link(fr.final, fr.match, fr.identify, fr.admit, fr.stages)
 	return fr
 }
 
-func link(stp step, nxt next) next {
-	return func(ctx context.Context, cl *call) outcm.Result { return stp(ctx, cl, nxt) }
-}
-
 // Closing makes each answer from now on ask the caller to close its connection.
 func (fr *Front) Closing() { fr.closing.Store(true) }
 
--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
@@ -28,7 +29,7 @@
 )
 
 // match finds the route and reads the request.
-func (fr *Front) match(ctx context.Context, cl *call, nxt next) outcm.Result {
+func (fr *Front) match(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	pln := cl.view.Plan()
 	if pln == nil {
 		return outcm.Refuse(outcm.StaleView, staleRetry, "no documents are known yet")
@@ -123,7 +124,7 @@
 // identify finds the workspace by its token. Tokens are honoured only while it is
 // known that they were in force a short while ago: one that was taken away must
 // not run anything anywhere, also on an instance that has heard nothing since.
-func (fr *Front) identify(ctx context.Context, cl *call, nxt next) outcm.Result {
+func (fr *Front) identify(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	if cl.route.Open() || !cl.view.Plan().Named() {
 		return nxt(ctx, cl)
 	}
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/talk"
@@ -85,11 +86,11 @@
 // the place of another request that can be in time. While they aren't, what will merely
 // be late is let in. A caller that comes back is measured by when it came first, and
 // goes before those who came later.
-func (fr *Front) admit(ctx context.Context, cl *call, nxt next) outcm.Result {
+func (fr *Front) admit(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	name := cl.route.Target(rand.Float64())
 	pol, ok := cl.view.Plan().Pool(name)
 	if !ok || !fr.pools.Usable(name) {
-		return outcm.Refuse(outcm.NoEndpoint, spread(staleRetry), "no endpoint is known that could run it")
+		return outcm.Refuse(outcm.NoEndpoint, retry.Spread(staleRetry), "no endpoint is known that could run it")
 	}
 	cl.pool = pol
 	if len(cl.ask.Pieces) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Pieces), 0)) > homes.MaxPieces {
@@ -158,15 +159,11 @@
 // comeBack gives a span to come back after, spread so that those refused together
 // don't return together.
 func (fr *Front) comeBack(span clock.Milli) clock.Milli {
-	return spread(min(max(span, soonest), latest))
-}
-
-func spread(span clock.Milli) clock.Milli {
-	return retry.After(2*span, 0, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return retry.Spread(min(max(span, soonest), latest))
 }
 
 // stages has the pieces made that the final call takes.
-func (fr *Front) stages(ctx context.Context, cl *call, nxt next) outcm.Result {
+func (fr *Front) stages(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	if len(cl.route.Stages()) == 0 || len(cl.ask.Pieces) == 0 {
 		return nxt(ctx, cl)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,34 +17,9 @@
 	"golang.org/x/sys/unix"
 
 	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/ending"
 )
 
-//go:generate go tool stringer -type=Ending -linecomment -output=ending_string.go
-
-// Ending is how a request at an endpoint ended.
-type Ending int
-
-// The endings.
-const (
-	// Answered: the endpoint's answer to this request came.
-	Answered Ending = iota // answered
-	// NothingSent: no connection was had, so no byte was written.
-	NothingSent // nothing_sent
-	// Refused: the endpoint gave its word that nothing ran.
-	Refused // refused
-	// Cut: the connection ended before the whole answer; it may have run.
-	Cut // cut
-	// Foreign: the answer belonged to another request; ours may have run.
-	Foreign // foreign
-	// Unsigned: a success without the endpoint's proof; it may have run.
-	Unsigned // unsigned
-	// GaveUp: our own context ended; it may have run.
-	GaveUp // gave_up
-)
-
-// RanNothing tells whether it is proved that nothing ran.
-func (end Ending) RanNothing() bool { return end == NothingSent || end == Refused }
-
 // Times of a connection.
 const (
 	// dialWait bounds the opening of a connection: a machine without power
@@ -141,25 +116,25 @@
 
 // Do sends a request to an endpoint. The response is nil unless one came to this
 // request; a refusal comes with its response.
-func (rel *Relay) Do(ctx context.Context, addr string, rqs Request, snd talk.Send) (*Response, Ending) {
+func (rel *Relay) Do(ctx context.Context, addr string, rqs Request, snd talk.Send) (*Response, ending.Ending) {
 	var connected atomic.Bool
 	req, err := rel.request(ctx, addr, rqs, snd, &connected)
 	if err != nil {
-		return nil, NothingSent
+		return nil, ending.NothingSent
 	}
 	res, err := rel.trn.RoundTrip(req)
 	if err != nil {
 		switch {
 		case !connected.Load():
-			return nil, NothingSent
+			return nil, ending.NothingSent
 		case ctx.Err() != nil:
-			return nil, GaveUp
+			return nil, ending.GaveUp
 		}
-		return nil, Cut
+		return nil, ending.Cut
 	}
 	rsp := &Response{Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Body: res.Body, Length: res.ContentLength}
 	end := rel.judge(rqs.ID, rsp)
-	if end != Answered && end != Refused {
+	if end != ending.Answered && end != ending.Refused {
 		_ = res.Body.Close()
 		return nil, end
 	}
@@ -171,16 +146,16 @@
 // judge tells whose answer it is and what it proves. An answer that names no
 // request is nobody's: an engine's extra answers are told from ours by the name
 // alone.
-func (rel *Relay) judge(id string, rsp *Response) Ending {
+func (rel *Relay) judge(id string, rsp *Response) ending.Ending {
 	switch {
 	case rsp.Reply.NotRun || rsp.Reply.Misdirected:
-		return Refused
+		return ending.Refused
 	case rsp.Reply.ID != id:
-		return Foreign
+		return ending.Foreign
 	case rsp.Status >= 200 && rsp.Status < 300 && !rsp.Reply.Signed:
-		return Unsigned
+		return ending.Unsigned
 	}
-	return Answered
+	return ending.Answered
 }
 
 func (rel *Relay) request(ctx context.Context, addr string, rqs Request, snd talk.Send, connected *atomic.Bool) (*http.Request, error) {
--- a/internal/stage/attempt.go
+++ b/internal/stage/attempt.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 
-	"amaranthvalve/internal/engin"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/retry"
 	"amaranthvalve/pkg/route"
@@ -52,7 +52,7 @@
 			return "", try.time(ep, 0), outcm.New(outcm.NotRun, outcm.DeadlinePassed, "no time is left for stage "+try.stg.Name())
 		}
 		ran, end, took := try.once(ctx, ep)
-		if end == engin.Answered {
+		if end == ending.Answered {
 			try.rnr.sample(try.job.Doc.Name(), try.stg.Name(), took)
 			return ran.Output, try.time(ep, ran.EngineMs), outcm.Result{}
 		}
@@ -63,7 +63,7 @@
 }
 
 // once sends the stage to an endpoint, once.
-func (try *attempt) once(ctx context.Context, ep route.Endpoint) (wire.Ran, engin.Ending, clock.Milli) {
+func (try *attempt) once(ctx context.Context, ep route.Endpoint) (wire.Ran, ending.Ending, clock.Milli) {
 	ctx, cancel := context.WithTimeout(ctx, try.allowance().Duration())
 	defer cancel()
 	try.tries++
@@ -106,29 +106,29 @@
 }
 
 // sent takes the note back when it is proved that nothing ran.
-func (try *attempt) sent(before marks, end engin.Ending) {
+func (try *attempt) sent(before marks, end ending.Ending) {
 	if end.RanNothing() {
 		try.job.ranAny, try.job.effect = before.ranAny, before.effect
 	}
 }
 
 // again decides after a failed attempt whether there is another one.
-func (try *attempt) again(ctx context.Context, ep route.Endpoint, end engin.Ending, took clock.Milli) (outcm.Result, bool) {
+func (try *attempt) again(ctx context.Context, ep route.Endpoint, end ending.Ending, took clock.Milli) (outcm.Result, bool) {
 	if !end.RanNothing() {
 		try.rnr.mtr.Wasted(try.job.Doc.Name(), try.stg.Name(), took)
 	}
-	if end == engin.Foreign {
+	if end == ending.Foreign {
 		try.rnr.mtr.Event(meter.EventForeign)
 	}
 	res := try.resultOf(ctx, end)
 	if ctx.Err() != nil || !retry.Allowed(end.RanNothing(), try.stg.NonIdempotent()) {
 		return res, false
 	}
-	if end == engin.GaveUp && try.stg.Kind() == svcdoc.Generate {
+	if end == ending.GaveUp && try.stg.Kind() == svcdoc.Generate {
 		// Only the caller's side gives a stream up: nobody reads it any more.
 		return outcm.New(res.Outcome(), outcm.CallerGone, res.Detail()), false
 	}
-	if end == engin.GaveUp {
+	if end == ending.GaveUp {
 		// The endpoint outlasted its allowance. Its time counts as a sample:
 		// were it left out, a pool that slows down as a whole would be retried
 		// for ever against its old, fast average.
@@ -140,13 +140,13 @@
 	if !try.pl.mayRetry(try.bounds) {
 		return outcm.New(res.Outcome(), outcm.RetryBudget, "the pool's retry budget is used up; the last attempt ended as "+end.String()), false
 	}
-	try.rnr.mtr.Retried(causeOf(end))
+	try.rnr.mtr.Retried(end.Cause())
 	try.avoid = append(try.avoid, ep.ID)
 	return outcm.Result{}, true
 }
 
 // resultOf gives the outcome of a stage whose last attempt ended so.
-func (try *attempt) resultOf(ctx context.Context, end engin.Ending) outcm.Result {
+func (try *attempt) resultOf(ctx context.Context, end ending.Ending) outcm.Result {
 	detail := "stage " + try.stg.Name() + " ended as " + end.String()
 	if end.RanNothing() {
 		return outcm.Refuse(reasonOf(ctx, end), comeBack, detail)
@@ -157,7 +157,7 @@
 	return outcm.New(outcm.Failed, reasonOf(ctx, end), detail)
 }
 
-func reasonOf(ctx context.Context, end engin.Ending) outcm.Reason {
+func reasonOf(ctx context.Context, end ending.Ending) outcm.Reason {
 	if ctx.Err() == context.DeadlineExceeded {
 		return outcm.DeadlinePassed
 	}
@@ -165,34 +165,21 @@
 		return outcm.CallerGone
 	}
 	switch end {
-	case engin.NothingSent:
+	case ending.NothingSent:
 		return outcm.NoEndpoint
-	case engin.Refused:
+	case ending.Refused:
 		return outcm.StageRefused
-	case engin.Foreign:
+	case ending.Foreign:
 		return outcm.WrongAttempt
-	case engin.Cut:
+	case ending.Cut:
 		return outcm.ConnectionCut
-	case engin.GaveUp:
+	case ending.GaveUp:
 		return outcm.DeadlinePassed
 	default:
 		return outcm.StageFailed
 	}
 }
 
-func causeOf(end engin.Ending) retry.Cause {
-	switch end {
-	case engin.NothingSent:
-		return retry.NothingSent
-	case engin.Refused:
-		return retry.Refused
-	case engin.Foreign:
-		return retry.WrongAnswer
-	default:
-		return retry.Cut
-	}
-}
-
 func (try *attempt) time(ep route.Endpoint, engine clock.Milli) wire.StageTime {
 	return wire.StageTime{Endpoint: ep.ID, EngineMs: engine, Attempts: try.tries}
 }
--- a/internal/stage/generate.go
+++ b/internal/stage/generate.go
@@ -10,6 +10,7 @@
 	"amaranthvalve/internal/engin"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/retry"
 	"amaranthvalve/pkg/route"
@@ -39,7 +40,7 @@
 			return "", try.time(ep, 0), res
 		}
 		last, end, took := try.stream(ctx, ep)
-		if end == engin.Answered {
+		if end == ending.Answered {
 			return strings.Join(try.text, ""), try.time(ep, last.EngineMs), outcm.Result{}
 		}
 		if res, again := try.again(ctx, ep, end, took); !again {
@@ -60,11 +61,11 @@
 		return wire.StageTime{}, false
 	}
 	try.job.ranAny = true
-	last, end := try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, engin.Ending) {
+	last, end := try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, ending.Ending) {
 		_, last, rep, end := try.rnr.cli.Resume(ctx, plc.Addr, plc.Attempt, len(try.text), take)
 		return last, rep, end
 	})
-	if end != engin.Answered {
+	if end != ending.Answered {
 		return wire.StageTime{}, false
 	}
 	try.rnr.mtr.Retried(retry.Resumed)
@@ -74,7 +75,7 @@
 
 // stream generates at one engine; when the connection is cut it is taken up
 // once at the same engine before anything is generated anew.
-func (try *attempt) stream(ctx context.Context, ep route.Endpoint) (wire.End, engin.Ending, clock.Milli) {
+func (try *attempt) stream(ctx context.Context, ep route.Endpoint) (wire.End, ending.Ending, clock.Milli) {
 	try.tries++
 	run := try.run()
 	run.MaxTokens, run.From, run.Have = try.job.MaxTokens, len(try.text), try.text
@@ -86,18 +87,18 @@
 		try.job.Opened(plc)
 	}
 	var rep engin.Report
-	last, end := try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, engin.Ending) {
+	last, end := try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, ending.Ending) {
 		_, last, got, end := try.rnr.cli.Generate(ctx, ep.Addr, run, take)
 		rep = got
 		return last, got, end
 	})
-	if end == engin.Cut && ctx.Err() == nil {
+	if end == ending.Cut && ctx.Err() == nil {
 		try.rnr.mtr.Retried(retry.Resumed)
-		last, end = try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, engin.Ending) {
+		last, end = try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, ending.Ending) {
 			_, last, got, end := try.rnr.cli.Resume(ctx, ep.Addr, plc.Attempt, len(try.text), take)
-			if end == engin.Errored || end.RanNothing() {
+			if end == ending.Errored || end.RanNothing() {
 				// What ran before the cut has run, whatever the resumption says.
-				end = engin.Cut
+				end = ending.Cut
 			}
 			return last, got, end
 		})
@@ -107,22 +108,22 @@
 	tokens := len(try.text) - run.From
 	try.outlasted = ctx.Err() == context.DeadlineExceeded
 	try.learn(ep, rep, end, took, max(tokens, 1))
-	if end == engin.Answered {
+	if end == ending.Answered {
 		try.job.count = len(try.text)
 	}
-	if end == engin.Answered && tokens > 0 {
+	if end == ending.Answered && tokens > 0 {
 		try.rnr.sampleStream(try.job.Doc.Name(), try.stg.Name(), try.firstAt-began, took, tokens)
 	}
-	if end != engin.Answered {
+	if end != ending.Answered {
 		go try.rnr.cancel(plc)
 	}
 	return last, end, took
 }
 
-type reading func(context.Context, func(wire.Token) error) (wire.End, engin.Report, engin.Ending)
+type reading func(context.Context, func(wire.Token) error) (wire.End, engin.Report, ending.Ending)
 
 // read reads a stream until it ends or stands still. A stall is told as a cut.
-func (try *attempt) read(ctx context.Context, from reading) (wire.End, engin.Ending) {
+func (try *attempt) read(ctx context.Context, from reading) (wire.End, ending.Ending) {
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := max(stallFor, (patience * try.rnr.careful(try.job.Doc, try.index, 1)).Duration())
@@ -139,8 +140,8 @@
 		return nil
 	})
 	stalled := !stall.Stop()
-	if end == engin.GaveUp && stalled && ctx.Err() == nil {
-		end = engin.Cut
+	if end == ending.GaveUp && stalled && ctx.Err() == nil {
+		end = ending.Cut
 	}
 	return last, end
 }
--- a/internal/stage/job.go
+++ b/internal/stage/job.go
@@ -7,6 +7,7 @@
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/admit"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/retry"
@@ -137,12 +138,12 @@
 }
 
 // learn gives the place back and notes what the endpoint said of itself.
-func (try *attempt) learn(ep route.Endpoint, rep engin.Report, end engin.Ending, took clock.Milli, tokens int) {
+func (try *attempt) learn(ep route.Endpoint, rep engin.Report, end ending.Ending, took clock.Milli, tokens int) {
 	now := try.rnr.clk.Now()
 	if tokens > 0 {
 		took /= clock.Milli(tokens)
 	}
-	try.pl.finish(ep.ID, verdictOf(end, try.outlasted), took, now)
+	try.pl.finish(ep.ID, end.Verdict(try.outlasted), took, now)
 	if load, ok := rep.Load(); ok {
 		try.rnr.Report(try.stg.Pool(), ep.ID, wire.Load{Load: load, Leaving: rep.Leaving()})
 	}
@@ -150,20 +151,3 @@
 		try.rnr.left(try.stg.Pool(), ep.ID)
 	}
 }
-
-// verdictOf tells routing how an attempt went. One that we gave up because its
-// time was over is the endpoint's fault; were it neutral, an endpoint that is
-// too slow for every deadline would never be found out, for only fast answers
-// would be counted. One that we gave up because its caller went is nobody's.
-func verdictOf(end engin.Ending, outlasted bool) route.Verdict {
-	switch {
-	case end == engin.Answered:
-		return route.Good
-	case end == engin.Refused || end == engin.GaveUp && outlasted:
-		return route.Overload
-	case end == engin.GaveUp:
-		return route.Neutral
-	default:
-		return route.Broken
-	}
-}
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -127,3 +127,9 @@
 	}
 	return span/2 + clock.Milli(rng.Int64N(int64(span/2)))
 }
+
+// Spread gives a span to come back after that lies anywhere from base to twice as much,
+// so that those refused together don't return together.
+func Spread(base clock.Milli) clock.Milli {
+	return After(2*base, 0, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
