internal/soak, internal/conf: the ways between instances are troubled too

Cause: the soak had no proxy between instances, since an instance names its own address to the others. Silent, slow and lossy peers were played by freezing processes alone.

Change: the setting peer_advertise, where the others reach the link if something before it translates addresses; a proxy for datagrams before each instance's link, which delays, loses in one direction, in both, or a third. Kept seeds carry the number of kinds that they draw from, so that a new kind changes nothing that an old seed draws.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -30,6 +30,7 @@
 	CallerAddr     string   `toml:"caller_addr"`
 	OpsAddr        string   `toml:"ops_addr"`
 	PeerAddr       string   `toml:"peer_addr"`
+	PeerAdvertise  string   `toml:"peer_advertise"`
 	Zone           string   `toml:"zone"`
 	Platform       string   `toml:"platform"`
 	Peers          []string `toml:"peers"`
@@ -100,6 +101,15 @@
 // instance that stands alone.
 func (set *Settings) PeerAddr() string { return set.raw.PeerAddr }
 
+// PeerAdvertise gives the address at which the others are told to reach the link: the
+// one it listens on, unless something translates addresses before it.
+func (set *Settings) PeerAdvertise() string {
+	if set.raw.PeerAdvertise != "" {
+		return set.raw.PeerAdvertise
+	}
+	return set.raw.PeerAddr
+}
+
 // Zone gives the data centre.
 func (set *Settings) Zone() string { return set.raw.Zone }
 
@@ -219,6 +229,10 @@
 	address(fts, "ready_addr", set.raw.ReadyAddr, routed)
 	address(fts, "metrics_addr", set.raw.MetricsAddr, false)
 	address(fts, "peer_addr", set.raw.PeerAddr, false)
+	address(fts, "peer_advertise", set.raw.PeerAdvertise, false)
+	if set.raw.PeerAdvertise != "" && set.raw.PeerAddr == "" {
+		fts.Add("peer_advertise", "there is no peer_addr that could be reached by it")
+	}
 	for i, addr := range set.raw.Peers {
 		address(fts, fmt.Sprintf("peers[%d]", i), addr, true)
 	}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -101,6 +101,9 @@
 			nod.log.Warn().Err(err).Msg("a peer was refused")
 		}
 		addr = nod.link.Addr()
+		if nod.set.PeerAdvertise() != nod.set.PeerAddr() {
+			addr = nod.set.PeerAdvertise()
+		}
 	}
 	nod.rnr = stage.New(nod.clk, nod.set.Zone(), nod.mtr, func(pool, id string) { nod.ctl.Left(pool, id) })
 	nod.ctl = contr.New(contr.Setup{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 
 // open makes the parts.
 func (nod *Node) open(dia *talk.Dialect) {
-	self := nod.set.PeerAddr()
+	self := nod.set.PeerAdvertise()
 	if self == "" {
 		self = nod.set.CallerAddr()
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -23,7 +23,8 @@
 	servesOn = 4 * time.Second
 )
 
-// trouble is one kind of fault: it lasts until it returns.
+// trouble is one kind of fault: it lasts until it returns. New kinds go to the end of the
+// list, so that kept seeds draw what they drew.
 type trouble struct {
 	name string
 	play func(wld *world)
@@ -44,6 +45,7 @@
 	{"document", func(wld *world) { wld.publish(false) }},
 	{"key taken away", func(wld *world) { wld.publish(true) }},
 	{"herd kill", (*world).herdKill},
+	{"way between instances", (*world).peerWay},
 }
 
 // play inflicts series of troubles, which overlap, until the context ends, and waits
@@ -52,7 +54,7 @@
 	var wgr sync.WaitGroup
 	began := time.Now()
 	for ctx.Err() == nil {
-		trb := troubles[wld.draw(len(troubles))]
+		trb := troubles[wld.draw(wld.kinds)]
 		times := 1 + wld.draw(3)
 		gap := wld.span(leastGap, mostGap)
 		log("%6d ms: %s, %d times, %v apart", time.Since(began).Milliseconds(), trb.name, times, gap)
@@ -178,6 +180,17 @@
 	ins.trouble(time.Now())
 }
 
+// peerWay does something for a while to all that the others send to an instance and are
+// sent back. The others stay well: they must do without it.
+func (wld *world) peerWay() {
+	ins, span := wld.instance(), wld.faultTime()
+	ins.trouble(time.Now().Add(span))
+	ins.peers.set([]state{delays, mute, deaf, silent, loses}[wld.draw(5)])
+	time.Sleep(span)
+	ins.peers.set(passes)
+	ins.trouble(time.Now())
+}
+
 // endpoint draws one that serves; nil if its pool would be left without.
 func (wld *world) endpoint(keep int) *endpoint {
 	list := wld.serving(poolNames[wld.draw(len(poolNames))])
@@ -255,6 +268,7 @@
 	for _, ins := range wld.insts {
 		ins.store.set(passes)
 		ins.front.set(passes)
+		ins.peers.set(passes)
 		ins.signal(syscall.SIGCONT)
 		if _, _, leaving := ins.standing(); leaving {
 			ins.gone(stopIn + time.Second)
--- a/internal/soak/inst_test.go
+++ b/internal/soak/inst_test.go
@@ -18,9 +18,11 @@
 	settled string
 	calls   string
 	entries string
-	// store is its way to the store, front the callers' way to it.
+	// store is its way to the store, front the callers' way to it, peers the other
+	// instances'.
 	store *wire
 	front *wire
+	peers *datagrams
 	log   *lines
 
 	mtx sync.Mutex
@@ -87,11 +89,15 @@
 	if ins.front, err = newWire(ins.calls); err != nil {
 		return nil, err
 	}
+	if ins.peers, err = newDatagrams(at(3)); err != nil {
+		return nil, err
+	}
 	text := fmt.Sprintf(`dialect = "platform"
 caller_addr = %q
 entries_addr = %q
 ready_addr = %q
 peer_addr = %q
+peer_advertise = %q
 metrics_addr = %q
 zone = "dc1"
 platform = "http://%s"
@@ -99,7 +105,7 @@
 tokens_for_ms = %d
 stop_ms = %d
 memory_mb = 256
-`, ins.calls, ins.entries, at(2), at(3), at(4), way.addr(), keepFor.Milliseconds(), tokensFor.Milliseconds(), stopIn.Milliseconds())
+`, ins.calls, ins.entries, at(2), at(3), ins.peers.addr(), at(4), way.addr(), keepFor.Milliseconds(), tokensFor.Milliseconds(), stopIn.Milliseconds())
 	if err := os.WriteFile(ins.settled, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -237,5 +243,6 @@
 	ins.gone(time.Second)
 	ins.store.close()
 	ins.front.close()
+	ins.peers.close()
 	_ = ins.log.file.Close()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -43,50 +43,60 @@
 	return n
 }
 
+// play is a run to be played: what is drawn, and from how many kinds of trouble. A kind
+// that came later would change all that an older seed draws.
+type play struct {
+	seed  uint64
+	kinds int
+}
+
 // TestSoak plays one run for each seed: the few of CI, those that ever failed, or those
 // that the environment asks for (docs/SOAK.md).
 func TestSoak(t *testing.T) {
 	zlog.To(zerolog.Nop())
 	program := build(t)
-	for _, seed := range seeds(t) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, program, seed) })
+	for _, ply := range plays(t) {
+		t.Run(fmt.Sprintf("seed-%d", ply.seed), func(t *testing.T) { soak(t, program, ply) })
 	}
 }
 
-// seeds lists the seeds to play.
-func seeds(t *testing.T) []uint64 {
-	if text := os.Getenv("AMV_SOAK_SEED"); text != "" {
-		return []uint64{uint64(number(t, "AMV_SOAK_SEED", 1))}
-	}
-	if text := os.Getenv("AMV_SOAK_SEEDS"); text != "" {
-		first := uint64(number(t, "AMV_SOAK_FROM", int(time.Now().Unix())))
-		var list []uint64
-		for i := range number(t, "AMV_SOAK_SEEDS", 1) {
-			list = append(list, first+uint64(i))
-		}
-		return list
+// plays lists the runs to play.
+func plays(t *testing.T) []play {
+	kinds := len(troubles)
+	if os.Getenv("AMV_SOAK_KINDS") != "" {
+		kinds = number(t, "AMV_SOAK_KINDS", kinds)
+	}
+	if os.Getenv("AMV_SOAK_SEED") != "" {
+		return []play{{seed: uint64(number(t, "AMV_SOAK_SEED", 1)), kinds: kinds}}
 	}
-	return kept(t)
+	if os.Getenv("AMV_SOAK_SEEDS") == "" {
+		return kept(t)
+	}
+	first := uint64(number(t, "AMV_SOAK_FROM", int(time.Now().Unix())))
+	var list []play
+	for i := range number(t, "AMV_SOAK_SEEDS", 1) {
+		list = append(list, play{seed: first + uint64(i), kinds: kinds})
+	}
+	return list
 }
 
-// kept reads the seeds that CI plays: a seed a line, and what it showed.
-func kept(t *testing.T) []uint64 {
+// kept reads the runs that CI plays: a seed and its kinds a line, and what it showed.
+func kept(t *testing.T) []play {
 	file, err := os.Open(filepath.Join("testdata", "seeds.txt"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = file.Close() }()
-	var list []uint64
+	var list []play
 	for scn := bufio.NewScanner(file); scn.Scan(); {
-		word, _, _ := strings.Cut(scn.Text(), " ")
-		if word == "" || word == "#" {
+		if scn.Text() == "" || strings.HasPrefix(scn.Text(), "#") {
 			continue
 		}
-		seed, err := strconv.ParseUint(word, 10, 64)
-		if err != nil {
-			t.Fatalf("testdata/seeds.txt: %v", err)
+		var ply play
+		if _, err := fmt.Sscanf(scn.Text(), "%d/%d ", &ply.seed, &ply.kinds); err != nil || ply.kinds > len(troubles) {
+			t.Fatalf("testdata/seeds.txt: %q: %v", scn.Text(), err)
 		}
-		list = append(list, seed)
+		list = append(list, ply)
 	}
 	return list
 }
@@ -100,8 +110,8 @@
 }
 
 // soak plays one seed and tells what it broke.
-func soak(t *testing.T, program string, seed uint64) {
-	wld := newWorld(t, program, seed, number(t, "AMV_SOAK_INSTANCES", usualInstances))
+func soak(t *testing.T, program string, ply play) {
+	wld := newWorld(t, program, ply, number(t, "AMV_SOAK_INSTANCES", usualInstances))
 	if !wld.serves() {
 		wld.breaks("not served at the start")
 		wld.report(t)
--- a/internal/soak/wire_test.go
+++ b/internal/soak/wire_test.go
@@ -19,6 +19,8 @@
 	mute
 	deaf
 	silent
+	// loses loses some of the datagrams; streams pass.
+	loses
 )
 
 const (
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -47,6 +47,7 @@
 // world is one run.
 type world struct {
 	seed    uint64
+	kinds   int
 	program string
 	store   *fake.Store
 	srv     *stand.Server
@@ -65,9 +66,9 @@
 	next     int
 }
 
-func newWorld(t *testing.T, program string, seed uint64, instances int) *world {
+func newWorld(t *testing.T, program string, ply play, instances int) *world {
 	wld := &world{
-		seed: seed, program: program, store: fake.NewStore(), rng: rand.New(rand.NewPCG(seed, 1)),
+		seed: ply.seed, kinds: ply.kinds, program: program, store: fake.NewStore(), rng: rand.New(rand.NewPCG(ply.seed, 1)),
 		revoked: map[string]time.Time{}, attempts: map[string]*attempt{},
 	}
 	var err error
