pkg/svcdoc, internal/walk, pkg/admit: stages as a graph and one walk for both dialects

Cause: the product's own documents had their stages in a line, the routed ones in a graph; each had a loop of its own, and a judgement of its own whether a request can be in time. An operator could not have a query encoded while its history is retrieved.

Change: stage.after names the stages whose results a stage takes; left out, it is the stage above, so that all documents in force mean what they meant. internal/walk takes requests through their graph in both dialects; admit.Times judges them at the door in both, with the margin of crowded pools and its grounds. Attempts that may have run are counted, not noted as yes or no: one stage's refusal took back what another beside it had noted, and "not run" would have been said of a booking that ran.

Ruled out: routed stages through the queues of package admit. Pieces wait at their gatherer, where they can be overtaken by any instance's; own stages wait at each instance, fair between workspaces.

--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -13,6 +13,8 @@
 	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/talk"
+	"amaranthvalve/internal/walk"
+	"amaranthvalve/pkg/admit"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/graph"
 	"amaranthvalve/pkg/outcm"
@@ -25,14 +27,6 @@
 	// it is crowded: nothing waits for a near endpoint, and requests that will be
 	// late are refused. Measured with calls of 0.37 s: 60 ms and 200 ms did alike.
 	crowdedShare = 0.5
-	// admitShare of the time left to a request is what it may need while pools are
-	// crowded. The need is told from waits as they are now; more urgent requests that
-	// come later pass it, and others' pieces make its calls longer: a tenth took 0.9 s
-	// longer than was told. Those let in on the last millisecond were late as a rule, and
-	// took the places of others. Measured on eight days of 86 and 71 instances: 1 for who
-	// comes back and 0.75 for newcomers 0.512 of the worth, 0.75 for all 0.583, 0.85 with
-	// the need told from full calls 0.575.
-	admitShare = 0.75
 	// slowStage times its planned time makes a stage's line worth writing.
 	slowStage = 2
 	// maxRemakes is how often stages are made again whose results were lost: an
@@ -97,12 +91,13 @@
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "more pieces than the route has stages for, or too many")
 	}
 	fr.forecast(ctx, cl)
-	need := fr.need(cl)
-	if left := cl.until - fr.set.Clock.Now(); need > left {
-		return outcm.Refuse(outcm.Hopeless, fr.comeBack(need-left), fmt.Sprintf("%d ms are needed and %d left", need, left))
-	}
-	if left := cl.due - fr.set.Clock.Now(); float64(need) > admitShare*float64(left) && fr.crowded(cl) {
-		return outcm.Refuse(outcm.Crowded, fr.comeBack(need-left), fmt.Sprintf("%d ms are needed and %d left to be in time", need, left))
+	now := fr.set.Clock.Now()
+	tms := admit.Times{Need: fr.need(cl), Left: cl.until - now, InTime: cl.due - now, Crowded: fr.crowded(cl)}
+	switch tms.Judge() {
+	case admit.Hopeless:
+		return outcm.Refuse(outcm.Hopeless, fr.comeBack(tms.Over()), fmt.Sprintf("%d ms are needed and %d left", tms.Need, tms.Left))
+	case admit.LateInCrowd:
+		return outcm.Refuse(outcm.Crowded, fr.comeBack(tms.Over()), fmt.Sprintf("%d ms are needed and %d left to be in time", tms.Need, tms.InTime))
 	}
 	return nxt(ctx, cl)
 }
@@ -182,36 +177,33 @@
 // makeAll has each stage made as soon as it may begin. When one can't be made, the
 // others are of no use and are withdrawn.
 func (fr *Front) makeAll(ctx context.Context, cl *call) outcm.Result {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	run := cl.route.Graph().Run(func(stg int) bool { return cl.count(stg) == 0 })
-	ends := make(chan stageOut, len(cl.route.Stages()))
-	under := 0
-	for !run.Over() {
-		for _, stg := range run.Begin(func(stg int) clock.Milli { return fr.span(cl, stg) }) {
+	refusal := outcm.Result{}
+	walk.All(ctx, run, walk.Steps[stageOut]{
+		Span: func(stg int) clock.Milli { return fr.span(cl, stg) },
+		Begin: func(stg int) func(context.Context) stageOut {
 			jb := fr.job(cl, stg, run.Last(stg))
-			under++
-			go func() { ends <- fr.stage(ctx, cl, jb) }()
-		}
-		out := <-ends
-		under--
-		cl.forget(out.fetched)
-		if out.flaw == talk.InputGone && fr.remake(cl, run, out.stage) {
-			continue
-		}
-		if out.flaw != talk.NoFlaw {
-			cancel()
-			for range under {
-				cl.keep(<-ends)
+			return func(ctx context.Context) stageOut { return fr.stage(ctx, cl, jb) }
+		},
+		Ended: func(stg int, out stageOut) walk.Word {
+			cl.forget(out.fetched)
+			switch {
+			case out.flaw == talk.InputGone && fr.remake(cl, run, stg):
+				return walk.Undone
+			case out.flaw != talk.NoFlaw:
+				refusal = fr.refuseStage(cl, out)
+				return walk.Failed
 			}
-			return fr.refuseStage(cl, out)
-		}
-		cl.keep(out)
-		for _, unused := range run.Done(out.stage) {
-			fr.giveBack(cl, unused)
-		}
-	}
-	return outcm.Result{}
+			cl.keep(out)
+			return walk.Made
+		},
+		Unused: func(stg int) { fr.giveBack(cl, stg) },
+		Left: func(_ int, out stageOut) {
+			cl.forget(out.fetched)
+			cl.keep(out)
+		},
+	})
+	return refusal
 }
 
 // remake takes the stages back that must be made again because the inputs of one are
--- a/internal/stage/attempt.go
+++ b/internal/stage/attempt.go
@@ -29,7 +29,8 @@
 	pl    *pool
 	index int
 	last  bool
-	input string
+	// taken is what the stage takes: results, or what the caller sent.
+	taken []string
 	avoid []string
 	tries int
 	text  []string
@@ -68,9 +69,9 @@
 	defer cancel()
 	try.tries++
 	began := try.rnr.clk.Now()
-	before := try.sending()
+	try.sending()
 	ran, rep, end := try.rnr.cli.Run(ctx, ep.Addr, try.run())
-	try.sent(before, end)
+	try.sent(end)
 	took := try.rnr.clk.Since(began)
 	try.outlasted = ctx.Err() == context.DeadlineExceeded
 	try.learn(ep, rep, end, took, 0)
@@ -88,27 +89,23 @@
 	return min(rest, max(minPatience, patience*careful))
 }
 
-// marks is what is known to have run, before an attempt is sent.
-type marks struct {
-	ranAny bool
-	effect bool
-}
-
 // sending notes, before the first byte is written, that the stage may run: a
 // process that dies or is paused from here on leaves the request unknown.
-func (try *attempt) sending() marks {
-	before := marks{ranAny: try.job.ranAny, effect: try.job.effect}
-	try.job.ranAny = true
+func (try *attempt) sending() {
+	try.job.ran.Add(1)
 	if try.stg.NonIdempotent() {
-		try.job.effect = true
+		try.job.effects.Add(1)
 	}
-	return before
 }
 
 // sent takes the note back when it is proved that nothing ran.
-func (try *attempt) sent(before marks, end ending.Ending) {
-	if end.RanNothing() {
-		try.job.ranAny, try.job.effect = before.ranAny, before.effect
+func (try *attempt) sent(end ending.Ending) {
+	if !end.RanNothing() {
+		return
+	}
+	try.job.ran.Add(-1)
+	if try.stg.NonIdempotent() {
+		try.job.effects.Add(-1)
 	}
 }
 
--- a/internal/stage/generate.go
+++ b/internal/stage/generate.go
@@ -35,7 +35,7 @@
 		return strings.Join(try.text, ""), st, outcm.Result{}
 	}
 	for {
-		ep, res := try.acquire(ctx, prefixOf(try.input))
+		ep, res := try.acquire(ctx, prefixOf(try.taken[0]))
 		if res.Outcome() != outcm.Pending {
 			return "", try.time(ep, 0), res
 		}
@@ -60,7 +60,7 @@
 	if !try.last || plc.Attempt == "" || plc.Pool != try.stg.Pool() {
 		return wire.StageTime{}, false
 	}
-	try.job.ranAny = true
+	try.job.ran.Add(1)
 	last, end := try.read(ctx, func(ctx context.Context, take func(wire.Token) error) (wire.End, engin.Report, ending.Ending) {
 		_, last, rep, end := try.rnr.cli.Resume(ctx, plc.Addr, plc.Attempt, len(try.text), take)
 		return last, rep, end
@@ -82,7 +82,7 @@
 	plc := Place{Pool: try.stg.Pool(), ID: ep.ID, Addr: ep.Addr, Attempt: run.Attempt}
 	began := try.rnr.clk.Now()
 	try.firstAt = 0
-	before := try.sending()
+	try.sending()
 	if try.last && try.job.Opened != nil {
 		try.job.Opened(plc)
 	}
@@ -103,7 +103,7 @@
 			return last, got, end
 		})
 	}
-	try.sent(before, end)
+	try.sent(end)
 	took := try.rnr.clk.Since(began)
 	tokens := len(try.text) - run.From
 	try.outlasted = ctx.Err() == context.DeadlineExceeded
--- a/internal/stage/runner.go
+++ b/internal/stage/runner.go
@@ -152,16 +152,19 @@
 	return ned
 }
 
+// estimate gives what a stage takes.
+type estimate func(doc *svcdoc.Document, i, tokens int) clock.Milli
+
 // typical and careful give a stage's expected and cautious time.
 func (rnr *Runner) typical(doc *svcdoc.Document, i, tokens int) clock.Milli {
-	return rnr.estimate(doc, i, tokens, (*admit.Need).Typical)
+	return rnr.guess(doc, i, tokens, (*admit.Need).Typical)
 }
 
 func (rnr *Runner) careful(doc *svcdoc.Document, i, tokens int) clock.Milli {
-	return rnr.estimate(doc, i, tokens, (*admit.Need).Careful)
+	return rnr.guess(doc, i, tokens, (*admit.Need).Careful)
 }
 
-func (rnr *Runner) estimate(doc *svcdoc.Document, i, tokens int, how func(ned *admit.Need, guess, now clock.Milli) clock.Milli) clock.Milli {
+func (rnr *Runner) guess(doc *svcdoc.Document, i, tokens int, how func(ned *admit.Need, guess, now clock.Milli) clock.Milli) clock.Milli {
 	stg := doc.Stage(i)
 	rnr.mtx.Lock()
 	defer rnr.mtx.Unlock()
@@ -191,22 +194,13 @@
 	}
 }
 
-// later adds up the needs of the stages from i on.
-func (rnr *Runner) later(job *Job, i int, how func(doc *svcdoc.Document, i, tokens int) clock.Milli) clock.Milli {
-	sum := clock.Milli(0)
-	for ; i < job.Doc.Stages(); i++ {
-		sum += how(job.Doc, i, job.MaxTokens)
-	}
-	return sum
-}
-
 // Admit tells on arrival whether a request can be answered in time: the waits
 // before its pools and the measured needs of its stages against its deadline.
 // A refusal costs the endpoints nothing; the same request refused later would
 // have used some of their time for nothing.
 func (rnr *Runner) Admit(job *Job) outcm.Result {
-	sum := clock.Milli(0)
 	worst := clock.Milli(0)
+	waits := make([]clock.Milli, job.Doc.Stages())
 	for i := range job.Doc.Stages() {
 		pl := rnr.pool(job.Doc.Stage(i).Pool())
 		pl.mtx.Lock()
@@ -216,10 +210,11 @@
 		if usable == 0 {
 			return pl.refuse(outcm.NoEndpoint, "pool "+job.Doc.Stage(i).Pool()+" has no endpoint that takes work")
 		}
-		worst = max(worst, wait)
-		sum += wait + rnr.careful(job.Doc, i, job.MaxTokens)
+		worst, waits[i] = max(worst, wait), wait
 	}
-	if left := job.Deadline - rnr.clk.Now(); sum > left {
+	sum := job.Doc.Graph().Longest(func(stg int) clock.Milli { return waits[stg] + job.needs(rnr.careful)(stg) })
+	left := job.Deadline - rnr.clk.Now()
+	if (admit.Times{Need: sum, Left: left, InTime: left}).Judge() != admit.LetIn {
 		res := rnr.pool(job.Doc.Stage(0).Pool()).refuse(outcm.DeadlineTooShort, "waits and stages are expected to take longer than the deadline")
 		return outcm.Refuse(res.Reason(), max(res.RetryAfter(), worst), res.Detail())
 	}
--- a/internal/stand/endpoint.go
+++ b/internal/stand/endpoint.go
@@ -111,7 +111,7 @@
 	}
 	defer func() { <-ept.places }()
 	began := time.Now()
-	ept.note(Execution{Attempt: run.Attempt, RequestID: run.RequestID, Workspace: run.Workspace, Input: run.Input})
+	ept.note(Execution{Attempt: run.Attempt, RequestID: run.RequestID, Workspace: run.Workspace, Input: run.Takes()})
 	wait(req.Context(), ept.stepMs)
 	ept.faults.cutReply()
 	if ept.faults.use(func(flt *Faults) *int { return &flt.WrongAttempt }) {
@@ -120,7 +120,7 @@
 	ept.headers(wrt)
 	wire.WriteJSON(wrt, http.StatusOK, wire.Ran{
 		Attempt:  run.Attempt,
-		Output:   fmt.Sprintf("%s(%s)", run.Stage, run.Input),
+		Output:   fmt.Sprintf("%s(%s)", run.Stage, run.Takes()),
 		EngineMs: clock.FromDuration(time.Since(began)),
 	})
 }
--- a/internal/stand/engine.go
+++ b/internal/stand/engine.go
@@ -75,7 +75,7 @@
 		wire.WriteJSON(wrt, http.StatusServiceUnavailable, wire.Fail{Error: "batch full"})
 		return
 	}
-	ept.note(Execution{Attempt: run.Attempt, RequestID: run.RequestID, Workspace: run.Workspace, Input: run.Input, Tokens: gen.want - run.From})
+	ept.note(Execution{Attempt: run.Attempt, RequestID: run.RequestID, Workspace: run.Workspace, Input: run.Takes(), Tokens: gen.want - run.From})
 	ept.stream(wrt, req, gen, run.From)
 }
 
@@ -122,7 +122,7 @@
 	eng.streams[run.Attempt] = gen
 	eng.running++
 	eng.active[run.Attempt] = gen
-	warm := eng.touch(Prefix(run.Input))
+	warm := eng.touch(Prefix(run.Takes()))
 	go eng.work(ctx, gen, warm)
 	return gen, true
 }
@@ -236,7 +236,7 @@
 		if !gen.await(req.Context(), from) {
 			break
 		}
-		tok := wire.Token{Attempt: attempt, Index: from, Text: TokenAt(gen.run.Input, from)}
+		tok := wire.Token{Attempt: attempt, Index: from, Text: TokenAt(gen.run.Takes(), from)}
 		if wire.WriteEvent(wrt, wire.EventToken, tok) != nil {
 			return
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/lease"
@@ -121,15 +122,18 @@
 
 // Run asks an endpoint to run a stage.
 type Run struct {
-	Attempt   string      `json:"attempt"`
-	RequestID string      `json:"request_id"`
-	Workspace string      `json:"workspace"`
-	Service   string      `json:"service"`
-	Stage     string      `json:"stage"`
-	Request   string      `json:"request"`
-	Input     string      `json:"input"`
-	Priority  int         `json:"priority"`
-	BudgetMs  clock.Milli `json:"budget_ms"`
+	Attempt   string `json:"attempt"`
+	RequestID string `json:"request_id"`
+	Workspace string `json:"workspace"`
+	Service   string `json:"service"`
+	Stage     string `json:"stage"`
+	Request   string `json:"request"`
+	Input     string `json:"input"`
+	// Inputs are the results that a stage takes, in its document's order, if it takes
+	// several; Input is empty then.
+	Inputs   []string    `json:"inputs,omitempty"`
+	Priority int         `json:"priority"`
+	BudgetMs clock.Milli `json:"budget_ms"`
 	// MaxTokens, From and Have are for generation: go on at index From after
 	// the texts in Have.
 	MaxTokens int      `json:"max_tokens,omitempty"`
@@ -137,6 +141,14 @@
 	Have      []string `json:"have,omitempty"`
 }
 
+// Takes gives all that a stage takes as one text.
+func (run Run) Takes() string {
+	if len(run.Inputs) == 0 {
+		return run.Input
+	}
+	return strings.Join(run.Inputs, " ")
+}
+
 // Ran is an endpoint's answer.
 type Ran struct {
 	Attempt  string      `json:"attempt"`
--- a/pkg/svcdoc/check.go
+++ b/pkg/svcdoc/check.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 
 	"amaranthvalve/internal/place"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/graph"
 )
 
 // Bounds of a document.
@@ -109,16 +111,60 @@
 		chk.fts.Add("stage", "%d stages, at most %d are possible", len(raw.Stage), maxStages)
 	}
 	seen := map[string]bool{}
-	need := int64(0)
 	for i := range raw.Stage {
 		chk.stage(fmt.Sprintf("stage[%d]", i), &raw.Stage[i], seen)
-		need += raw.Stage[i].NeedMs
 	}
-	if need > raw.DeadlineMs {
+	chk.order()
+	need := chk.doc.graph.Longest(func(stg int) clock.Milli { return clock.Milli(raw.Stage[stg].NeedMs) })
+	if need > clock.Milli(raw.DeadlineMs) {
 		chk.fts.Warn("deadline_ms", "the stages' need_ms add up to %d ms, the deadline is %d ms: every request would be refused", need, raw.DeadlineMs)
 	}
 }
 
+// order reads which stages take the results of which. A stage that names none takes
+// those of the stage before it, so that a plain list is a line.
+func (chk *checker) order() {
+	after := make([][]int, len(chk.doc.raw.Stage))
+	taken := make([]bool, len(after))
+	for i := range after {
+		after[i] = chk.after(i)
+		for _, pre := range after[i] {
+			taken[pre] = true
+		}
+	}
+	for i := range taken[:max(len(taken)-1, 0)] {
+		if !taken[i] {
+			chk.fts.Add(fmt.Sprintf("stage[%d].name", i), "no stage takes the result of %q; only the last one's is the answer", chk.doc.raw.Stage[i].Name)
+		}
+	}
+	// Stages take from earlier ones alone, so there is no circle that could fail.
+	chk.doc.graph, _ = graph.New(after)
+}
+
+// after gives the numbers of the stages whose results a stage takes.
+func (chk *checker) after(i int) []int {
+	path := fmt.Sprintf("stage[%d].after", i)
+	if !chk.fts.Has(path) {
+		if i == 0 {
+			return nil
+		}
+		return []int{i - 1}
+	}
+	var list []int
+	for _, name := range chk.doc.raw.Stage[i].After {
+		pre := slices.IndexFunc(chk.doc.raw.Stage[:i], func(stg rawStage) bool { return stg.Name == name })
+		switch {
+		case pre < 0:
+			chk.fts.Add(path, "no stage above this one is named %q", name)
+		case slices.Contains(list, pre):
+			chk.fts.Add(path, "%q stands twice", name)
+		default:
+			list = append(list, pre)
+		}
+	}
+	return list
+}
+
 func (chk *checker) stage(path string, stg *rawStage, seen map[string]bool) {
 	kind, ok := kindByName(stg.Kind)
 	if !ok {
--- a/pkg/svcdoc/doc.go
+++ b/pkg/svcdoc/doc.go
@@ -5,7 +5,7 @@
 //
 // A document is a TOML text, snake case, one per service. It names the
 // service, the kinds of request that callers may send (and which of them are
-// non-idempotent), the stages that a request runs through in order, the
+// non-idempotent), the stages that a request runs through, the
 // workspaces that may call and their limits, the priority among services and
 // the deadline.
 //
@@ -15,6 +15,10 @@
 // document says otherwise, because running it once too often books two crews
 // into one block, and running it once too seldom is seen and mended.
 //
+// A stage takes the result of the stage before it, or those of the earlier stages that
+// it lists; one that lists none takes what the caller sent, and runs beside others. The
+// last stage makes the answer, and every other one's result is taken by some stage.
+//
 // # Checks
 //
 // [Parse] reports all faults with path and line, see package place. A document
--- a/pkg/svcdoc/raw.go
+++ b/pkg/svcdoc/raw.go
@@ -21,13 +21,14 @@
 }
 
 type rawStage struct {
-	Name          string `toml:"name"`
-	Kind          string `toml:"kind"`
-	Pool          string `toml:"pool"`
-	Model         string `toml:"model"`
-	NeedMs        int64  `toml:"need_ms"`
-	NonIdempotent *bool  `toml:"non_idempotent"`
-	ChecksFencing bool   `toml:"checks_fencing"`
+	Name          string   `toml:"name"`
+	Kind          string   `toml:"kind"`
+	Pool          string   `toml:"pool"`
+	After         []string `toml:"after"`
+	Model         string   `toml:"model"`
+	NeedMs        int64    `toml:"need_ms"`
+	NonIdempotent *bool    `toml:"non_idempotent"`
+	ChecksFencing bool     `toml:"checks_fencing"`
 }
 
 type rawWorkspace struct {
--- a/pkg/svcdoc/svcdoc.go
+++ b/pkg/svcdoc/svcdoc.go
@@ -3,6 +3,7 @@
 import (
 	"amaranthvalve/internal/place"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/graph"
 )
 
 //go:generate go tool stringer -type=Kind,Weighs -linecomment -output=svcdoc_string.go
@@ -34,6 +35,7 @@
 	raw    rawDoc
 	kinds  []Kind
 	weighs Weighs
+	graph  graph.Graph
 }
 
 // Name gives the service's name.
@@ -62,6 +64,10 @@
 	return Stage{raw: &doc.raw.Stage[i], kind: doc.kinds[i]}
 }
 
+// Graph tells which stages take the results of which. The last stage is its only leaf:
+// what it makes is the answer.
+func (doc *Document) Graph() graph.Graph { return doc.graph }
+
 // Request finds a kind of request; an empty name finds the first.
 func (doc *Document) Request(name string) (Request, bool) {
 	for i := range doc.raw.Request {
