internal/serve, internal/front: a request whose end can be read in two ways is refused

A request with a length and with chunks was taken by its chunks: net/http drops the length without a word. A proxy before us that goes by the length holds what follows the last chunk for a part of the body; we served it as a request of its own, which no caller had sent.

Ruled out: asking net/http (it deletes the header before a handler sees the request); refusing all chunked bodies (callers send them).

Change: callers' connections look at the heads of their requests as the bytes come. A request with a length and chunks gets 400 and its connection closes; so does a chunked one whose head came along with the body before it and was not seen.

--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -9,6 +9,7 @@
 
 	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/serve"
 	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
@@ -97,6 +98,10 @@
 // before it has read a body; with the body in hand the caller's connection stays
 // in order whatever the endpoint does, and a second endpoint can be sent the same.
 func (fr *Front) read(cl *call, lim plan.Limits) outcm.Result {
+	if serve.Ambiguous(cl.http) {
+		cl.out.last = true
+		return outcm.New(outcm.NotRun, outcm.BadRequest, "the body has a length and chunks, or follows a request that wasn't answered yet")
+	}
 	most := lim.BodyBytes
 	if most > 0 && cl.http.ContentLength > most {
 		return outcm.New(outcm.NotRun, outcm.BodyTooLarge, "the body is longer than the documents allow")
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -21,6 +21,8 @@
 	wrt   http.ResponseWriter
 	ctl   *http.ResponseController
 	begun bool
+	// last tells that the caller's connection must close after the answer.
+	last bool
 }
 
 func newOutput(fr *Front, wrt http.ResponseWriter) *output {
@@ -47,7 +49,7 @@
 }
 
 func (out *output) close(hdr http.Header) {
-	if out.fr.closing.Load() {
+	if out.last || out.fr.closing.Load() {
 		hdr.Set("Connection", "close")
 	}
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -72,7 +72,7 @@
 	srv.limits = lim
 	srv.current = &inlet{addr: srv.lsn.Addr(), conns: make(chan net.Conn, handOver), done: make(chan struct{})}
 	one := &http.Server{
-		Handler: srv.handler, MaxHeaderBytes: headerRoom, ReadHeaderTimeout: lim.Header.Duration(),
+		Handler: watched(srv.handler), ConnContext: withGuard, MaxHeaderBytes: headerRoom, ReadHeaderTimeout: lim.Header.Duration(),
 		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(),
 	}
 	srv.all = append(srv.all, one)
@@ -138,7 +138,7 @@
 
 func (inl *inlet) give(con net.Conn) {
 	select {
-	case inl.conns <- con:
+	case inl.conns <- &guard{Conn: con}:
 	case <-inl.done:
 		_ = con.Close()
 	}
