internal/entry: a test of refusals waits until all that it holds is under way

The test sends eight requests that fill the instance and went on when the first of them was at an endpoint; beside load its ninth came before the eighth, was done, and the eighth was refused. The product did as it should.

Ruled out: the limit of the instance (one of the held ones was told queue_full).

--- a/internal/entry/refusals_test.go
+++ b/internal/entry/refusals_test.go
@@ -30,7 +30,8 @@
 
 func restore(wld *world) { wld.publish(0, "booking", wld.read("booking")) }
 
-// hold sends a request that stays under way for a while.
+// hold sends requests that stay under way for a while, and waits until all of them are:
+// whoever came before the last of them would have its place.
 func hold(wld *world, n int) {
 	wld.pools["booking"][0].SetFaults(stand.Faults{SlowMs: 1500})
 	for i := range n {
@@ -39,7 +40,7 @@
 			ginkgo.GinkgoWriter.Printf("held: %s %s %s\n", ans.Outcome, ans.Reason, ans.Detail)
 		}()
 	}
-	until(3*time.Second, wld.nodes[0].busy)
+	until(3*time.Second, func() bool { return wld.nodes[0].chn.InFlight() == n })
 }
 
 var refusals = []refusal{
@@ -71,7 +72,7 @@
 		return wld.call(0, "booking", firstBook("busy"))
 	}, mend: func(wld *world) {
 		wld.pools["booking"][0].SetFaults(stand.Faults{})
-		until(5*time.Second, func() bool { return !wld.nodes[0].busy() })
+		until(5*time.Second, func() bool { return wld.nodes[0].chn.InFlight() == 0 })
 		restore(wld)
 	}},
 	{reason: "queue_full", send: func(wld *world) wire.Answer {
@@ -79,7 +80,7 @@
 		return wld.call(0, "booking", firstBook("full"))
 	}, mend: func(wld *world) {
 		wld.pools["booking"][0].SetFaults(stand.Faults{})
-		until(5*time.Second, func() bool { return !wld.nodes[0].busy() })
+		until(5*time.Second, func() bool { return wld.nodes[0].chn.InFlight() == 0 })
 	}},
 	{reason: "deadline_too_short", send: func(wld *world) wire.Answer {
 		sub := firstBook("short")
--- a/internal/filter/filter.go
+++ b/internal/filter/filter.go
@@ -111,6 +111,13 @@
 	return res
 }
 
+// InFlight gives the number of requests that were let in and have not ended.
+func (chn *Chain) InFlight() int {
+	chn.limit.mtx.Lock()
+	defer chn.limit.mtx.Unlock()
+	return chn.limit.inFlight
+}
+
 // Rates gives this instance's requests a second by workspace.
 func (chn *Chain) Rates() map[string]float64 { return chn.limit.rates() }
 
