internal/state: changes of another list of endpoints are dropped

From its logs: at 12.7 s and 26.1 s single instances write "endpoint gone" for all endpoints but one or two within a millisecond, while the store was up. A follower's question names the list that a reader told it last, and is held for up to half a second; meanwhile the reader was taken for lost, the follower read the store itself, and forgot the told list. The answer, the changes since that list, was then applied to an empty one.

Ruled out: the store's lost history (platform_compact ended two seconds before; the entries were there); lapsed entries (all at once, with the store up).

Change: a list is taken only if it is the one that the news name, by its digest; else the whole list is asked for. One line in the log says so.

--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -125,8 +125,11 @@
 		case nws.Offset == dct.offset:
 			dct.confirm(asOf)
 		}
+		if nws.Listed && !dct.told.take(nws) {
+			ctl.set.Log.Info().Str("reader", string(who)).Int("changes", len(nws.Endpoints)+len(nws.Gone)).Msg("changes of another list of endpoints dropped")
+			return
+		}
 		if nws.Listed {
-			dct.told.take(nws)
 			ctl.endpts.take(slices.Clone(dct.told.List), now)
 		}
 		ctl.endpts.followed = now
--- a/internal/state/lists.go
+++ b/internal/state/lists.go
@@ -63,21 +63,37 @@
 	slices.Sort(nws.Gone)
 }
 
-// take makes the list the one that news tell of.
-func (lst *listed) take(nws news) {
-	lst.Digest = nws.Digest
-	if !nws.Changed {
-		lst.List = nws.Endpoints
-		return
+// take makes the list the one that news tell of; false if they don't lead to it, and then
+// nothing is known and the whole list is asked for next.
+//
+// News may tell changes of another list than ours: while a question is held at a reader,
+// this instance may read the store itself and begin anew. Changes of a list that it has
+// no more, taken for the list, left it with the one endpoint that had changed: all others
+// were gone for seconds, and nearly every request was refused. The digest tells.
+func (lst *listed) take(nws news) bool {
+	list := nws.Endpoints
+	if nws.Changed {
+		list = lst.changed(nws)
+	}
+	if digest(list) != nws.Digest {
+		*lst = listed{}
+		return false
 	}
-	changed := map[string]bool{}
+	lst.Digest, lst.List = nws.Digest, list
+	return true
+}
+
+// changed gives the list with the changes that news tell.
+func (lst *listed) changed(nws news) []talk.Endpoint {
+	differs := map[string]bool{}
 	for _, id := range nws.Gone {
-		changed[id] = true
+		differs[id] = true
 	}
 	for _, ep := range nws.Endpoints {
-		changed[ep.ID] = true
+		differs[ep.ID] = true
 	}
-	list := slices.DeleteFunc(slices.Clone(lst.List), func(ep talk.Endpoint) bool { return changed[ep.ID] })
-	lst.List = append(list, nws.Endpoints...)
-	slices.SortFunc(lst.List, func(x, y talk.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	list := slices.DeleteFunc(slices.Clone(lst.List), func(ep talk.Endpoint) bool { return differs[ep.ID] })
+	list = append(list, nws.Endpoints...)
+	slices.SortFunc(list, func(x, y talk.Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+	return list
 }
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -54,7 +54,7 @@
 				var nws news
 				nws.list(vw, fol.Digest)
 				gom.Expect(nws.Changed || fol.Digest == 0 || since >= pastMost).To(gomega.BeTrue())
-				fol.take(nws)
+				gom.Expect(fol.take(nws)).To(gomega.BeTrue())
 				since = 0
 			}
 			gom.Expect(fol.Digest).To(gomega.Equal(vw.digest))
@@ -75,7 +75,7 @@
 	fol.ctl.docs.offset = 7
 	var nws news
 	nws.list(rdr.View(), 0)
-	fol.ctl.docs.told.take(nws)
+	gom.Expect(fol.ctl.docs.told.take(nws)).To(gomega.BeTrue())
 	fol.take(slices.Clone(fol.ctl.docs.told.List), 0)
 	fol.heardLeaving("a", "it said so", 0)
 
@@ -98,8 +98,37 @@
 	fol := newEndpts()
 	var nws news
 	nws.list(rdr.View(), 0)
-	fol.ctl.docs.told.take(nws)
+	gom.Expect(fol.ctl.docs.told.take(nws)).To(gomega.BeTrue())
 	gom.Expect(fol.ctl.docs.wanted().Digest).To(gomega.Equal(rdr.View().digest))
 	fol.read(list("a"), nil, nil, 10*clock.Second)
 	gom.Expect(fol.ctl.docs.wanted().Digest).To(gomega.BeZero())
 }
+
+// TestChangesOfAnotherList: a follower's question is held at a reader while the follower
+// reads the store itself. The answer tells changes of the list that it had before. Taken
+// for the whole list they left one endpoint of all, and nearly every request was refused
+// for seconds; they are dropped, and the next answer has the whole list.
+func TestChangesOfAnotherList(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	rdr := reader(list("a", "b", "c"))
+	fol := newEndpts()
+	var whole news
+	whole.list(rdr.View(), 0)
+	gom.Expect(fol.ctl.docs.told.take(whole)).To(gomega.BeTrue())
+	asked := fol.ctl.docs.wanted()
+
+	rdr.endpts.list, rdr.dirty = list("a", "b", "c", "d"), true
+	rdr.publish(0)
+	var change news
+	change.list(rdr.View(), asked.Digest)
+	gom.Expect(change.Changed).To(gomega.BeTrue())
+	fol.read(list("a", "b", "c"), nil, nil, 10*clock.Second)
+	gom.Expect(fol.ctl.docs.told.take(change)).To(gomega.BeFalse())
+	gom.Expect(fol.list).To(gomega.HaveLen(3))
+
+	gom.Expect(fol.ctl.docs.wanted().Digest).To(gomega.BeZero())
+	var next news
+	next.list(rdr.View(), 0)
+	gom.Expect(fol.ctl.docs.told.take(next)).To(gomega.BeTrue())
+	gom.Expect(fol.ctl.docs.told.List).To(gomega.HaveLen(4))
+}
