internal/front: a planned stop refuses what it would break off

Callers use an address for three times the time that they are told, and longer; the instance served all of them until its end.

Ruled out: ending the service of kept addresses sooner (most of those requests are answered in a tenth of a second); a longer time (the platform sets it).

Change: the times of whole requests are measured by route. During a planned stop a request that will hardly be answered before its end is refused at once: it has not run, and the caller is asked to come back soon, elsewhere.

--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -4,6 +4,7 @@
 // A request passes, in this order:
 //
 //	match     the route, by host and path; the limits of what may be sent
+//	stay      refused during a planned stop that ends before the answer would
 //	identify  the workspace, by its token, unless the route is open
 //	admit     refused at once when it can't be answered in time
 //	stages    the pieces that must be made before it can run, wave by wave
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,24 +37,23 @@
 
 // Front serves callers. It is made by [New].
 type Front struct {
-	set     Setup
-	pools   *pools.Pools
-	homes   *homes.Homes
-	head    chain.Next[*call]
-	under   atomic.Int64
-	closing atomic.Bool
+	set   Setup
+	pools *pools.Pools
+	homes *homes.Homes
+	head  chain.Next[*call]
+	under atomic.Int64
+	// ends is the instant of the end of a planned stop, zero for none.
+	ends   atomic.Int64
+	wholes wholes
 }
 
 // New returns a front with its filters in their order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, homes: set.Homes}
-	fr.head = chain.Link(fr.final, fr.match, fr.identify, fr.admit, fr.stages)
+	fr.head = chain.Link(fr.final, fr.match, fr.stay, fr.identify, fr.admit, fr.stages)
 	return fr
 }
 
-// Closing makes each answer from now on ask the caller to close its connection.
-func (fr *Front) Closing() { fr.closing.Store(true) }
-
 // Under gives the number of requests under way.
 func (fr *Front) Under() int64 { return fr.under.Load() }
 
@@ -122,6 +121,7 @@
 		Int64("spent_ms", int64(cl.spent)).Int64("staged_ms", int64(cl.staged)).Int64("first_ms", int64(cl.first)).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
 		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.viewAge)).Msg("request ended")
 	if res.Outcome() == outcm.Done {
+		fr.wholes.sample(name, took, fr.set.Clock.Now())
 		return
 	}
 	cl.out.fail(res)
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -49,7 +49,7 @@
 }
 
 func (out *output) close(hdr http.Header) {
-	if out.last || out.fr.closing.Load() {
+	if _, leaving := out.fr.leaving(); leaving || out.last {
 		hdr.Set("Connection", "close")
 	}
 }
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -11,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
 
@@ -90,6 +91,30 @@
 		eventually(stopped, 2*soon).Should(gomega.BeClosed())
 	})
 
+	// An instance is about to end, and a caller that still has its address sends a
+	// request whose answer takes longer than what is left. It is told at once that it
+	// has not run, and asked to go; broken off in its answer it could not know. What
+	// is answered quickly is still served.
+	ginkgo.It("refuses what it would break off at its end", func() {
+		wld := newWorld(1)
+		nod := wld.nodes[0]
+		for _, ep := range wld.plain {
+			ep.Takes = 400 * time.Millisecond
+		}
+		for range 3 {
+			expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusOK))
+		}
+		before := len(runs(wld.plain))
+		nod.front.Leave(nod.clk.Now() + 60000)
+		expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusOK))
+		nod.front.Leave(nod.clk.Now() + 300)
+		ans := wld.send(0, ask{path: "/booking/x"})
+		expect(ans.status).To(equal(http.StatusServiceUnavailable))
+		expect(ans.body).To(gomega.ContainSubstring("stopping"))
+		expect(ans.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		expect(runs(wld.plain)).To(gomega.HaveLen(before + 1))
+	})
+
 	// Of three instances two read the store for all. The readers' ways to it go
 	// silent without a reset, then a token is taken away. The third one's own way
 	// is sound: within two seconds it must run nothing for the token, though the
@@ -117,6 +142,32 @@
 
 	// An instance starts while the store is out. It takes the documents from
 	// another instance, and serves what needs no token.
+	// The store refuses everybody for some seconds. Each instance goes on asking, for
+	// else it would not know that it is back; but each call is paid for, also one that
+	// is refused, and hundreds of instances that ask as fast as they can keep a store
+	// down that could come back. Callers notice nothing of either.
+	ginkgo.It("asks a store that is down rarely, and knows soon that it is back", func() {
+		wld := newWorld(4)
+		before := make([]int64, len(wld.ways))
+		wld.store.SetMode(fake.Busy)
+		time.Sleep(2 * time.Second)
+		for i, wy := range wld.ways {
+			before[i] = wy.calls.Load()
+		}
+		// Pauses of half a second at the least, and what is under way at both ends.
+		const outage, most = 3, 2*3 + 1
+		time.Sleep(outage * time.Second)
+		for i, wy := range wld.ways {
+			expect(wy.calls.Load()-before[i]).To(gomega.BeNumerically("<=", most), "calls of instance %d", i)
+			expect(wy.calls.Load()-before[i]).To(gomega.BeNumerically(">=", 1), "calls of instance %d", i)
+		}
+		wld.store.SetMode(fake.Well)
+		// Whoever is told by a reader knows what was true a good second ago.
+		for _, nod := range wld.nodes {
+			eventually(func() clock.Milli { return nod.ctl.View().Age(nod.clk.Now()) }, 2*time.Second).Should(gomega.BeNumerically("<", 1500), "%s", nod.ctl.Self())
+		}
+	})
+
 	ginkgo.It("starts without the store", func() {
 		wld := newWorld(1)
 		wld.store.SetMode(fake.Busy)
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -127,10 +127,12 @@
 // also what was under way.
 type way struct {
 	cut   atomic.Bool
+	calls atomic.Int64
 	store http.Handler
 }
 
 func (wy *way) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	wy.calls.Add(1)
 	rec := httptest.NewRecorder()
 	if !wy.cut.Load() {
 		wy.store.ServeHTTP(rec, req)
