internal/state: a store that is down is asked rarely

Cause: while the store refuses, each instance asked it for documents four times a second, for endpoints and for instances besides: 15 calls in 3 s (the test). Refused calls are paid for, and hundreds of instances that ask as fast as they can keep a store down that could come back.

Change: the pause between asks for documents doubles up to a second, spread; while they fail nothing else is asked for. A reader that hears nothing from the store says so at once, so that its followers go elsewhere half a second sooner.

--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +13,7 @@
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/retry"
 )
 
 const (
@@ -22,8 +24,14 @@
 	// readWait bounds a read beyond the time it is held: a slow store answers
 	// in some hundred milliseconds, a silent connection never does.
 	readWait = 1500 * time.Millisecond
-	// againAfter is the pause after a failed read.
-	againAfter = 250 * time.Millisecond
+	// againAfter is the pause after a failed read; it doubles with each further one up to
+	// againMost. Each call is paid for, refused ones too, and while the store is down all
+	// instances ask it. The longest pause is how late an instance knows that the store is back, well within the
+	// two seconds in which a change must be in force.
+	againAfter = 250 * clock.Milli(1)
+	againMost  = clock.Second
+	// againSteps is after how many failures the pause is at its longest.
+	againSteps = 3
 	// stateWait bounds the question for another instance's documents.
 	stateWait = time.Second
 )
@@ -48,12 +56,14 @@
 
 // watch reads the documents, and then waits in the store for newer ones.
 func (dct *docsCtl) watch(ctx context.Context) {
-	from := int64(-1)
+	from, fails := int64(-1), 0
 	for ctx.Err() == nil {
 		if who, ok := dct.ctl.reader(dct.ctl.set.Clock.Now()); ok {
 			// Whoever reads the store again later starts with a whole read.
 			from = -1
-			dct.followOnce(ctx, who)
+			if dct.followOnce(ctx, who) {
+				fails = 0
+			}
 			continue
 		}
 		next, err := dct.read(ctx, from)
@@ -62,24 +72,26 @@
 			// The next read is a whole one: whatever happened to the log
 			// meanwhile, the newest record of a key is there.
 			from = -1
-			pause(ctx, againAfter)
+			pause(ctx, retry.Spread(min(againAfter<<min(fails, againSteps), againMost)/2).Duration())
+			fails++
 			continue
 		}
-		from = next
+		from, fails = next, 0
 	}
 }
 
-// followOnce follows a reader for one answer. One that fails is left alone for a
-// while.
-func (dct *docsCtl) followOnce(ctx context.Context, who ident.Incarnation) {
+// followOnce follows a reader for one answer; false if it had none. One that fails is
+// left alone for a while.
+func (dct *docsCtl) followOnce(ctx context.Context, who ident.Incarnation) bool {
 	err := dct.follow(ctx, who)
 	if err == nil || ctx.Err() != nil {
-		return
+		return err == nil
 	}
 	now := dct.ctl.set.Clock.Now()
 	dct.silent.add(who, now+readerSilent)
 	dct.ctl.loop.Do(ctx, func(clock.Milli) { dct.ctl.endpts.followed = 0 })
 	dct.ctl.set.Log.Info().Err(err).Str("reader", string(who)).Int64("view_age_ms", int64(dct.ctl.View().Age(now))).Msg("reader of the store lost")
+	return false
 }
 
 // read waits for a change if from is known, and reads the newest documents. It
@@ -110,6 +122,17 @@
 	return doc.End, nil
 }
 
+// errStoreDown stands for the answer of a store that didn't answer for documents.
+var errStoreDown = errors.New("the store didn't answer when it was asked for documents")
+
+// storeDown tells whether the store failed to answer when it was asked for documents last.
+// It is asked for those all the while; asked for anything else it would tell the same.
+func (ctl *Control) storeDown(ctx context.Context) bool {
+	down := false
+	ctl.loop.Do(ctx, func(clock.Milli) { down = ctl.docs.down })
+	return down
+}
+
 // contact writes down a lost or regained store.
 func (dct *docsCtl) contact(ctx context.Context, err error) {
 	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -51,9 +51,7 @@
 			pause(ctx, pollEvery)
 			continue
 		}
-		rctx, cancel := context.WithTimeout(ctx, readWait)
-		list, faults, err := ect.ctl.set.Store.Endpoints(rctx)
-		cancel()
+		list, faults, err := ect.ask(ctx)
 		if !ect.ctl.loop.Do(ctx, func(now clock.Milli) { ect.read(list, faults, err, now) }) {
 			return
 		}
@@ -61,6 +59,16 @@
 	}
 }
 
+// ask reads the entries, unless the store is down.
+func (ect *endptsCtl) ask(ctx context.Context) ([]talk.Endpoint, []error, error) {
+	if ect.ctl.storeDown(ctx) {
+		return nil, nil, errStoreDown
+	}
+	rctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	return ect.ctl.set.Store.Endpoints(rctx)
+}
+
 // up gives for how long the store has answered without a failure, zero if it doesn't.
 func (ect *endptsCtl) up(now clock.Milli) clock.Milli {
 	if ect.down || !ect.seen {
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -147,7 +147,11 @@
 		return ans
 	}
 	began := ctl.set.Clock.Now()
-	vw := ctl.waitFor(ctx, func(vw *View) bool { return vw.offset > wnt.Offset || vw.digest != wnt.Digest })
+	vw := ctl.waitFor(ctx, func(vw *View) bool {
+		// Who hears nothing from the store says so at once: the follower goes elsewhere.
+		silent := ctl.set.Clock.Since(vw.heard) > newsOld
+		return silent || vw.offset > wnt.Offset || vw.digest != wnt.Digest
+	})
 	now := ctl.set.Clock.Now()
 	if vw.plan == nil {
 		return ans
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -21,6 +21,7 @@
 func reader(lists ...[]talk.Endpoint) *Control {
 	ctl := newEndpts().ctl
 	ctl.docs.plan, ctl.docs.offset = &plan.Plan{}, 7
+	ctl.docs.heardAt = ctl.set.Clock.Now()
 	for _, lst := range lists {
 		ctl.endpts.list, ctl.dirty = lst, true
 		ctl.publish(0)
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"amaranthvalve/internal/talk"
@@ -21,17 +22,11 @@
 	}
 	said := false
 	for turn := 0; ctx.Err() == nil; turn++ {
-		cctx, cancel := context.WithTimeout(ctx, readWait)
-		if !said {
-			said = ctl.set.Store.Announce(cctx, me) == nil
+		var list []talk.Instance
+		err := errStoreDown
+		if !ctl.storeDown(ctx) {
+			list, said, err = ctl.announce(ctx, me, said)
 		}
-		list, err := ctl.set.Store.Instances(cctx)
-		cancel()
-		listed := false
-		for _, inst := range list {
-			listed = listed || inst.Name == me.Name
-		}
-		said = said && (err != nil || listed)
 		if !ctl.loop.Do(ctx, func(now clock.Milli) { ctl.greet(list, err == nil, now) }) {
 			return
 		}
@@ -43,6 +38,21 @@
 	}
 }
 
+// announce writes our own line, unless it was said before, and gives all lines. said tells
+// whether ours stands there as far as is known.
+func (ctl *Control) announce(ctx context.Context, me talk.Instance, said bool) ([]talk.Instance, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	if !said {
+		said = ctl.set.Store.Announce(ctx, me) == nil
+	}
+	list, err := ctl.set.Store.Instances(ctx)
+	if err != nil {
+		return nil, said, err
+	}
+	return list, said && slices.ContainsFunc(list, func(inst talk.Instance) bool { return inst.Name == me.Name }), nil
+}
+
 // Follows tells whether this instance is told by others what stands in the store.
 func (ctl *Control) Follows() bool {
 	_, ok := ctl.reader(ctl.set.Clock.Now())
