internal/front: what may be repeated isn't held by an endpoint that hangs

Cause: an endpoint that takes a request and answers nothing, its health and entry good, held a look into the log until the route's time was up, two seconds, while another one answers in some tens of milliseconds. The product's own stages are tried elsewhere after four times what they hardly take; routed requests were not.

Ruled out: the same for streams with stages: their results have been given back by then, and would have to be made again first.

Change: a final call that may be repeated, and takes no results, is ended after four times what its route's calls hardly take to their first byte, at least 250 ms, if the pool's budget pays for another one. Its time counts in what calls take.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"amaranthvalve/internal/pools"
@@ -32,6 +33,13 @@
 	// room went from 3,466 to 2,726, and answers of engines that they ran nothing from
 	// 116 to 132 of 18,600 requests.
 	fetchFor = 60 * time.Millisecond
+	// patience is how many times what it hardly takes a final call that may be repeated
+	// may take to its first byte before it is tried at another endpoint, and never less
+	// than minPatience. A hung endpoint would otherwise hold a request until its route's
+	// time is up, while others could answer it in some tens of milliseconds. Four times
+	// is what internal/stage goes by too.
+	patience    = 4
+	minPatience = 250 * clock.Milli(1)
 	// keptWhole bounds an answer that is read whole before it is handed on, in
 	// bytes.
 	keptWhole = 1 << 20
@@ -70,6 +78,8 @@
 	// word that they didn't.
 	ran     int
 	refused int
+	// paid tells that the attempt was ended for its time, and the next one paid for.
+	paid atomic.Bool
 	// after is the last event that the caller has of a stream.
 	after string
 	// failed is what the attempt before ended with; kept is a whole failure of
@@ -128,10 +138,18 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.releasing(cl, tgt)
 	defer stop()
+	hurry := run.hurry(cancel)
 	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, talk.Send{
 		Endpoint: tgt.ID, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, After: run.after,
 	})
+	hurry.Stop()
+	outlasted := run.paid.Load()
 	took := fr.set.Clock.Since(began)
+	if outlasted || end == ending.Answered {
+		// What outlasted its time counts too: were it left out, a pool that turns slow
+		// as a whole would be asked twice for each request, against its old times.
+		fr.firsts.sample(cl.route.Name(), took, fr.set.Clock.Now())
+	}
 	if rsp != nil {
 		defer func() { _ = rsp.Body.Close() }()
 		fr.pools.Said(cl.pool.Name(), tgt.ID, rsp.Reply)
@@ -141,15 +159,33 @@
 		cl.first = took
 		return run.answer(ctx, tgt, rsp, began)
 	}
-	fr.pools.Finish(cl.pool.Name(), tgt.ID, end.Verdict(false), took)
+	fr.pools.Finish(cl.pool.Name(), tgt.ID, end.Verdict(outlasted), took)
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
-		Str("ending", end.String()).Int64("took_ms", int64(took)).Msg("attempt failed")
+		Str("ending", end.String()).Bool("outlasted", outlasted).Int64("took_ms", int64(took)).Msg("attempt failed")
 	if rsp != nil && rsp.Reply.Misdirected {
 		fr.set.Control.Left(tgt.ID, "another endpoint answers at its address")
 	}
 	return run.judge(ctx, end)
 }
 
+// hurry ends an attempt that takes far longer than others did, if there may be another.
+// One that can't be repeated, or whose inputs can't be had again, has all the time that is
+// left. The next one is paid for from the pool's budget before this one is ended: without
+// it there would be none, and this one may still be answered.
+func (run *running) hurry(cancel func()) *time.Timer {
+	fr, cl := run.fr, run.cl
+	if !cl.route.Repeatable() || run.ran+1 >= cl.route.Attempts() || len(cl.inputs) > 0 {
+		return time.NewTimer(longestWait.Duration())
+	}
+	careful := fr.firsts.careful(cl.route.Name(), cl.route.Goal(), fr.set.Clock.Now())
+	return time.AfterFunc(max(minPatience, patience*careful).Duration(), func() {
+		if fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()) {
+			run.paid.Store(true)
+			cancel()
+		}
+	})
+}
+
 // releasing gives the request with a hook that gives back what it takes, once the
 // engine has had time to fetch it, and what ends the hook.
 //
@@ -197,7 +233,7 @@
 		return res, false
 	case !fr.stillAllowed(cl):
 		return res, false
-	case end != ending.NothingSent && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
+	case end != ending.NothingSent && !run.paid.Swap(false) && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
 	}
 	fr.set.Meter.Retried(end.Cause())
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,8 +43,11 @@
 	head  chain.Next[*call]
 	under atomic.Int64
 	// ends is the instant of the end of a planned stop, zero for none.
-	ends   atomic.Int64
-	wholes wholes
+	ends atomic.Int64
+	// wholes has the times from a request's arrival to the end of its answer, firsts
+	// those from a final call to its first byte.
+	wholes needs
+	firsts needs
 }
 
 // New returns a front with its filters in their order.
--- a/internal/front/leave.go
+++ b/internal/front/leave.go
@@ -2,47 +2,12 @@
 
 import (
 	"context"
-	"sync"
 
 	"amaranthvalve/internal/chain"
-	"amaranthvalve/pkg/admit"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
 )
 
-// wholes has the time of whole requests, from their arrival to the end of their answer, by
-// route. The zero value has measured nothing.
-type wholes struct {
-	mtx     sync.Mutex
-	byRoute map[string]*admit.Need
-}
-
-// sample notes the time of a request that was answered.
-func (whl *wholes) sample(route string, took, now clock.Milli) {
-	whl.mtx.Lock()
-	defer whl.mtx.Unlock()
-	if whl.byRoute == nil {
-		whl.byRoute = map[string]*admit.Need{}
-	}
-	ned, ok := whl.byRoute[route]
-	if !ok {
-		ned = &admit.Need{}
-		whl.byRoute[route] = ned
-	}
-	ned.Sample(took, now)
-}
-
-// careful gives what a route's request will hardly exceed; guess stands for it until it
-// was measured.
-func (whl *wholes) careful(route string, guess, now clock.Milli) clock.Milli {
-	whl.mtx.Lock()
-	defer whl.mtx.Unlock()
-	if ned, ok := whl.byRoute[route]; ok {
-		return ned.Careful(guess, now)
-	}
-	return guess
-}
-
 // Leave makes each answer from now on ask the caller to close its connection; end is the
 // instant at which the process ends.
 func (fr *Front) Leave(end clock.Milli) { fr.ends.Store(int64(end)) }
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -94,6 +94,33 @@
 		expect(runs(wld.plain)).To(gomega.HaveLen(4))
 	})
 
+	// One of two endpoints hangs while its health and its entry are good. A look into
+	// the log may be repeated: its caller has the other one's answer as soon as the first
+	// has taken far longer than usual, not when the route's time is up. A booking stays
+	// where it is, for it may have run.
+	ginkgo.It("that may be repeated doesn't wait for an endpoint that hangs", func() {
+		wld := newWorld(1)
+		for range 5 {
+			expect(wld.send(0, ask{path: "/log/x", method: http.MethodGet}).status).To(equal(http.StatusOK))
+		}
+		wld.plain[0].Fault(fake.Hangs)
+		wld.plain[0].Fault(fake.Hangs)
+		for range 4 {
+			began := time.Now()
+			expect(wld.send(0, ask{path: "/log/x", method: http.MethodGet}).status).To(equal(http.StatusOK))
+			expect(time.Since(began)).To(gomega.BeNumerically("<", 900*time.Millisecond))
+		}
+		for _, ep := range wld.plain {
+			ep.Mend()
+		}
+		wld.publish(func(doc *fake.Document) { doc.Timeouts = map[string]int{"booking": 900} })
+		eventually(func() int64 { return wld.nodes[0].ctl.View().Plan().Version() }, soon).Should(equal(int64(wld.version)))
+		fault(wld.plain, fake.Hangs)
+		before := len(runs(wld.plain))
+		expect(wld.send(0, ask{path: "/booking/x"}).status).To(equal(http.StatusGatewayTimeout))
+		expect(len(runs(wld.plain))).To(gomega.BeNumerically("<=", before+1))
+	})
+
 	// A caller leaves while its endpoint works. The endpoint's connection is closed
 	// within half a second, so that its place is free for others.
 	ginkgo.It("whose caller leaves is let go at its endpoint", func() {
