internal/front: times by route are bounded; a payment speaks of one attempt

Documents bring new routes at any time, and the times of all that ever were stayed. And a timer that fires just as its attempt ends left word that the next one was ended for its time.

Change: beyond 4,096 routes all are measured anew; each attempt begins unpaid.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -138,6 +138,7 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.releasing(cl, tgt)
 	defer stop()
+	run.paid.Store(false)
 	hurry := run.hurry(cancel)
 	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, talk.Send{
 		Endpoint: tgt.ID, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, After: run.after,
--- a/internal/front/needs.go
+++ b/internal/front/needs.go
@@ -7,6 +7,10 @@
 	"amaranthvalve/pkg/clock"
 )
 
+// mostNeeds bounds the routes that times are kept of, some 100 B each: documents bring new
+// routes at any time. Beyond it all are measured anew, which takes some requests of each.
+const mostNeeds = 4096
+
 // needs has measured times by route. The zero value has measured nothing.
 type needs struct {
 	mtx     sync.Mutex
@@ -17,7 +21,7 @@
 func (nds *needs) sample(route string, took, now clock.Milli) {
 	nds.mtx.Lock()
 	defer nds.mtx.Unlock()
-	if nds.byRoute == nil {
+	if nds.byRoute == nil || len(nds.byRoute) >= mostNeeds {
 		nds.byRoute = map[string]*admit.Need{}
 	}
 	ned, ok := nds.byRoute[route]
