internal/filter: the longest life of a key is honoured for callers whose clocks are ahead

The caller adds an hour to its own clock; each process rounds its clock's start and each reading to a millisecond, so the instance's can be two behind, and an hour is the default bound.

Change: an expiry up to two seconds beyond the document's bound is taken, never beyond the ledgers' own.

Before: refused now and then.

--- a/internal/filter/entry.go
+++ b/internal/filter/entry.go
@@ -127,13 +127,22 @@
 	if !keyRule.MatchString(cl.Submit.Key) {
 		return bad(outcm.BadRequest, "key: 1 to 128 of letters, digits, '.', '_', ':' and '-'")
 	}
-	life := min(cl.doc.KeyLife(), claim.MaxLife)
-	if cl.Submit.ExpiresMs <= 0 || cl.Submit.ExpiresMs > cl.arrived+life {
-		return bad(outcm.BadRequest, "expires_ms: %d is not an instant within the next %d ms", cl.Submit.ExpiresMs, life)
+	if !expiryFits(cl.Submit.ExpiresMs, cl.arrived, cl.doc.KeyLife()) {
+		return bad(outcm.BadRequest, "expires_ms: %d is not an instant within the next %d ms", cl.Submit.ExpiresMs, cl.doc.KeyLife())
 	}
 	return outcm.Result{}
 }
 
+// clockSkew is how far a caller's clock may be ahead of ours. A caller that asks for the
+// longest life says an instant by its own clock, and was refused when that was a millisecond
+// ahead. Ledgers keep room of an hour for it (package claim).
+const clockSkew = 2 * clock.Second
+
+// expiryFits tells whether an instant may be a key's expiry.
+func expiryFits(expires, now, life clock.Milli) bool {
+	return expires > 0 && expires <= now+min(life+clockSkew, claim.MaxLife)
+}
+
 func (chn *Chain) checkResume(cl *Call) outcm.Result {
 	rsm := cl.Submit.Resume
 	if rsm == nil {
