pkg/gather, internal/batch: calls of a pool begin at even distances

Cause: pools bunch. Whatever waits takes all free places with small calls; these end together, and what came meanwhile has waited for half a call and goes in one large one.

Change: a call that isn't full begins no sooner after the last one than a place comes free on average; an order waits 5 ms for others that the same call set off. Timers of the desk are a seam.

TestNearWhileThereIsTime looks at instants at which no distance is in force.

--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -29,6 +29,8 @@
 	// Fetched is told of results that have been fetched by all that take them, to be
 	// given back.
 	Fetched func(lots []Lot)
+	// After runs work once a span has passed; nil for the runtime's timers.
+	After func(span clock.Milli, work func())
 	// Gone is told of an endpoint whose address answers as another one.
 	Gone func(id, why string)
 }
@@ -41,7 +43,12 @@
 }
 
 // New returns a desk without pools.
-func New(set Setup) *Desk { return &Desk{set: set, pools: map[string]*pool{}} }
+func New(set Setup) *Desk {
+	if set.After == nil {
+		set.After = afterFunc
+	}
+	return &Desk{set: set, pools: map[string]*pool{}}
+}
 
 // Sync takes the pools of a plan and the endpoints that are known.
 func (dsk *Desk) Sync(pln *plan.Plan, endpoints []talk.Endpoint) {
@@ -83,5 +90,4 @@
 // gathered here.
 func (dsk *Desk) Wait(name string) clock.Milli { return dsk.pool(name).wait() }
 
-// sleep runs work after a span.
-func sleep(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
+func afterFunc(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
--- a/internal/batch/fetch_test.go
+++ b/internal/batch/fetch_test.go
@@ -29,7 +29,10 @@
 	back chan Lot
 }
 
-func newBench(most int) *bench {
+func newBench(most int) *bench { return newBenchWith(most, nil) }
+
+// newBenchWith has a desk whose timers are as given.
+func newBenchWith(most int, after func(clock.Milli, func())) *bench {
 	bnc := &bench{begun: make(chan []talk.Item, 9), ends: make(chan error, 9), back: make(chan Lot, 9)}
 	dia := &talk.Dialect{
 		Run: func(_ context.Context, _ *http.Client, _ talk.Endpoint, items []talk.Item) ([]talk.Made, talk.Reply, error) {
@@ -46,7 +49,7 @@
 		Free: func(context.Context, *http.Client, string, []string) error { return nil },
 	}
 	bnc.desk = New(Setup{
-		Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second,
+		Dialect: dia, After: after, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second,
 		Fetched: func(lots []Lot) {
 			for _, lot := range lots {
 				bnc.back <- lot
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -22,6 +22,9 @@
 	// wait and no call ends meanwhile: an endpoint that was full, failed or out
 	// of room opens without telling.
 	lookAgain = 20 * clock.Milli(1)
+	// settle is how long an order waits for others that were set off by the same call
+	// of the stage before: they come from several instances, within the way between data centres.
+	settle = 5 * clock.Milli(1)
 	// freeAfter is how long results to be given back are gathered for one call,
 	// and freeWait bounds the call.
 	freeAfter = 4 * clock.Milli(1)
@@ -48,8 +51,9 @@
 	// holdUntil is the instant until which inputs are held to their calls' ends.
 	holdUntil clock.Milli
 	budget    *rate.Limiter
-	looking   bool
-	freed     map[string][]string
+	// wakeAt is when the book is asked again at the latest.
+	wakeAt clock.Milli
+	freed  map[string][]string
 }
 
 func newPool(name string, set Setup) *pool {
@@ -87,7 +91,7 @@
 	for i := range ask.Count {
 		pol.add(ord, i, false)
 	}
-	pol.run()
+	pol.wakeIn(settle, now)
 	pol.mtx.Unlock()
 	select {
 	case <-ord.done:
@@ -149,15 +153,27 @@
 	for _, pc := range pol.book.Expired(now) {
 		pol.fail(pc.ID, talk.Late)
 	}
-	if pol.book.Waiting() > 0 && !pol.looking {
-		pol.looking = true
-		sleep(lookAgain, func() {
-			pol.mtx.Lock()
-			defer pol.mtx.Unlock()
-			pol.looking = false
-			pol.run()
-		})
+	if pol.book.Waiting() == 0 {
+		return
+	}
+	span := lookAgain
+	if space := pol.book.Space(now); space > 0 {
+		span = min(span, space)
 	}
+	pol.wakeIn(span, now)
+}
+
+// wakeIn has the book asked again after a span, unless it will be sooner anyway.
+func (pol *pool) wakeIn(span, now clock.Milli) {
+	if now < pol.wakeAt && pol.wakeAt <= now+span {
+		return
+	}
+	pol.wakeAt = now + span
+	pol.set.After(span, func() {
+		pol.mtx.Lock()
+		defer pol.mtx.Unlock()
+		pol.run()
+	})
 }
 
 // fail ends the order of a piece that can't be made.
@@ -334,7 +350,7 @@
 // repeated: the maker drops the result by itself after a while.
 func (pol *pool) giveBack(res Handle) {
 	if len(pol.freed[res.Addr]) == 0 {
-		sleep(freeAfter, func() { pol.flush(res.Addr) })
+		pol.set.After(freeAfter, func() { pol.flush(res.Addr) })
 	}
 	pol.freed[res.Addr] = append(pol.freed[res.Addr], res.Name)
 }
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -9,7 +9,7 @@
 
 // Next gives a call to be made now; false if there is nothing to do.
 func (bk *Book) Next(now clock.Milli) (Batch, bool) {
-	if len(bk.waiting) == 0 {
+	if len(bk.waiting) == 0 || bk.Space(now) > 0 {
 		return Batch{}, false
 	}
 	bk.forget(now)
@@ -275,5 +275,6 @@
 	bk.calls[bat.ID] = &call{maker: mkr, count: len(bat.Pieces), bytes: bytes, began: now, expect: expect}
 	mkr.calls++
 	mkr.held += bytes
+	bk.spacing.note(bk.spec.Time(len(bat.Pieces)), now)
 	return bat, true
 }
--- a/pkg/gather/doc.go
+++ b/pkg/gather/doc.go
@@ -18,6 +18,8 @@
 // an overload makes everybody a little late: the one most overdue would always go
 // first, and its answer is worth a fraction whenever it comes.
 //
+// Calls of a pool begin at even distances: see [Book.Space].
+//
 // # Place and room
 //
 // A result stays at its maker until it is given back, and whoever takes it fetches
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -177,8 +177,9 @@
 	next    int64
 	// filled is the mean number of pieces of calls that were begun while there
 	// were enough to fill them.
-	filled float64
-	pace   pace
+	filled  float64
+	pace    pace
+	spacing spacing
 }
 
 // Set gives the pool's specification.
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -147,10 +147,11 @@
 	first, _ := bk.Next(0)
 	gom.Expect(first.Maker.Zone).To(gomega.Equal("z1"))
 
-	bk.Add(Piece{ID: 1, Job: 9, Due: 9000, Until: 9000, Zone: "z1", NearUntil: 100})
-	_, ok := bk.Next(50)
+	bk.Add(Piece{ID: 1, Job: 9, Due: 9000, Until: 9000, Zone: "z1", NearUntil: 200})
+	gom.Expect(bk.Space(199)).To(gomega.BeZero())
+	_, ok := bk.Next(199)
 	gom.Expect(ok).To(gomega.BeFalse(), "z1 will be free soon")
-	bat, ok := bk.Next(101)
+	bat, ok := bk.Next(201)
 	gom.Expect(ok).To(gomega.BeTrue())
 	gom.Expect(bat.Maker.Zone).To(gomega.Equal("z0"))
 }
