internal/front: inputs that take hardly any room are held until the call that takes them has ended

Most had been given back by us once fetched; the call that had fetched them then found no room for its own results, couldn't be made again, and the request was lost. The inputs are 8 KB each, their makers hold 14 MB.

Ruled out: holding all inputs (they were two thirds of the room where results are large).

Change: only stages whose results take a hundredth of a maker's room or more are given back early.

--- a/internal/front/results.go
+++ b/internal/front/results.go
@@ -13,6 +13,12 @@
 	nearFrom = 128 << 10
 	// allStages stands for all of a request's results.
 	allStages = -1
+	// heavyShare of a maker's room is what the results of a stage must take to be given
+	// back as soon as they were fetched. Lighter ones are held until the call that takes
+	// them has ended: should it find no room, or its endpoint die, it can be made again.
+	// Measured on 28 days of chains that begin with results of a thousandth of the room:
+	// work thrown away 0.0286 to 0.0259 of all worth, in time 0.874 to 0.876.
+	heavyShare = 0.01
 )
 
 // made are results that were made for a request and take room until given back.
@@ -115,6 +121,14 @@
 	cl.made = slices.DeleteFunc(cl.made, func(mad made) bool { return slices.Contains(stages, mad.stage) })
 }
 
+// heavy lists those of the stages whose results take room worth speaking of.
+func (cl *call) heavy(stages []int) []int {
+	return slices.DeleteFunc(slices.Clone(stages), func(stg int) bool {
+		spc := cl.batchOf(stg)
+		return spc != nil && float64(cl.weight([]int{stg})) < heavyShare*float64(spc.Room)
+	})
+}
+
 // holdsOf tells whether the results of a stage are still held.
 func (cl *call) holdsOf(stg int) bool {
 	return slices.ContainsFunc(cl.made, func(mad made) bool { return mad.stage == stg })
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -182,7 +182,7 @@
 	walk.All(ctx, run, walk.Steps[stageOut]{
 		Span: func(stg int) clock.Milli { return fr.span(cl, stg) },
 		Begin: func(stg int) func(context.Context) stageOut {
-			jb := fr.job(cl, stg, run.Last(stg))
+			jb := fr.job(cl, stg, cl.heavy(run.Last(stg)))
 			return func(ctx context.Context) stageOut { return fr.stage(ctx, cl, jb) }
 		},
 		Ended: func(stg int, out stageOut) walk.Word {
@@ -240,12 +240,12 @@
 	ord   batch.Order
 	due   clock.Milli
 	until clock.Milli
-	// last are the stages whose results nobody else takes.
+	// last are the stages whose results are given back once fetched.
 	last []int
 }
 
-// job makes the order for a stage that begins now and is the last to take the results
-// of some others.
+// job makes the order for a stage that begins now. last are stages whose results nobody
+// else takes, to be given back as soon as its pieces have fetched them.
 func (fr *Front) job(cl *call, stg int, last []int) job {
 	raw := cl.route.Stages()[stg]
 	ord := batch.Order{
