internal/homes: an instance has no pieces made before it can know of the others

Cause: after a loss of all, instances serve 8 ms after their start and know of each other 24 ms after it. In between each gathers alone; seven of them filled all places and queues of the makers with calls of one piece.

Ruled out: the store (documents are there after 8 ms), want of room (that comes 0.6 s later).

Change: orders wait until 60 ms after the process's start. A caller that leaves is let go.

--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -276,7 +276,7 @@
 // stage has an order filled.
 func (fr *Front) stage(ctx context.Context, cl *call, jb job) stageOut {
 	began := fr.set.Clock.Now()
-	fld, home := fr.homes.Fill(ctx, fr.set.Control.View(), jb.ord, func() (due, until clock.Milli) {
+	fld, home := fr.homes.Fill(ctx, jb.ord, func() (due, until clock.Milli) {
 		now := fr.set.Clock.Now()
 		return jb.due - now, jb.until - now
 	})
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/state"
+	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 )
@@ -31,6 +32,12 @@
 	// silentFor is how long an instance that gave no sign of work is not asked:
 	// its suspicion by the others takes about as long.
 	silentFor = 2 * clock.Second
+	// joinTime is how long after its start an instance has no pieces made. It serves some
+	// 8 ms after its start and knows of the others some 16 ms later. After a loss of all, each
+	// gathered alone in between: seven filled all places and queues of the makers with calls of
+	// one piece, and whoever gathered then found no place for 0.7 s. Measured on 40
+	// days on which all processes are killed: worth of the worst seconds 0.420 to 0.427.
+	joinTime = 60 * clock.Milli(1)
 	// freedWait bounds the word that results are given back.
 	freedWait = time.Second
 )
@@ -46,12 +53,16 @@
 	Link  *peer.Link
 	Clock clock.Clock
 	Log   zerolog.Logger
+	// After runs work once a span has passed; nil for the runtime's timers.
+	After func(span clock.Milli, work func())
 }
 
 // Homes finds the instances that gather pools, and remembers which were silent
 // and how long pieces wait there.
 type Homes struct {
 	set Setup
+	// joined is closed when this instance has had the time to learn of the others.
+	joined chan struct{}
 
 	mtx    sync.Mutex
 	silent map[ident.Incarnation]clock.Milli
@@ -61,14 +72,28 @@
 
 // New returns homes that know of no silence.
 func New(set Setup) *Homes {
-	return &Homes{set: set, silent: map[ident.Incarnation]clock.Milli{}, waits: map[string]waited{}}
+	if set.After == nil {
+		set.After = func(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
+	}
+	hms := &Homes{set: set, joined: make(chan struct{}), silent: map[ident.Incarnation]clock.Milli{}, waits: map[string]waited{}}
+	if set.Link == nil {
+		close(hms.joined)
+	} else {
+		set.After(joinTime, func() { close(hms.joined) })
+	}
+	return hms
 }
 
 // Fill has an order filled by the pool's gatherer, or the one after it, or here.
 // It gives the address of who did.
-func (hms *Homes) Fill(ctx context.Context, vw *state.View, ord batch.Order, left func() (due, until clock.Milli)) (batch.Filled, string) {
+func (hms *Homes) Fill(ctx context.Context, ord batch.Order, left func() (due, until clock.Milli)) (batch.Filled, string) {
+	select {
+	case <-hms.joined:
+	case <-ctx.Done():
+		return batch.Filled{Flaw: talk.Late}, hms.set.Control.Self().Addr()
+	}
 	tried := 0
-	for _, who := range vw.Gatherers(ord.Pool) {
+	for _, who := range hms.set.Control.View().Gatherers(ord.Pool) {
 		if who == hms.set.Control.Self() || tried >= homesTried {
 			break
 		}
