internal/ports: tests take ports that the machine gives to nobody else

The test let the machine choose a port, closed it and wrote it into settings; until the instance listened, the port was given to an outgoing connection.

Ruled out: two processes of the test with one port (each port was handed out once), a process left over (the port lies in the range of outgoing connections, 38519).

The three copies that there were go.

--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -4,10 +4,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/ports"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/zlog"
 	"amaranthvalve/platform"
@@ -174,30 +173,11 @@
 	return nod
 }
 
-// Ports for instances lie below those that the machine gives to outgoing connections:
-// one that was free a moment ago would now and then be taken by a test's own caller.
-const (
-	firstPort = 21000
-	lastPort  = 31000
-)
-
-var nextPort = firstPort + os.Getpid()%5000
-
-// loopback is an address of this test process alone: the same tests run side by side, and a
-// port that was free a moment ago would now and then be taken by the other process.
-var loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
-
 // freePort gives an address whose port nobody listens on.
 func freePort() string {
-	for {
-		nextPort++
-		expect(nextPort).To(gomega.BeNumerically("<", lastPort))
-		lsn, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, nextPort))
-		if err == nil {
-			_ = lsn.Close()
-			return lsn.Addr().String()
-		}
-	}
+	list, err := ports.Free(1)
+	expect(err).NotTo(anything())
+	return fmt.Sprintf("%s:%d", ports.Loopback, list[0])
 }
 
 // ask is a request that a test sends.
--- a/internal/proc/bench_test.go
+++ b/internal/proc/bench_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,8 @@
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/ident"
+
+	"amaranthvalve/internal/ports"
 )
 
 // poll is the time between two looks at a condition that is waited for.
@@ -99,13 +100,13 @@
 // Node starts an instance. Its settings are the defaults with those lines
 // added.
 func (bch *Bench) Node(name, zone string, lines ...string) (*Process, error) {
-	ports, err := freePorts(3)
+	list, err := ports.Free(3)
 	if err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(`caller_addr = "127.0.0.1:%d"
-ops_addr = "127.0.0.1:%d"
-peer_addr = "127.0.0.1:%d"
+	text := fmt.Sprintf(`caller_addr = "%s:%d"
+ops_addr = "%s:%d"
+peer_addr = "%s:%d"
 zone = %q
 platform = "http://%s"
 resume_key_hex = %q
@@ -114,7 +115,7 @@
 cert = %q
 key = %q
 ca = %q
-`, ports[0], ports[1], ports[2], zone, bch.platform, bch.key, strings.Join(lines, "\n"),
+`, ports.Loopback, list[0], ports.Loopback, list[1], ports.Loopback, list[2], zone, bch.platform, bch.key, strings.Join(lines, "\n"),
 		filepath.Join(bch.dir, "cert.pem"), filepath.Join(bch.dir, "key.pem"), filepath.Join(bch.dir, "ca.pem"))
 	path := filepath.Join(bch.dir, name+".toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -124,30 +125,10 @@
 	if err != nil {
 		return nil, err
 	}
-	prc.addr, prc.ops = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+	prc.addr, prc.ops = fmt.Sprintf("%s:%d", ports.Loopback, list[0]), fmt.Sprintf("%s:%d", ports.Loopback, list[1])
 	return prc, nil
 }
 
-// freePorts finds ports that are free for TCP and UDP.
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	var held []net.Listener
-	defer func() {
-		for _, lsn := range held {
-			_ = lsn.Close()
-		}
-	}()
-	for len(ports) < n {
-		lsn, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		held = append(held, lsn)
-		ports = append(ports, lsn.Addr().(*net.TCPAddr).Port)
-	}
-	return ports, nil
-}
-
 func (bch *Bench) start(name, program string, args ...string) (*Process, *bufio.Reader, error) {
 	prc := &Process{name: name, cmd: exec.Command(filepath.Join(bch.bin, program), args...), log: &syncBuffer{}, done: make(chan struct{})}
 	prc.cmd.Stderr = prc.log
--- a/internal/soak/datagrams_test.go
+++ b/internal/soak/datagrams_test.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"amaranthvalve/internal/ports"
 )
 
 const (
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sock, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(loopback)})
+	sock, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(ports.Loopback)})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/inst_test.go
+++ b/internal/soak/inst_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"amaranthvalve/internal/ports"
 )
 
 // instance is one place where a process of the daemon runs, and the next one after it.
@@ -79,12 +81,12 @@
 	keepFor   = 300 * time.Millisecond
 )
 
-func newInstance(dir, name, store string, ports []int) (*instance, error) {
+func newInstance(dir, name, store string, list []int) (*instance, error) {
 	way, err := newWire(store)
 	if err != nil {
 		return nil, err
 	}
-	at := func(i int) string { return fmt.Sprintf("%s:%d", loopback, ports[i]) }
+	at := func(i int) string { return fmt.Sprintf("%s:%d", ports.Loopback, list[i]) }
 	ins := &instance{name: name, calls: at(0), entries: at(1), store: way, settled: filepath.Join(dir, name+".toml")}
 	if ins.front, err = newWire(ins.calls); err != nil {
 		return nil, err
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
-	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"amaranthvalve/internal/ports"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/platform/fake"
 )
@@ -84,7 +83,11 @@
 	wld.publish(true)
 	dir := t.TempDir()
 	for i := range instances {
-		ins, err := newInstance(dir, fmt.Sprintf("node%d", i), wld.srv.Addr(), freePorts(5))
+		list, err := ports.Free(5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ins, err := newInstance(dir, fmt.Sprintf("node%d", i), wld.srv.Addr(), list)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -195,29 +198,3 @@
 func (wld *world) span(least, most time.Duration) time.Duration {
 	return least + time.Duration(wld.draw(int((most-least)/time.Millisecond)+1))*time.Millisecond
 }
-
-// Ports lie below those that the machine gives to outgoing connections.
-const (
-	firstPort = 11000
-	lastPort  = 20000
-)
-
-// loopback is an address on loopback of this test process alone: an instance that is
-// down for a moment must find its ports free again, also beside other soaks.
-var loopback = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
-
-var nextPort = firstPort
-
-// freePorts gives ports that were never given before.
-func freePorts(n int) []int {
-	var ports []int
-	for len(ports) < n && nextPort < lastPort {
-		nextPort++
-		lsn, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback, nextPort))
-		if err == nil {
-			_ = lsn.Close()
-			ports = append(ports, nextPort)
-		}
-	}
-	return ports
-}
