pkg/ident, internal/state, platform: endpoints that start again under their name; entries of other writers

Endpoints were known by id alone: a new run would have inherited the load, failures, taken room and leaving of the one before, and an old list could bring that one back. Entries needed no more than an address and a service to be used.

Ruled out: a start beside the id in each book (pools, prefix, gather, state and probes would each have to compare it); resetting each of them on a change (they hear of it at different moments).

Change: what names an endpoint is its run, ident.Process, made once by the adapter; so a new run is a new endpoint to all of them. internal/state keeps the latest run of each name, so that older lists and words change nothing. Calls under way at an ended run are ended (ident.Watch). An entry that lacks a field, or has one of another type, a state that isn't one or an address that is none, is counted, the first few are logged, and it names nobody; one for an unknown service hides no other's address.

--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -12,6 +12,7 @@
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/plan"
 )
 
@@ -32,7 +33,7 @@
 	// After runs work once a span has passed; nil for the runtime's timers.
 	After func(span clock.Milli, work func())
 	// Gone is told of an endpoint whose address answers as another one.
-	Gone func(id, why string)
+	Gone func(id ident.Process, why string)
 }
 
 // Desk gathers the pieces of all pools that fall to this instance.
@@ -57,7 +58,7 @@
 	}
 	makers := map[string][]gather.Maker{}
 	for _, ep := range endpoints {
-		makers[ep.Pool] = append(makers[ep.Pool], gather.Maker{ID: ep.ID, Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving})
+		makers[ep.Pool] = append(makers[ep.Pool], gather.Maker{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving})
 	}
 	for name, pol := range pln.Pools() {
 		if spc := pol.Batch(); spc != nil {
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -11,6 +11,7 @@
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/retry"
 )
@@ -54,6 +55,8 @@
 	// wakeAt is when the book is asked again at the latest.
 	wakeAt clock.Milli
 	freed  map[string][]string
+	// under are the calls under way.
+	under ident.Watch
 }
 
 func newPool(name string, set Setup) *pool {
@@ -66,6 +69,9 @@
 	pol.book.Set(gather.Spec{Places: spc.Places, Most: spc.Most, Call: spc.Call, Item: spc.Item, Room: spc.Room, Keep: spc.Keep})
 	pol.link = spc.Link
 	pol.book.Sync(makers)
+	for _, mkr := range makers {
+		pol.under.Listed(ident.Process(mkr.ID))
+	}
 	pol.run()
 }
 
@@ -191,7 +197,8 @@
 	items := pol.items(bat)
 	ctx, cancel := context.WithTimeout(context.Background(), bat.GiveUp.Duration())
 	defer cancel()
-	ep := talk.Endpoint{ID: bat.Maker.ID, Pool: pol.name, Addr: bat.Maker.Addr, Zone: bat.Maker.Zone}
+	defer pol.under.Watch(ident.Process(bat.Maker.ID), cancel)()
+	ep := talk.Endpoint{ID: ident.Process(bat.Maker.ID), Pool: pol.name, Addr: bat.Maker.Addr, Zone: bat.Maker.Zone}
 	fetch := time.AfterFunc(pol.fetchTime(bat), func() { pol.fetched(bat) })
 	defer fetch.Stop()
 	began := pol.set.Clock.Now()
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -131,10 +131,11 @@
 func (run *running) attempt(ctx context.Context, tgt pools.Target) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
 	cl.attempts++
-	cl.endpoint = tgt.ID
-	run.avoid = append(run.avoid, tgt.ID)
+	cl.endpoint = string(tgt.ID)
+	run.avoid = append(run.avoid, string(tgt.ID))
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer fr.pools.Watch(cl.pool.Name(), tgt.ID, cancel)()
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.releasing(cl, tgt)
 	defer stop()
@@ -161,7 +162,7 @@
 		return run.answer(ctx, tgt, rsp, began)
 	}
 	fr.pools.Finish(cl.pool.Name(), tgt.ID, end.Verdict(outlasted), took)
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
 		Str("ending", end.String()).Bool("outlasted", outlasted).Int64("took_ms", int64(took)).Msg("attempt failed")
 	if rsp != nil && rsp.Reply.Misdirected {
 		fr.set.Control.Left(tgt.ID, "another endpoint answers at its address")
@@ -356,7 +357,7 @@
 		}
 	}
 	fr.pools.Finish(cl.pool.Name(), tgt.ID, ending.Broken(ctx).Verdict(false), fr.set.Clock.Since(began))
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", tgt.ID).Str("after", run.after).Msg("stream cut")
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("after", run.after).Msg("stream cut")
 	res, again := run.judge(ctx, ending.Broken(ctx))
 	if again {
 		fr.set.Meter.Retried(retry.Resumed)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -57,11 +57,12 @@
 	EventOrderRefused = "order_refused"
 	EventLateRelease  = "claim_released_late"
 	EventForeign      = "foreign_answer_dropped"
+	EventEntrySkipped = "endpoint_entry_skipped"
 )
 
 var events = []string{
 	EventDropped, EventLogBack, EventLogTrimmed, EventLogError, EventAppendRepeat, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeign,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeign, EventEntrySkipped,
 }
 
 // Names of the gauges.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,7 @@
 	share, most, window := nod.set.Retries()
 	desk := batch.New(batch.Setup{
 		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Reserve: most, Window: window,
-		Gone:    func(id, why string) { nod.ctl.Left(id, why) },
+		Gone:    func(id ident.Process, why string) { nod.ctl.Left(id, why) },
 		Fetched: func(lots []batch.Lot) { nod.homes.FreeAll(lots) },
 	})
 	pls := pools.New(pools.Setup{Clock: nod.clk, Zone: nod.set.Zone(), RepeatShare: share, Repeats: most})
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -10,6 +10,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/talk"
 	"amaranthvalve/platform/fake"
 )
 
@@ -121,6 +122,38 @@
 		expect(len(runs(wld.plain))).To(gomega.BeNumerically("<=", before+1))
 	})
 
+	// An endpoint dies behind a connection that went silent, and starts again under its name.
+	// A look into the log is under way there. As soon as the new run is listed, the call
+	// is ended and the other endpoint answers; a booking is told as unknown at once.
+	ginkgo.It("is not left with an endpoint that has started again", func() {
+		wld := newWorld(1)
+		for i, ep := range wld.plain {
+			entry := fake.Entry("bookings", wld.servers[ep.ID()].Addr(), false)
+			entry["born"] = 1790000000000 + i
+			wld.store.PutEndpoint(ep.ID(), entry)
+		}
+		eventually(func() bool {
+			return !slices.ContainsFunc(wld.nodes[0].ctl.View().Endpoints(), func(ep talk.Endpoint) bool {
+				return ep.Pool == "bookings" && ep.ID.Born() == 0
+			})
+		}, soon).Should(gomega.BeTrue())
+		fault(wld.plain, fake.Hangs)
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			done <- wld.send(0, ask{path: "/booking/x"})
+		}()
+		eventually(func() int { return len(runs(wld.plain)) }, soon).Should(equal(1))
+		for _, ep := range wld.plain {
+			entry := fake.Entry("bookings", wld.servers[ep.ID()].Addr(), false)
+			entry["born"] = 1790000009000
+			wld.store.PutEndpoint(ep.ID(), entry)
+		}
+		var ans got
+		eventually(done, 3*time.Second).Should(gomega.Receive(&ans))
+		expect(ans.status).To(equal(http.StatusBadGateway))
+	})
+
 	// A caller leaves while its endpoint works. The endpoint's connection is closed
 	// within half a second, so that its place is free for others.
 	ginkgo.It("whose caller leaves is let go at its endpoint", func() {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -48,7 +48,7 @@
 		if ep.Leaving {
 			state = "leaving"
 		}
-		st.Endpoints = append(st.Endpoints, wire.StatusEndpoint{Pool: ep.Pool, ID: ep.ID, Addr: ep.Addr, State: state})
+		st.Endpoints = append(st.Endpoints, wire.StatusEndpoint{Pool: ep.Pool, ID: string(ep.ID), Addr: ep.Addr, State: state})
 	}
 	if pln != nil {
 		st.Services = append(st.Services, wire.StatusService{Service: "all routes", Revision: pln.Version()})
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -10,6 +10,7 @@
 	"amaranthvalve/internal/state"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/prefix"
@@ -39,7 +40,7 @@
 
 // Target is an endpoint picked for a final call.
 type Target struct {
-	ID   string
+	ID   ident.Process
 	Addr string
 	// Full tells that all places of a model engine are taken, as far as is known.
 	Full bool
@@ -70,6 +71,8 @@
 	engines *prefix.Book
 	plain   *route.Pool
 	budget  retry.Budget
+	// under are the calls under way.
+	under ident.Watch
 }
 
 // New returns no pools.
@@ -111,17 +114,20 @@
 }
 
 func (fnl *finals) sync(list []talk.Endpoint) {
+	for _, ep := range list {
+		fnl.under.Listed(ep.ID)
+	}
 	if fnl.engines != nil {
 		engines := make([]prefix.Engine, len(list))
 		for i, ep := range list {
-			engines[i] = prefix.Engine{ID: ep.ID, Addr: ep.Addr, Zone: ep.Zone, Places: ep.Places, Leaving: ep.Leaving}
+			engines[i] = prefix.Engine{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Places: ep.Places, Leaving: ep.Leaving}
 		}
 		fnl.engines.Sync(engines)
 		return
 	}
 	plain := make([]route.Endpoint, len(list))
 	for i, ep := range list {
-		plain[i] = route.Endpoint{ID: ep.ID, Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving}
+		plain[i] = route.Endpoint{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving}
 	}
 	fnl.plain.Sync(plain)
 }
@@ -150,7 +156,7 @@
 	}
 	if fnl.plain != nil {
 		ep, ok := fnl.plain.Pick(route.Ask{Avoid: wnt.Avoid}, now)
-		return Target{ID: ep.ID, Addr: ep.Addr}, ok
+		return Target{ID: ident.Process(ep.ID), Addr: ep.Addr}, ok
 	}
 	eng, ok := fnl.engines.Find(wnt.Aimed)
 	if len(wnt.Avoid) > 0 || !ok || !fnl.engines.Usable(eng.ID, now) {
@@ -160,7 +166,7 @@
 	if ok {
 		fnl.engines.Begin(eng.ID)
 	}
-	return Target{ID: eng.ID, Addr: eng.Addr, Full: full}, ok
+	return Target{ID: ident.Process(eng.ID), Addr: eng.Addr, Full: full}, ok
 }
 
 // Usable tells whether a pool has endpoints that could be sent work.
@@ -187,31 +193,42 @@
 }
 
 // Said notes an endpoint's own word on its load.
-func (pls *Pools) Said(pool, id string, rep talk.Reply) {
+func (pls *Pools) Said(pool string, id ident.Process, rep talk.Reply) {
 	if !rep.HasLoad {
 		return
 	}
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	if fnl := pls.byID[pool]; fnl != nil && fnl.engines != nil {
-		fnl.engines.Said(id, rep.Load, pls.set.Clock.Now())
+		fnl.engines.Said(string(id), rep.Load, pls.set.Clock.Now())
 	}
 }
 
 // Finish notes the end of a request at an endpoint.
-func (pls *Pools) Finish(pool, id string, ver route.Verdict, took clock.Milli) {
+func (pls *Pools) Finish(pool string, id ident.Process, ver route.Verdict, took clock.Milli) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	fnl, now := pls.byID[pool], pls.set.Clock.Now()
 	switch {
 	case fnl == nil:
 	case fnl.plain != nil:
-		fnl.plain.Finish(id, ver, took, now)
+		fnl.plain.Finish(string(id), ver, took, now)
 	case ver == route.Neutral:
-		fnl.engines.Drop(id)
+		fnl.engines.Drop(string(id))
 	default:
-		fnl.engines.End(id, ver == route.Good, now)
+		fnl.engines.End(string(id), ver == route.Good, now)
+	}
+}
+
+// Watch has cancel called if a call's endpoint turns out to have started again: nothing of
+// the call is there any more. It gives what is to be called when the call has ended.
+func (pls *Pools) Watch(pool string, id ident.Process, cancel func()) (stop func()) {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	if fnl := pls.byID[pool]; fnl != nil {
+		return fnl.under.Watch(id, cancel)
 	}
+	return func() {}
 }
 
 // Sent notes a first attempt, which pays into the pool's budget.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -80,7 +80,7 @@
 		Now: set.Clock.Now, Dress: ctl.dress, Heard: ctl.heard,
 	}
 	ctl.docs.ctl, ctl.docs.offset = ctl, -1
-	ctl.endpts = endptsCtl{ctl: ctl, left: map[string]clock.Milli{}, upElse: never}
+	ctl.endpts = endptsCtl{ctl: ctl, left: map[ident.Process]clock.Milli{}, upElse: never}
 	ctl.view.Store(&View{offset: -1})
 	turned := make(chan struct{})
 	ctl.turned.Store(&turned)
@@ -189,7 +189,7 @@
 }
 
 // Left is told by traffic that an endpoint said it is leaving, or is gone.
-func (ctl *Control) Left(id, why string) {
+func (ctl *Control) Left(id ident.Process, why string) {
 	ctl.loop.Offer(func(now clock.Milli) { ctl.endpts.heardLeaving(id, why, now) })
 }
 
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -194,7 +194,7 @@
 // know how long it may have been under way.
 func (ctl *Control) heard(msg peer.Message, sent, now clock.Milli) {
 	for _, id := range msg.Left {
-		ctl.endpts.heardLeaving(id, "told by another instance", now)
+		ctl.endpts.heardLeaving(ident.Process(id), "told by another instance", now)
 	}
 	if sent > 0 {
 		ctl.endpts.heardUpFor(msg.Up, sent)
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
 )
 
 const (
@@ -21,6 +23,8 @@
 	backAfter = 2800 * clock.Milli(1)
 	// leftFor is how long a leaving endpoint is passed on to others.
 	leftFor = 30 * clock.Second
+	// maxFaults bounds the lines on entries that can't be used, for each look at them.
+	maxFaults = 8
 	// maxLeft bounds the names in one message.
 	maxLeft = 32
 )
@@ -32,7 +36,9 @@
 type endptsCtl struct {
 	ctl  *Control
 	list []talk.Endpoint
-	left map[string]clock.Milli
+	left map[ident.Process]clock.Milli
+	// runs has the latest run of each endpoint that was listed lately.
+	runs runs
 	// upSince is since when the store has answered without a failure between.
 	upSince clock.Milli
 	// upElse is since when it has answered another instance, as far as was told.
@@ -129,18 +135,33 @@
 	listed := map[string]bool{}
 	taken := map[string]bool{}
 	for _, ep := range list {
-		listed[ep.ID], taken[ep.Addr] = true, true
+		listed[ep.ID.Name()] = true
+		if ect.known(ep.Pool) {
+			taken[ep.Addr] = true
+		}
 	}
 	for _, ep := range ect.list {
-		if !listed[ep.ID] && !taken[ep.Addr] {
+		if !listed[ep.ID.Name()] && !taken[ep.Addr] {
 			list = append(list, ep)
 		}
 	}
 	return list
 }
 
+// known tells whether a pool is one that the documents name. An entry of any other is not an
+// endpoint's, whatever address it has.
+func (ect *endptsCtl) known(pool string) bool {
+	pln := ect.ctl.docs.plan
+	if pln == nil {
+		return true
+	}
+	_, ok := pln.Pool(pool)
+	return ok
+}
+
 // take makes a list the endpoints that are known.
 func (ect *endptsCtl) take(list []talk.Endpoint, now clock.Milli) {
+	list = ect.runs.latest(list, ect.list, now)
 	for i := range list {
 		if _, left := ect.left[list[i].ID]; left {
 			list[i].Leaving = true
@@ -169,33 +190,41 @@
 
 // tell writes down each endpoint that came, left or began to leave.
 func (ect *endptsCtl) tell(list []talk.Endpoint, now clock.Milli) {
-	before := map[string]talk.Endpoint{}
+	before, names := map[ident.Process]talk.Endpoint{}, map[string]bool{}
 	for _, ep := range ect.list {
-		before[ep.ID] = ep
+		before[ep.ID], names[ep.ID.Name()] = ep, true
 	}
 	for _, ep := range list {
 		old, ok := before[ep.ID]
 		delete(before, ep.ID)
 		if !ok || old.Leaving != ep.Leaving {
-			ect.ctl.set.Log.Info().Str("endpoint", ep.ID).Str("pool", ep.Pool).Str("addr", ep.Addr).
-				Bool("new", !ok).Bool("leaving", ep.Leaving).Msg("endpoint changed")
+			ect.ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("addr", ep.Addr).
+				Bool("new", !ok).Bool("started_again", !ok && names[ep.ID.Name()]).Bool("leaving", ep.Leaving).Msg("endpoint changed")
 		}
 	}
 	for id, ep := range before {
-		ect.ctl.set.Log.Info().Str("endpoint", id).Str("pool", ep.Pool).Str("addr", ep.Addr).
+		ect.ctl.set.Log.Info().Str("endpoint", string(id)).Str("pool", ep.Pool).Str("addr", ep.Addr).
 			Int64("store_up_ms", int64(now-ect.upSince)).Msg("endpoint gone")
 	}
 }
 
-// tellFaults writes down each entry that can't be read, once.
+// tellFaults counts each entry that can't be used once, and writes down the first of them.
 func (ect *endptsCtl) tellFaults(faults []error) {
 	now := map[string]bool{}
+	told := 0
 	for _, fault := range faults {
 		now[fault.Error()] = true
-		if !ect.faults[fault.Error()] {
-			ect.ctl.set.Log.Error().Err(fault).Msg("an endpoint's entry can't be read and is left out")
+		if ect.faults[fault.Error()] {
+			continue
+		}
+		ect.ctl.set.Meter.Event(meter.EventEntrySkipped)
+		if told++; told <= maxFaults {
+			ect.ctl.set.Log.Error().Err(fault).Msg("an entry that is no endpoint's is left out")
 		}
 	}
+	if told > maxFaults {
+		ect.ctl.set.Log.Error().Int("more", told-maxFaults).Msg("further entries that are no endpoint's are left out")
+	}
 	ect.faults = now
 }
 
@@ -209,12 +238,12 @@
 
 // heardLeaving notes an endpoint that is leaving, whoever said so first, and
 // passes it on with the next probes: the store may lag or be down.
-func (ect *endptsCtl) heardLeaving(id, why string, now clock.Milli) {
+func (ect *endptsCtl) heardLeaving(id ident.Process, why string, now clock.Milli) {
 	if _, ok := ect.left[id]; ok {
 		return
 	}
 	ect.left[id] = now
-	ect.ctl.set.Log.Info().Str("endpoint", id).Str("why", why).Msg("endpoint leaves")
+	ect.ctl.set.Log.Info().Str("endpoint", string(id)).Str("why", why).Msg("endpoint leaves")
 	ect.take(slices.Clone(ect.list), now)
 }
 
@@ -222,7 +251,7 @@
 func (ect *endptsCtl) lately() []string {
 	ids := make([]string, 0, len(ect.left))
 	for id := range ect.left {
-		ids = append(ids, id)
+		ids = append(ids, string(id))
 	}
 	slices.Sort(ids)
 	return ids[:min(len(ids), maxLeft)]
--- a/internal/state/endpts_test.go
+++ b/internal/state/endpts_test.go
@@ -22,7 +22,7 @@
 func list(ids ...string) []talk.Endpoint {
 	var eps []talk.Endpoint
 	for _, id := range ids {
-		eps = append(eps, talk.Endpoint{ID: id, Addr: id, Pool: "p"})
+		eps = append(eps, talk.Endpoint{ID: ident.Process(id), Addr: id, Pool: "p"})
 	}
 	return eps
 }
@@ -30,7 +30,7 @@
 func names(eps []talk.Endpoint) []string {
 	var ids []string
 	for _, ep := range eps {
-		ids = append(ids, ep.ID)
+		ids = append(ids, string(ep.ID))
 	}
 	return ids
 }
--- a/internal/state/lists.go
+++ b/internal/state/lists.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/ident"
 )
 
 // pastMost is how many lists of endpoints a reader remembers, to tell followers what has
@@ -25,7 +26,7 @@
 func digest(list []talk.Endpoint) uint64 {
 	sum := xxhash.New()
 	for _, ep := range list {
-		for _, text := range []string{ep.ID, ep.Addr, ep.Pool, strconv.FormatBool(ep.Leaving)} {
+		for _, text := range []string{string(ep.ID), ep.Addr, ep.Pool, strconv.FormatBool(ep.Leaving)} {
 			_, _ = sum.WriteString(text)
 			_, _ = sum.WriteString("\x00")
 		}
@@ -47,7 +48,7 @@
 		return
 	}
 	nws.Changed, nws.Endpoints = true, nil
-	before := map[string]talk.Endpoint{}
+	before := map[ident.Process]talk.Endpoint{}
 	for _, ep := range vw.past[at].List {
 		before[ep.ID] = ep
 	}
@@ -58,7 +59,7 @@
 		delete(before, ep.ID)
 	}
 	for id := range before {
-		nws.Gone = append(nws.Gone, id)
+		nws.Gone = append(nws.Gone, string(id))
 	}
 	slices.Sort(nws.Gone)
 }
@@ -85,9 +86,9 @@
 
 // changed gives the list with the changes that news tell.
 func (lst *listed) changed(nws news) []talk.Endpoint {
-	differs := map[string]bool{}
+	differs := map[ident.Process]bool{}
 	for _, id := range nws.Gone {
-		differs[id] = true
+		differs[ident.Process(id)] = true
 	}
 	for _, ep := range nws.Endpoints {
 		differs[ep.ID] = true
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -14,6 +14,7 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/plan"
 )
 
@@ -42,7 +43,7 @@
 		for range rapid.IntRange(1, 60).Draw(rpd, "steps") {
 			var eps []talk.Endpoint
 			for _, id := range slices.Sorted(slices.Values(ids.Draw(rpd, "ids"))) {
-				eps = append(eps, talk.Endpoint{ID: fmt.Sprintf("e%02d", id), Addr: "a", Leaving: rapid.Bool().Draw(rpd, "leaving")})
+				eps = append(eps, talk.Endpoint{ID: ident.Process(fmt.Sprintf("e%02d", id)), Addr: "a", Leaving: rapid.Bool().Draw(rpd, "leaving")})
 			}
 			ctl.endpts.list, ctl.dirty = eps, true
 			ctl.publish(0)
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/prefix"
 )
@@ -41,7 +42,7 @@
 // Send is what the system says to an endpoint beside what the caller sent.
 type Send struct {
 	// Endpoint is who must answer; anybody else at the address refuses.
-	Endpoint  string
+	Endpoint  ident.Process
 	Workspace string
 	// Left is how long the endpoint may take.
 	Left clock.Milli
@@ -72,7 +73,7 @@
 
 // Endpoint is an endpoint as the store lists it.
 type Endpoint struct {
-	ID      string
+	ID      ident.Process
 	Pool    string
 	Addr    string
 	Zone    string
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -368,3 +368,33 @@
 		}
 	})
 }
+
+// TestStartedAgainIsEmpty: an endpoint whose room was taken, which had been slow and failing
+// and was said to leave, has ended and started again. The new run gets calls at once.
+// What its calls of before made is nobody's, and the end of such a call changes nothing.
+func TestStartedAgainIsEmpty(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(0)
+	bk.Sync([]Maker{{ID: "m@1"}})
+	for i := range int64(4) {
+		bk.Add(Piece{ID: i, Job: i, Due: 9000, Until: 99000, Bytes: 250})
+	}
+	first, ok := bk.Next(0)
+	gom.Expect(ok).To(gomega.BeTrue())
+	bk.Ended(first.ID, Made, []Result{{Handle: "h", Bytes: 1000}}, 900)
+	bk.Full("m@1", 900)
+	bk.Add(Piece{ID: 9, Job: 9, Due: 9000, Until: 99000, Bytes: 10})
+	_, ok = bk.Next(910)
+	gom.Expect(ok).To(gomega.BeFalse())
+	bk.Leave("m@1")
+
+	bk.Sync([]Maker{{ID: "m@2"}})
+	gom.Expect(bk.Held("m@2")).To(gomega.BeZero())
+	second, ok := bk.Next(1000)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(second.Maker.ID).To(gomega.Equal("m@2"))
+	bk.Free("h")
+	bk.Ended(first.ID, Failed, nil, 1010)
+	gom.Expect(bk.Held("m@2")).To(gomega.Equal(int64(10)))
+	gom.Expect(bk.Usable()).To(gomega.Equal(1))
+}
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -4,7 +4,8 @@
 // An address alone names nothing for long: replaced instances reuse it. An
 // [Incarnation] is an address together with a number drawn at random when the
 // process starts, so that a restarted process is never taken for the one
-// whose claims and leases are still in the log.
+// whose claims and leases are still in the log. A [Process] is the same for an
+// endpoint, which says itself when it started.
 package ident
 
 import (
--- a/pkg/prefix/prefix_test.go
+++ b/pkg/prefix/prefix_test.go
@@ -116,3 +116,25 @@
 	_, ok := bk.Pick(prompt("x"), "", nil, 1004)
 	gom.Expect(ok).To(gomega.BeTrue())
 }
+
+// TestStartedAgainKnowsNothing: an engine that was full, failing and leaving has ended and
+// started again under its name. The new run is taken like any other, and what comes of
+// requests of before is not counted against it.
+func TestStartedAgainKnowsNothing(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := &Book{}
+	bk.Sync([]Engine{{ID: "e@1", Places: 2}})
+	bk.Begin("e@1")
+	bk.Begin("e@1")
+	bk.Said("e@1", 2, 0)
+	bk.End("e@1", false, 0)
+	bk.End("e@1", false, 0)
+	bk.Leave("e@1")
+	bk.Sync([]Engine{{ID: "e@2", Places: 2}})
+	gom.Expect(bk.Usable("e@2", 1)).To(gomega.BeTrue())
+	gom.Expect(bk.Full("e@2", 1)).To(gomega.BeFalse())
+	bk.End("e@1", false, 2)
+	bk.Said("e@1", 2, 2)
+	gom.Expect(bk.Usable("e@2", 3)).To(gomega.BeTrue())
+	gom.Expect(bk.Full("e@2", 3)).To(gomega.BeFalse())
+}
