pkg/gather: slow endpoints work beside a long queue; the first answer clears a lost one

Ruled out: room (0.7 of 2.1 MB were held), the gatherer's link and core, refusals by endpoints (none).

Change: a slow endpoint is left out only if the well ones would be sooner with all that waits before it; an answer after one that didn't come counts alone, not for three tenths.

--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -55,8 +55,10 @@
 	}
 }
 
-// open lists the endpoints with a free place. A slow one is left out while a
-// well one would have made the piece sooner.
+// open lists the endpoints with a free place. A slow one is left out while the well ones
+// would have made the piece sooner, with all that waits before it. Compared with the next
+// free place alone, whichever of a large pool's, slow endpoints stood idle beside a long
+// queue.
 func (bk *Book) open(now clock.Milli) []*maker {
 	var free []*maker
 	soonest := clock.Milli(-1)
@@ -72,11 +74,22 @@
 			free = append(free, mkr)
 		}
 	}
+	queued := bk.queued(now)
 	return slices.DeleteFunc(free, func(mkr *maker) bool {
-		return mkr.slowness(now) > slowFrom && clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1))) > soonest
+		return mkr.slowness(now) > slowFrom && clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1))) > soonest+queued
 	})
 }
 
+// queued gives the time in which the pool begins what waits beyond one call.
+func (bk *Book) queued(now clock.Milli) clock.Milli {
+	beyond := len(bk.waiting) - bk.spec.Most
+	rate, _ := bk.rate(now)
+	if beyond <= 0 || rate == 0 {
+		return 0
+	}
+	return clock.Milli(float64(beyond) * bk.each(rate))
+}
+
 // sort puts the waiting pieces in their order: the rests of jobs, then those that can
 // still be in time, then the others; among each the earliest due first.
 //
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -131,10 +131,12 @@
 
 type maker struct {
 	Maker
-	calls    int
-	held     int64
-	speed    float64
-	speedAt  clock.Milli
+	calls   int
+	held    int64
+	speed   float64
+	speedAt clock.Milli
+	// guessed tells that the speed follows from an answer that didn't come.
+	guessed  bool
 	failures int
 	closed   clock.Milli
 	// full is until when the endpoint has no room, by its own word.
@@ -151,6 +153,19 @@
 
 func (mkr *maker) setSpeed(speed float64, now clock.Milli) { mkr.speed, mkr.speedAt = speed, now }
 
+// answered takes how many times its planned time a call took that was answered. The first
+// answer after one that didn't come counts alone: that may have been lost on its way, from
+// an endpoint which is as fast as ever.
+func (mkr *maker) answered(ratio float64, now clock.Milli) {
+	was := mkr.slowness(now)
+	share := speedShare
+	if mkr.guessed {
+		share = 1
+	}
+	mkr.guessed = false
+	mkr.setSpeed(was+share*(max(ratio, 0.5)-was), now)
+}
+
 type call struct {
 	maker  *maker
 	count  int
@@ -259,8 +274,7 @@
 		return maxBench
 	}
 	bk.pace.note(0, len(bk.waiting) >= bk.spec.Most, now)
-	fill := bk.fullness()
-	each := max(float64(bk.spec.Time(int(fill)))/fill/rate, bk.pace.each())
+	each := max(bk.each(rate), bk.pace.each())
 	ahead := 0
 	for _, pc := range bk.waiting {
 		if now+bk.spec.Time(1) <= pc.Due {
@@ -270,6 +284,12 @@
 	return soonest + clock.Milli(float64(ahead)*each)
 }
 
+// each gives the time in which so many places begin one more piece, in milliseconds.
+func (bk *Book) each(rate float64) float64 {
+	fill := bk.fullness()
+	return float64(bk.spec.Time(int(fill))) / fill / rate
+}
+
 // rate gives the places that work on calls, slow ones counted less, and when the next
 // one comes free.
 func (bk *Book) rate(now clock.Milli) (rate float64, soonest clock.Milli) {
--- a/pkg/gather/learn.go
+++ b/pkg/gather/learn.go
@@ -26,9 +26,7 @@
 	switch ver {
 	case Made:
 		mkr.failures = 0
-		ratio := float64(max(now-cl.began, 1)) / float64(max(bk.spec.Time(cl.count), 1))
-		was := mkr.slowness(now)
-		mkr.setSpeed(was+speedShare*(max(ratio, 0.5)-was), now)
+		mkr.answered(float64(max(now-cl.began, 1))/float64(max(bk.spec.Time(cl.count), 1)), now)
 	case Full:
 		// Somebody else gathers here too, or calls of the one before us are
 		// still under way; half a call later a place may be free.
@@ -36,6 +34,7 @@
 	case Failed:
 		// No answer says that a call takes at least so long.
 		mkr.setSpeed(max(mkr.slowness(now), float64(now-cl.began)/float64(max(bk.spec.Time(cl.count), 1))), now)
+		mkr.guessed = true
 		mkr.closed = now + min(benchFor<<min(mkr.failures, 5), maxBench)
 		mkr.failures++
 	case GivenUp:
