pkg/member: names are looked after by addresses; a member that gave no answer is probed at once

Ruled out: processor time (none was charged), handshakes (no line of a peer between), the store's reads (30 ms).

Change: rendezvous ranks addresses, each once, so that lines of the processes before are enough to agree; Doubt probes a member out of turn, suspects it a period later and tells the others soon.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// Doubt probes a member that gave no answer to something else.
+func (grp *Group) Doubt(who ident.Incarnation, now clock.Milli) {
+	if act, ok := grp.List.Doubt(who, now); ok {
+		grp.act(act)
+	}
+}
+
 func (grp *Group) act(act member.Action) {
 	if grp.Link == nil {
 		return
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -74,6 +74,11 @@
 // in the form of the logarithmic method), so that one of twice the capacity looks after
 // twice as many names; those below weakBelow of the strongest come last, for a single
 // name may be as much work as they can do at all.
+//
+// What is ranked is the address and not the incarnation, each address once. When all
+// start again at once, an instance knows the addresses within milliseconds and the new
+// incarnations only a second later. Ranked by incarnation, it was alone until then: each
+// of hundreds had pieces made for itself and filled the endpoints for all others.
 func (lst *List) Homes(name string) []ident.Incarnation {
 	type scored struct {
 		who   ident.Incarnation
@@ -82,11 +87,9 @@
 	}
 	var serving []scored
 	strongest := 0.0
-	for who, mbr := range lst.members {
-		if mbr.news.Status == Alive {
-			serving = append(serving, scored{who: who, cores: mbr.capacity(), score: mbr.score(name)})
-			strongest = max(strongest, mbr.capacity())
-		}
+	for _, mbr := range lst.latest() {
+		serving = append(serving, scored{who: mbr.news.Who, cores: mbr.capacity(), score: mbr.score(name)})
+		strongest = max(strongest, mbr.capacity())
 	}
 	slices.SortFunc(serving, func(x, y scored) int {
 		weakX, weakY := x.cores < weakBelow*strongest, y.cores < weakBelow*strongest
@@ -107,6 +110,30 @@
 	return whos
 }
 
+// latest gives the live member at each address: of several the one that was heard of
+// last, for the others are of processes that have ended.
+func (lst *List) latest() map[string]*Member {
+	byAddr := make(map[string]*Member, len(lst.members))
+	for who, mbr := range lst.members {
+		if mbr.news.Status != Alive {
+			continue
+		}
+		cur, ok := byAddr[who.Addr()]
+		if !ok || mbr.after(cur) {
+			byAddr[who.Addr()] = mbr
+		}
+	}
+	return byAddr
+}
+
+// after tells whether a member was heard of after another one.
+func (mbr *Member) after(oth *Member) bool {
+	if mbr.heard != oth.heard {
+		return mbr.heard > oth.heard
+	}
+	return compare(mbr.Who(), oth.Who()) > 0
+}
+
 // weakBelow is the part of the strongest member's capacity below which a member looks
 // after names only when nobody else does.
 const weakBelow = 0.5
@@ -120,9 +147,9 @@
 }
 
 // score is the member's rank for a name: its capacity over an exponential draw that
-// only the two names decide.
+// only the name and the member's address decide.
 func (mbr *Member) score(name string) float64 {
-	hash := xxhash.Sum64String(name + "\x00" + string(mbr.news.Who))
+	hash := xxhash.Sum64String(name + "\x00" + mbr.news.Who.Addr())
 	even := (float64(hash>>11) + 0.5) / (1 << 53)
 	return mbr.capacity() / -math.Log(even)
 }
--- /dev/null
+++ b/pkg/member/doubt_test.go
@@ -0,0 +1,71 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+)
+
+// TestMostLosePower: of two hundred instances the first five that look after a pool lose power
+// together. Whoever has an order for it asks them one after the other, and none answers. By
+// turns they are probed so rarely that they stay at the head of the ranks for many seconds, and
+// each request in that time waits for them anew. Doubted, they are out of the ranks a period
+// later, and one that does answer stays.
+func TestMostLosePower(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lst := New("me#1", "z", "", 0)
+	for i := range 200 {
+		lst.Learn([]News{{Who: ident.Incarnation(fmt.Sprintf("10.0.0.%d:1#1", i)), Seq: 1, Beat: 1}}, 0)
+	}
+	first := lst.Homes("pool")[:5]
+	gom.Expect(first).NotTo(gomega.ContainElement(ident.Incarnation("me#1")))
+	lst.due = clock.Minute // no turn comes
+	for _, who := range first {
+		act, ok := lst.Doubt(who, 1000)
+		gom.Expect(ok).To(gomega.BeTrue())
+		gom.Expect(act).To(gomega.Equal(Action{Kind: SendProbe, Target: who}))
+		_, again := lst.Doubt(who, 1001)
+		gom.Expect(again).To(gomega.BeFalse(), "one probe is enough")
+	}
+	lst.Ack(first[4], 1200)
+	lst.Tick(1000 + AckWait)
+	lst.Tick(1000 + Period)
+	gom.Expect(lst.Homes("pool")[0]).To(gomega.Equal(first[4]))
+	for _, who := range first[:4] {
+		mbr, _ := lst.Find(who)
+		gom.Expect(mbr.Status()).To(gomega.Equal(Suspect))
+	}
+}
+
+// TestHomesOutliveARestart: all instances are killed and start again. What is known of them
+// for a second are their addresses, from lines of the processes before. All that know the
+// addresses agree on who looks after what, whichever incarnations they have heard of; none
+// takes itself for alone, and an address stands in the ranks once.
+func TestHomesOutliveARestart(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	learn := func(lst *List, boot string, hosts ...int) {
+		for _, host := range hosts {
+			lst.Learn([]News{{Who: ident.Incarnation(fmt.Sprintf("10.0.0.%d:1#%s", host, boot)), Seq: 1, Capacity: float64(1 + host%3)}}, 0)
+		}
+	}
+	addrs := func(lst *List) []string {
+		var list []string
+		for _, who := range lst.Homes("pool") {
+			list = append(list, who.Addr())
+		}
+		return list
+	}
+	one, two := New("10.0.0.1:1#new", "z", "", 0), New("10.0.0.2:1#new", "z", "", 0)
+	one.SetCapacity(2)
+	two.SetCapacity(3)
+	learn(one, "old", 1, 2, 3, 4, 5)
+	learn(two, "old", 1, 2, 3)
+	learn(two, "new", 1, 3, 4, 5)
+	gom.Expect(addrs(one)).To(gomega.HaveLen(5))
+	gom.Expect(addrs(one)).To(gomega.Equal(addrs(two)))
+	gom.Expect(one.Homes("pool")).To(gomega.ContainElement(one.Self()))
+}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -151,6 +151,8 @@
 type pending struct {
 	sent     clock.Milli
 	indirect bool
+	// doubted tells that the member gave no answer to something else before.
+	doubted bool
 }
 
 // New returns the list of an instance that knows only itself.
@@ -381,13 +383,17 @@
 		pnd := lst.pending[target]
 		switch {
 		case !pnd.indirect && now-pnd.sent >= AckWait:
-			lst.pending[target] = pending{sent: pnd.sent, indirect: true}
+			lst.pending[target] = pending{sent: pnd.sent, indirect: true, doubted: pnd.doubted}
 			for _, via := range lst.helpers(target) {
 				actions = append(actions, Action{Kind: SendIndirect, Target: target, Via: via})
 			}
 		case now-pnd.sent >= Period:
 			delete(lst.pending, target)
 			lst.suspect(target, now)
+			if pnd.doubted {
+				// The others are about to ask it too.
+				lst.spread = SpreadEach
+			}
 		}
 	}
 	return actions
@@ -402,6 +408,19 @@
 	}
 }
 
+// Doubt asks for a probe of a member that gave no answer when it was asked for something.
+// It is suspected a period later unless it answers. By turn it is probed once in some
+// seconds; meanwhile each request that needs it waits in vain and goes elsewhere, and
+// where most instances lost power together every pool of endpoints is looked after by
+// many at once.
+func (lst *List) Doubt(who ident.Incarnation, now clock.Milli) (Action, bool) {
+	if _, waiting := lst.pending[who]; waiting || who == lst.self || !lst.IsLive(who) {
+		return Action{}, false
+	}
+	lst.pending[who] = pending{sent: now, doubted: true}
+	return Action{Kind: SendProbe, Target: who}, true
+}
+
 // Ack notes that a member answered a probe, ours or one made for us.
 func (lst *List) Ack(who ident.Incarnation, now clock.Milli) {
 	delete(lst.pending, who)
