pkg/member, internal/state: addresses stay ranked until their new names are known; new readers tell no empty list

Also: the store lets reads wait behind lines that are being written, 0.4 s for 195; all look before they write.

Ruled out: late answers of the store (lists came within 20 ms where nothing was written).

Change: a member whose end is proved keeps its address in the ranks for 3 s or until another one is known there; a list is told once it was read; the mark is set with the documents; lines are written 0.15 s after the first look.

--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -146,7 +146,11 @@
 	if err != nil {
 		return 0, err
 	}
-	dct.ctl.loop.Do(ctx, func(now clock.Milli) { dct.take(doc, sent, now, "store") })
+	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
+		// Whoever sees the documents must see that the store was heard too.
+		dct.heardAt = now
+		dct.take(doc, sent, now, "store")
+	})
 	return doc.End, nil
 }
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -119,7 +119,7 @@
 	vw := ctl.waitFor(ctx, newsHold, func(vw *View) bool {
 		// Who hears nothing from the store says so at once: the follower goes elsewhere.
 		silent := vw.silence(ctl.set.Clock.Now()) > newsOld
-		return silent || vw.offset > wnt.Offset || vw.digest != wnt.Digest
+		return silent || vw.offset > wnt.Offset || vw.news(wnt)
 	})
 	now := ctl.set.Clock.Now()
 	if vw.heard == 0 && vw.plan == nil {
@@ -129,7 +129,7 @@
 	if vw.offset > wnt.Offset {
 		nws.Text = vw.text
 	}
-	if vw.digest != wnt.Digest {
+	if vw.news(wnt) {
 		nws.list(vw, wnt.Digest)
 	}
 	if body, err := cbor.Marshal(nws); err == nil {
@@ -138,6 +138,11 @@
 	return ans
 }
 
+// news tells whether the view has another list of endpoints than a follower was told. A reader
+// that has just started has none yet, which doesn't mean that there are no endpoints: told so, a
+// follower that had read them itself lost all of them, and refused what came.
+func (vw *View) news(wnt wanted) bool { return vw.listed && vw.digest != wnt.Digest }
+
 // waitFor waits for a view that is wanted, for a span at the most.
 func (ctl *Control) waitFor(ctx context.Context, span time.Duration, want func(vw *View) bool) *View {
 	tmr := time.NewTimer(span)
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -18,18 +18,22 @@
 	lookMargin = 200 * time.Millisecond
 	// withdrawMost bounds the lines that one write takes out.
 	withdrawMost = 500
+	// announceAfter is how long after our own look the others have looked who started at the
+	// same time.
+	announceAfter = 150 * time.Millisecond
 	// announceWait bounds the writing of our own line: the store turns writes away that
 	// would wait for more than two seconds.
 	announceWait = 3 * time.Second
 )
 
 // meet finds the other instances: by the store, and by the seeds while nobody else is
-// known. It doesn't wait until this instance is known itself: the store writes lines one
-// after another, and when hundreds start at once the last of them waits for all others.
+// known. It looks before this instance is known itself: the store writes lines one after
+// another and lets reads wait behind them, so that when hundreds start at once whoever
+// wrote first would know nobody for half a second.
 func (ctl *Control) meet(ctx context.Context) {
-	ctl.loop.Go(ctl.announce)
 	turn := 0
 	if ctl.first(ctx) {
+		ctl.loop.Go(ctl.announce)
 		pause(ctx, lookEvery[0])
 		turn++
 	}
@@ -41,6 +45,9 @@
 		if err == nil {
 			ctl.met.Do(func() { close(ctl.known) })
 		}
+		if turn == 0 {
+			ctl.loop.Go(ctl.announce)
+		}
 		pause(ctx, lookEvery[min(turn, len(lookEvery)-1)])
 		for err == nil && turn >= len(lookEvery)-1 && ctl.Follows() && ctx.Err() == nil {
 			// Readers look for all; news of who came travels on the probes.
@@ -89,8 +96,10 @@
 	return list, nil
 }
 
-// announce writes our own line to the store, however often that takes.
+// announce writes our own line to the store, however often that takes, once all that start
+// with this instance have looked.
 func (ctl *Control) announce(ctx context.Context) {
+	pause(ctx, announceAfter)
 	me := talk.Instance{
 		Name: string(ctl.set.Self), Addr: ctl.set.Self.Addr(), Zone: ctl.set.Zone, Caller: ctl.set.Caller, Capacity: ctl.set.Capacity,
 	}
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -163,3 +165,29 @@
 	gom.Expect((&View{heard: 1000, slow: slowMost}).silence(1000 + between)).To(gomega.BeNumerically("<", newsOld))
 	gom.Expect((&View{heard: 1000}).silence(1000 + between)).To(gomega.BeNumerically(">", newsOld))
 }
+
+// TestNewReaderTellsNoEmptyList: a reader has just started and knows the documents and not yet the
+// endpoints. A follower that has read the endpoints itself asks it, and is told of no list. Taken for
+// the list of endpoints, an empty one left the follower with none for half a second.
+func TestNewReaderTellsNoEmptyList(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	held := make(chan struct{})
+	ctl := started(t, talk.Store{Endpoints: func(ctx context.Context) ([]talk.Endpoint, []error, error) {
+		select {
+		case <-held:
+		case <-ctx.Done():
+		}
+		return list("e1"), nil, nil
+	}})
+	gom.Eventually(func() *plan.Plan { return ctl.View().Plan() }, soon).ShouldNot(gomega.BeNil())
+	ask := func() news {
+		body, err := cbor.Marshal(wanted{Offset: ctl.View().Offset()})
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		var nws news
+		gom.Expect(cbor.Unmarshal(ctl.Tell(context.Background(), peer.Message{Body: body}).Body, &nws)).To(gomega.Succeed())
+		return nws
+	}
+	gom.Expect(ask().Listed).To(gomega.BeFalse())
+	close(held)
+	gom.Eventually(func() bool { return ask().Listed }, soon).Should(gomega.BeTrue())
+}
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -111,11 +111,12 @@
 }
 
 // latest gives the live member at each address: of several the one that was heard of
-// last, for the others are of processes that have ended.
+// last, for the others are of processes that have ended; or the one that was succeeded by a
+// process whose name isn't known yet.
 func (lst *List) latest() map[string]*Member {
 	byAddr := make(map[string]*Member, len(lst.members))
 	for who, mbr := range lst.members {
-		if mbr.news.Status != Alive {
+		if mbr.news.Status != Alive && !mbr.succeeded {
 			continue
 		}
 		cur, ok := byAddr[who.Addr()]
@@ -126,8 +127,11 @@
 	return byAddr
 }
 
-// after tells whether a member was heard of after another one.
+// after tells whether a member is rather at an address than another one.
 func (mbr *Member) after(oth *Member) bool {
+	if mbr.succeeded != oth.succeeded {
+		return oth.succeeded
+	}
 	if mbr.heard != oth.heard {
 		return mbr.heard > oth.heard
 	}
--- a/pkg/member/doubt_test.go
+++ b/pkg/member/doubt_test.go
@@ -68,4 +68,14 @@
 	gom.Expect(addrs(one)).To(gomega.HaveLen(5))
 	gom.Expect(addrs(one)).To(gomega.Equal(addrs(two)))
 	gom.Expect(one.Homes("pool")).To(gomega.ContainElement(one.Self()))
+
+	// The ends of the processes before are told sooner than the names of those after them.
+	for _, host := range []string{"2", "3", "4", "5"} {
+		one.Learn([]News{{Who: ident.Incarnation("10.0.0." + host + ":1#old"), Gone: true}}, 1000)
+	}
+	one.Tick(1500)
+	gom.Expect(addrs(one)).To(gomega.Equal(addrs(two)))
+	learn(one, "new", 2, 3)
+	one.Tick(1000 + SucceedFor)
+	gom.Expect(addrs(one)).To(gomega.ConsistOf("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"))
 }
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -37,6 +37,10 @@
 	// silent is remembered until the platform takes it off its list: it may be
 	// cut off, and a publisher must count on it.
 	ForgetAfter = 10 * clock.Minute
+	// SucceedFor is how long the name of who succeeded a member at its address may be
+	// unknown while the address looks after names as before. When all restart at once, ends
+	// are told faster than names.
+	SucceedFor = 3 * clock.Second
 	// IndirectProbes is how many others are asked to probe for us.
 	IndirectProbes = 3
 	// MeshSize is the number of members up to which everybody is probed.
@@ -87,6 +91,8 @@
 	heard clock.Milli
 	since clock.Milli
 	told  int
+	// succeeded tells that another process is at its address, for some time.
+	succeeded bool
 }
 
 // Who gives the member's identity.
@@ -372,6 +378,9 @@
 		case mbr.news.Gone && now-mbr.since >= ForgetAfter:
 			delete(lst.members, who)
 			lst.changes++
+		case mbr.succeeded && now-mbr.since >= SucceedFor:
+			mbr.succeeded = false
+			lst.changes++
 		}
 	}
 }
@@ -450,6 +459,8 @@
 		lst.members[who] = mbr
 	}
 	if !mbr.news.Gone {
+		// The end is proved by whoever is at the address now.
+		mbr.succeeded = ok
 		mbr.news.Gone = true
 		lst.kill(mbr, now)
 		lst.spread = SpreadEach
