internal/batch, pkg/gather, platform: who begins to gather asks for room, and learns it from refusals

Cause: after a loss of all, results of the processes before take a third of the room of the pool with the largest ones (205 of 627 MB by the endpoints' own word) until they lapse 4 s after they were made.

A refused piece tells that what our count lacks is others', for a second.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -57,6 +57,12 @@
 	freed  map[string][]string
 	// under are the calls under way.
 	under ident.Watch
+	// ordered is when the last order came; makers, room and keep are as the documents and
+	// the list of endpoints have them.
+	ordered clock.Milli
+	makers  []gather.Maker
+	room    int64
+	keep    clock.Milli
 }
 
 func newPool(name string, set Setup) *pool {
@@ -67,7 +73,7 @@
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
 	pol.book.Set(gather.Spec{Places: spc.Places, Most: spc.Most, Call: spc.Call, Item: spc.Item, Room: spc.Room, Keep: spc.Keep})
-	pol.link = spc.Link
+	pol.link, pol.room, pol.keep, pol.makers = spc.Link, spc.Room, spc.Keep, makers
 	pol.book.Sync(makers)
 	for _, mkr := range makers {
 		pol.under.Listed(ident.Process(mkr.ID))
@@ -98,6 +104,9 @@
 		pol.add(ord, i, false)
 	}
 	pol.wakeIn(settle, now)
+	if pol.begins(now) {
+		go pol.survey(now)
+	}
 	pol.mtx.Unlock()
 	select {
 	case <-ord.done:
--- a/internal/batch/settle_test.go
+++ b/internal/batch/settle_test.go
@@ -10,6 +10,13 @@
 	"amaranthvalve/pkg/clock"
 )
 
+// waitingNow gives how many pieces wait.
+func (pol *pool) waitingNow() int {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	return pol.book.Waiting()
+}
+
 // TestOrdersOfAMomentGoTogether: a call of the stage before has ended, and the three
 // requests that it served go on at once. Their orders come one after the other, from
 // several instances. One call takes them all: called for as they came, the first went
@@ -26,13 +33,7 @@
 			})
 		}()
 	}
-	waiting := func() int {
-		pol := bnc.desk.pool("ranks")
-		pol.mtx.Lock()
-		defer pol.mtx.Unlock()
-		return pol.book.Waiting()
-	}
-	gom.Eventually(waiting, soon).Should(gomega.Equal(6))
+	gom.Eventually(bnc.desk.pool("ranks").waitingNow, soon).Should(gomega.Equal(6))
 	gom.Expect(bnc.begun).To(gomega.BeEmpty())
 	(<-timers)()
 	gom.Eventually(bnc.begun, soon).Should(gomega.Receive(gomega.HaveLen(6)))
--- /dev/null
+++ b/internal/batch/survey_test.go
@@ -0,0 +1,61 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/plan"
+)
+
+// TestRoomIsAskedFor: whoever gathered a pool has lost power, and half of the room at one of its
+// two endpoints is taken by results that nobody will give back. This instance asks both, of
+// which one doesn't answer, and has as many pieces made as there is room for; asked once more
+// the endpoint has let go of them, and nobody asks on.
+func TestRoomIsAskedFor(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	calls, timers, free := make(chan []talk.Item, 9), make(chan func(), 9), make(chan int64, 9)
+	dia := &talk.Dialect{
+		Run: func(ctx context.Context, _ *http.Client, _ talk.Endpoint, items []talk.Item) ([]talk.Made, talk.Reply, error) {
+			calls <- items
+			<-ctx.Done()
+			return nil, talk.Reply{}, ctx.Err()
+		},
+		Room: func(_ context.Context, _ *http.Client, ep talk.Endpoint) (int64, error) {
+			if ep.ID == "rank-2" {
+				return 0, errors.New("no answer")
+			}
+			return <-free, nil
+		},
+	}
+	desk := New(Setup{
+		Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second,
+		After: func(_ clock.Milli, work func()) { timers <- work },
+	})
+	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{
+		Name: "ranks", Batch: &plan.DraftBatch{Places: 1, Most: 9, Call: 9000, Item: 1, Room: 1000, Keep: 4000},
+	}}})
+	desk.Sync(pln, []talk.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}, {ID: "rank-2", Pool: "ranks", Addr: "a:2", Leaving: true}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range 4 {
+		go desk.Make(ctx, Order{Pool: "ranks", Count: 1, Bytes: 250, Due: clock.Minute, Until: clock.Minute})
+	}
+	begin := <-timers
+	gom.Eventually(func() int { return desk.pool("ranks").waitingNow() }, soon).Should(gomega.Equal(4))
+	free <- 500
+	again := <-timers
+	begin()
+	gom.Eventually(calls, soon).Should(gomega.Receive(gomega.HaveLen(2)))
+	free <- 1000
+	again()
+	gom.Eventually(free, soon).Should(gomega.BeEmpty())
+	gom.Consistently(func() int { return len(free) }).Should(gomega.BeZero())
+}
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -171,7 +171,8 @@
 	// Free gives results back to their maker.
 	Free func(ctx context.Context, cli *http.Client, addr string, handles []string) error
 
-	// Room asks an endpoint that makes pieces how many bytes of results it has room for.
+	// Room asks an endpoint that makes pieces how many bytes of results it has room for, at
+	// the most.
 	Room func(ctx context.Context, cli *http.Client, ep Endpoint) (int64, error)
 
 	// Held asks a model engine which parts of prompts it holds.
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -53,6 +53,11 @@
 			delete(bk.results, handle)
 		}
 	}
+	for _, mkr := range bk.makers {
+		if now >= mkr.othersUntil {
+			mkr.others = 0
+		}
+	}
 }
 
 // open lists the endpoints with a free place. A slow one is left out while the well ones
@@ -157,11 +162,11 @@
 	if mkr.slowness(now) != than.slowness(now) {
 		return mkr.slowness(now) < than.slowness(now)
 	}
-	return mkr.held < than.held
+	return mkr.held+mkr.others < than.held+than.others
 }
 
 func (bk *Book) fits(mkr *maker, taken int64, pc Piece) bool {
-	return bk.spec.Room == 0 || mkr.held+taken+pc.Bytes <= bk.spec.Room
+	return bk.spec.Room == 0 || mkr.held+mkr.others+taken+pc.Bytes <= bk.spec.Room
 }
 
 // fill takes pieces for a call: the most urgent job, then those of the next that
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -31,6 +31,8 @@
 	// fullFor is how long an endpoint that had no room gets no call, unless
 	// something is given back sooner.
 	fullFor = 60 * clock.Milli(1)
+	// othersFor is how long room that a piece was refused for counts as taken by others.
+	othersFor = clock.Second
 	// lookAhead times the size of a call is how many of the most urgent pieces are
 	// looked at for those of the endpoint's own data centre, and for such as fill the
 	// call. The most urgent job goes whatever is found, so that none waits for long.
@@ -131,10 +133,13 @@
 
 type maker struct {
 	Maker
-	calls   int
-	held    int64
-	speed   float64
-	speedAt clock.Milli
+	// others is what results take that are not known here, until othersUntil.
+	others      int64
+	othersUntil clock.Milli
+	calls       int
+	held        int64
+	speed       float64
+	speedAt     clock.Milli
 	// guessed tells that the speed follows from an answer that didn't come.
 	guessed  bool
 	failures int
--- a/pkg/gather/learn.go
+++ b/pkg/gather/learn.go
@@ -43,11 +43,37 @@
 
 // Full notes that an endpoint had no room for a piece. Sizes are rough, and another
 // instance may hold results there: whatever our count says, more is not tried until
-// something was given back or a moment has passed.
+// something was given back or a moment has passed. What our count lacks is taken for others'
+// for a while: after a loss of all, calls made for their room came back half refused until
+// it lapsed, and jobs of which a part was made held what was left.
 func (bk *Book) Full(id string, now clock.Milli) {
-	if mkr, ok := bk.byID[id]; ok {
-		mkr.full = now + fullFor
+	mkr, ok := bk.byID[id]
+	if !ok {
+		return
+	}
+	mkr.full = now + fullFor
+	if bk.spec.Room > 0 {
+		mkr.others = max(mkr.others, bk.spec.Room-mkr.held)
+		mkr.othersUntil = max(mkr.othersUntil, now+othersFor)
+	}
+}
+
+// Told notes how many bytes of results an endpoint has room for by its own word. What is taken
+// beyond what is known here was made for an instance that gathered before; it only shrinks,
+// and is gone when results lapse. So a later word counts only if it tells of less: it is some
+// hundred milliseconds old, and counts results of our own among the others' that were given
+// back meanwhile. Told gives what is taken so.
+func (bk *Book) Told(id string, free int64, now clock.Milli) int64 {
+	mkr, ok := bk.byID[id]
+	if !ok || bk.spec.Room == 0 {
+		return 0
+	}
+	others := max(bk.spec.Room-free-mkr.held, 0)
+	if now >= mkr.othersUntil {
+		mkr.others, mkr.othersUntil = others, now+bk.spec.Keep
 	}
+	mkr.others = min(mkr.others, others)
+	return mkr.others
 }
 
 // Free notes that a result was given back, and tells whose it was; false if it
--- a/pkg/gather/space_test.go
+++ b/pkg/gather/space_test.go
@@ -89,3 +89,62 @@
 	gom.Expect(took[len(took)/2]).To(gomega.BeNumerically("<=", bk.spec.Time(4)+1))
 	gom.Expect(took[len(took)*9/10]).To(gomega.BeNumerically("<", bk.spec.Time(4)+50))
 }
+
+// TestRoomOfOthers: the instance that gathered before has lost power, and its results take most
+// of the room at one of two endpoints. Told so, this one has two pieces made there and not
+// four, of which two would be refused; the time for which a result is held makes room again.
+func TestRoomOfOthers(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	gom.Expect(bk.Told("m0", 500, 1000)).To(gomega.Equal(int64(500)))
+	gom.Expect(bk.Told("nobody", 500, 1000)).To(gomega.BeZero())
+	for i := range int64(4) {
+		bk.Add(Piece{ID: i, Job: i, Due: 9000, Until: 100000, Bytes: 250})
+	}
+	bat, ok := bk.Next(1000)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(2))
+	bk.Ended(bat.ID, Made, []Result{{Handle: "a", Bytes: 250}, {Handle: "b", Bytes: 250}}, 1240)
+	_, ok = bk.Next(1300)
+	gom.Expect(ok).To(gomega.BeFalse(), "there is no room")
+	gom.Expect(bk.Told("m0", 0, 1350)).To(gomega.Equal(int64(500)), "the word is older than our own results")
+	gom.Expect(bk.Told("m0", 250, 1400)).To(gomega.Equal(int64(250)), "one of the others' results was given back")
+	bat, ok = bk.Next(1400)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(1))
+	bk.Ended(bat.ID, Made, []Result{{Handle: "c", Bytes: 250}}, 1620)
+	bk.Free("a")
+	bk.Free("b")
+	bk.Free("c")
+	for i := range int64(4) {
+		bk.Add(Piece{ID: 10 + i, Job: 10 + i, Due: 99000, Until: 100000, Bytes: 250})
+	}
+	bat, ok = bk.Next(1000 + 4000)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(4))
+}
+
+// TestRefusedRoomIsLearnt: results that nobody here knows of take half of an endpoint's room, and it
+// says so only by refusing two of four pieces. The next calls are as large as what was given back, so that
+// nothing is refused again; a second later more is tried.
+func TestRefusedRoomIsLearnt(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bk := newBook(1)
+	for i := range int64(9) {
+		bk.Add(Piece{ID: i, Job: i, Due: 9000, Until: 100000, Bytes: 250})
+	}
+	bat, _ := bk.Next(1000)
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(4))
+	bk.Ended(bat.ID, Made, []Result{{Handle: "a", Bytes: 250}, {Handle: "b", Bytes: 250}}, 1280)
+	bk.Full("m0", 1280)
+	_, ok := bk.Next(1280 + fullFor)
+	gom.Expect(ok).To(gomega.BeFalse())
+	bk.Free("a")
+	bat, ok = bk.Next(1400)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(1))
+	bk.Ended(bat.ID, Made, []Result{{Handle: "c", Bytes: 250}}, 1620)
+	bat, ok = bk.Next(1280 + othersFor)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(2))
+}
