pkg/gather: calls of a large pool are filled with parts of jobs

Cause: in a burst at 195 instances a pool of 38 endpoints, whose calls hold 16 pieces, makes calls of 12: jobs of six go whole.

Ruled out: fewer whole jobs to a call (fewer still); keeping jobs whole everywhere, for which there is reason in small pools, where the rest waits for long: there they are kept.

Change: while more waits than a call holds, and the pool's calls begin less than 30 ms apart, a call is filled with a part of the next job; its rest goes first in the next call.

--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -191,9 +191,24 @@
 			}
 		}
 	}
+	if bk.tops(cl, now) {
+		cl.top(jobs)
+	}
 	return bk.begin(mkr, cl, now)
 }
 
+// tops tells whether a call is filled up with a part of a job: more waits than a call holds,
+// and the rest of the job begins so soon after that it is hardly later for it. In a pool of
+// many endpoints, whose calls begin some milliseconds apart, calls that hold whole jobs only
+// would leave a part of each endpoint idle while requests are refused.
+func (bk *Book) tops(cl filling, now clock.Milli) bool {
+	if len(bk.waiting)-len(cl.pieces) < bk.spec.Most {
+		return false
+	}
+	rate, _ := bk.rate(now)
+	return rate > 0 && float64(bk.spec.Time(bk.spec.Most)) <= topWait*rate
+}
+
 // ahead gives the most urgent of the sorted pieces that wait, up to the end of a job.
 func (bk *Book) ahead() []Piece {
 	n := min(len(bk.waiting), lookAhead*bk.spec.Most)
@@ -259,6 +274,18 @@
 	}
 }
 
+// top takes what there is place for of the most urgent job that was left out.
+func (cl *filling) top(jobs [][]Piece) {
+	for _, job := range jobs {
+		if before := len(cl.pieces); !cl.taken[job[0].ID] {
+			cl.take(job)
+			if len(cl.pieces) > before {
+				return
+			}
+		}
+	}
+}
+
 // markRests marks what waits of jobs that a call has begun.
 func (bk *Book) markRests(pieces []Piece) {
 	begun := make(map[int64]bool, len(pieces))
--- /dev/null
+++ b/pkg/gather/fill_test.go
@@ -0,0 +1,48 @@
+package gather
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/pkg/clock"
+)
+
+// burst plays requests of six pieces that come evenly to a pool of so many endpoints, whose
+// calls hold sixteen, and gives how many pieces wait in the end.
+func burst(makers int, perSecond float64) int {
+	bk := newBook(makers)
+	bk.Set(Spec{Places: 1, Most: 16, Call: 200, Item: 11})
+	ends := map[int64]clock.Milli{}
+	jobs := int64(0)
+	for now := clock.Milli(0); now < 10*clock.Second; now++ {
+		for ; float64(jobs) < perSecond*float64(now)/1000; jobs++ {
+			add(bk, jobs+1, 6, int64(now)+2000)
+		}
+		for id, at := range ends {
+			if at <= now {
+				bk.Ended(id, Made, nil, now)
+				delete(ends, id)
+			}
+		}
+		for bat, ok := bk.Next(now); ok; bat, ok = bk.Next(now) {
+			ends[bat.ID] = now + bk.spec.Time(len(bat.Pieces))
+		}
+	}
+	return bk.Waiting()
+}
+
+// TestLargePoolsFillTheirCalls: a burst brings more than a large pool makes in calls of two
+// whole jobs of six, and less than in calls of sixteen. Calls are filled with parts of jobs, so
+// that the queue doesn't grow and nobody is refused; the rest of a job follows some
+// milliseconds later. A small pool keeps jobs whole: there the rest would wait for long.
+func TestLargePoolsFillTheirCalls(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	gom.Expect(burst(38, 245)).To(gomega.BeNumerically("<", 38*16/2), "what the pool makes in half a call")
+	bk := newBook(2)
+	add(bk, 1, 3, 9000)
+	add(bk, 2, 3, 9000)
+	add(bk, 3, 3, 9000)
+	bat, _ := bk.Next(1000)
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(3))
+}
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -41,6 +41,9 @@
 	lookAhead = 6
 	// rankStep is how much earlier each step of priority makes a piece.
 	rankStep = 300 * clock.Milli(1)
+	// topWait is how far apart the calls of a pool may begin, in milliseconds, for a job to
+	// be split in order to fill them.
+	topWait = 30.0
 	// wholeShare of an endpoint's room is the most that the results of a job may take
 	// if it is to be made in one call. Larger ones would wait for long until so much
 	// room is free at one endpoint, while small ones take each bit of it.
