--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -30,9 +30,8 @@
 	waitStep = 5 * time.Millisecond
 	// fetchFor is how long after a request was written its engine has to fetch what
 	// it takes: it does so at its next step, some milliseconds later, and the largest
-	// results take a few more on their way. Measured on 18 days: pieces that found no
-	// room went from 3,466 to 2,726, and answers of engines that they ran nothing from
-	// 116 to 132 of 18,600 requests.
+	// results take a few more on their way. Held until the first event, they took room that
+	// other pieces waited for.
 	fetchFor = 60 * time.Millisecond
 	// patience is how many times what it hardly takes a final call that may be repeated
 	// may take to its first byte before it is tried at another endpoint, and never less
--- a/internal/front/results.go
+++ b/internal/front/results.go
@@ -16,8 +16,6 @@
 	// heavyShare of a maker's room is what the results of a stage must take to be given
 	// back as soon as they were fetched. Lighter ones are held until the call that takes
 	// them has ended: should it find no room, or its endpoint die, it can be made again.
-	// Measured on 28 days of chains that begin with results of a thousandth of the room:
-	// work thrown away 0.0286 to 0.0259 of all worth, in time 0.874 to 0.876.
 	heavyShare = 0.01
 )
 
--- a/pkg/admit/time.go
+++ b/pkg/admit/time.go
@@ -6,9 +6,7 @@
 // crowded. The need is told from waits as they are now; more urgent requests that come
 // later pass it, and others' pieces make its calls longer: a tenth took 0.9 s longer than
 // was told. Those let in on the last millisecond were late as a rule, and took the places
-// of others. Measured on eight days of 86 and 71 instances: 1 for who comes back and 0.75
-// for newcomers 0.512 of the worth, 0.75 for all 0.583, 0.85 with the need told from full
-// calls 0.575.
+// of others.
 const crowdedShare = 0.75
 
 // Times is what is known of a request's time when it comes.
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -36,8 +36,6 @@
 	// lookAhead times the size of a call is how many of the most urgent pieces are
 	// looked at for those of the endpoint's own data centre, and for such as fill the
 	// call. The most urgent job goes whatever is found, so that none waits for long.
-	// Measured on eight days of 86 and 71 instances with 2, 6 and 12: mean worth 0.583,
-	// 0.613 and 0.606; a quarter of the bytes between data centres went with 6.
 	lookAhead = 6
 	// rankStep is how much earlier each step of priority makes a piece.
 	rankStep = 300 * clock.Milli(1)
--- a/pkg/gather/space.go
+++ b/pkg/gather/space.go
@@ -11,9 +11,7 @@
 // Called for at once, whatever is there takes all free places with small calls. These end
 // together too, and what came meanwhile has waited for half a call and goes in one large
 // call: the calls of a pool bunch as the buses of a line do, and are held at a stop for
-// the same reason. Measured on 28 days of a chain of three pools with five endpoints each and
-// calls of 0.25 to 0.45 s: refused 3.2 to 2.1 in 100, the mean time of a stage 0.51 to 0.46 s,
-// calls 14 in 100 fewer. Spaced by three or five quarters of that time it was the same.
+// the same reason.
 type spacing struct {
 	// any tells that a call was begun, the latest at last; took is the mean planned time.
 	any  bool
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -20,8 +20,7 @@
 	delayShare = 0.2
 	// pauseCost is what a stream of mean size loses that is late for a pause, some fraction of
 	// what it took so far; others lose more or less by their size, up to sizeMost times as
-	// much. With 1,200 nothing changed. With all alike the largest tenth of the answers fared
-	// worst of all: 0.644 of their worth in place of 0.693, on 68 days.
+	// much: with all alike the largest tenth of the answers fared worst of all.
 	pauseCost = 600.0
 	sizeMost  = 4.0
 	// pauseShare of the longest pause that is on time is what a prompt may cause by what
@@ -30,14 +29,12 @@
 	pauseShare = 0.9
 	// apartTimes is how many times the pauses that a stream may expect at an engine keep it
 	// away from there: where long prompts are read it would not only be late, it would keep the
-	// next one from finding an engine without streams. Measured with 1, 3, 5 and 10 on 28 days:
-	// late 0.033, 0.032, 0.030 and 0.032 of the requests.
+	// next one from finding an engine without streams.
 	apartTimes = 4.0
 	// fetchTimes the time to read what another engine holds is what fetching it costs, and
 	// againTimes what reading it again does beyond that time, for the engine and the memory.
-	// Fetching takes a few milliseconds, so that load decides where a prompt goes; 5 did like
-	// 2. With 15 prompts kept to a few engines: on other deployments, whose documents take
-	// 0.2 s to read, four requests in a hundred more were late.
+	// Fetching takes a few milliseconds, so that load decides where a prompt goes. Were it dear,
+	// prompts would keep to a few engines.
 	fetchTimes = 2.0
 	againTimes = 4.0
 	// farCost is what a megabyte of results costs that the engine must fetch from another data
