--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,19 +73,17 @@
 	listed map[string]bool
 	// turned is closed when a view with another plan or other endpoints is there.
 	turned atomic.Pointer[chan struct{}]
-	// asked is closed, once, when the store was asked for documents for the first time.
-	asked chan struct{}
-	tried sync.Once
-	// said tells that our own line was written; known is closed, once, when the others'
-	// lines were read.
-	said  atomic.Bool
-	known chan struct{}
-	met   sync.Once
+	// asked is given when the store was asked for documents, met when the others' lines
+	// were read.
+	asked *signal
+	met   *signal
+	// announced tells that our own line was written.
+	announced atomic.Bool
 }
 
 // New returns a control thread that has not started.
 func New(set Setup) *Control {
-	ctl := &Control{set: set, loop: loop.New(set.Clock, func() { set.Meter.Event(meter.EventDropped) }), known: make(chan struct{}), asked: make(chan struct{})}
+	ctl := &Control{set: set, loop: loop.New(set.Clock, func() { set.Meter.Event(meter.EventDropped) }), asked: newSignal(), met: newSignal()}
 	now := set.Clock.Now()
 	ctl.began = now
 	ctl.list = member.New(set.Self, set.Zone, set.Caller, now)
--- a/internal/state/doc.go
+++ b/internal/state/doc.go
@@ -20,6 +20,12 @@
 // agree proves nothing: the store may turn all of them away and still accept a
 // change.
 //
+// # Sources
+//
+// A few instances read the store, and the others follow them (source.go, follow.go). An
+// instance that starts reads documents, then who else there is, then endpoints, and only then
+// makes itself known (meet.go).
+//
 // # Endpoints
 //
 // The store drops the entries of endpoints that it hasn't heard of, also while it
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -61,7 +61,7 @@
 // watch reads the documents, and then waits in the store for newer ones, or follows
 // another instance that does.
 func (dct *docsCtl) watch(ctx context.Context) {
-	from, fails, unanswered := int64(-1), 0, 0
+	from, fails, unanswered, waited := int64(-1), 0, 0, false
 	for ctx.Err() == nil {
 		who, src := dct.ctl.source(dct.ctl.set.Clock.Now())
 		if src == fromOther && unanswered < unansweredMost {
@@ -90,11 +90,12 @@
 			continue
 		}
 		from, fails = next, 0
-		dct.ctl.awaitOthers(ctx)
-		if dct.ctl.View().plan == nil {
+		dct.ctl.met.wait(ctx, othersWait)
+		if dct.ctl.View().plan == nil && !waited {
 			// Nothing can be served yet. Once the others are known, most instances hear of
 			// the first documents from the few that watch for them.
-			pause(ctx, lookEvery[0]+lookMargin)
+			waited = true
+			dct.ctl.met.wait(ctx, lookEvery[0]+lookMargin)
 		}
 	}
 }
@@ -167,7 +168,7 @@
 
 // contact writes down a lost or regained store.
 func (dct *docsCtl) contact(ctx context.Context, err error) {
-	defer dct.ctl.tried.Do(func() { close(dct.ctl.asked) })
+	defer dct.ctl.asked.give()
 	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
 		if err == nil {
 			dct.heardAt = now
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -43,7 +43,7 @@
 			return
 		}
 		if err == nil {
-			ctl.met.Do(func() { close(ctl.known) })
+			ctl.met.give()
 		}
 		if turn == 0 {
 			ctl.loop.Go(ctl.announce)
@@ -60,20 +60,14 @@
 // are and would share the way here with their lines. It tells whether there are none: then
 // the system starts for the first time, and the others' lines are yet to be written.
 func (ctl *Control) first(ctx context.Context) bool {
-	tmr := time.NewTimer(othersWait)
-	defer tmr.Stop()
-	select {
-	case <-ctl.asked:
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
+	ctl.asked.wait(ctx, othersWait)
 	none := false
 	ctl.loop.Do(ctx, func(clock.Milli) { none = ctl.docs.heardAt > 0 && ctl.docs.plan == nil })
 	return none
 }
 
 // Met is closed once this instance has learned of the others that the store lists.
-func (ctl *Control) Met() <-chan struct{} { return ctl.known }
+func (ctl *Control) Met() <-chan struct{} { return ctl.met.ch }
 
 // look lists the instances that the store knows. Our own line is written again if it
 // should stand there and doesn't.
@@ -81,7 +75,7 @@
 	if ctl.storeDown(ctx) {
 		return nil, errStoreDown
 	}
-	said := ctl.said.Load()
+	announced := ctl.announced.Load()
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
 	list, err := ctl.set.Store.Instances(ctx)
@@ -89,8 +83,8 @@
 		return nil, err
 	}
 	ours := func(inst talk.Instance) bool { return inst.Name == string(ctl.set.Self) }
-	if said && !slices.ContainsFunc(list, ours) {
-		ctl.said.Store(false)
+	if announced && !slices.ContainsFunc(list, ours) {
+		ctl.announced.Store(false)
 		ctl.loop.Go(ctl.announce)
 	}
 	return list, nil
@@ -103,13 +97,13 @@
 	me := talk.Instance{
 		Name: string(ctl.set.Self), Addr: ctl.set.Self.Addr(), Zone: ctl.set.Zone, Caller: ctl.set.Caller, Capacity: ctl.set.Capacity,
 	}
-	for fails := 0; ctx.Err() == nil && !ctl.said.Load(); fails++ {
+	for fails := 0; ctx.Err() == nil && !ctl.announced.Load(); fails++ {
 		if !ctl.storeDown(ctx) {
 			wctx, cancel := context.WithTimeout(ctx, announceWait)
-			ctl.said.Store(ctl.set.Store.Announce(wctx, me) == nil)
+			ctl.announced.Store(ctl.set.Store.Announce(wctx, me) == nil)
 			cancel()
 		}
-		if !ctl.said.Load() {
+		if !ctl.announced.Load() {
 			pause(ctx, againSpan(fails))
 		}
 	}
--- a/internal/state/source.go
+++ b/internal/state/source.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -37,7 +36,8 @@
 	// the store is asked. They may all have lost power; then waiting for each of them
 	// takes longer than a view lasts.
 	unansweredMost = 2
-	// othersWait bounds the wait for the first look at who else there is.
+	// othersWait bounds the wait for the first look at who else there is: whoever doesn't
+	// know the others reads the store for itself.
 	othersWait = 300 * time.Millisecond
 	// readersName is what readers and deputies are ranked by.
 	readersName = "readers of the store"
@@ -111,18 +111,6 @@
 	return vw.sources.choose(ctl.set.Self, func(who ident.Incarnation) bool { return now < ctl.docs.silent.until(who) })
 }
 
-// awaitOthers waits until this instance has learned of the others, for a moment at most:
-// whoever doesn't know them reads the store for itself.
-func (ctl *Control) awaitOthers(ctx context.Context) {
-	tmr := time.NewTimer(othersWait)
-	defer tmr.Stop()
-	select {
-	case <-ctl.known:
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
-
 // Follows tells whether this instance is told by others what stands in the store.
 func (ctl *Control) Follows() bool {
 	_, src := ctl.source(ctl.set.Clock.Now())
