pkg/gather, internal/batch: room is learnt from refusals only at a beginning; no job is split where room is short

It binds in the pool whose results take most room, twelve to an endpoint: refusals for rough sizes counted as others' results for a second each, and parts of jobs took room until their rests were made.

Change: refusals tell of others' results only for as long as there may be results from before this instance began; a call is filled with a part of a job only while its results take less than half of the endpoint's room.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -105,6 +105,7 @@
 	}
 	pol.wakeIn(settle, now)
 	if pol.begins(now) {
+		pol.book.Begin(now)
 		go pol.survey(now)
 	}
 	pol.mtx.Unlock()
--- a/internal/batch/survey_test.go
+++ b/internal/batch/survey_test.go
@@ -21,7 +21,7 @@
 // the endpoint has let go of them, and nobody asks on.
 func TestRoomIsAskedFor(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	calls, timers, free := make(chan []talk.Item, 9), make(chan func(), 9), make(chan int64, 9)
+	calls, timers, rounds, free := make(chan []talk.Item, 9), make(chan func(), 99), make(chan func(), 9), make(chan int64, 9)
 	dia := &talk.Dialect{
 		Run: func(ctx context.Context, _ *http.Client, _ talk.Endpoint, items []talk.Item) ([]talk.Made, talk.Reply, error) {
 			calls <- items
@@ -37,7 +37,13 @@
 	}
 	desk := New(Setup{
 		Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second,
-		After: func(_ clock.Milli, work func()) { timers <- work },
+		After: func(span clock.Milli, work func()) {
+			if span == surveyEvery {
+				rounds <- work
+				return
+			}
+			timers <- work
+		},
 	})
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{
 		Name: "ranks", Batch: &plan.DraftBatch{Places: 1, Most: 9, Call: 9000, Item: 1, Room: 1000, Keep: 4000},
@@ -51,7 +57,7 @@
 	begin := <-timers
 	gom.Eventually(func() int { return desk.pool("ranks").waitingNow() }, soon).Should(gomega.Equal(4))
 	free <- 500
-	again := <-timers
+	again := <-rounds
 	begin()
 	gom.Eventually(calls, soon).Should(gomega.Receive(gomega.HaveLen(2)))
 	free <- 1000
--- a/pkg/gather/doc.go
+++ b/pkg/gather/doc.go
@@ -28,6 +28,10 @@
 // centre fill its call. A full call goes before a near one. An endpoint whose room
 // is taken gets no piece for which it would say so after the time of a call.
 //
+// What results of others take at an endpoint is learnt from its own word ([Book.Told]) and
+// from pieces that it refuses ([Book.Full]). Jobs go whole into calls, but in pools so large
+// that the rest of a job follows within some milliseconds.
+//
 // Two instances may gather one pool for a while, when they differ about who is
 // alive. That costs fullness and some refused calls; it makes no result wrong, for
 // a piece may be made twice. The package starts nothing and reads no clock.
--- a/pkg/gather/fill_test.go
+++ b/pkg/gather/fill_test.go
@@ -45,4 +45,19 @@
 	add(bk, 3, 3, 9000)
 	bat, _ := bk.Next(1000)
 	gom.Expect(bat.Pieces).To(gomega.HaveLen(3))
+
+	large := newBook(38)
+	large.Set(Spec{Places: 1, Most: 8, Call: 200, Item: 21, Room: 1900})
+	for job := range int64(20) {
+		for i := range int64(3) {
+			large.Add(Piece{ID: job*3 + i, Job: job, Due: 9000, Until: 100000, Bytes: 150})
+		}
+	}
+	bat, _ = large.Next(1000)
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(8), "its room is hardly half taken")
+	for i := range large.waiting {
+		large.waiting[i].Bytes = 158
+	}
+	bat, _ = large.Next(1000)
+	gom.Expect(bat.Pieces).To(gomega.HaveLen(7), "a part of a job would take room that is short")
 }
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -42,6 +42,10 @@
 	// topWait is how far apart the calls of a pool may begin, in milliseconds, for a job to
 	// be split in order to fill them.
 	topWait = 30.0
+	// topShare of an endpoint's room is the most that a call's results may take if the call is
+	// to be filled with a part of a job: what is made of that job takes room until its rest
+	// is made too.
+	topShare = 0.5
 	// wholeShare of an endpoint's room is the most that the results of a job may take
 	// if it is to be made in one call. Larger ones would wait for long until so much
 	// room is free at one endpoint, while small ones take each bit of it.
@@ -201,6 +205,8 @@
 	filled  float64
 	pace    pace
 	spacing spacing
+	// alone is the instant from which all results are known here.
+	alone clock.Milli
 }
 
 // Set gives the pool's specification.
--- a/pkg/gather/learn.go
+++ b/pkg/gather/learn.go
@@ -43,21 +43,26 @@
 
 // Full notes that an endpoint had no room for a piece. Sizes are rough, and another
 // instance may hold results there: whatever our count says, more is not tried until
-// something was given back or a moment has passed. What our count lacks is taken for others'
-// for a while: after a loss of all, calls made for their room came back half refused until
-// it lapsed, and jobs of which a part was made held what was left.
+// something was given back or a moment has passed. While there may be results from before
+// this instance began, what our count lacks is taken for theirs for a while: after a loss of all,
+// calls made for their room came back half refused until it lapsed, and jobs of which a part
+// was made held what was left. Later it is only that sizes are rough.
 func (bk *Book) Full(id string, now clock.Milli) {
 	mkr, ok := bk.byID[id]
 	if !ok {
 		return
 	}
 	mkr.full = now + fullFor
-	if bk.spec.Room > 0 {
+	if bk.spec.Room > 0 && now < bk.alone {
 		mkr.others = max(mkr.others, bk.spec.Room-mkr.held)
 		mkr.othersUntil = max(mkr.othersUntil, now+othersFor)
 	}
 }
 
+// Begin notes that this instance begins to gather the pool: for as long as results are held
+// that nobody gives back, there may be some that are not known here.
+func (bk *Book) Begin(now clock.Milli) { bk.alone = now + bk.spec.Keep }
+
 // Told notes how many bytes of results an endpoint has room for by its own word. What is taken
 // beyond what is known here was made for an instance that gathered before; it only shrinks,
 // and is gone when results lapse. So a later word counts only if it tells of less: it is some
--- a/pkg/gather/space_test.go
+++ b/pkg/gather/space_test.go
@@ -130,6 +130,7 @@
 func TestRefusedRoomIsLearnt(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	bk := newBook(1)
+	bk.Begin(900)
 	for i := range int64(9) {
 		bk.Add(Piece{ID: i, Job: i, Due: 9000, Until: 100000, Bytes: 250})
 	}
@@ -147,4 +148,7 @@
 	bat, ok = bk.Next(1280 + othersFor)
 	gom.Expect(ok).To(gomega.BeTrue())
 	gom.Expect(bat.Pieces).To(gomega.HaveLen(2))
+	bk.Ended(bat.ID, Made, []Result{{Handle: "d", Bytes: 250}}, 900+4000)
+	bk.Full("m0", 900+4000)
+	gom.Expect(bk.makers[0].others).To(gomega.BeZero(), "whatever was there before has lapsed")
 }
--- a/pkg/member/doc.go
+++ b/pkg/member/doc.go
@@ -25,6 +25,13 @@
 // many probes. Each member is then probed by about as many others, so that a
 // dead one is still found within a few periods.
 //
+// # Who looks after what
+//
+// Names are looked after by addresses ([List.Homes]), so that a restart of all instances at
+// once changes nothing in it, and all agree before they have learned one another's
+// incarnations. A member that gave no answer to somebody can be doubted ([List.Doubt]): it is
+// probed at once.
+//
 // The list is never trusted for safety. It spares work, and it bounds when a
 // publisher may say "in force"; at most once and leases rest on the log.
 package member
