internal/state, internal/homes: first requests wait a second at the most; another instance's word ends the wait for others

Requests that had waited for half a second were refused for want of endpoints, 341 of them.

Ruled out: lists lost or told empty (no instance lost its endpoints), the store down (it answered all).

Change: a second for both waits, still from the start and only while the view lacks documents or endpoints; when another instance has told of all members, nobody waits for the store's list any more.

Tests as before: TestFirstRequestsWait, TestNothingIsMadeBeforeTheOthersAreKnown.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -39,7 +39,7 @@
 	// all places and queues of the makers with calls of one piece, and whoever gathered
 	// then found no place. Longer than this a store that answers doesn't take, and
 	// requests can't wait for one that is down.
-	joinMost = 400 * clock.Milli(1)
+	joinMost = clock.Second
 	// freedWait bounds the word that results are given back.
 	freedWait = time.Second
 )
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -21,9 +21,9 @@
 	// tickEvery is the time between two steps of the control thread.
 	tickEvery = 100 * time.Millisecond
 	// startWait is how long after its start requests wait for an instance to know documents
-	// and endpoints. A store that is well is read in some hundred milliseconds, also by
-	// hundreds at once.
-	startWait = 500 * clock.Milli(1)
+	// and endpoints. A store that is well is read by hundreds at once within that, also where
+	// documents have a thousand routes and links are slow.
+	startWait = clock.Second
 	// staleAfter is the age from which a view may well be an old one: two and a
 	// half times the longest wait between two answers of a store that is well.
 	staleAfter = 2500 * clock.Milli(1)
@@ -74,7 +74,7 @@
 	// turned is closed when a view with another plan or other endpoints is there.
 	turned atomic.Pointer[chan struct{}]
 	// asked is given when the store was asked for documents, met when the others' lines
-	// were read.
+	// were read or another instance told of all that it knows.
 	asked *signal
 	met   *signal
 	// announced tells that our own line was written.
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -272,6 +272,7 @@
 			dct.take(talk.Document{Offset: shr.Offset, Text: shr.Text}, sent-shr.Age, now, string(from))
 			dct.ctl.endpts.takeShared(shr.Endpoints)
 			dct.ctl.list.Learn(shr.Members, now)
+			dct.ctl.met.give()
 		})
 	})
 }
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -66,7 +66,8 @@
 	return none
 }
 
-// Met is closed once this instance has learned of the others that the store lists.
+// Met is closed once this instance has learned of the others, from the store or from one of
+// them.
 func (ctl *Control) Met() <-chan struct{} { return ctl.met.ch }
 
 // look lists the instances that the store knows. Our own line is written again if it
