--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// Get runs a question on the thread and gives its answer; false if the context ended first. The
+// question may then run later, and so its answer must come this way: a variable that it sets
+// would be written while the asker has gone on.
+func Get[T any](ctx context.Context, lp *Loop, question func(now clock.Milli) T) (answer T, ok bool) {
+	answers := make(chan T, 1)
+	if !lp.Do(ctx, func(now clock.Milli) { answers <- question(now) }) {
+		return answer, false
+	}
+	return <-answers, true
+}
+
 // Offer hands an event over without waiting. When there is no room it is dropped:
 // what is offered is learned again in a moment.
 func (lp *Loop) Offer(event func(now clock.Milli)) {
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
@@ -32,6 +35,8 @@
 	// two seconds in which a change must be in force.
 	againAfter = 250 * clock.Milli(1)
 	againMost  = clock.Second
+	// askAgain is the pause between two patient questions: one that is refused takes no time.
+	askAgain = 100 * time.Millisecond
 	// againSteps is after how many failures the pause is at its longest.
 	againSteps = 3
 	// stateWait bounds the question for another instance's documents.
@@ -67,7 +72,7 @@
 		if src == fromOther && unanswered < unansweredMost {
 			// Whoever reads the store again later starts with a whole read.
 			from = -1
-			switch err := dct.followOnce(ctx, who); {
+			switch err := dct.followOnce(ctx, who, false); {
 			case err == nil:
 				fails, unanswered = 0, 0
 			case !errors.Is(err, errOldNews):
@@ -75,8 +80,8 @@
 			}
 			continue
 		}
-		if src == fromStoreRarely && from < 0 {
-			pause(ctx, rareSpan(len(dct.ctl.View().members)))
+		if src == fromStoreRarely && from < 0 && dct.outwait(ctx) {
+			continue
 		}
 		next, err := dct.read(ctx, from)
 		unanswered = 0
@@ -105,10 +110,29 @@
 	return retry.Spread(min(againAfter<<min(fails, againSteps), againMost) / 2).Duration()
 }
 
-// followOnce follows an instance for one answer. One that fails is left alone for a
-// while.
-func (dct *docsCtl) followOnce(ctx context.Context, who ident.Incarnation) error {
-	err := dct.follow(ctx, who)
+// outwait waits for news while nobody has any, before this instance reads the store for
+// itself: it asks readers and deputies in turn, who answer when they hear from the store
+// again. It tells whether one of them did.
+func (dct *docsCtl) outwait(ctx context.Context) bool {
+	vw := dct.ctl.View()
+	all := slices.Concat(vw.sources.readers, vw.sources.deputies)
+	from, until := rand.IntN(max(len(all), 1)), dct.ctl.set.Clock.Now()+rareSpan(len(vw.members))
+	for i := 0; ctx.Err() == nil && dct.ctl.set.Clock.Now() < until; i++ {
+		if len(all) > 0 && dct.followOnce(ctx, all[(from+i)%len(all)], true) == nil {
+			return true
+		}
+		pause(ctx, askAgain)
+	}
+	return false
+}
+
+// followOnce follows an instance for one answer; patiently, it is told of the next word from the
+// store even if that has been silent. One that fails is left alone for a while.
+func (dct *docsCtl) followOnce(ctx context.Context, who ident.Incarnation, patiently bool) error {
+	err := dct.follow(ctx, who, patiently)
+	if err == nil {
+		dct.silent.add(who, 0)
+	}
 	if err == nil || ctx.Err() != nil {
 		return err
 	}
@@ -161,9 +185,8 @@
 // storeDown tells whether the store failed to answer when it was asked for documents last.
 // It is asked for those all the while; asked for anything else it would tell the same.
 func (ctl *Control) storeDown(ctx context.Context) bool {
-	down := false
-	ctl.loop.Do(ctx, func(clock.Milli) { down = ctl.docs.down })
-	return down
+	down, ok := loop.Get(ctx, ctl.loop, func(clock.Milli) bool { return ctl.docs.down })
+	return down || !ok
 }
 
 // contact writes down a lost or regained store.
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
@@ -105,8 +106,7 @@
 // meanwhile is no outage: what a reader's list lacks is gone, and must not come back
 // for a while with the first list that we read ourselves.
 func (ect *endptsCtl) told(ctx context.Context) bool {
-	told := false
-	ect.ctl.loop.Do(ctx, func(now clock.Milli) { told = ect.toldAt(now) })
+	told, _ := loop.Get(ctx, ect.ctl.loop, ect.toldAt)
 	return told
 }
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
@@ -62,13 +63,19 @@
 type wanted struct {
 	Offset int64  `cbor:"1,keyasint"`
 	Digest uint64 `cbor:"2,keyasint"`
+	// Patient tells that the asker has nowhere else to go: while the store is silent it is
+	// answered as late as others, and so knows of its return within that time.
+	Patient bool `cbor:"3,keyasint,omitempty"`
 }
 
 // follow asks a reader for the next change, and takes it.
-func (dct *docsCtl) follow(ctx context.Context, who ident.Incarnation) error {
+func (dct *docsCtl) follow(ctx context.Context, who ident.Incarnation, patiently bool) error {
 	ctl := dct.ctl
-	var wnt wanted
-	ctl.loop.Do(ctx, func(clock.Milli) { wnt = dct.wanted() })
+	wnt, ok := loop.Get(ctx, ctl.loop, func(clock.Milli) wanted { return dct.wanted() })
+	if !ok {
+		return ctx.Err()
+	}
+	wnt.Patient = patiently
 	body, err := cbor.Marshal(wnt)
 	if err != nil {
 		return err
@@ -118,7 +125,7 @@
 	began := ctl.set.Clock.Now()
 	vw := ctl.waitFor(ctx, newsHold, func(vw *View) bool {
 		// Who hears nothing from the store says so at once: the follower goes elsewhere.
-		silent := vw.silence(ctl.set.Clock.Now()) > newsOld
+		silent := !wnt.Patient && vw.silence(ctl.set.Clock.Now()) > newsOld
 		return silent || vw.offset > wnt.Offset || vw.news(wnt)
 	})
 	now := ctl.set.Clock.Now()
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -61,8 +62,7 @@
 // the system starts for the first time, and the others' lines are yet to be written.
 func (ctl *Control) first(ctx context.Context) bool {
 	ctl.asked.wait(ctx, othersWait)
-	none := false
-	ctl.loop.Do(ctx, func(clock.Milli) { none = ctl.docs.heardAt > 0 && ctl.docs.plan == nil })
+	none, _ := loop.Get(ctx, ctl.loop, func(clock.Milli) bool { return ctl.docs.heardAt > 0 && ctl.docs.plan == nil })
 	return none
 }
 
@@ -182,7 +182,8 @@
 // does it for all, in one write: after a loss of all there are hundreds, and the store
 // writes one after another, with the lines of the living behind them.
 func (ctl *Control) tidy(list []talk.Instance) {
-	if ctl.list.Homes(readersName)[0] != ctl.set.Self {
+	// An instance that stops, and knows of nobody else, ranks nobody.
+	if ranked := ctl.list.Homes(readersName); len(ranked) == 0 || ranked[0] != ctl.set.Self {
 		return
 	}
 	var ended []string
--- a/internal/state/source.go
+++ b/internal/state/source.go
@@ -17,7 +17,7 @@
 // store, goes to the next reader; when none has news, to the deputies, who read the
 // store themselves then. So while the store is down a dozen instances ask it and not
 // hundreds, and while a part of them is cut off from it the others still hear of a change
-// in time.
+// in time. Those ask readers and deputies in turn meanwhile, and so hear of its return.
 
 const (
 	// readersLeast instances read the store, and one more for each readersPer:
@@ -118,6 +118,6 @@
 }
 
 // rareSpan is how long one of so many instances waits before it reads the store rarely.
-func rareSpan(instances int) time.Duration {
-	return retry.Spread(rareEach * clock.Milli(max(instances, 1))).Duration()
+func rareSpan(instances int) clock.Milli {
+	return retry.Spread(rareEach * clock.Milli(max(instances, 1)))
 }
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -191,3 +191,69 @@
 	close(held)
 	gom.Eventually(func() bool { return ask().Listed }, soon).Should(gomega.BeTrue())
 }
+
+// TestPatientAskerHearsOfTheReturn: the store is down, and an instance whose readers and deputies all
+// have no news asks one of them patiently. It isn't sent away, but answered when the store is
+// back, within the time that a question is held. Sent away at once by each of them it left them
+// alone for three seconds, and went by old documents for as long after the store's return.
+func TestPatientAskerHearsOfTheReturn(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var down atomic.Bool
+	ctl := started(t, talk.Store{Watch: func(context.Context, int64, clock.Milli) (bool, error) {
+		if down.Load() {
+			return false, errors.New("down")
+		}
+		time.Sleep(10 * time.Millisecond)
+		return false, nil
+	}, Newest: func(context.Context) (talk.Document, error) {
+		if down.Load() {
+			return talk.Document{}, errors.New("down")
+		}
+		return talk.Document{Offset: 1, End: 2}, nil
+	}})
+	ask := func(patient bool) (news, time.Duration) {
+		vw := ctl.View()
+		body, _ := cbor.Marshal(wanted{Offset: vw.Offset(), Digest: vw.digest, Patient: patient})
+		began := time.Now()
+		var nws news
+		gom.Expect(cbor.Unmarshal(ctl.Tell(context.Background(), peer.Message{Body: body}).Body, &nws)).To(gomega.Succeed())
+		return nws, time.Since(began)
+	}
+	gom.Eventually(func() bool { return ctl.View().whole() }, soon).Should(gomega.BeTrue())
+	down.Store(true)
+	time.Sleep(newsOld.Duration() + 200*time.Millisecond)
+	nws, took := ask(false)
+	gom.Expect(nws.Silent).To(gomega.BeNumerically(">", newsOld))
+	gom.Expect(took).To(gomega.BeNumerically("<", newsHold/2))
+	nws, took = ask(true)
+	gom.Expect(nws.Silent).To(gomega.BeNumerically(">", newsOld))
+	gom.Expect(took).To(gomega.BeNumerically(">=", newsHold))
+	down.Store(false)
+	back := time.Now()
+	gom.Eventually(func() clock.Milli {
+		nws, _ := ask(true)
+		return nws.Silent
+	}, soon).Should(gomega.BeNumerically("<", newsOld))
+	gom.Expect(time.Since(back)).To(gomega.BeNumerically("<", againMost.Duration()+2*newsHold))
+}
+
+// TestLastOneStopsWhileItLooks: the only instance that is left is stopping when it reads the lines of
+// others, which have ended. It ranks nobody, itself included, and takes out no lines. It ended there
+// by itself, with requests under way.
+func TestLastOneStopsWhileItLooks(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl := started(t, talk.Store{})
+	ctl.Leave(context.Background())
+	gom.Expect(ctl.loop.Do(context.Background(), func(now clock.Milli) {
+		before := lines("before", 3)
+		for _, inst := range before {
+			ctl.list.End(ident.Incarnation(inst.Name), now)
+		}
+		for range 100 {
+			ctl.list.Tick(now)
+			now += clock.Second
+		}
+		gom.Expect(ctl.list.Homes(readersName)).To(gomega.BeEmpty())
+		ctl.tidy(before)
+	})).To(gomega.BeTrue())
+}
