internal/stage: the test of an effect beside a failure waits until the effect is under way

"Not run" was true then: the case that the test is about had not come about.

Change: the encoder refuses 0.1 s late and the booking takes 0.5 s for 0.1, so that it is under way; the check is the same.

--- a/internal/stage/graph_test.go
+++ b/internal/stage/graph_test.go
@@ -81,13 +81,13 @@
 	gom.Expect(began).To(gomega.HaveLen(1))
 }
 
-// TestEffectBesideAFailure: a booking runs beside an encoder that refuses everything. The
-// caller is told that its end isn't known: the booking ran, whatever the encoder says, and
-// "not run" would have it booked again.
+// TestEffectBesideAFailure: a booking runs beside an encoder that refuses everything a moment
+// later. The caller is told that its end isn't known: the booking ran, whatever the encoder
+// says, and "not run" would have it booked again.
 func TestEffectBesideAFailure(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	sds := serveSides(t, "call", 1, 100)
-	sds.pool["encoders"].SetFaults(stand.Faults{Refuse: 100})
+	sds := serveSides(t, "call", 1, 500)
+	sds.pool["encoders"].SetFaults(stand.Faults{Refuse: 100, SlowMs: 100})
 	_, _, res := sds.run()
 	gom.Expect(res.Outcome()).To(gomega.Equal(outcm.Unknown), res.Detail())
 	gom.Expect(sds.pool["rerankers"].Executions()).To(gomega.BeEmpty())
