internal/front: log lines for requests that come during a planned stop, or are cut off by its end

Cause: an answer that the end of a planned stop cut off was logged as caller_gone, and what was expected of a request that was let in during a stop was not logged at all. So it couldn't be told whether the expected time was wrong, or the time that was left.

Change: a line for each request that comes during a stop, with the time expected, the time left and its deadline; what the end of the stop cuts off is counted and logged as stopping. No decision changes.

Run: ./internal/node and ./internal/front pass.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -107,11 +107,20 @@
 	res := fr.head(ctx, cl)
 	fr.giveBack(cl, allStages)
 	if ctx.Err() != nil && res.Outcome() != outcm.Done {
-		res = outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
+		res = fr.broken(res)
 	}
 	fr.finish(cl, res)
 }
 
+// broken gives the end of a request whose connection is gone: closed by its caller, or by
+// the end of a planned stop.
+func (fr *Front) broken(res outcm.Result) outcm.Result {
+	if end, is := fr.leaving(); is && fr.set.Clock.Now() >= end {
+		return outcm.New(res.Outcome(), outcm.Stopping, "cut off by the end of the planned stop")
+	}
+	return outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
+}
+
 // finish writes the answer of what was not answered, counts and logs.
 func (fr *Front) finish(cl *call, res outcm.Result) {
 	took := fr.set.Clock.Since(cl.arrived)
--- a/internal/front/leave.go
+++ b/internal/front/leave.go
@@ -24,8 +24,15 @@
 // begun then is broken off by the end of the process; refused at once, the request goes
 // to another instance and is answered there.
 func (fr *Front) stay(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
+	end, is := fr.leaving()
+	if !is {
+		return nxt(ctx, cl)
+	}
 	now := fr.set.Clock.Now()
-	if end, is := fr.leaving(); is && now+fr.wholes.careful(cl.route.Name(), cl.route.Goal(), now) > end {
+	need := fr.wholes.careful(cl.route.Name(), cl.route.Goal(), now)
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("route", cl.route.Name()).Int64("need_ms", int64(need)).Int64("left_ms", int64(end-now)).
+		Int64("deadline_ms", int64(cl.until-now)).Bool("taken", now+need <= end).Msg("request during a planned stop")
+	if now+need > end {
 		return outcm.Refuse(outcm.Stopping, soonest, "this instance stops before an answer would be whole; use another address")
 	}
 	return nxt(ctx, cl)
