internal/node: a failing test of answers cut off by the end of a planned stop

Symptom: callers saw a stream begin and its connection end in the middle, at instances that had been told to stop three seconds and more before the request came.

Test: three instances whose streams were short so far are told to stop, all at once; then come streams that last longer than the stop may take, and plain requests that surely end before it. The plain ones must be served, the streams whole or refused as not run.

The test's world can be used outside of ginkgo, since only a test function of its own can be listed.

--- /dev/null
+++ b/internal/node/stops_test.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/platform/fake"
+)
+
+// stopSpan is how long a planned stop may take in these tests.
+const stopSpan = 2 * clock.Second
+
+// stops are planned stops of all instances at once, with requests that come meanwhile.
+type stops struct {
+	*world
+	ends sync.WaitGroup
+	mtx  sync.Mutex
+	sent []sent
+}
+
+// sent is a request with its answer.
+type sent struct {
+	ask ask
+	got got
+}
+
+// newStops starts instances whose routes have answered quickly so far. From then on an
+// event of a stream takes so long.
+func newStops(t *testing.T, nodes int, event time.Duration) *stops {
+	gomega.RegisterTestingT(t)
+	stp := &stops{world: newStoppingWorld(nodes, stopSpan, t.Cleanup)}
+	for i := range stp.nodes {
+		for range 5 {
+			expect(stp.send(i, ask{path: "/stream-once/x"}).status).To(equal(http.StatusOK))
+		}
+	}
+	for _, ep := range stp.engines {
+		ep.DelayedTakes = event
+		for range 100 {
+			ep.Fault(fake.Delayed)
+		}
+	}
+	return stp
+}
+
+// stop begins the planned stops.
+func (stp *stops) stop() {
+	for _, nod := range stp.nodes {
+		stp.ends.Go(func() { nod.Stop(context.Background()) })
+	}
+	// Until the instances have seen the signal.
+	time.Sleep(100 * time.Millisecond)
+}
+
+// sendAll sends a request to each instance, and doesn't wait for the answers.
+func (stp *stops) sendAll(path, id, deadline string) {
+	for i := range stp.nodes {
+		ak := ask{path: path, id: fmt.Sprintf("%s-%d", id, i), header: map[string]string{fake.HeaderDeadline: deadline}}
+		stp.ends.Go(func() {
+			ans := stp.send(i, ak)
+			stp.mtx.Lock()
+			defer stp.mtx.Unlock()
+			stp.sent = append(stp.sent, sent{ak, ans})
+		})
+	}
+}
+
+// wait waits for all stops and answers.
+func (stp *stops) wait() []sent {
+	stp.ends.Wait()
+	return stp.sent
+}
+
+// notRun expects a request to be refused, with a time to come back, and not to have run.
+func (stp *stops) notRun(snt sent) {
+	expect(snt.got.err).NotTo(anything(), "request %s: its answer is cut off", snt.ask.id)
+	expect(snt.got.status).To(equal(http.StatusServiceUnavailable), "request %s: %s", snt.ask.id, snt.got.body)
+	expect(snt.got.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	for _, run := range runs(stp.engines) {
+		expect(run.ID).NotTo(equal(snt.ask.id))
+	}
+}
+
+// Guards against answers that are cut off by the end of a planned stop.
+//
+// Callers saw a stream begin and its connection end in the middle, at instances that had
+// been told to stop seconds before the request came.
+func TestStopCutsOffNoLaterAnswer(t *testing.T) {
+	stp := newStops(t, 3, 600*time.Millisecond)
+	stp.stop()
+	for _, at := range []string{"first", "second", "third"} {
+		stp.sendAll("/stream-once/x", at, "15000")
+		stp.sendAll("/booking/x", at, "400")
+		time.Sleep(300 * time.Millisecond)
+	}
+	for _, snt := range stp.wait() {
+		if snt.ask.path == "/booking/x" {
+			expect(snt.got.status).To(equal(http.StatusOK), "what ends before the stop at the latest is served")
+			continue
+		}
+		stp.notRun(snt)
+	}
+}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/internal/ports"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/zlog"
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform"
 	"amaranthvalve/platform/fake"
 )
@@ -60,12 +61,20 @@
 	ways    []*way
 	version int
 	keys    []string
+	// stop is how long a planned stop may take; defers has work done at the test's end.
+	stop   clock.Milli
+	defers func(work func())
 }
 
 // newWorld starts two engines, two plain endpoints, two makers and so many
 // instances, and waits until all are ready.
 func newWorld(nodes int) *world {
-	wld := &world{store: fake.NewStore(), keys: []string{key}, servers: map[string]*stand.Server{}}
+	return newStoppingWorld(nodes, 8*clock.Second, func(work func()) { ginkgo.DeferCleanup(work) })
+}
+
+// newStoppingWorld is newWorld with another time for planned stops.
+func newStoppingWorld(nodes int, stop clock.Milli, defers func(work func())) *world {
+	wld := &world{store: fake.NewStore(), keys: []string{key}, servers: map[string]*stand.Server{}, stop: stop, defers: defers}
 	var err error
 	wld.srv, err = stand.Serve("127.0.0.1:0", wld.store.Handler())
 	expect(err).NotTo(anything())
@@ -78,7 +87,7 @@
 	for range nodes {
 		wld.start()
 	}
-	ginkgo.DeferCleanup(func() {
+	wld.defers(func() {
 		wld.store.SetMode(fake.Well)
 		for _, wy := range wld.ways {
 			wy.cut.Store(false)
@@ -149,7 +158,7 @@
 	wy := &way{store: wld.store.Handler()}
 	srv, err := stand.Serve("127.0.0.1:0", wy)
 	expect(err).NotTo(anything())
-	ginkgo.DeferCleanup(srv.Close)
+	wld.defers(srv.Close)
 	wld.ways = append(wld.ways, wy)
 	text := fmt.Sprintf(`
 dialect = "platform"
@@ -161,8 +170,8 @@
 platform = "http://%s"
 keep_ms = 100
 tokens_for_ms = 2000
-stop_ms = 8000
-`, freePort(), freePort(), freePort(), freePort(), srv.Addr())
+stop_ms = %d
+`, freePort(), freePort(), freePort(), freePort(), srv.Addr(), wld.stop)
 	set, fts := conf.Parse([]byte(text))
 	expect(set).NotTo(gomega.BeNil(), "%v", fts)
 	var nod *Node
