internal/node: a failing test of requests that the end of a planned stop leaves without an answer

Symptom: a request that came before the stop and waits for its stages when the stop ends gets a closed connection, though nothing of it has run and another instance could answer it.

Test: makers take longer than the stop may; the callers must be told that nothing ran, with a time to come back.

--- a/internal/node/stops_test.go
+++ b/internal/node/stops_test.go
@@ -17,12 +17,21 @@
 // stopSpan is how long a planned stop may take in these tests.
 const stopSpan = 2 * clock.Second
 
+// Paths of the three kinds of routes.
+const (
+	plain  = "/booking/x"
+	stream = "/stream-once/x"
+	staged = "/stream-staged/x"
+)
+
 // stops are planned stops of all instances at once, with requests that come meanwhile.
 type stops struct {
 	*world
 	ends sync.WaitGroup
-	mtx  sync.Mutex
-	sent []sent
+	// count is of the requests sent by sendAll.
+	count int
+	mtx   sync.Mutex
+	sent  []sent
 }
 
 // sent is a request with its answer.
@@ -38,7 +47,7 @@
 	stp := &stops{world: newStoppingWorld(nodes, stopSpan, t.Cleanup)}
 	for i := range stp.nodes {
 		for range 5 {
-			expect(stp.send(i, ask{path: "/stream-once/x"}).status).To(equal(http.StatusOK))
+			expect(stp.send(i, ask{path: stream}).status).To(equal(http.StatusOK))
 		}
 	}
 	for _, ep := range stp.engines {
@@ -60,9 +69,13 @@
 }
 
 // sendAll sends a request to each instance, and doesn't wait for the answers.
-func (stp *stops) sendAll(path, id, deadline string) {
+func (stp *stops) sendAll(path, deadline string) {
 	for i := range stp.nodes {
-		ak := ask{path: path, id: fmt.Sprintf("%s-%d", id, i), header: map[string]string{fake.HeaderDeadline: deadline}}
+		ak := ask{path: path, id: fmt.Sprintf("r%d", stp.count), header: map[string]string{fake.HeaderDeadline: deadline}}
+		if path == staged {
+			ak.header[fake.HeaderPieces], ak.header[fake.HeaderPieceKey] = "1,1", "pk"
+		}
+		stp.count++
 		stp.ends.Go(func() {
 			ans := stp.send(i, ak)
 			stp.mtx.Lock()
@@ -98,16 +111,34 @@
 func TestStopCutsOffNoLaterAnswer(t *testing.T) {
 	stp := newStops(t, 3, 600*time.Millisecond)
 	stp.stop()
-	for _, at := range []string{"first", "second", "third"} {
-		stp.sendAll("/stream-once/x", at, "15000")
-		stp.sendAll("/booking/x", at, "400")
+	for range 3 {
+		stp.sendAll(stream, "15000")
+		stp.sendAll(plain, "400")
 		time.Sleep(300 * time.Millisecond)
 	}
 	for _, snt := range stp.wait() {
-		if snt.ask.path == "/booking/x" {
+		if snt.ask.path == plain {
 			expect(snt.got.status).To(equal(http.StatusOK), "what ends before the stop at the latest is served")
 			continue
 		}
 		stp.notRun(snt)
 	}
 }
+
+// Guards against requests that a planned stop's end leaves without an answer while their
+// stages are being made: nothing of them has run, and their callers aren't told so.
+func TestStopAnswersWhatNoEndpointHas(t *testing.T) {
+	stp := newStops(t, 2, 0)
+	for _, ep := range stp.makers {
+		ep.DelayedTakes = 5 * time.Second
+		for range 20 {
+			ep.Fault(fake.Delayed)
+		}
+	}
+	stp.sendAll(staged, "15000")
+	time.Sleep(200 * time.Millisecond)
+	stp.stop()
+	for _, snt := range stp.wait() {
+		stp.notRun(snt)
+	}
+}
