internal/front, internal/node: the end of a planned stop refuses what no endpoint has got

Callers saw: a closed connection without an answer, for a request that had come before the stop and still waited for its stages when the process ended.

Cause: at the end of its time a planned stop closes all connections, whatever their requests are waiting for. It is of the same class as the answers that were cut off: what can't be finished is known, and nobody is told while it can still be told.

Ruled out: refusing such requests by what a final call hardly takes, before it is sent.

Change: when the time is up all requests under way are ended before their connections are closed. What no endpoint has got is refused as not run, what may have run is told 502, and an answer that has begun is broken off as before. Half of the margin that a stop keeps is for this (150 of 300 ms). Under way at the end can be only what came before the signal.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,9 @@
 	under atomic.Int64
 	// ends is the instant of the end of a planned stop, zero for none.
 	ends atomic.Int64
+	// over ends with the time of a planned stop.
+	over   context.Context
+	cutOff context.CancelFunc
 	// firsts has the times from a final call to its first byte.
 	firsts needs
 }
@@ -51,6 +55,7 @@
 // New returns a front with its filters in their order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, homes: set.Homes}
+	fr.over, fr.cutOff = context.WithCancel(context.Background())
 	fr.head = chain.Link(fr.final, fr.match, fr.stay, fr.identify, fr.admit, fr.stages)
 	return fr
 }
@@ -101,7 +106,9 @@
 	cl.out = newOutput(fr, wrt)
 	fr.set.Control.SetLoad(fr.under.Add(1))
 	defer func() { fr.set.Control.SetLoad(fr.under.Add(-1)) }()
-	ctx := req.Context()
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	defer context.AfterFunc(fr.over, cancel)()
 	res := fr.head(ctx, cl)
 	fr.giveBack(cl, allStages)
 	if ctx.Err() != nil && res.Outcome() != outcm.Done {
@@ -110,13 +117,16 @@
 	fr.finish(cl, res)
 }
 
-// broken gives the end of a request whose connection is gone: closed by its caller, or by
-// the end of a planned stop.
+// broken gives the end of a request that was ended by its caller's leaving, or by the
+// end of a planned stop.
 func (fr *Front) broken(res outcm.Result) outcm.Result {
-	if end, is := fr.leaving(); is && fr.set.Clock.Now() >= end {
-		return outcm.New(res.Outcome(), outcm.Stopping, "cut off by the end of the planned stop")
+	switch {
+	case fr.over.Err() == nil:
+		return outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
+	case res.IsRefusal():
+		return outcm.Refuse(outcm.Stopping, soonest, "this instance has stopped; use another address")
 	}
-	return outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
+	return outcm.New(res.Outcome(), outcm.Stopping, "this instance has stopped; it may have run")
 }
 
 // finish writes the answer of what was not answered, counts and logs.
--- a/internal/front/leave.go
+++ b/internal/front/leave.go
@@ -12,6 +12,11 @@
 // instant at which the process ends.
 func (fr *Front) Leave(end clock.Milli) { fr.ends.Store(int64(end)) }
 
+// End ends what is under way when a planned stop has no time left. Requests that no
+// endpoint has got are refused as not run; without this their connections would close
+// without a word, and their callers could not know it.
+func (fr *Front) End() { fr.cutOff() }
+
 // leaving tells whether a planned stop is under way, and when it ends.
 func (fr *Front) leaving() (end clock.Milli, is bool) {
 	end = clock.Milli(fr.ends.Load())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,9 @@
 	keptTimes = 3
 	// stopMargin is left of a planned stop for what comes after the last answer.
 	stopMargin = 300 * clock.Milli(1)
+	// lastAnswers is the part of it in which callers are told of what could not be
+	// answered.
+	lastAnswers = 150 * clock.Milli(1)
 	// stopSettle is how long requests that cross the end of kept answers are
 	// still answered.
 	stopSettle = clock.Second
@@ -272,7 +275,10 @@
 	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
 	defer cancel()
 	nod.calls.Shutdown(sctx)
-	nod.log.Info().Int64("cut_off", nod.front.Under()).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
+	cut := nod.front.Under()
+	nod.front.End()
+	nod.until(ctx, nod.clk.Now()+lastAnswers, func() bool { return nod.front.Under() == 0 })
+	nod.log.Info().Int64("cut_off", cut).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
 	nod.Kill()
 }
 
