internal/serve: test of requests that come as a planned stop closes the listener

A connection that is accepted at that moment is put into the queue of a server that has ended: nobody reads it and nobody closes it. A request that comes 30 ms later, on a connection accepted before, gets the end of the connection in place of an answer: net/http's Shutdown serves no request of which it reads the head afterwards.

--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,129 @@
+package serve
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// lateListener hands out one connection that was accepted right as it was closed.
+type lateListener struct {
+	net.Listener
+	con    net.Conn
+	closed chan struct{}
+	once   sync.Once
+	given  bool
+}
+
+func (lsn *lateListener) Accept() (net.Conn, error) {
+	<-lsn.closed
+	if lsn.given {
+		return nil, net.ErrClosed
+	}
+	lsn.given = true
+	time.Sleep(20 * time.Millisecond)
+	return lsn.con, nil
+}
+
+func (lsn *lateListener) Close() error {
+	lsn.once.Do(func() { close(lsn.closed) })
+	return nil
+}
+
+func answering() http.Handler {
+	return http.HandlerFunc(func(wrt http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wrt, "whole") })
+}
+
+// TestAcceptedAsTheListenerCloses: a connection with a request in it is accepted at the moment
+// at which a planned stop closes the listener. The request is answered; the connection was
+// dropped, or left open with nobody to read it until the process ended.
+func TestAcceptedAsTheListenerCloses(t *testing.T) {
+	for range 8 {
+		gom := gomega.NewWithT(t)
+		lsn, err := net.Listen("tcp", "127.0.0.1:0")
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		out, err := net.Dial("tcp", lsn.Addr().String())
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		con, err := lsn.Accept()
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.WriteString(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		srv := New(&lateListener{Listener: lsn, con: con, closed: make(chan struct{})}, answering())
+		ended := make(chan struct{})
+		go func() {
+			srv.Serve()
+			close(ended)
+		}()
+		// The acceptor must have begun, as that of an instance has.
+		time.Sleep(5 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		srv.Shutdown(ctx)
+		cancel()
+		_ = out.SetReadDeadline(time.Now().Add(time.Second))
+		res, err := http.ReadResponse(bufio.NewReader(out), nil)
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		body, err := io.ReadAll(res.Body)
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		gom.Expect(string(body)).To(gomega.Equal("whole"))
+		<-ended
+		srv.Close()
+		_, _ = out.Close(), lsn.Close()
+	}
+}
+
+// TestRequestComesRightAfterTheListenerClosed: a connection was accepted before a planned stop took
+// no new ones, and its request comes some milliseconds later, as over any longer way. It is
+// answered; net/http closes the connection without a word.
+func TestRequestComesRightAfterTheListenerClosed(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	srv := New(lsn, answering())
+	go srv.Serve()
+	out, err := net.Dial("tcp", lsn.Addr().String())
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	time.Sleep(20 * time.Millisecond)
+	ended := make(chan struct{})
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		srv.Shutdown(ctx)
+		close(ended)
+	}()
+	time.Sleep(30 * time.Millisecond)
+	began := time.Now()
+	_, _ = io.WriteString(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	_ = out.SetReadDeadline(time.Now().Add(time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(out), nil)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(res.Close).To(gomega.BeTrue())
+	gom.Eventually(ended, time.Second).Should(gomega.BeClosed())
+	gom.Expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+}
+
+// TestEndsThoughAConnectionStaysSilent: a caller opened a connection and sends nothing. The stop
+// is over when its time is.
+func TestEndsThoughAConnectionStaysSilent(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	srv := New(lsn, answering())
+	go srv.Serve()
+	out, err := net.Dial("tcp", lsn.Addr().String())
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	srv.Shutdown(ctx)
+	srv.Close()
+	gom.Expect(time.Since(began)).To(gomega.BeNumerically("~", 200*time.Millisecond, 150*time.Millisecond))
+	_ = out.Close()
+}
