internal/serve: a planned stop answers requests on connections that it has accepted

Cause: net/http's Shutdown returns from a connection without a word once it has read a head after Shutdown began, also if the connection is new; and a connection that waits to be handed to one of the servers as these end is left in their queue. Its caller gets the end of the connection in place of an answer, and can't know that nothing ran.

Ruled out: a pause between the closing of the listener and Shutdown. It is an estimate of how long callers take to send.

Change: the listener is closed, the servers keep no connection alive any more, and Shutdown is called when no connection is left that was accepted, or the stop's time is over. Silent connections end by the documents' bound for heads, as before by net/http's 5 s.

Conclusion: a fault, mended. Requests that arrive on an idle kept connection in the moment in which it is closed are still lost; HTTP/1.1 has no word for it.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthvalve/pkg/clock"
@@ -28,6 +29,8 @@
 	firstIdle   = 30 * clock.Second
 	// handOver is how many connections may wait to be handed on.
 	handOver = 64
+	// quietStep is how often a planned stop looks whether connections are left.
+	quietStep = 5 * time.Millisecond
 )
 
 // Limits bound a connection.
@@ -46,6 +49,8 @@
 	current *inlet
 	all     []*http.Server
 	closed  bool
+	// live counts the connections that were accepted and have not ended.
+	live atomic.Int64
 }
 
 // New returns a server on a listener.
@@ -73,7 +78,7 @@
 	srv.current = &inlet{addr: srv.lsn.Addr(), conns: make(chan net.Conn, handOver), done: make(chan struct{})}
 	one := &http.Server{
 		Handler: watched(srv.handler), ConnContext: withGuard, MaxHeaderBytes: headerRoom, ReadHeaderTimeout: lim.Header.Duration(),
-		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(),
+		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(), ConnState: srv.note,
 	}
 	srv.all = append(srv.all, one)
 	go func(inl *inlet) { _ = one.Serve(inl) }(srv.current)
@@ -81,6 +86,8 @@
 
 // Serve accepts connections until the listener is closed.
 func (srv *Server) Serve() {
+	srv.live.Add(1)
+	defer srv.live.Add(-1)
 	for {
 		con, err := srv.lsn.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -94,18 +101,36 @@
 		srv.mtx.Lock()
 		inl := srv.current
 		srv.mtx.Unlock()
-		inl.give(con)
+		srv.live.Add(1)
+		if !inl.give(con) {
+			srv.live.Add(-1)
+		}
+	}
+}
+
+// note counts the ends of connections.
+func (srv *Server) note(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		srv.live.Add(-1)
 	}
 }
 
 // Shutdown closes the listener and idle connections, and waits for requests under
-// way until the context ends.
+// way until the context ends. Connections that were accepted before have their requests
+// answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet,
+// and is called when none are left.
 func (srv *Server) Shutdown(ctx context.Context) {
 	_ = srv.lsn.Close()
 	srv.mtx.Lock()
 	srv.closed = true
 	all := srv.all
 	srv.mtx.Unlock()
+	for _, one := range all {
+		one.SetKeepAlivesEnabled(false)
+	}
+	for srv.live.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(quietStep)
+	}
 	var wgr sync.WaitGroup
 	for _, one := range all {
 		wgr.Add(1)
@@ -136,11 +161,14 @@
 	done  chan struct{}
 }
 
-func (inl *inlet) give(con net.Conn) {
+// give hands a connection on; false if the server has ended.
+func (inl *inlet) give(con net.Conn) bool {
 	select {
 	case inl.conns <- &guard{Conn: con}:
+		return true
 	case <-inl.done:
 		_ = con.Close()
+		return false
 	}
 }
 
