--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -194,6 +194,8 @@
 	status int
 	header http.Header
 	body   string
+	// closes tells that the connection is to be closed after the answer.
+	closes bool
 	err    error
 }
 
@@ -219,7 +221,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
-	return got{status: res.StatusCode, header: res.Header, body: string(body), err: err}
+	return got{status: res.StatusCode, header: res.Header, body: string(body), closes: res.Close, err: err}
 }
 
 // runs adds up what endpoints ran.
