internal/node: a planned stop binds callers before the control thread is told

Cause: Stop waited for the control thread before the front knew of the end. While that thread is busy, what comes is let in without a look at the end.

Change: the order of the two. Requests are bound by the stop's end from the signal on.

Before: the test fails in 3 of 3 runs; the control thread is held up for 0.2 s and an answer in that time doesn't ask to close. After: 3 of 3 pass with -race, with the two specs on planned stops.

Conclusion: a fault, mended. How long the thread is busy in a stop under load was not measured.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -265,8 +265,9 @@
 	end := began + nod.set.Stop() - stopMargin
 	kept := keptTimes*clock.Milli(nod.keep.Load()) + stopSettle
 	nod.log.Info().Int64("kept_ms", int64(kept)).Int64("stop_ms", int64(nod.set.Stop())).Int64("under_way", nod.front.Under()).Msg("leaving")
-	nod.ctl.Leave(ctx)
+	// The control thread may be busy; what comes meanwhile is bound by the stop's end too.
 	nod.front.Leave(end)
+	nod.ctl.Leave(ctx)
 	nod.until(ctx, min(began+kept, end), func() bool { return false })
 	nod.log.Info().Int64("under_way", nod.front.Under()).Msg("taking no new connections, finishing what is under way")
 	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
