--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+
+	"amaranthvalve/platform/fake"
 )
 
 // holding is a log that holds up whoever writes a line with a certain word, once.
@@ -54,4 +58,41 @@
 		free()
 		eventually(done, 2*soon).Should(gomega.BeClosed())
 	})
+
+	// The instance that gathers a pool's pieces is told to stop while it has another one's
+	// order, which takes longer than kept addresses last. The order is filled, for the stop
+	// has time; it was dropped when the instance's own callers were served, and its pieces were
+	// made once more elsewhere.
+	ginkgo.It("fills the orders that it took from others", func() {
+		wld := newWorld(2)
+		gatherer := wld.nodes[0].ctl.View().Gatherers("rosters")[0]
+		home := slices.IndexFunc(wld.nodes, func(nod *Node) bool { return nod.ctl.Self() == gatherer })
+		expect(home).To(gomega.BeNumerically(">=", 0))
+		for _, mkr := range wld.makers {
+			mkr.Takes = 300 * time.Millisecond
+		}
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			// Fifteen calls, two at once.
+			done <- wld.send(1-home, ask{path: "/stream-staged/x", header: map[string]string{fake.HeaderPieces: "60,1", fake.HeaderPieceKey: "pk"}})
+		}()
+		eventually(func() int { return len(wld.makers[0].Calls()) + len(wld.makers[1].Calls()) }, soon).Should(gomega.BeNumerically(">=", 1))
+		began := time.Now()
+		wld.nodes[home].Stop(context.Background())
+		expect(time.Since(began)).To(gomega.BeNumerically("<", 5*time.Second))
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.status).To(equal(http.StatusOK), ans.body)
+		made := map[string]int{}
+		for _, mkr := range wld.makers {
+			for _, call := range mkr.Calls() {
+				for _, piece := range call {
+					made[piece]++
+				}
+			}
+		}
+		expect(made).To(gomega.HaveLen(61))
+		expect(made).To(gomega.HaveEach(1))
+	})
 })
