internal/node, internal/homes: a planned stop fills the orders that it took from others

Cause: the end of a stop was bound to the instance's own callers alone. An order that another instance had sent was dropped with the link as soon as these were served, with seconds of the stop left: the asker begins anew elsewhere with what is left of its time.

Ruled out: an order that comes after the word of the stop; the test's comes before it. Refusing those is not needed for it.

Change: a stop waits until no order of others is being filled, to its end at the most, and 50 ms more for what was sent last: answers on the link, and results that are given back in calls of their own.

Conclusion: a fault, mended. An order that lasts beyond the end of the stop is still dropped there, and asked for elsewhere.

--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -73,6 +74,8 @@
 	mtx    sync.Mutex
 	silent map[ident.Incarnation]clock.Milli
 	waits  map[string]waited
+	// orders counts the orders of others that are being filled here.
+	orders atomic.Int64
 	came   came
 	words  words
 	terms  terms
@@ -212,6 +215,8 @@
 	if cbor.Unmarshal(msg.Body, &ord) != nil || ord.Count < 1 || ord.Count > MaxPieces {
 		return ans
 	}
+	hms.orders.Add(1)
+	defer hms.orders.Add(-1)
 	body, err := cbor.Marshal(hms.set.Desk.Make(ctx, ord))
 	if err == nil {
 		ans.Kind, ans.Body = peer.OK, body
@@ -219,6 +224,9 @@
 	return ans
 }
 
+// Orders gives the number of orders of others that are being filled here.
+func (hms *Homes) Orders() int64 { return hms.orders.Load() }
+
 // Freed takes results that another instance gives back; it is given to the link.
 func (hms *Homes) Freed(msg peer.Message) peer.Message {
 	var frd batch.Freed
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,8 @@
 	stopSettle = clock.Second
 	// stopStep is how often a planned stop looks at what is under way.
 	stopStep = 50 * time.Millisecond
+	// stopLast is how long a planned stop waits for what was sent last.
+	stopLast = 50 * clock.Milli(1)
 )
 
 // Node is an instance that serves routes, spoken to in a dialect.
@@ -273,6 +275,9 @@
 	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
 	defer cancel()
 	nod.calls.Shutdown(sctx)
+	nod.until(ctx, end, func() bool { return nod.homes.Orders() == 0 })
+	// The last answers to others, and results that are given back, are on their way for a moment.
+	nod.until(ctx, min(nod.clk.Now()+stopLast, end), func() bool { return false })
 	nod.log.Info().Int64("cut_off", nod.front.Under()).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
 	nod.Kill()
 }
