--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("the end of a planned stop", func() {
+	// A caller's connection is accepted right before the instance takes no new ones, and its
+	// request comes some milliseconds later. It is told that nothing ran; it got the end of the
+	// connection, and could not know.
+	ginkgo.It("answers on connections that were accepted", func() {
+		wld := newWorld(1, "")
+		nod := wld.nodes[0]
+		stopped := make(chan struct{})
+		go func() {
+			nod.Stop(context.Background())
+			close(stopped)
+		}()
+		var cons []net.Conn
+		defer func() {
+			for _, con := range cons {
+				_ = con.Close()
+			}
+		}()
+		for {
+			con, err := net.Dial("tcp", nod.CallerAddr())
+			if err != nil {
+				break
+			}
+			cons = append(cons, con)
+			time.Sleep(5 * time.Millisecond)
+		}
+		// The last one may not have been accepted yet.
+		expect(len(cons)).To(gomega.BeNumerically(">", 2))
+		con := cons[len(cons)-2]
+		_, _ = io.WriteString(con, "GET /v1/entries?service=planning HTTP/1.1\r\nHost: x\r\n\r\n")
+		_ = con.SetReadDeadline(time.Now().Add(time.Second))
+		res, err := http.ReadResponse(bufio.NewReader(con), nil)
+		expect(err).NotTo(anything())
+		expect(res.Close).To(gomega.BeTrue())
+		for _, con := range cons {
+			_ = con.Close()
+		}
+		gomega.Eventually(stopped, 5*time.Second).Should(gomega.BeClosed())
+	})
+})
