internal/entry, internal/serve: the end of a planned stop answers on connections that were accepted

Cause: as in internal/serve before: net/http's Shutdown serves no request of which it reads the head afterwards, though Refuse has an answer for it that says that nothing ran.

Change: callers' server is one that closes its listener, keeps no connection alive, and is shut down when none is left.

Conclusion: a fault, mended.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -44,7 +44,7 @@
 	rnr    *stage.Runner
 	chn    *filter.Chain
 	link   *peer.Link
-	caller *http.Server
+	caller *serve.Draining
 	ops    *http.Server
 	calls  net.Listener
 	opers  net.Listener
@@ -128,7 +128,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	nod.caller, nod.ops = serve.Plain(callers), serve.Plain(ops)
+	nod.caller, nod.ops = serve.NewDraining(callers), serve.Plain(ops)
 	return nil
 }
 
@@ -153,7 +153,7 @@
 		nod.ctl.Run(ctx)
 		close(nod.ended)
 	}()
-	go func() { _ = nod.caller.Serve(nod.calls) }()
+	go nod.caller.Serve(nod.calls)
 	go func() { _ = nod.ops.Serve(nod.opers) }()
 	nod.log.Info().Str("instance", string(nod.ctl.Self())).Str("callers", nod.CallerAddr()).Str("operators", nod.OpsAddr()).Msg("started")
 }
@@ -173,7 +173,7 @@
 	nod.log.Info().Msg("refusing new requests, finishing what is under way")
 	// Shutdown waits for requests under way, streams included, and closes
 	// idle connections.
-	_ = nod.caller.Shutdown(ctx)
+	nod.caller.Shutdown(ctx, nod.calls)
 	fctx, cancel := context.WithTimeout(ctx, flushWait)
 	defer cancel()
 	nod.ctl.Flush(fctx)
@@ -183,7 +183,7 @@
 
 // Kill ends the instance at once, as a crash would.
 func (nod *Node) Kill() {
-	_ = nod.caller.Close()
+	nod.caller.Close()
 	_ = nod.ops.Close()
 	if nod.cancel != nil {
 		nod.cancel()
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -128,9 +128,7 @@
 	for _, one := range all {
 		one.SetKeepAlivesEnabled(false)
 	}
-	for srv.live.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(quietStep)
-	}
+	quiet(ctx, &srv.live)
 	var wgr sync.WaitGroup
 	for _, one := range all {
 		wgr.Add(1)
