--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -95,4 +97,47 @@
 		expect(made).To(gomega.HaveLen(61))
 		expect(made).To(gomega.HaveEach(1))
 	})
+
+	// A caller sends its body slowly, and hasn't sent all of it when the instance ends. It is
+	// told that nothing ran; it got the end of the connection.
+	ginkgo.It("answers those whose requests it has not read whole", func() {
+		wld := newWorld(1)
+		nod := wld.nodes[0]
+		con, err := net.Dial("tcp", nod.set.CallerAddr())
+		expect(err).NotTo(anything())
+		defer func() { _ = con.Close() }()
+		req, err := fake.Request(http.MethodPost, nod.set.CallerAddr(), "/booking/x", host, "slow-body", deadline, key, "ten bytes.", nil)
+		expect(err).NotTo(anything())
+		var raw bytes.Buffer
+		expect(req.Write(&raw)).To(gomega.Succeed())
+		_, err = con.Write(raw.Bytes()[:raw.Len()-5])
+		expect(err).NotTo(anything())
+		time.Sleep(50 * time.Millisecond)
+		go nod.Stop(context.Background())
+		_ = con.SetReadDeadline(time.Now().Add(9 * time.Second))
+		res, err := http.ReadResponse(bufio.NewReader(con), req)
+		expect(err).NotTo(anything())
+		expect(res.StatusCode).To(equal(http.StatusServiceUnavailable))
+	})
+
+	// A booking came before the instance was told to stop, and its endpoint needs longer than the
+	// stop has. When the instance ends the caller is told that it may have run.
+	ginkgo.It("tells those that it gives up at its end whether they ran", func() {
+		wld := newWorld(1)
+		wld.publish(func(doc *fake.Document) { doc.Timeouts = map[string]int{"booking": 20000} })
+		nod := wld.nodes[0]
+		eventually(func() int64 { return nod.ctl.View().Plan().Version() }, soon).Should(equal(int64(wld.version)))
+		fault(wld.plain, fake.Hangs)
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			done <- wld.send(0, ask{path: "/booking/x", header: map[string]string{fake.HeaderDeadline: "20000"}})
+		}()
+		eventually(func() int { return len(runs(wld.plain)) }, soon).Should(equal(1))
+		nod.Stop(context.Background())
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.err).NotTo(anything())
+		expect(ans.status).To(equal(http.StatusBadGateway), ans.body)
+	})
 })
