internal/serve, internal/node: a planned stop answers those that it gives up

Cause: the stop's end closed all connections, also those without an answer. Their callers can't tell a request that never left this instance, or wasn't even read whole, from one that may have run; the front knows it of each and had no time to say so.

Ruled out: an end of requests' time at the end of the stop in internal/front alone. It doesn't reach those whose bodies are being read, which no deadline bounds but net/http's 30 s.

A stream that has begun is cut off as before.

Conclusion: a fault, mended.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,6 +279,7 @@
 	// The last answers to others, and results that are given back, are on their way for a moment.
 	nod.until(ctx, min(nod.clk.Now()+stopLast, end), func() bool { return false })
 	nod.log.Info().Int64("cut_off", nod.front.Under()).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
+	nod.calls.GiveUp()
 	nod.Kill()
 }
 
--- a/internal/serve/guard.go
+++ b/internal/serve/guard.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // guard is a caller's connection that looks at the heads of its requests.
@@ -96,11 +97,15 @@
 // send it; net/http closes its connection.
 func watched(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
-		handler.ServeHTTP(wrt, req)
 		grd, ok := req.Context().Value(guardKey{}).(*guard)
 		if !ok {
+			handler.ServeHTTP(wrt, req)
 			return
 		}
+		// Who reads the body of a request that is given up reads no further.
+		stop := context.AfterFunc(req.Context(), func() { _ = grd.SetReadDeadline(time.Now()) })
+		handler.ServeHTTP(wrt, req)
+		stop()
 		if req.Header.Get("Expect") == "" {
 			_, _ = io.CopyN(io.Discard, req.Body, restRead)
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -31,6 +31,8 @@
 	handOver = 64
 	// quietStep is how often a planned stop looks whether connections are left.
 	quietStep = 5 * time.Millisecond
+	// lastWords is how long requests that a planned stop gives up have to be answered.
+	lastWords = 100 * time.Millisecond
 )
 
 // Limits bound a connection.
@@ -51,11 +53,15 @@
 	closed  bool
 	// live counts the connections that were accepted and have not ended.
 	live atomic.Int64
+	// base is the context of all requests, end gives them up.
+	base context.Context
+	end  context.CancelFunc
 }
 
 // New returns a server on a listener.
 func New(lsn net.Listener, handler http.Handler) *Server {
 	srv := &Server{lsn: lsn, handler: handler}
+	srv.base, srv.end = context.WithCancel(context.Background())
 	srv.SetLimits(Limits{})
 	return srv
 }
@@ -79,6 +85,7 @@
 	one := &http.Server{
 		Handler: watched(srv.handler), ConnContext: withGuard, MaxHeaderBytes: headerRoom, ReadHeaderTimeout: lim.Header.Duration(),
 		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(), ConnState: srv.note,
+		BaseContext: func(net.Listener) context.Context { return srv.base },
 	}
 	srv.all = append(srv.all, one)
 	go func(inl *inlet) { _ = one.Serve(inl) }(srv.current)
@@ -117,8 +124,7 @@
 
 // Shutdown closes the listener and idle connections, and waits for requests under
 // way until the context ends. Connections that were accepted before have their requests
-// answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet,
-// and is called when none are left.
+// answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet.
 func (srv *Server) Shutdown(ctx context.Context) {
 	_ = srv.lsn.Close()
 	srv.mtx.Lock()
@@ -129,20 +135,21 @@
 		one.SetKeepAlivesEnabled(false)
 	}
 	quiet(ctx, &srv.live)
-	var wgr sync.WaitGroup
-	for _, one := range all {
-		wgr.Add(1)
-		go func() {
-			defer wgr.Done()
-			_ = one.Shutdown(ctx)
-		}()
-	}
-	wgr.Wait()
+}
+
+// GiveUp ends what is under way. Who has no answer yet is told what is known of the request,
+// which the end of a connection doesn't tell.
+func (srv *Server) GiveUp() {
+	srv.end()
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	quiet(ctx, &srv.live)
 }
 
 // Close ends all connections at once.
 func (srv *Server) Close() {
 	_ = srv.lsn.Close()
+	srv.end()
 	srv.mtx.Lock()
 	defer srv.mtx.Unlock()
 	srv.closed = true
