--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/serve"
 	"amaranthvalve/internal/state"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
@@ -45,9 +47,6 @@
 	under atomic.Int64
 	// ends is the instant of the end of a planned stop, zero for none.
 	ends atomic.Int64
-	// over ends with the time of a planned stop.
-	over   context.Context
-	cutOff context.CancelFunc
 	// firsts has the times from a final call to its first byte.
 	firsts needs
 }
@@ -55,7 +54,6 @@
 // New returns a front with its filters in their order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, homes: set.Homes}
-	fr.over, fr.cutOff = context.WithCancel(context.Background())
 	fr.head = chain.Link(fr.final, fr.match, fr.stay, fr.identify, fr.admit, fr.stages)
 	return fr
 }
@@ -106,22 +104,20 @@
 	cl.out = newOutput(fr, wrt)
 	fr.set.Control.SetLoad(fr.under.Add(1))
 	defer func() { fr.set.Control.SetLoad(fr.under.Add(-1)) }()
-	ctx, cancel := context.WithCancel(req.Context())
-	defer cancel()
-	defer context.AfterFunc(fr.over, cancel)()
+	ctx := req.Context()
 	res := fr.head(ctx, cl)
 	fr.giveBack(cl, allStages)
 	if ctx.Err() != nil && res.Outcome() != outcm.Done {
-		res = fr.broken(res)
+		res = broken(ctx, res)
 	}
 	fr.finish(cl, res)
 }
 
-// broken gives the end of a request that was ended by its caller's leaving, or by the
-// end of a planned stop.
-func (fr *Front) broken(res outcm.Result) outcm.Result {
+// broken gives the end of a request whose context ended: its caller left, or a planned stop
+// has no time left. A caller that is still there is told to go elsewhere.
+func broken(ctx context.Context, res outcm.Result) outcm.Result {
 	switch {
-	case fr.over.Err() == nil:
+	case !errors.Is(context.Cause(ctx), serve.ErrGivenUp):
 		return outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
 	case res.IsRefusal():
 		return outcm.Refuse(outcm.Stopping, soonest, "this instance has stopped; use another address")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,14 +46,13 @@
 	keptTimes = 3
 	// stopMargin is left of a planned stop for what comes after the last answer.
 	stopMargin = 300 * clock.Milli(1)
-	// lastAnswers is the part of it in which callers are told of what could not be
-	// answered.
-	lastAnswers = 150 * clock.Milli(1)
 	// stopSettle is how long requests that cross the end of kept answers are
 	// still answered.
 	stopSettle = clock.Second
 	// stopStep is how often a planned stop looks at what is under way.
 	stopStep = 50 * time.Millisecond
+	// stopLast is how long a planned stop waits for what was sent last.
+	stopLast = 50 * clock.Milli(1)
 )
 
 // Node is an instance that serves routes, spoken to in a dialect.
@@ -268,16 +267,19 @@
 	end := began + nod.set.Stop() - stopMargin
 	kept := keptTimes*clock.Milli(nod.keep.Load()) + stopSettle
 	nod.log.Info().Int64("kept_ms", int64(kept)).Int64("stop_ms", int64(nod.set.Stop())).Int64("under_way", nod.front.Under()).Msg("leaving")
-	nod.ctl.Leave(ctx)
+	// The control thread may be busy; what comes meanwhile is bound by the stop's end too.
 	nod.front.Leave(end)
+	nod.ctl.Leave(ctx)
 	nod.until(ctx, min(began+kept, end), func() bool { return false })
 	nod.log.Info().Int64("under_way", nod.front.Under()).Msg("taking no new connections, finishing what is under way")
 	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
 	defer cancel()
 	nod.calls.Shutdown(sctx)
+	nod.until(ctx, end, func() bool { return nod.homes.Orders() == 0 })
+	// The last answers to others, and results that are given back, are on their way for a moment.
+	nod.until(ctx, min(nod.clk.Now()+stopLast, end), func() bool { return false })
 	cut := nod.front.Under()
-	nod.front.End()
-	nod.until(ctx, nod.clk.Now()+lastAnswers, func() bool { return nod.front.Under() == 0 })
+	nod.calls.GiveUp()
 	nod.log.Info().Int64("cut_off", cut).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
 	nod.Kill()
 }
--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/platform/fake"
+)
+
+// holding is a log that holds up whoever writes a line with a certain word, once.
+type holding struct {
+	word []byte
+	held chan struct{}
+	once sync.Once
+	let  chan struct{}
+}
+
+func (hld *holding) Write(line []byte) (int, error) {
+	if bytes.Contains(line, hld.word) {
+		hld.once.Do(func() {
+			close(hld.held)
+			<-hld.let
+		})
+	}
+	return len(line), nil
+}
+
+var _ = ginkgo.Describe("a planned stop", func() {
+	// The control thread is busy for two seconds when an instance is told to stop. What comes
+	// meanwhile is looked at as what comes during a stop; it was let in unseen until the
+	// thread had told the others.
+	ginkgo.It("begins for callers though the control thread is busy", func() {
+		hld := &holding{word: []byte("members changed"), held: make(chan struct{}), let: make(chan struct{})}
+		wld := newWorld(1)
+		nodeLog = zerolog.New(hld)
+		ginkgo.DeferCleanup(func() { nodeLog = zerolog.Nop() })
+		nod := wld.start()
+		free := sync.OnceFunc(func() { close(hld.let) })
+		ginkgo.DeferCleanup(free)
+		eventually(hld.held, soon).Should(gomega.BeClosed())
+		done := make(chan struct{})
+		go func() {
+			nod.Stop(context.Background())
+			close(done)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		ans := wld.send(1, ask{path: "/no-such-path"})
+		expect(ans.err).NotTo(anything())
+		expect(ans.closes).To(gomega.BeTrue(), "%d %s", ans.status, ans.body)
+		free()
+		eventually(done, 2*soon).Should(gomega.BeClosed())
+	})
+
+	// The instance that gathers a pool's pieces is told to stop while it has another one's
+	// order, which takes longer than kept addresses last. The order is filled, for the stop
+	// has time; it was dropped when the instance's own callers were served, and its pieces were
+	// made once more elsewhere.
+	ginkgo.It("fills the orders that it took from others", func() {
+		wld := newWorld(2)
+		gatherer := wld.nodes[0].ctl.View().Gatherers("rosters")[0]
+		home := slices.IndexFunc(wld.nodes, func(nod *Node) bool { return nod.ctl.Self() == gatherer })
+		expect(home).To(gomega.BeNumerically(">=", 0))
+		for _, mkr := range wld.makers {
+			mkr.Takes = 300 * time.Millisecond
+		}
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			// Fifteen calls, two at once.
+			done <- wld.send(1-home, ask{path: "/stream-staged/x", header: map[string]string{fake.HeaderPieces: "60,1", fake.HeaderPieceKey: "pk"}})
+		}()
+		eventually(func() int { return len(wld.makers[0].Calls()) + len(wld.makers[1].Calls()) }, soon).Should(gomega.BeNumerically(">=", 1))
+		began := time.Now()
+		wld.nodes[home].Stop(context.Background())
+		expect(time.Since(began)).To(gomega.BeNumerically("<", 5*time.Second))
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.status).To(equal(http.StatusOK), ans.body)
+		made := map[string]int{}
+		for _, mkr := range wld.makers {
+			for _, call := range mkr.Calls() {
+				for _, piece := range call {
+					made[piece]++
+				}
+			}
+		}
+		expect(made).To(gomega.HaveLen(61))
+		expect(made).To(gomega.HaveEach(1))
+	})
+
+	// A caller sends its body slowly, and hasn't sent all of it when the instance ends. It is
+	// told that nothing ran; it got the end of the connection.
+	ginkgo.It("answers those whose requests it has not read whole", func() {
+		wld := newWorld(1)
+		nod := wld.nodes[0]
+		con, err := net.Dial("tcp", nod.set.CallerAddr())
+		expect(err).NotTo(anything())
+		defer func() { _ = con.Close() }()
+		req, err := fake.Request(http.MethodPost, nod.set.CallerAddr(), "/booking/x", host, "slow-body", deadline, key, "ten bytes.", nil)
+		expect(err).NotTo(anything())
+		var raw bytes.Buffer
+		expect(req.Write(&raw)).To(gomega.Succeed())
+		_, err = con.Write(raw.Bytes()[:raw.Len()-5])
+		expect(err).NotTo(anything())
+		time.Sleep(50 * time.Millisecond)
+		go nod.Stop(context.Background())
+		_ = con.SetReadDeadline(time.Now().Add(9 * time.Second))
+		res, err := http.ReadResponse(bufio.NewReader(con), req)
+		expect(err).NotTo(anything())
+		expect(res.StatusCode).To(equal(http.StatusServiceUnavailable))
+	})
+
+	// A booking came before the instance was told to stop, and its endpoint needs longer than the
+	// stop has. When the instance ends the caller is told that it may have run.
+	ginkgo.It("tells those that it gives up at its end whether they ran", func() {
+		wld := newWorld(1)
+		wld.publish(func(doc *fake.Document) { doc.Timeouts = map[string]int{"booking": 20000} })
+		nod := wld.nodes[0]
+		eventually(func() int64 { return nod.ctl.View().Plan().Version() }, soon).Should(equal(int64(wld.version)))
+		fault(wld.plain, fake.Hangs)
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			done <- wld.send(0, ask{path: "/booking/x", header: map[string]string{fake.HeaderDeadline: "20000"}})
+		}()
+		eventually(func() int { return len(runs(wld.plain)) }, soon).Should(equal(1))
+		nod.Stop(context.Background())
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.err).NotTo(anything())
+		expect(ans.status).To(equal(http.StatusBadGateway), ans.body)
+	})
+})
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthvalve/pkg/clock"
@@ -28,8 +29,15 @@
 	firstIdle   = 30 * clock.Second
 	// handOver is how many connections may wait to be handed on.
 	handOver = 64
+	// quietStep is how often a planned stop looks whether connections are left.
+	quietStep = 5 * time.Millisecond
+	// lastWords is how long requests that a planned stop gives up have to be answered.
+	lastWords = 100 * time.Millisecond
 )
 
+// ErrGivenUp is the cause of the end of requests' contexts when a planned stop gives them up.
+var ErrGivenUp = errors.New("the instance has stopped")
+
 // Limits bound a connection.
 type Limits struct {
 	Header clock.Milli
@@ -46,11 +54,17 @@
 	current *inlet
 	all     []*http.Server
 	closed  bool
+	// live counts the connections that were accepted and have not ended.
+	live atomic.Int64
+	// base is the context of all requests, end gives them up.
+	base context.Context
+	end  context.CancelCauseFunc
 }
 
 // New returns a server on a listener.
 func New(lsn net.Listener, handler http.Handler) *Server {
 	srv := &Server{lsn: lsn, handler: handler}
+	srv.base, srv.end = context.WithCancelCause(context.Background())
 	srv.SetLimits(Limits{})
 	return srv
 }
@@ -73,7 +87,8 @@
 	srv.current = &inlet{addr: srv.lsn.Addr(), conns: make(chan net.Conn, handOver), done: make(chan struct{})}
 	one := &http.Server{
 		Handler: watched(srv.handler), ConnContext: withGuard, MaxHeaderBytes: headerRoom, ReadHeaderTimeout: lim.Header.Duration(),
-		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(),
+		ReadTimeout: bodyTimeout, IdleTimeout: lim.Idle.Duration(), ConnState: srv.note,
+		BaseContext: func(net.Listener) context.Context { return srv.base },
 	}
 	srv.all = append(srv.all, one)
 	go func(inl *inlet) { _ = one.Serve(inl) }(srv.current)
@@ -81,6 +96,8 @@
 
 // Serve accepts connections until the listener is closed.
 func (srv *Server) Serve() {
+	srv.live.Add(1)
+	defer srv.live.Add(-1)
 	for {
 		con, err := srv.lsn.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -94,32 +111,48 @@
 		srv.mtx.Lock()
 		inl := srv.current
 		srv.mtx.Unlock()
-		inl.give(con)
+		srv.live.Add(1)
+		if !inl.give(con) {
+			srv.live.Add(-1)
+		}
+	}
+}
+
+// note counts the ends of connections.
+func (srv *Server) note(_ net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		srv.live.Add(-1)
 	}
 }
 
 // Shutdown closes the listener and idle connections, and waits for requests under
-// way until the context ends.
+// way until the context ends. Connections that were accepted before have their requests
+// answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet.
 func (srv *Server) Shutdown(ctx context.Context) {
 	_ = srv.lsn.Close()
 	srv.mtx.Lock()
 	srv.closed = true
 	all := srv.all
 	srv.mtx.Unlock()
-	var wgr sync.WaitGroup
 	for _, one := range all {
-		wgr.Add(1)
-		go func() {
-			defer wgr.Done()
-			_ = one.Shutdown(ctx)
-		}()
+		one.SetKeepAlivesEnabled(false)
 	}
-	wgr.Wait()
+	quiet(ctx, &srv.live)
+}
+
+// GiveUp ends what is under way. Who has no answer yet is told what is known of the request,
+// which the end of a connection doesn't tell.
+func (srv *Server) GiveUp() {
+	srv.end(ErrGivenUp)
+	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	quiet(ctx, &srv.live)
 }
 
 // Close ends all connections at once.
 func (srv *Server) Close() {
 	_ = srv.lsn.Close()
+	srv.end(ErrGivenUp)
 	srv.mtx.Lock()
 	defer srv.mtx.Unlock()
 	srv.closed = true
@@ -136,11 +169,14 @@
 	done  chan struct{}
 }
 
-func (inl *inlet) give(con net.Conn) {
+// give hands a connection on; false if the server has ended.
+func (inl *inlet) give(con net.Conn) bool {
 	select {
 	case inl.conns <- &guard{Conn: con}:
+		return true
 	case <-inl.done:
 		_ = con.Close()
+		return false
 	}
 }
 
