--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -13,9 +13,7 @@
 )
 
 var _ = ginkgo.Describe("the end of a planned stop", func() {
-	// A caller's connection is accepted right before the instance takes no new ones, and its
-	// request comes some milliseconds later. It is told that nothing ran; it got the end of the
-	// connection, and could not know.
+	// Guards against accepted connections that are closed without an answer to their requests.
 	ginkgo.It("answers on connections that were accepted", func() {
 		wld := newWorld(1, "")
 		nod := wld.nodes[0]
--- a/internal/node/stops_test.go
+++ b/internal/node/cutoff_test.go
@@ -125,8 +125,7 @@
 	}
 }
 
-// Guards against requests that a planned stop's end leaves without an answer while their
-// stages are being made: nothing of them has run, and their callers aren't told so.
+// Guards against a closed connection in place of "not run" while stages are being made.
 func TestStopAnswersWhatNoEndpointHas(t *testing.T) {
 	stp := newStops(t, 2, 0)
 	for _, ep := range stp.makers {
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -36,9 +36,7 @@
 }
 
 var _ = ginkgo.Describe("a planned stop", func() {
-	// The control thread is busy for two seconds when an instance is told to stop. What comes
-	// meanwhile is looked at as what comes during a stop; it was let in unseen until the
-	// thread had told the others.
+	// Guards against requests that are let in unseen while the control thread is busy.
 	ginkgo.It("begins for callers though the control thread is busy", func() {
 		hld := &holding{word: []byte("members changed"), held: make(chan struct{}), let: make(chan struct{})}
 		wld := newWorld(1)
@@ -61,10 +59,7 @@
 		eventually(done, 2*soon).Should(gomega.BeClosed())
 	})
 
-	// The instance that gathers a pool's pieces is told to stop while it has another one's
-	// order, which takes longer than kept addresses last. The order is filled, for the stop
-	// has time; it was dropped when the instance's own callers were served, and its pieces were
-	// made once more elsewhere.
+	// Guards against orders of other instances that are dropped once own callers are served.
 	ginkgo.It("fills the orders that it took from others", func() {
 		wld := newWorld(2)
 		gatherer := wld.nodes[0].ctl.View().Gatherers("rosters")[0]
@@ -98,8 +93,7 @@
 		expect(made).To(gomega.HaveEach(1))
 	})
 
-	// A caller sends its body slowly, and hasn't sent all of it when the instance ends. It is
-	// told that nothing ran; it got the end of the connection.
+	// Guards against a closed connection in place of "not run" for a body that comes slowly.
 	ginkgo.It("answers those whose requests it has not read whole", func() {
 		wld := newWorld(1)
 		nod := wld.nodes[0]
@@ -120,8 +114,7 @@
 		expect(res.StatusCode).To(equal(http.StatusServiceUnavailable))
 	})
 
-	// A booking came before the instance was told to stop, and its endpoint needs longer than the
-	// stop has. When the instance ends the caller is told that it may have run.
+	// Guards against a closed connection in place of "may have run" at the stop's end.
 	ginkgo.It("tells those that it gives up at its end whether they ran", func() {
 		wld := newWorld(1)
 		wld.publish(func(doc *fake.Document) { doc.Timeouts = map[string]int{"booking": 20000} })
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -41,9 +41,7 @@
 	return http.HandlerFunc(func(wrt http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wrt, "whole") })
 }
 
-// TestAcceptedAsTheListenerCloses: a connection with a request in it is accepted at the moment
-// at which a planned stop closes the listener. The request is answered; the connection was
-// dropped, or left open with nobody to read it until the process ended.
+// Guards against requests that are dropped on connections accepted as the listener closes.
 func TestAcceptedAsTheListenerCloses(t *testing.T) {
 	for range 8 {
 		gom := gomega.NewWithT(t)
@@ -78,9 +76,7 @@
 	}
 }
 
-// TestRequestComesRightAfterTheListenerClosed: a connection was accepted before a planned stop took
-// no new ones, and its request comes some milliseconds later, as over any longer way. It is
-// answered; net/http closes the connection without a word.
+// Guards against requests that net/http drops because their heads come after Shutdown began.
 func TestRequestComesRightAfterTheListenerClosed(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	lsn, err := net.Listen("tcp", "127.0.0.1:0")
@@ -108,8 +104,7 @@
 	gom.Expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
 }
 
-// TestEndsThoughAConnectionStaysSilent: a caller opened a connection and sends nothing. The stop
-// is over when its time is.
+// Guards against a stop that waits beyond its time for a connection on which nothing comes.
 func TestEndsThoughAConnectionStaysSilent(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	lsn, err := net.Listen("tcp", "127.0.0.1:0")
