--- a/internal/node/cutoff_test.go
+++ b/internal/node/cutoff_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/stand"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
@@ -158,35 +160,65 @@
 	}
 }
 
+// failsOnce is a pool whose first endpoint with a request fails, and whose second one hangs.
+type failsOnce struct {
+	mtx   sync.Mutex
+	tried map[string]int
+}
+
+func (fls *failsOnce) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(fake.HeaderRequestID)
+	fls.mtx.Lock()
+	fls.tried[id]++
+	again := fls.tried[id] > 1
+	fls.mtx.Unlock()
+	if again {
+		<-req.Context().Done()
+		return
+	}
+	wrt.Header().Set(fake.HeaderRequestID, id)
+	wrt.Header().Set(fake.HeaderSignature, "sig-"+id)
+	wrt.WriteHeader(http.StatusInternalServerError)
+}
+
+// triedTwice gives the number of requests that the second endpoint got.
+func (fls *failsOnce) triedTwice() int {
+	fls.mtx.Lock()
+	defer fls.mtx.Unlock()
+	n := 0
+	for _, times := range fls.tried {
+		n += max(times-1, 0)
+	}
+	return n
+}
+
 // Guards against an endpoint's answer that is dropped while another endpoint is tried.
 func TestStopDeliversKeptAnswers(t *testing.T) {
 	stp := newStops(t, 1, 0)
-	stp.plain[1].DelayedTakes = 5 * time.Second
-	for range 20 {
-		stp.plain[0].Fault(fake.Fails)
-		stp.plain[1].Fault(fake.Delayed)
+	pool := &failsOnce{tried: map[string]int{}}
+	for i := range stp.plain {
+		srv, err := stand.Serve("127.0.0.1:0", pool)
+		expect(err).NotTo(anything())
+		t.Cleanup(srv.Close)
+		stp.entry("bookings", fmt.Sprintf("fails-once-%d", i), srv.Addr(), false)
+		stp.store.RemoveEndpoint(stp.plain[i].ID())
 	}
-	for range 6 {
-		stp.sendAll("/log/x", "15000")
-	}
-	// failed are the requests that failed at one endpoint before the other one got them.
-	failed := map[string]bool{}
 	eventually(func() int {
-		first := map[string]time.Time{}
-		for _, run := range stp.plain[0].Runs() {
-			first[run.ID] = run.At
-		}
-		for _, run := range stp.plain[1].Runs() {
-			if at, ok := first[run.ID]; ok && at.Before(run.At) {
-				failed[run.ID] = true
+		n := 0
+		for _, ep := range stp.nodes[0].ctl.View().Endpoints() {
+			if strings.HasPrefix(string(ep.ID), "fails-once") {
+				n++
+			} else if strings.HasPrefix(string(ep.ID), "booking") {
+				n--
 			}
 		}
-		return len(failed)
-	}, soon).Should(gomega.BeNumerically(">", 0))
+		return n
+	}, soon).Should(equal(2))
+	eventually(func() bool { return stp.nodes[0].pools.Knows("bookings", 2) }, soon).Should(gomega.BeTrue())
+	stp.sendAll("/log/x", "15000")
+	eventually(pool.triedTwice, soon).Should(equal(1))
 	stp.stop()
 	for _, snt := range stp.wait() {
-		if failed[snt.ask.id] {
-			expect(snt.got.status).To(equal(http.StatusInternalServerError), "%s", snt.got.body)
-		}
+		expect(snt.got.status).To(equal(http.StatusInternalServerError), "%s", snt.got.body)
 	}
 }
