internal/node: what a planned stop waits for ends with its time; comments say what it does now

Cause: read cold, the comments of Stop, Leave and the margin told the stop of before, and the word to the control thread was waited for up to the instant of the kill, so that a thread that hangs would have left no time for the last answers.

Change: that wait ends with the stop's time too. The line of the end counts what was given up, as part of it is answered now.

--- a/internal/front/leave.go
+++ b/internal/front/leave.go
@@ -8,8 +8,8 @@
 	"amaranthvalve/pkg/outcm"
 )
 
-// Leave makes each answer from now on ask the caller to close its connection; end is the
-// instant at which the process ends.
+// Leave begins a planned stop, in which requests are answered up to end. Each answer from
+// now on asks the caller to close its connection, and what may last beyond end is refused.
 func (fr *Front) Leave(end clock.Milli) { fr.ends.Store(int64(end)) }
 
 // leaving tells whether a planned stop is under way, and when it ends.
@@ -19,7 +19,7 @@
 }
 
 // stay lets a request in during a planned stop only if its deadline, or its route's
-// timeout, passes before the end of the process. Callers use an address for some seconds
+// timeout, passes before the end of the stop. Callers use an address for some seconds
 // after it was taken out of the answers to "which address". What answers took before bounds
 // no answer: a longer one would be cut off in its middle. A refused request has not run,
 // and another instance can answer it.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	// keptTimes is how many times as long as they are told some callers keep an
 	// address.
 	keptTimes = 3
-	// stopMargin is left of a planned stop for what comes after the last answer.
+	// stopMargin is left of a planned stop for the last answers and for what comes after them.
 	stopMargin = 300 * clock.Milli(1)
 	// stopSettle is how long requests that cross the end of kept answers are
 	// still answered.
@@ -260,8 +260,9 @@
 }
 
 // Stop is a planned stop. The instance leaves the answers to "which address" and
-// says so to the others, serves on until kept answers have run out, finishes what
-// is under way, and ends.
+// says so to the others. Until kept answers have run out it serves what surely ends
+// before the stop does, and refuses the rest; then it finishes what is under way. What is
+// still under way when its time is up is given up with a word to the callers.
 func (nod *Node) Stop(ctx context.Context) {
 	began := nod.clk.Now()
 	end := began + nod.set.Stop() - stopMargin
@@ -269,18 +270,18 @@
 	nod.log.Info().Int64("kept_ms", int64(kept)).Int64("stop_ms", int64(nod.set.Stop())).Int64("under_way", nod.front.Under()).Msg("leaving")
 	// The control thread may be busy; what comes meanwhile is bound by the stop's end too.
 	nod.front.Leave(end)
-	nod.ctl.Leave(ctx)
-	nod.until(ctx, min(began+kept, end), func() bool { return false })
-	nod.log.Info().Int64("under_way", nod.front.Under()).Msg("taking no new connections, finishing what is under way")
 	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
 	defer cancel()
+	nod.ctl.Leave(sctx)
+	nod.until(ctx, min(began+kept, end), func() bool { return false })
+	nod.log.Info().Int64("under_way", nod.front.Under()).Msg("taking no new connections, finishing what is under way")
 	nod.calls.Shutdown(sctx)
 	nod.until(ctx, end, func() bool { return nod.homes.Orders() == 0 })
 	// The last answers to others, and results that are given back, are on their way for a moment.
 	nod.until(ctx, min(nod.clk.Now()+stopLast, end), func() bool { return false })
-	cut := nod.front.Under()
+	under := nod.front.Under()
 	nod.calls.GiveUp()
-	nod.log.Info().Int64("cut_off", cut).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
+	nod.log.Info().Int64("given_up", under).Int64("took_ms", int64(nod.clk.Since(began))).Msg("stopped")
 	nod.Kill()
 }
 
