internal/soak: answers of varied length, and planned stops under them

Cause: the soak never showed that a planned stop lets in requests whose answers last beyond its end. All answers took 5 or 20 ms, a stop 6 s; with addresses kept for 0.3 s new connections were taken for the first 1.9 s of it only, so 3.8 s were left of the stop for the last request that came. A stop that takes too long was never told either: the kill that ends it counted as a trouble, and an instance that is troubled isn't judged.

Change: a 16th kind stops all instances one after the other, several leaving at a time. The stand-in endpoints take a function for the length of an answer; without one they do as before.

Judged: what was sent 0.1 s after the signal or later, and ran at an endpoint that is well, is never cut off, whatever its length; what was sent before, only if its answer lasts beyond the stop. An answer in our own name that isn't "not run" counts as cut off too, and so does one whose process is gone already. A stop that takes too long is told before the kill. For requests of varied length, whose waits outlast the 3 s for which a trouble counts, an instance is well only if nothing was done to it during the whole wait. Nothing else is judged less.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -18,6 +18,16 @@
 	// patience is how long a caller waits beyond its deadline: an answer that
 	// takes longer is a broken promise.
 	patience = 1500 * time.Millisecond
+	// longDeadline is longer than the longest answer with its stages; one caller's
+	// request in hurriedOf has a deadline between leastDeadline and the usual one,
+	// whatever its answer takes.
+	longDeadline  = 9 * time.Second
+	leastDeadline = time.Second
+	hurriedOf     = 4
+	// One request in openedOf goes over a connection that was opened up to mostOpened
+	// before: nothing was sent on it when a stop began.
+	openedOf   = 4
+	mostOpened = 900 * time.Millisecond
 	// keptLonger times as long as told is how long some callers keep addresses.
 	keptLonger = 3
 )
@@ -53,16 +63,22 @@
 	number int
 	ins    *instance
 	life   int
-	sent   time.Time
-	ended  time.Time
-	// calm tells that nothing was done to the instance around the attempt,
-	// leaving that it was asked to stop meanwhile.
-	calm    bool
-	leaving bool
-	status  int
-	header  http.Header
-	answer  string
-	err     error
+	// lasts is how long the answer takes at an endpoint, zero for next to nothing.
+	lasts    time.Duration
+	deadline time.Duration
+	sent     time.Time
+	ended    time.Time
+	// runs is how many endpoints ran it.
+	runs int
+	// calm tells that nothing was done to the instance around the attempt, quiet
+	// that nothing was from a while before it to its end, in which the process may
+	// have ended.
+	calm   bool
+	quiet  bool
+	status int
+	header http.Header
+	answer string
+	err    error
 }
 
 // caller asks for addresses and sends requests until the run is over.
@@ -88,14 +104,14 @@
 	}
 	return &caller{
 		wld: wld, name: fmt.Sprintf("c%d", n), rng: rand.New(rand.NewPCG(wld.seed, uint64(n+100))),
-		cli: &http.Client{Transport: trn, Timeout: deadline + patience},
+		cli: &http.Client{Transport: trn},
 	}
 }
 
 // run keeps asking until the context ends. Some callers keep addresses for longer
 // than they were told.
 func (clr *caller) run(ctx context.Context) {
-	keep := keepFor
+	keep := clr.wld.trm.keep
 	if clr.rng.IntN(2) == 0 {
 		keep *= keptLonger
 	}
@@ -115,6 +131,35 @@
 	clr.cli.CloseIdleConnections()
 }
 
+// stay goes on asking one instance until it can't be reached, then another one.
+func (clr *caller) stay(ctx context.Context) {
+	for ctx.Err() == nil {
+		ins := clr.wld.insts[clr.rng.IntN(len(clr.wld.insts))]
+		for reached := true; reached && ctx.Err() == nil; {
+			knd, kept := kinds[clr.rng.IntN(len(kinds))], clr.cli
+			if clr.rng.IntN(openedOf) == 0 {
+				clr.opened(ins)
+			}
+			reached = clr.send(ins, knd).status > 0
+			clr.cli = kept
+			time.Sleep(time.Duration(20+clr.rng.IntN(80)) * time.Millisecond)
+		}
+	}
+	clr.cli.CloseIdleConnections()
+}
+
+// opened makes the next request go over a connection that was opened some time before it.
+func (clr *caller) opened(ins *instance) {
+	con, err := net.DialTimeout("tcp", ins.front.addr(), time.Second)
+	if err != nil {
+		return
+	}
+	time.Sleep(between(clr.rng, 0, mostOpened))
+	trn := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	trn.DialContext = func(context.Context, string, string) (net.Conn, error) { return con, nil }
+	clr.cli = &http.Client{Transport: trn}
+}
+
 // ask asks up to three instances which addresses to use.
 func (clr *caller) ask() []string {
 	cli := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -151,16 +196,26 @@
 	if clr.rng.IntN(2) == 0 {
 		key = mainKey
 	}
-	return clr.sendTo(ins, knd, key, 0)
+	att := &attempt{kind: knd, key: key, ins: ins, deadline: deadline}
+	if clr.wld.trm.varied {
+		att.lasts, att.deadline = clr.wld.trm.lasts(clr.rng), longDeadline
+		if clr.rng.IntN(hurriedOf) == 0 {
+			att.deadline = between(clr.rng, leastDeadline, deadline)
+		}
+	}
+	return clr.do(att)
 }
 
-// sendTo sends one request and judges its answer.
+// sendTo sends one request whose answer takes next to nothing, and judges it.
 func (clr *caller) sendTo(ins *instance, knd kind, key string, number int) *attempt {
+	return clr.do(&attempt{kind: knd, key: key, number: number, ins: ins, deadline: deadline})
+}
+
+// do sends one request and judges its answer.
+func (clr *caller) do(att *attempt) *attempt {
 	clr.n++
-	att := &attempt{
-		kind: knd, id: fmt.Sprintf("%s-%d", clr.name, clr.n), path: "/" + knd.route + "/x?n=" + strconv.Itoa(clr.n),
-		key: key, number: number, ins: ins, sent: time.Now(),
-	}
+	att.id, att.path, att.sent = fmt.Sprintf("%s-%d", clr.name, clr.n), "/"+att.route+"/x?n="+strconv.Itoa(clr.n), time.Now()
+	ins, knd := att.ins, att.kind
 	if knd.method == http.MethodPost {
 		att.body = "body of " + att.id
 	}
@@ -168,30 +223,32 @@
 	if knd.pieces != "" {
 		headers[fake.HeaderPieces], headers[fake.HeaderPieceKey] = knd.pieces, "pk-"+att.id
 	}
-	var calm, was bool
-	att.life, _, was = ins.standing()
-	calm = ins.calm(att.sent)
+	att.life, _, _ = ins.standing()
+	calm := ins.calm(att.sent)
 	clr.wld.mtx.Lock()
 	clr.wld.attempts[att.id] = att
 	clr.wld.order = append(clr.wld.order, att)
 	clr.wld.mtx.Unlock()
-	req, err := fake.Request(knd.method, ins.calls, att.path, host, att.id, strconv.FormatInt(deadline.Milliseconds(), 10), key, att.body, headers)
+	req, err := fake.Request(knd.method, ins.calls, att.path, host, att.id, strconv.FormatInt(att.deadline.Milliseconds(), 10), att.key, att.body, headers)
 	if err != nil {
 		panic(err)
 	}
 	// The library repeats what it can rewind; each attempt is to be one request.
 	req.GetBody = nil
 	clr.take(att, req)
-	life, _, leaving := ins.standing()
+	life, _, _ := ins.standing()
 	att.ended = time.Now()
-	att.calm = calm && life == att.life && ins.calm(att.ended)
-	att.leaving = was || leaving
+	att.quiet = calm && ins.quiet(att.sent)
+	// A long wait outlasts the time for which a trouble counts.
+	att.calm = calm && life == att.life && ins.calm(att.ended) && (att.lasts == 0 || att.quiet)
 	clr.wld.judge(att)
 	return att
 }
 
 func (clr *caller) take(att *attempt, req *http.Request) {
-	res, err := clr.cli.Do(req)
+	ctx, cancel := context.WithTimeout(context.Background(), att.deadline+patience)
+	defer cancel()
+	res, err := clr.cli.Do(req.WithContext(ctx))
 	if err != nil {
 		att.err = err
 		return
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -14,7 +14,8 @@
 //
 // A seed gives a row of faults, each with its instant, length and target; they come in
 // series and overlap. Callers keep asking all the while, and keep their connections
-// until the process behind them is gone.
+// until the process behind them is gone. In half of the runs answers are of varied
+// length, some longer than a planned stop has time, and most faults are planned stops.
 //
 // # What is judged
 //
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -46,15 +46,23 @@
 	{"key taken away", func(wld *world) { wld.publish(true) }},
 	{"herd kill", (*world).herdKill},
 	{"way between instances", (*world).peerWay},
+	{"stops one after the other", (*world).rollingStop},
 }
 
+// withStops is the number of kinds from which on runs may have answers of varied length.
+// One trouble in stopsOf is drawn from all kinds in such a run; the others are planned stops.
+const (
+	withStops = 16
+	stopsOf   = 4
+)
+
 // play inflicts series of troubles, which overlap, until the context ends, and waits
 // for their ends.
 func (wld *world) play(ctx context.Context, log func(format string, args ...any)) {
 	var wgr sync.WaitGroup
 	began := time.Now()
 	for ctx.Err() == nil {
-		trb := troubles[wld.draw(wld.kinds)]
+		trb := wld.trouble()
 		times := 1 + wld.draw(3)
 		gap := wld.span(leastGap, mostGap)
 		log("%6d ms: %s, %d times, %v apart", time.Since(began).Milliseconds(), trb.name, times, gap)
@@ -74,6 +82,15 @@
 	wgr.Wait()
 }
 
+// trouble draws the next one. Where answers are of varied length all but a few are planned
+// stops: an instance is judged by its stops only while all else around it is well.
+func (wld *world) trouble() trouble {
+	if wld.trm.varied && wld.draw(stopsOf) > 0 {
+		return []trouble{{"planned stop", (*world).plannedStop}, {"stops one after the other", (*world).rollingStop}}[wld.draw(2)]
+	}
+	return troubles[wld.draw(wld.kinds)]
+}
+
 func (wld *world) instance() *instance { return wld.insts[wld.draw(len(wld.insts))] }
 
 // faultTime draws how long a fault lasts.
@@ -88,7 +105,7 @@
 func (wld *world) kill() {
 	ins := wld.instance()
 	ins.signal(syscall.SIGKILL)
-	ins.gone(time.Second)
+	ins.gone(time.Second, never)
 	time.Sleep(wld.span(leastFault, leastFault*4))
 	wld.begin(ins)
 }
@@ -98,7 +115,7 @@
 		ins.signal(syscall.SIGKILL)
 	}
 	for _, ins := range wld.insts {
-		ins.gone(time.Second)
+		ins.gone(time.Second, never)
 	}
 	time.Sleep(leastFault)
 	for _, ins := range wld.insts {
@@ -106,18 +123,43 @@
 	}
 }
 
-func (wld *world) plannedStop() {
-	ins := wld.instance()
+func (wld *world) plannedStop() { wld.stop(wld.instance()) }
+
+// rollingStop stops all instances, one begun soon after the other, so that several may be
+// leaving at a time; one that was started or troubled just now is waited for.
+func (wld *world) rollingStop() {
+	first, gap := wld.draw(len(wld.insts)), wld.span(leastGap, mostGap/2)
+	until := time.Now().Add(settleFor)
+	var wgr sync.WaitGroup
+	for i := range wld.insts {
+		ins := wld.insts[(first+i)%len(wld.insts)]
+		for !ins.calm(time.Now()) && time.Now().Before(until) {
+			time.Sleep(leastGap)
+		}
+		wgr.Add(1)
+		go func() {
+			defer wgr.Done()
+			wld.stop(ins)
+		}()
+		time.Sleep(gap)
+	}
+	wgr.Wait()
+}
+
+// stop stops an instance as planned and starts it again.
+func (wld *world) stop(ins *instance) {
 	calm := ins.calm(time.Now())
 	asked := time.Now()
 	ins.signal(syscall.SIGTERM)
-	ended := ins.gone(stopIn + time.Second)
-	ins.mtx.Lock()
-	calm = calm && ins.troubled.Before(asked)
-	ins.mtx.Unlock()
-	if !ended && calm {
-		wld.breaks("stop: %s took longer than %v", ins.name, stopIn)
-	}
+	ins.gone(ins.stop+time.Second, func() {
+		// The kill that follows counts as a trouble.
+		ins.mtx.Lock()
+		calm = calm && ins.troubled.Before(asked) && ins.began.Before(asked)
+		ins.mtx.Unlock()
+		if calm {
+			wld.breaks("stop: %s took longer than %v", ins.name, ins.stop)
+		}
+	})
 	wld.begin(ins)
 }
 
@@ -271,7 +313,7 @@
 		ins.peers.set(passes)
 		ins.signal(syscall.SIGCONT)
 		if _, _, leaving := ins.standing(); leaving {
-			ins.gone(stopIn + time.Second)
+			ins.gone(ins.stop+time.Second, never)
 		}
 		wld.begin(ins)
 	}
--- a/internal/soak/inst_test.go
+++ b/internal/soak/inst_test.go
@@ -26,6 +26,8 @@
 	front *wire
 	peers *datagrams
 	log   *lines
+	// stop is its stop_ms.
+	stop time.Duration
 
 	mtx sync.Mutex
 	cmd *exec.Cmd
@@ -39,6 +41,8 @@
 	// leaving since when it was asked to stop.
 	troubled time.Time
 	leaving  time.Time
+	// asked has the same of all its processes, by their number.
+	asked map[int]time.Time
 	// began is when the last process was started.
 	began    time.Time
 	byItself []string
@@ -74,20 +78,24 @@
 	}
 }
 
-// settings of the instances under soak; tokensFor and stopIn are what is judged too.
+// settings of the instances under soak; tokensFor and the time of a stop are what is
+// judged too. Runs with answers of varied length draw stop and keep.
 const (
 	tokensFor = 2 * time.Second
 	stopIn    = 6 * time.Second
 	keepFor   = 300 * time.Millisecond
 )
 
-func newInstance(dir, name, store string, list []int) (*instance, error) {
+func newInstance(dir, name, store string, list []int, trm terms) (*instance, error) {
 	way, err := newWire(store)
 	if err != nil {
 		return nil, err
 	}
 	at := func(i int) string { return fmt.Sprintf("%s:%d", ports.Loopback, list[i]) }
-	ins := &instance{name: name, calls: at(0), entries: at(1), store: way, settled: filepath.Join(dir, name+".toml")}
+	ins := &instance{
+		name: name, calls: at(0), entries: at(1), store: way, settled: filepath.Join(dir, name+".toml"),
+		stop: trm.stop, asked: map[int]time.Time{},
+	}
 	if ins.front, err = newWire(ins.calls); err != nil {
 		return nil, err
 	}
@@ -107,7 +115,7 @@
 tokens_for_ms = %d
 stop_ms = %d
 memory_mb = 256
-`, ins.calls, ins.entries, at(2), at(3), ins.peers.addr(), at(4), way.addr(), keepFor.Milliseconds(), tokensFor.Milliseconds(), stopIn.Milliseconds())
+`, ins.calls, ins.entries, at(2), at(3), ins.peers.addr(), at(4), way.addr(), trm.keep.Milliseconds(), tokensFor.Milliseconds(), trm.stop.Milliseconds())
 	if err := os.WriteFile(ins.settled, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -152,7 +160,6 @@
 	}
 	ins.cmd, ins.up, ins.wanted, ins.leaving, ins.began = cmd, true, false, time.Time{}, time.Now()
 	ins.life++
-	ins.troubled = later(ins.troubled, time.Now())
 	ended := make(chan struct{})
 	ins.ended = ended
 	go ins.wait(cmd, ended)
@@ -186,6 +193,7 @@
 		ins.wanted = true
 		if ins.leaving.IsZero() {
 			ins.leaving = time.Now()
+			ins.asked[ins.life] = ins.leaving
 		}
 	case syscall.SIGSTOP, syscall.SIGCONT:
 		ins.troubled = time.Now()
@@ -193,24 +201,26 @@
 	_ = ins.cmd.Process.Signal(sig)
 }
 
-// gone waits for the end of the process, or ends it.
-func (ins *instance) gone(within time.Duration) bool {
+// gone waits for the end of the process that runs, if any, or ends it; late is told before.
+func (ins *instance) gone(within time.Duration, late func()) {
 	ins.mtx.Lock()
 	ended, up := ins.ended, ins.up
 	ins.mtx.Unlock()
 	if !up {
-		return true
+		return
 	}
 	select {
 	case <-ended:
-		return true
 	case <-time.After(within):
+		late()
 		ins.signal(syscall.SIGKILL)
 		<-ended
-		return false
 	}
 }
 
+// never is told of what nobody judges.
+func never() {}
+
 // trouble notes that something is done to the instance's surroundings until an instant.
 func (ins *instance) trouble(until time.Time) {
 	ins.mtx.Lock()
@@ -230,7 +240,15 @@
 func (ins *instance) calm(at time.Time) bool {
 	ins.mtx.Lock()
 	defer ins.mtx.Unlock()
-	return ins.up && at.Sub(ins.troubled) > settleFor
+	return ins.up && at.Sub(ins.began) > settleFor && at.Sub(ins.troubled) > settleFor
+}
+
+// quiet tells that nothing was done from a while before an instant up to now, apart from
+// the starts and ends of processes.
+func (ins *instance) quiet(at time.Time) bool {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	return at.Sub(ins.troubled) > settleFor
 }
 
 // standing gives the number of the process and whether it was asked to stop.
@@ -240,9 +258,16 @@
 	return ins.life, ins.up, !ins.leaving.IsZero()
 }
 
+// askedAt gives when a process was asked to stop, zero if it wasn't.
+func (ins *instance) askedAt(life int) time.Time {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	return ins.asked[life]
+}
+
 func (ins *instance) close() {
 	ins.signal(syscall.SIGKILL)
-	ins.gone(time.Second)
+	ins.gone(time.Second, never)
 	ins.store.close()
 	ins.front.close()
 	ins.peers.close()
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -22,6 +22,10 @@
 	backFor = 250 * time.Millisecond
 	// sentSlack covers a request's way to its endpoint.
 	sentSlack = 500 * time.Millisecond
+	// heardFor is the time in which a process hears for certain that it is to stop.
+	heardFor = 100 * time.Millisecond
+	// stopLeft is what a process may leave of a stop's time for its own end.
+	stopLeft = 500 * time.Millisecond
 )
 
 // promise tells whether a status promises that nothing ran and nothing will.
@@ -32,7 +36,7 @@
 // judge holds one answer against the promises that can be judged at once.
 func (wld *world) judge(att *attempt) {
 	if att.err != nil {
-		if att.ended.Sub(att.sent) >= deadline+patience && att.calm {
+		if att.ended.Sub(att.sent) >= att.deadline+patience && att.calm {
 			wld.breaks("held: %s at %s had no answer %v after its deadline", att.id, att.ins.name, patience)
 		}
 		return
@@ -89,6 +93,7 @@
 	}
 	for _, att := range wld.order {
 		ran := runs[att.id]
+		att.runs = len(ran)
 		if att.once && len(ran) > 1 {
 			wld.breaks("twice: %s ran %d times, last at %s", att.id, len(ran), ran[1].Endpoint)
 		}
@@ -122,17 +127,35 @@
 }
 
 // judgeCut: a planned stop cuts nothing off that was passed on to an endpoint that is
-// well.
+// well. What was sent after the process heard of the stop is refused in time or answered
+// whole, however long that takes; what was sent before may be cut off only if its
+// answer lasts beyond the stop.
 func (wld *world) judgeCut(att *attempt, ran []fake.Run) {
-	if att.err == nil || !att.calm || !att.leaving || len(ran) == 0 || att.ended.Sub(att.sent) >= deadline {
+	asked := att.ins.askedAt(att.life)
+	if !att.lost() || !att.quiet || asked.IsZero() || asked.After(att.ended) || len(ran) == 0 || att.ended.Sub(att.sent) >= att.deadline {
 		return
 	}
+	var whole time.Time
 	for _, run := range ran {
 		if run.Fault != fake.None || wld.disturbed(run.Endpoint, att.sent) {
 			return
 		}
+		whole = later(whole, run.At.Add(att.lasts))
 	}
-	wld.breaks("cut off: %s at %s, which was asked to stop: %v", att.id, att.ins.name, att.err)
+	if late := att.sent.Sub(asked); late > heardFor {
+		wld.breaks("cut off: %s, a %s of %v, was sent to %s %v after it was asked to stop, and lost %v after it: %d, %v",
+			att.id, att.route, att.lasts, att.ins.name, late, att.ended.Sub(asked), att.status, att.err)
+		return
+	}
+	if whole.Before(asked.Add(att.ins.stop - stopLeft)) {
+		wld.breaks("cut off: %s, a %s of %v, at %s, which was asked to stop %v after: %d, %v",
+			att.id, att.route, att.lasts, att.ins.name, asked.Sub(att.sent), att.status, att.err)
+	}
+}
+
+// lost tells that the caller got no whole answer, and no word that nothing ran.
+func (att *attempt) lost() bool {
+	return att.err != nil || att.status >= http.StatusInternalServerError && !promise(att.status) && att.header.Get(fake.HeaderSignature) == ""
 }
 
 // disturbed tells whether something was done to an endpoint after an instant or shortly
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,6 +22,8 @@
 const (
 	usualInstances = 4
 	usualCallers   = 8
+	// moreCallers times as many ask where most of them wait for long answers.
+	moreCallers = 3
 	// usualSpan is how long troubles are drawn in CI; some minutes by hand.
 	usualSpan = 8 * time.Second
 	// backWithin is the time in which a deployment that is well again serves.
@@ -51,7 +53,8 @@
 }
 
 // TestSoak plays one run for each seed: the few of CI, those that ever failed, or those
-// that the environment asks for (docs/SOAK.md).
+// that the environment asks for (docs/SOAK.md). It guards against troubles, and planned
+// stops under answers of any length, that break a promise to callers.
 func TestSoak(t *testing.T) {
 	zlog.To(zerolog.Nop())
 	program := build(t)
@@ -134,7 +137,12 @@
 func (wld *world) traffic(t *testing.T, span time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wgr sync.WaitGroup
-	for i := range number(t, "AMV_SOAK_CALLERS", usualCallers) {
+	callers := number(t, "AMV_SOAK_CALLERS", usualCallers)
+	if wld.trm.varied {
+		t.Logf("answers of varied length, %v at least; stop_ms %d, keep_ms %d", wld.trm.least, wld.trm.stop.Milliseconds(), wld.trm.keep.Milliseconds())
+		callers *= moreCallers
+	}
+	for i := range callers {
 		clr := wld.newCaller(i)
 		wgr.Add(1)
 		go func() {
@@ -143,9 +151,17 @@
 				clr.probe(ctx)
 				return
 			}
+			if wld.trm.varied && i%2 == 0 {
+				clr.stay(ctx)
+				return
+			}
 			clr.run(ctx)
 		}()
 	}
+	if wld.trm.varied {
+		// Instances are held to their stops only from then on.
+		time.Sleep(settleFor)
+	}
 	faults, stop := context.WithTimeout(ctx, span)
 	wld.play(faults, t.Logf)
 	stop()
@@ -194,6 +210,29 @@
 	}
 }
 
+// afterStops tells how many requests were sent to instances that had been asked to stop,
+// while all around them was well, and how they ended.
+func (wld *world) afterStops() string {
+	ends := map[string]int{}
+	for _, att := range wld.order {
+		asked := att.ins.askedAt(att.life)
+		if !att.quiet || asked.IsZero() || att.sent.Sub(asked) <= heardFor {
+			continue
+		}
+		end := strconv.Itoa(att.status)
+		switch {
+		case att.err != nil && att.ended.Sub(att.sent) >= att.deadline:
+			end = "late"
+		case att.err != nil && att.runs == 0:
+			end = "not run"
+		case att.err != nil:
+			end = "cut"
+		}
+		ends[end]++
+	}
+	return fmt.Sprintf("sent after a planned stop's begin, ended %v", ends)
+}
+
 // report tells what was asked, how it ended and what was broken; the logs of a run that
 // broke something are kept.
 func (wld *world) report(t *testing.T) {
@@ -206,6 +245,7 @@
 		ends[end]++
 	}
 	t.Logf("seed %d: %d requests, ended %v", wld.seed, len(wld.order), ends)
+	t.Logf("seed %d: %s", wld.seed, wld.afterStops())
 	if len(wld.broken) == 0 {
 		return
 	}
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -43,10 +43,57 @@
 	troubled time.Time
 }
 
+// terms are what holds for the whole of a run.
+type terms struct {
+	// stop and keep are stop_ms and keep_ms of the instances.
+	stop time.Duration
+	keep time.Duration
+	// varied tells that answers are of varied length: least at least, twice that in
+	// the middle, and up to mostLasts.
+	varied bool
+	least  time.Duration
+}
+
+// Bounds of what is drawn where answers are of varied length.
+const (
+	leastStop = 1500 * time.Millisecond
+	mostStop  = 6 * time.Second
+	mostKeep  = time.Second
+	leastLast = 100 * time.Millisecond
+	mostLast  = 300 * time.Millisecond
+	mostLasts = 7 * time.Second
+	// routeTime is longer than every deadline.
+	routeTime = 12 * time.Second
+)
+
+// newTerms draws them from a row of their own, so that nothing else is drawn otherwise.
+func newTerms(ply play) terms {
+	rng := rand.New(rand.NewPCG(ply.seed, 2))
+	if ply.kinds < withStops || rng.IntN(2) == 0 {
+		return terms{stop: stopIn, keep: keepFor}
+	}
+	return terms{
+		stop: between(rng, leastStop, mostStop), keep: between(rng, keepFor, mostKeep),
+		varied: true, least: between(rng, leastLast, mostLast),
+	}
+}
+
+// between draws a time between two bounds.
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.IntN(int((most-least)/time.Millisecond)+1))*time.Millisecond
+}
+
+// lasts draws how long an answer takes: half take more than twice the least, one in ten
+// more than ten times.
+func (trm terms) lasts(rng *rand.Rand) time.Duration {
+	return min(mostLasts, time.Duration(float64(trm.least)/(1-rng.Float64())))
+}
+
 // world is one run.
 type world struct {
 	seed    uint64
 	kinds   int
+	trm     terms
 	program string
 	store   *fake.Store
 	srv     *stand.Server
@@ -67,7 +114,7 @@
 
 func newWorld(t *testing.T, program string, ply play, instances int) *world {
 	wld := &world{
-		seed: ply.seed, kinds: ply.kinds, program: program, store: fake.NewStore(), rng: rand.New(rand.NewPCG(ply.seed, 1)),
+		seed: ply.seed, kinds: ply.kinds, trm: newTerms(ply), program: program, store: fake.NewStore(), rng: rand.New(rand.NewPCG(ply.seed, 1)),
 		revoked: map[string]time.Time{}, attempts: map[string]*attempt{},
 	}
 	var err error
@@ -87,7 +134,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ins, err := newInstance(dir, fmt.Sprintf("node%d", i), wld.srv.Addr(), list)
+		ins, err := newInstance(dir, fmt.Sprintf("node%d", i), wld.srv.Addr(), list, wld.trm)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -132,11 +179,21 @@
 		panic(err)
 	}
 	ep.SetAddr(ep.wire.addr())
-	ep.Takes = 5 * time.Millisecond
+	ep.Takes, ep.Lasts = 5*time.Millisecond, wld.lasts
 	wld.eps = append(wld.eps, ep)
 	wld.store.PutEndpoint(ep.ID(), fake.Entry(pool, ep.wire.addr(), false))
 }
 
+// lasts gives how long the answer to a request takes, zero for the usual time.
+func (wld *world) lasts(id string) time.Duration {
+	wld.mtx.Lock()
+	defer wld.mtx.Unlock()
+	if att, ok := wld.attempts[id]; ok {
+		return att.lasts
+	}
+	return 0
+}
+
 // serving lists a pool's endpoints that are neither leaving nor gone.
 func (wld *world) serving(pool string) []*endpoint {
 	wld.mtx.Lock()
@@ -160,9 +217,14 @@
 	if rotate {
 		wld.key = fmt.Sprintf("key-of-%d", number)
 	}
-	wld.store.PutDocument(fake.Document{
-		Version: number, Host: host, Tenant: workspace, Keys: []string{mainKey, wld.key}, Extra: []string{routeOf(number)},
-	}.JSON())
+	doc := fake.Document{Version: number, Host: host, Tenant: workspace, Keys: []string{mainKey, wld.key}, Extra: []string{routeOf(number)}}
+	if wld.trm.varied {
+		doc.Timeouts = map[string]int{}
+		for _, knd := range kinds {
+			doc.Timeouts[knd.route] = int(routeTime.Milliseconds())
+		}
+	}
+	wld.store.PutDocument(doc.JSON())
 	now := time.Now()
 	wld.docs = append(wld.docs, version{number: number, at: now})
 	if rotate && before != "" {
@@ -196,5 +258,7 @@
 
 // span draws a time between two bounds.
 func (wld *world) span(least, most time.Duration) time.Duration {
-	return least + time.Duration(wld.draw(int((most-least)/time.Millisecond)+1))*time.Millisecond
+	wld.mtx.Lock()
+	defer wld.mtx.Unlock()
+	return between(wld.rng, least, most)
 }
