--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -70,6 +71,8 @@
 	ended    time.Time
 	// runs is how many endpoints ran it.
 	runs int
+	// from is the caller's end of the connection that it was sent on.
+	from string
 	// calm tells that nothing was done to the instance around the attempt, quiet
 	// that nothing was from a while before it to its end, in which the process may
 	// have ended.
@@ -248,6 +251,9 @@
 func (clr *caller) take(att *attempt, req *http.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), att.deadline+patience)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(inf httptrace.GotConnInfo) { att.from = inf.Conn.LocalAddr().String() },
+	})
 	res, err := clr.cli.Do(req.WithContext(ctx))
 	if err != nil {
 		att.err = err
