internal/front, internal/serve, internal/batch: names after a second reading; a line where the budget ends a second making

Names that needed explaining: broken is interrupted, lastWords is giveUpWait; the end of an attempt is one switch. No decision changes.

A second order for lost inputs that the pool's budget doesn't pay for was told as a lost input; it has a line of its own now, so that the refusals for stages in rolling stops (docs/FINDINGS.md) can be told apart.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -94,6 +94,8 @@
 	now := pol.set.Clock.Now()
 	if ask.Again && !pol.budget.AllowN(time.Now(), ask.Count) {
 		defer pol.mtx.Unlock()
+		pol.set.Log.Info().Str("request", ask.Request).Int("stage", ask.Stage).Str("pool", ask.Pool).Int("pieces", ask.Count).
+			Msg("no budget to make inputs again")
 		return Filled{Flaw: talk.InputGone, Wait: pol.book.Wait(now)}
 	}
 	// From here on the spans are instants of our own clock.
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -62,14 +62,15 @@
 			return run.last(res)
 		}
 		res, again := run.attempt(ctx, tgt)
-		if !again && run.kept != nil && res.Outcome() != outcm.Done && !cl.out.begun {
+		switch {
+		case again:
+			run.failed = res
+		case run.kept != nil && res.Outcome() != outcm.Done && !cl.out.begun:
 			// The kept answer of an endpoint tells the caller more than a failure of ours.
 			return run.last(res)
-		}
-		if !again {
+		default:
 			return res
 		}
-		run.failed = res
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -108,14 +108,14 @@
 	res := fr.head(ctx, cl)
 	fr.giveBack(cl, allStages)
 	if ctx.Err() != nil && res.Outcome() != outcm.Done {
-		res = broken(ctx, res)
+		res = interrupted(ctx, res)
 	}
 	fr.finish(cl, res)
 }
 
-// broken gives the end of a request whose context ended: its caller left, or a planned stop
-// has no time left. A caller that is still there is told to go elsewhere.
-func broken(ctx context.Context, res outcm.Result) outcm.Result {
+// interrupted gives the result of a request whose context ended: its caller left, or a
+// planned stop has no time left. A caller that is still there is told to go elsewhere.
+func interrupted(ctx context.Context, res outcm.Result) outcm.Result {
 	switch {
 	case !errors.Is(context.Cause(ctx), serve.ErrGivenUp):
 		return outcm.New(res.Outcome(), outcm.CallerGone, "the caller left")
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -31,8 +31,8 @@
 	handOver = 64
 	// quietStep is how often a planned stop looks whether connections are left.
 	quietStep = 5 * time.Millisecond
-	// lastWords is how long requests that a planned stop gives up have to be answered.
-	lastWords = 100 * time.Millisecond
+	// giveUpWait is how long requests that a planned stop gives up may take to be answered.
+	giveUpWait = 100 * time.Millisecond
 )
 
 // ErrGivenUp is the cause of the end of requests' contexts when a planned stop gives them up.
@@ -144,7 +144,7 @@
 // which the end of a connection doesn't tell.
 func (srv *Server) GiveUp() {
 	srv.end(ErrGivenUp)
-	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
+	ctx, cancel := context.WithTimeout(context.Background(), giveUpWait)
 	defer cancel()
 	quiet(ctx, &srv.live)
 }
