--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -122,6 +122,30 @@
 		expect(len(runs(wld.plain))).To(gomega.BeNumerically("<=", before+1))
 	})
 
+	// Guards against an answer that is given up for another attempt, which isn't allowed any more.
+	ginkgo.It("that may be repeated is left at its endpoint once its token is gone", func() {
+		wld := newWorld(1)
+		for _, ep := range wld.plain {
+			ep.Takes, ep.DelayedTakes = 100*time.Millisecond, 2*time.Second
+		}
+		for range 5 {
+			expect(wld.send(0, ask{path: "/log/x", method: http.MethodGet}).status).To(equal(http.StatusOK))
+		}
+		fault(wld.plain, fake.Delayed)
+		before := len(runs(wld.plain))
+		done := make(chan got, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			done <- wld.send(0, ask{path: "/log/x", method: http.MethodGet})
+		}()
+		eventually(func() int { return len(runs(wld.plain)) }, soon).Should(equal(before + 1))
+		wld.keys = []string{"another"}
+		wld.publish(nil)
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.status).To(equal(http.StatusOK), ans.body)
+	})
+
 	// An endpoint dies behind a connection that went silent, and starts again under its name.
 	// A look into the log is under way there. As soon as the new run is listed, the call
 	// is ended and the other endpoint answers; a booking is told as unknown at once.
