internal/front: an attempt is ended for another one only if that is allowed

Callers saw: 502 for a request that may be repeated, whose endpoint would have answered 1.3 s later.

Cause: an attempt that takes far longer than others did is ended, the next one having been paid for. Whether the next one is allowed was looked at only afterwards: the token had been taken away meanwhile, so there was no next one, and nothing was left of the first.

Ruled out: the planned stop beside which it was seen; the log has the attempt's end as outlasted, after 3,152 ms, and no second attempt.

Change: the timer ends an attempt only if another one is allowed at that moment.

Mutants routed_hurry_not_allowed and routed_hang_waited_for fail as they must.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -197,8 +197,8 @@
 
 // hurry ends an attempt that takes far longer than others did, if there may be another.
 // One that can't be repeated, or whose inputs can't be had again, has all the time that is
-// left. The next one is paid for from the pool's budget before this one is ended: without
-// it there would be none, and this one may still be answered.
+// left. The next one is allowed, and paid for from the pool's budget, before this one is
+// ended: otherwise there would be none, and this one may still be answered.
 func (run *running) hurry(cancel func()) *time.Timer {
 	fr, cl := run.fr, run.cl
 	if !cl.route.Repeatable() || run.ran+1 >= cl.route.Attempts() || len(cl.inputs) > 0 {
@@ -206,7 +206,7 @@
 	}
 	careful := fr.firsts.careful(cl.route.Name(), cl.route.Goal(), fr.set.Clock.Now())
 	return time.AfterFunc(max(minPatience, patience*careful).Duration(), func() {
-		if fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()) {
+		if fr.stillAllowed(cl) && fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()) {
 			run.paid.Store(true)
 			cancel()
 		}
