--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 
 	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/ports"
+	"amaranthvalve/internal/red"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/zlog"
 	"amaranthvalve/pkg/clock"
@@ -29,6 +31,7 @@
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
+	suite.SkipStrings = append(suite.SkipStrings, red.Specs(os.Getenv("AMV_KNOWN_RED"), "TestRoutes")...)
 	ginkgo.RunSpecs(t, "routes", suite, reporter)
 }
 
