--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -22,8 +22,8 @@
 
 	"amaranthvalve/internal/caller"
 	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/known"
 	"amaranthvalve/internal/peer"
-	"amaranthvalve/internal/red"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/internal/zlog"
@@ -37,7 +37,7 @@
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
-	suite.SkipStrings = append(suite.SkipStrings, red.Specs(os.Getenv("AMV_KNOWN_RED"), "TestInstances")...)
+	suite.SkipStrings = append(suite.SkipStrings, known.Specs(os.Getenv("AMV_KNOWN_RED"), "TestInstances")...)
 	ginkgo.RunSpecs(t, "instances", suite, reporter)
 }
 
--- a/internal/red/red.go
+++ b/internal/known/known.go
@@ -1,4 +1,4 @@
-package red
+package known
 
 import (
 	"bufio"
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -16,8 +16,8 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/known"
 	"amaranthvalve/internal/ports"
-	"amaranthvalve/internal/red"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/zlog"
 	"amaranthvalve/pkg/clock"
@@ -31,7 +31,7 @@
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
-	suite.SkipStrings = append(suite.SkipStrings, red.Specs(os.Getenv("AMV_KNOWN_RED"), "TestRoutes")...)
+	suite.SkipStrings = append(suite.SkipStrings, known.Specs(os.Getenv("AMV_KNOWN_RED"), "TestRoutes")...)
 	ginkgo.RunSpecs(t, "routes", suite, reporter)
 }
 
