--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -67,7 +67,9 @@
 }
 
 type asking struct {
-	ask      ClaimAsk
+	ask ClaimAsk
+	// since is when it was asked, by the caller's goroutine.
+	since    clock.Milli
 	appended bool
 	done     bool
 	// over is done for the appender's goroutine.
@@ -276,6 +278,8 @@
 		return
 	}
 	akg.end()
+	cct.ctl.set.Log.Info().Str("attempt", akg.ask.Attempt).Int64("waited_ms", int64(now-akg.since)).
+		Bool("appended", akg.appended).Int64("log_age_ms", int64(now-cct.logAsOf)).Msg("claim given up")
 	cct.judgeAll(akg.ask.Key, now)
 	if !akg.appended {
 		return
@@ -297,7 +301,7 @@
 // Claim asks to run a request under a key and waits for the log's word, at most
 // until the context ends.
 func (ctl *Control) Claim(ctx context.Context, ask ClaimAsk) Claimed {
-	akg := &asking{ask: ask, reply: make(chan Claimed, 1)}
+	akg := &asking{ask: ask, since: ctl.set.Clock.Now(), reply: make(chan Claimed, 1)}
 	refused := Claimed{Move: claim.Refuse, Result: outcm.Refuse(outcm.LogUnavailable, outageRetry, "the log did not confirm the claim in time")}
 	entered := ctl.Do(ctx, func(now clock.Milli) {
 		ctl.claims.waiting[ask.Key] = append(ctl.claims.waiting[ask.Key], akg)
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -10,9 +12,34 @@
 
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/wire"
+	"amaranthvalve/pkg/claim"
 	"amaranthvalve/pkg/clock"
 )
 
+// shortMs is a deadline that passes while a claim waits for the log, in milliseconds.
+const shortMs = 300
+
+// claimHeld books at the first instance until the claim of an attempt that was given up
+// waits at a log that holds appends, and gives its key and its answer. An attempt whose
+// time runs out before its claim is sent leaves none.
+func (wld *world) claimHeld(name string) (key string, ans wire.Answer) {
+	answers := map[string]wire.Answer{}
+	until(10*time.Second, func() bool {
+		sub := firstBook(fmt.Sprintf("%s-%d", name, len(answers)))
+		sub.DeadlineMs = shortMs
+		answers[sub.Key] = wld.call(0, "booking", sub)
+		expect(answers[sub.Key].Outcome).To(equal("not_run"), answers[sub.Key].Reason)
+		for _, body := range wld.plt.Held("claims") {
+			var ent claim.Entry
+			expect(json.Unmarshal(body, &ent)).To(gomega.Succeed())
+			key = strings.TrimPrefix(ent.Key, claim.FullKey(workspace, "booking", ""))
+		}
+		ans = answers[key]
+		return key != ""
+	})
+	return key, ans
+}
+
 var _ = ginkgo.Describe("a non-idempotent request runs at most once", func() {
 	// Forty bookings are each sent to both instances at once. Each runs once;
 	// the second caller is joined to the first attempt and gets its answer.
@@ -122,21 +149,33 @@
 		expect(wld.ran(workspace, "out")).To(equal(1))
 	})
 
-	// The log is slow, so that the claim is read back only after the caller's
-	// deadline. The attempt is given up and answered; when its claim comes into
-	// the log late it is released, and a repeat runs the booking, once.
+	// Guards against a key that stays held by an attempt that was given up: its claim comes
+	// into the log only after its caller was answered.
 	ginkgo.It("when a claim comes into the log after its attempt was given up", func() {
 		wld := newWorld(2, "")
-		wld.plt.SetFaults(stand.Faults{SlowMs: 1200})
-		sub := firstBook("slow")
-		sub.DeadlineMs = 300
-		ans := wld.call(0, "booking", sub)
+		wld.plt.SetFaults(stand.Faults{HoldAppends: true})
+		key, ans := wld.claimHeld("slow")
 		expect(ans.Outcome + " " + ans.Reason).To(equal("not_run log_unavailable"))
-		expect(wld.ran(workspace, "slow")).To(equal(0))
+		expect(wld.ran(workspace, key)).To(equal(0))
+		expect(wld.plt.Records("claims")).To(gomega.BeEmpty())
 		wld.plt.SetFaults(stand.Faults{})
 		until(5*time.Second, func() bool { return len(wld.plt.Records("claims")) > 0 })
-		until(10*time.Second, func() bool { return wld.call(1, "booking", book("slow")).Outcome == "done" })
-		expect(wld.ran(workspace, "slow")).To(equal(1))
+		until(10*time.Second, func() bool { return wld.call(1, "booking", book(key)).Outcome == "done" })
+		expect(wld.ran(workspace, key)).To(equal(1))
+	})
+
+	// Guards against a key that stays held by an attempt that was given up before its claim
+	// was sent to the log.
+	ginkgo.It("when an attempt was given up before its claim was sent", func() {
+		wld := newWorld(2, "")
+		wld.plt.SetFaults(stand.Faults{HoldAppends: true})
+		wld.claimHeld("ahead")
+		sub := firstBook("behind")
+		sub.DeadlineMs = shortMs
+		expect(wld.call(0, "booking", sub).Outcome).To(equal("not_run"))
+		wld.plt.SetFaults(stand.Faults{})
+		until(10*time.Second, func() bool { return wld.call(1, "booking", book("behind")).Outcome == "done" })
+		expect(wld.ran(workspace, "behind")).To(equal(1))
 	})
 
 	// A key is repeated after its expiry, with a new one. It is refused as
--- a/internal/feed/append.go
+++ b/internal/feed/append.go
@@ -112,6 +112,7 @@
 	for _, rec := range app.held {
 		switch {
 		case now >= rec.Until || rec.Drop != nil && rec.Drop():
+			app.set.Meter.Event(meter.EventAppendDrop)
 		case len(batch) < maxBatch:
 			batch = append(batch, rec)
 		default:
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -51,6 +51,7 @@
 	EventLogTrimmed   = "log_offset_trimmed"
 	EventLogError     = "log_error"
 	EventAppendRepeat = "append_repeated"
+	EventAppendDrop   = "append_dropped"
 	EventPeerRefused  = "peer_refused"
 	EventStateTaken   = "state_taken_from_peer"
 	EventOrderSent    = "order_sent"
@@ -61,7 +62,7 @@
 )
 
 var events = []string{
-	EventDropped, EventLogBack, EventLogTrimmed, EventLogError, EventAppendRepeat, EventPeerRefused,
+	EventDropped, EventLogBack, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
 	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeign, EventEntrySkipped,
 }
 
--- a/internal/stand/faults.go
+++ b/internal/stand/faults.go
@@ -32,6 +32,9 @@
 	CutStreams int `json:"cut_streams"`
 	// Leave makes an endpoint report that it is leaving.
 	Leave bool `json:"leave"`
+	// HoldAppends takes records and puts them into the log only when it is switched off,
+	// whether their sender waits for that or not.
+	HoldAppends bool `json:"hold_appends"`
 	// OldEnd makes reads of the log answer as if the newest records, so many,
 	// were not there yet.
 	OldEnd int `json:"old_end"`
@@ -42,6 +45,8 @@
 	mtx  sync.Mutex
 	cur  Faults
 	thaw chan struct{}
+	// release is closed when appends are held no longer.
+	release chan struct{}
 }
 
 func (fty *faulty) get() Faults {
@@ -57,9 +62,16 @@
 		close(fty.thaw)
 		fty.thaw = nil
 	}
+	if fty.release != nil {
+		close(fty.release)
+		fty.release = nil
+	}
 	if flt.Freeze {
 		fty.thaw = make(chan struct{})
 	}
+	if flt.HoldAppends {
+		fty.release = make(chan struct{})
+	}
 	fty.cur = flt
 }
 
@@ -94,6 +106,13 @@
 	}
 }
 
+// held gives what ends when appends are held no longer, nil if none are.
+func (fty *faulty) held() <-chan struct{} {
+	fty.mtx.Lock()
+	defer fty.mtx.Unlock()
+	return fty.release
+}
+
 func (fty *faulty) handle(wrt http.ResponseWriter, req *http.Request) {
 	if req.Method == http.MethodGet {
 		wire.WriteJSON(wrt, http.StatusOK, fty.get())
--- a/internal/stand/platform.go
+++ b/internal/stand/platform.go
@@ -46,6 +46,8 @@
 	first   int64
 	records []oplog.Record
 	grown   chan struct{}
+	// held are records of appends that are held.
+	held []json.RawMessage
 }
 
 type listed struct {
@@ -82,6 +84,13 @@
 // SetFaults switches faults of the log on and off.
 func (plt *Platform) SetFaults(flt Faults) { plt.faults.set(flt) }
 
+// Held gives the records of a stream whose appends are held, for tests.
+func (plt *Platform) Held(name string) []json.RawMessage {
+	plt.mtx.Lock()
+	defer plt.mtx.Unlock()
+	return append([]json.RawMessage(nil), plt.stream(name).held...)
+}
+
 // SetListFaults switches faults of the instance list on and off.
 func (plt *Platform) SetListFaults(flt Faults) { plt.lists.set(flt) }
 
@@ -126,11 +135,28 @@
 		wire.WriteJSON(wrt, http.StatusTooManyRequests, wire.Fail{Error: "too many appends"})
 		return
 	}
+	plt.hold(req.PathValue("stream"), app.Bodies)
 	first := plt.take(req.PathValue("stream"), app.Bodies)
 	plt.faults.cutReply()
 	wire.WriteJSON(wrt, http.StatusOK, wire.Appended{First: first})
 }
 
+// hold waits while appends are held, whatever becomes of who sent them.
+func (plt *Platform) hold(name string, bodies []json.RawMessage) {
+	release := plt.faults.held()
+	if release == nil {
+		return
+	}
+	plt.mtx.Lock()
+	str := plt.stream(name)
+	str.held = append(str.held, bodies...)
+	plt.mtx.Unlock()
+	<-release
+	plt.mtx.Lock()
+	defer plt.mtx.Unlock()
+	str.held = nil
+}
+
 func (plt *Platform) take(name string, bodies []json.RawMessage) int64 {
 	plt.mtx.Lock()
 	defer plt.mtx.Unlock()
