internal/front: an answer that has begun is not ended for its time

What a caller could see: an attempt's answer begins and is cut off in the same moment; 502 or a stream without an event if no other attempt may be made any more.

Cause: the timer that ends an attempt for its time was stopped after the head had come, but Stop doesn't wait for a timer that has fired. Its function then paid for another attempt and ended the connection under the answer.

Ruled out as harmless: another attempt mostly follows, but only while the token is allowed and an endpoint is found; otherwise an answer that was there is lost.

Change: overtime settles which comes first, under one lock; the timer asks nothing and pays nothing for an attempt that has its answer.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"amaranthvalve/internal/homes"
@@ -84,7 +83,7 @@
 	ran     int
 	refused int
 	// paid tells that the attempt was ended for its time, and the next one paid for.
-	paid atomic.Bool
+	paid bool
 	// after is the last event that the caller has of a stream.
 	after string
 	// failed is what the attempt before ended with; kept is a whole failure of
@@ -163,13 +162,14 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.releasing(cl, tgt)
 	defer stop()
-	run.paid.Store(false)
-	hurry := run.hurry(cancel)
+	var ovt overtime
+	hurry := run.hurry(&ovt, cancel)
 	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, talk.Send{
 		Endpoint: tgt.ID, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, Fetch: tgt.From, After: run.after,
 	})
 	hurry.Stop()
-	outlasted := run.paid.Load()
+	outlasted := ovt.settle()
+	run.paid = outlasted
 	took := fr.set.Clock.Since(began)
 	if outlasted || end == ending.Answered {
 		// What outlasted its time counts too: were it left out, a pool that turns slow
@@ -180,6 +180,10 @@
 		defer func() { _ = rsp.Body.Close() }()
 		fr.pools.Said(cl.pool.Name(), tgt.ID, rsp.Reply)
 	}
+	if outlasted && end == ending.Answered {
+		// Its connection was ended as the answer began.
+		end = ending.GaveUp
+	}
 	if end == ending.Answered {
 		fr.pools.Began(cl.route.Name(), took)
 		fr.homes.First(cl.pool.Name(), tgt, took)
@@ -199,17 +203,16 @@
 // One that can't be repeated, or whose inputs can't be had again, has all the time that is
 // left. The next one is allowed, and paid for from the pool's budget, before this one is
 // ended: otherwise there would be none, and this one may still be answered.
-func (run *running) hurry(cancel func()) *time.Timer {
+func (run *running) hurry(ovt *overtime, cancel func()) *time.Timer {
 	fr, cl := run.fr, run.cl
 	if !cl.route.Repeatable() || run.ran+1 >= cl.route.Attempts() || len(cl.inputs) > 0 {
 		return time.NewTimer(longestWait.Duration())
 	}
 	careful := fr.firsts.careful(cl.route.Name(), cl.route.Goal(), fr.set.Clock.Now())
 	return time.AfterFunc(max(minPatience, patience*careful).Duration(), func() {
-		if fr.stillAllowed(cl) && fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()) {
-			run.paid.Store(true)
-			cancel()
-		}
+		ovt.end(func() bool {
+			return fr.stillAllowed(cl) && fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View())
+		}, cancel)
 	})
 }
 
@@ -260,7 +263,7 @@
 		return res, false
 	case !fr.stillAllowed(cl):
 		return res, false
-	case end != ending.NothingSent && !run.paid.Swap(false) && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
+	case end != ending.NothingSent && !run.paid && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
 	}
 	fr.set.Meter.Retried(end.Cause())
