internal/serve: a planned stop answers requests on connections that wait to be accepted

What callers see: a reset connection in place of an answer, for requests that were sent right before the listener closed.

Cause: closing a listener makes the kernel reset the connections that nobody has accepted. The goroutine that accepts is late where the process gets little time, as on small instances under load. The same in both dialects.

Change: the listener accepts what is queued when it is closed and hands it out before it tells its end. The limit of connections moves into the server, since a limited listener drops what comes after its close.

Left: a handshake that ends between the last look and the close.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -73,7 +73,6 @@
 	if nod.opers, err = net.Listen("tcp", set.OpsAddr()); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	nod.calls = netutil.LimitListener(nod.calls, set.MaxConnections())
 	nod.opers = netutil.LimitListener(nod.opers, opsMaxConns)
 	if err := nod.open(keys); err != nil {
 		return nil, err
@@ -128,7 +127,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	nod.caller, nod.ops = serve.NewDraining(callers), serve.Plain(ops)
+	nod.caller, nod.ops = serve.NewDraining(callers, nod.calls, nod.set.MaxConnections()), serve.Plain(ops)
 	return nil
 }
 
@@ -153,7 +152,7 @@
 		nod.ctl.Run(ctx)
 		close(nod.ended)
 	}()
-	go nod.caller.Serve(nod.calls)
+	go nod.caller.Serve()
 	go func() { _ = nod.ops.Serve(nod.opers) }()
 	nod.log.Info().Str("instance", string(nod.ctl.Self())).Str("callers", nod.CallerAddr()).Str("operators", nod.OpsAddr()).Msg("started")
 }
@@ -173,7 +172,7 @@
 	nod.log.Info().Msg("refusing new requests, finishing what is under way")
 	// Shutdown waits for requests under way, streams included, and closes
 	// idle connections.
-	nod.caller.Shutdown(ctx, nod.calls)
+	nod.caller.Shutdown(ctx)
 	fctx, cancel := context.WithTimeout(ctx, flushWait)
 	defer cancel()
 	nod.ctl.Flush(fctx)
--- a/internal/serve/draining.go
+++ b/internal/serve/draining.go
@@ -6,18 +6,22 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
 // Draining is a plain server whose planned stop answers all that it accepted. It is made by
 // [NewDraining].
 type Draining struct {
+	lsn  net.Listener
 	srv  *http.Server
 	live atomic.Int64
 }
 
-// NewDraining returns a server like [Plain].
-func NewDraining(handler http.Handler) *Draining {
-	drn := &Draining{srv: Plain(handler)}
+// NewDraining returns a server like [Plain] on a listener, with at most so many
+// connections at a time. Those that wait when it is shut down are taken beyond that.
+func NewDraining(handler http.Handler, lsn net.Listener, most int) *Draining {
+	drn := &Draining{lsn: &queueListener{Listener: netutil.LimitListener(lsn, most), raw: lsn}, srv: Plain(handler)}
 	drn.srv.ConnState = drn.note
 	return drn
 }
@@ -32,15 +36,15 @@
 }
 
 // Serve accepts connections until the listener is closed.
-func (drn *Draining) Serve(lsn net.Listener) {
+func (drn *Draining) Serve() {
 	drn.live.Add(1)
 	defer drn.live.Add(-1)
-	_ = drn.srv.Serve(lsn)
+	_ = drn.srv.Serve(drn.lsn)
 }
 
 // Shutdown closes the listener and ends like [Server.Shutdown].
-func (drn *Draining) Shutdown(ctx context.Context, lsn net.Listener) {
-	_ = lsn.Close()
+func (drn *Draining) Shutdown(ctx context.Context) {
+	_ = drn.lsn.Close()
 	drn.srv.SetKeepAlivesEnabled(false)
 	quiet(ctx, &drn.live)
 	_ = drn.srv.Shutdown(ctx)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -63,7 +63,7 @@
 
 // New returns a server on a listener.
 func New(lsn net.Listener, handler http.Handler) *Server {
-	srv := &Server{lsn: lsn, handler: handler}
+	srv := &Server{lsn: &queueListener{Listener: lsn, raw: lsn}, handler: handler}
 	srv.base, srv.end = context.WithCancelCause(context.Background())
 	srv.SetLimits(Limits{})
 	return srv
@@ -126,8 +126,8 @@
 }
 
 // Shutdown closes the listener and idle connections, and waits for requests under
-// way until the context ends. Connections that were accepted before have their requests
-// answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet.
+// way until the context ends. Connections that were accepted before, or wait to be, have their
+// requests answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet.
 func (srv *Server) Shutdown(ctx context.Context) {
 	_ = srv.lsn.Close()
 	srv.mtx.Lock()
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -76,6 +76,70 @@
 	}
 }
 
+// lateAcceptor accepts nothing until it is let.
+type lateAcceptor struct {
+	*net.TCPListener
+	let chan struct{}
+}
+
+func (lsn *lateAcceptor) Accept() (net.Conn, error) {
+	<-lsn.let
+	return lsn.TCPListener.Accept()
+}
+
+// queuedRequests dials a listener that nobody accepts from and sends a request on each connection.
+func queuedRequests(t *testing.T, lsn net.Listener, count int) []net.Conn {
+	var outs []net.Conn
+	for range count {
+		out, err := net.Dial("tcp", lsn.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = out.Close() })
+		if _, err := io.WriteString(out, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		outs = append(outs, out)
+	}
+	return outs
+}
+
+// Guards against requests that the kernel resets because a stop closes the listener before
+// their connections were accepted.
+func TestQueuedAsTheListenerCloses(t *testing.T) {
+	for name, begin := range map[string]func(lsn net.Listener) (serve, shutdown func()){
+		"with limits that change": func(lsn net.Listener) (serve, shutdown func()) {
+			srv := New(lsn, answering())
+			return srv.Serve, func() { srv.Shutdown(t.Context()) }
+		},
+		"plain": func(lsn net.Listener) (serve, shutdown func()) {
+			drn := NewDraining(answering(), lsn, 2)
+			return drn.Serve, func() { drn.Shutdown(t.Context()) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gom := gomega.NewWithT(t)
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			gom.Expect(err).NotTo(gomega.HaveOccurred())
+			lsn := &lateAcceptor{TCPListener: tcp.(*net.TCPListener), let: make(chan struct{})}
+			serve, shutdown := begin(lsn)
+			outs := queuedRequests(t, lsn, 5)
+			go serve()
+			time.Sleep(20 * time.Millisecond)
+			go shutdown()
+			time.Sleep(20 * time.Millisecond)
+			// Only now does the goroutine that accepts get time.
+			close(lsn.let)
+			for _, out := range outs {
+				_ = out.SetReadDeadline(time.Now().Add(time.Second))
+				res, err := http.ReadResponse(bufio.NewReader(out), nil)
+				gom.Expect(err).NotTo(gomega.HaveOccurred())
+				gom.Expect(res.StatusCode).To(gomega.Equal(http.StatusOK))
+			}
+		})
+	}
+}
+
 // Guards against requests that net/http drops because their heads come after Shutdown began.
 func TestRequestComesRightAfterTheListenerClosed(t *testing.T) {
 	gom := gomega.NewWithT(t)
