internal/node: a planned stop serves for as long as callers were told to keep its address

What callers see: a refused connection at an address that they were told to keep, after operators lowered keep_ms right before a stop.

Cause: the stop reckoned the time for which addresses are kept from the settings in force; answers given before allow longer.

Change: Apply notes up to when a longer time may be gone by, the stop waits for that too, within its own time.

Left: other instances that have not read the lower keep_ms yet go on naming the address for the longer time.

--- a/internal/node/cutoff_test.go
+++ b/internal/node/cutoff_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
@@ -222,3 +223,22 @@
 		expect(snt.got.status).To(equal(http.StatusInternalServerError), "%s", snt.got.body)
 	}
 }
+
+// Guards against a stop that closes the listener while callers go by addresses that they
+// were told to keep for longer than the settings say now.
+func TestStopHonoursALongerKeepToldBefore(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	wld := newStoppingWorld(1, 2*stopSpan, t.Cleanup)
+	nod := wld.nodes[0]
+	for _, keep := range []string{"keep_ms = 1200", "keep_ms = 100"} {
+		set, fts := conf.Parse([]byte(strings.Replace(wld.text, "keep_ms = 100", keep, 1)))
+		expect(set).NotTo(gomega.BeNil(), "%v", fts)
+		nod.Apply(set)
+	}
+	go nod.Stop(context.Background())
+	// The shorter keep, three times, and what the stop adds to it have passed.
+	time.Sleep(1800 * time.Millisecond)
+	ans := wld.send(0, ask{path: plain, header: map[string]string{fake.HeaderDeadline: "500"}})
+	expect(ans.err).NotTo(anything())
+	expect(ans.status).To(equal(http.StatusOK), ans.body)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,8 +72,10 @@
 	lsns   []net.Listener
 	cancel context.CancelFunc
 	ended  chan struct{}
-	// keep is how long callers may keep an address, in milliseconds.
-	keep atomic.Int64
+	// keep is how long callers may keep an address, in milliseconds; longer is the instant up
+	// to which callers may go by a longer time that they were told before.
+	keep   atomic.Int64
+	longer atomic.Int64
 }
 
 // New opens the sockets of an instance that speaks a dialect. Nothing is
@@ -255,7 +257,11 @@
 // Apply takes settings that may change while the instance runs: the seeds and how
 // long answers are kept. What names sockets holds until the next start.
 func (nod *Node) Apply(set *conf.Settings) {
-	nod.keep.Store(int64(set.Keep()))
+	before := nod.keep.Swap(int64(set.Keep()))
+	if int64(set.Keep()) < before {
+		until := int64(nod.clk.Now()) + keptTimes*before
+		nod.longer.Store(max(nod.longer.Load(), until))
+	}
 	nod.ctl.SetSeeds(set.Peers())
 }
 
@@ -266,7 +272,7 @@
 func (nod *Node) Stop(ctx context.Context) {
 	began := nod.clk.Now()
 	end := began + nod.set.Stop() - stopMargin
-	kept := keptTimes*clock.Milli(nod.keep.Load()) + stopSettle
+	kept := max(keptTimes*clock.Milli(nod.keep.Load()), clock.Milli(nod.longer.Load())-began) + stopSettle
 	nod.log.Info().Int64("kept_ms", int64(kept)).Int64("stop_ms", int64(nod.set.Stop())).Int64("under_way", nod.front.Under()).Msg("leaving")
 	// The control thread may be busy; what comes meanwhile is bound by the stop's end too.
 	nod.front.Leave(end)
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -64,6 +64,8 @@
 	ways    []*way
 	version int
 	keys    []string
+	// text has the settings of the instance that was started last.
+	text string
 	// stop is how long a planned stop may take; defers has work done at the test's end.
 	stop   clock.Milli
 	defers func(work func())
@@ -175,6 +177,7 @@
 tokens_for_ms = 2000
 stop_ms = %d
 `, freePort(), freePort(), freePort(), freePort(), srv.Addr(), wld.stop)
+	wld.text = text
 	set, fts := conf.Parse([]byte(text))
 	expect(set).NotTo(gomega.BeNil(), "%v", fts)
 	var nod *Node
