internal/relay, internal/front: a token is looked at when its request's connection is open

What operators see: a request runs with a token that was taken away and is known to be.

Cause: the token was looked at once more before the final call, but before the wait for an endpoint with room, up to an eighth of the route's goal, and before the dial, up to 0.8 s. A tenth of the time for which tokens are honoured covers the way: 0.2 s of 2 s.

Ruled out: the looks of attempts after the first, which come right before them but for the same two waits.

Change: the relay asks whether the request is allowed when its connection is had, before the first byte. Withheld is a new ending: nothing was sent, it proves that nothing ran, and it says nothing of the endpoint. Who is refused for it is told so in place of "no endpoint".

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -48,7 +48,7 @@
 // the route allows a repeat.
 func (fr *Front) final(ctx context.Context, cl *call) outcm.Result {
 	if !fr.stillAllowed(cl) {
-		return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
+		return notHonoured()
 	}
 	fr.pools.Sent(cl.pool.Name())
 	run := &running{fr: fr, cl: cl, after: cl.ask.After}
@@ -162,6 +162,7 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.releasing(cl, tgt)
 	defer stop()
+	rqs.Allowed = func() bool { return fr.stillAllowed(cl) }
 	var ovt overtime
 	hurry := run.hurry(&ovt, cancel)
 	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, talk.Send{
@@ -261,9 +262,11 @@
 		return res, false
 	case run.ran >= cl.route.Attempts() || run.ran+run.refused >= cl.route.Attempts()+refusalsMore:
 		return res, false
+	case !fr.stillAllowed(cl) && run.ran == 0:
+		return notHonoured(), false
 	case !fr.stillAllowed(cl):
 		return res, false
-	case end != ending.NothingSent && !run.paid && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
+	case end.Sent() && !run.paid && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
 	}
 	fr.set.Meter.Retried(end.Cause())
--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -138,13 +138,18 @@
 		return fr.deny(cl, outcm.New(outcm.NotRun, outcm.BadToken, "the token is not one of a workspace that may call"))
 	}
 	if !fr.honours(cl.view) {
-		return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
+		return notHonoured()
 	}
 	cl.wsp = wsp.Name()
 	cl.rank = cl.view.Plan().Rank(cl.route, wsp)
 	return nxt(ctx, cl)
 }
 
+// notHonoured refuses a request whose token may be in force no longer.
+func notHonoured() outcm.Result {
+	return outcm.Refuse(outcm.StaleView, staleRetry, "it is not known whether the token is still in force")
+}
+
 // honours tells whether a view is new enough for its tokens to be honoured.
 func (fr *Front) honours(vw *state.View) bool {
 	return vw.Age(fr.set.Clock.Now()) <= fr.set.TokensFor
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -14,6 +16,10 @@
 	"amaranthvalve/platform/fake"
 )
 
+// startPlaces is how many requests an instance has at a time at an endpoint that it knows
+// nothing of yet.
+const startPlaces = 4
+
 var _ = ginkgo.Describe("a request", func() {
 	ginkgo.It("passes to an endpoint to the letter, with the system's own headers and none of a caller's making", func() {
 		wld := newWorld(1)
@@ -146,6 +152,43 @@
 		expect(ans.status).To(equal(http.StatusOK), ans.body)
 	})
 
+	// Guards against a request that runs after its token was taken away, because it was looked
+	// at before its endpoint had room.
+	ginkgo.It("that waits for an endpoint is not sent once its token is gone", func() {
+		wld := newWorld(1)
+		patient := func(doc *fake.Document) {
+			doc.Timeouts, doc.Goals = map[string]int{"booking": 20000}, map[string]int{"booking": 16000}
+		}
+		wld.publish(patient)
+		known := func() int64 { return wld.nodes[0].ctl.View().Plan().Version() }
+		eventually(known, soon).Should(equal(int64(wld.version)))
+		for _, ep := range wld.plain {
+			ep.Takes = time.Second
+		}
+		book := func(id string) got {
+			return wld.send(0, ask{path: "/booking/x", id: id, header: map[string]string{fake.HeaderDeadline: "20000"}})
+		}
+		var wgr sync.WaitGroup
+		for i := range 2 * startPlaces {
+			wgr.Go(func() { book(fmt.Sprintf("full-%d", i)) })
+		}
+		eventually(func() int { return len(runs(wld.plain)) }, soon).Should(equal(2 * startPlaces))
+		done := make(chan got, 1)
+		go func() { done <- book("late") }()
+		eventually(func() int64 { return wld.nodes[0].front.Under() }, soon).Should(equal(int64(2*startPlaces + 1)))
+		wld.keys = []string{"another"}
+		wld.publish(patient)
+		eventually(known, soon).Should(equal(int64(wld.version)))
+		var ans got
+		eventually(done, soon).Should(gomega.Receive(&ans))
+		expect(ans.status).To(equal(http.StatusServiceUnavailable), ans.body)
+		expect(ans.body).To(gomega.ContainSubstring("token"))
+		wgr.Wait()
+		for _, run := range runs(wld.plain) {
+			expect(run.ID).NotTo(equal("late"))
+		}
+	})
+
 	// An endpoint dies behind a connection that went silent, and starts again under its name.
 	// A look into the log is under way there. As soon as the new run is listed, the call
 	// is ended and the other endpoint answers; a booking is told as unknown at once.
--- /dev/null
+++ b/internal/relay/allowed_test.go
@@ -0,0 +1,39 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/ending"
+	"amaranthvalve/platform"
+)
+
+// Guards against a request that is sent although it was allowed no longer when its connection
+// was had.
+func TestNothingIsSentOnceItIsNotAllowed(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = lsn.Close() }()
+	came := make(chan int, 1)
+	go func() {
+		con, err := lsn.Accept()
+		if err != nil {
+			return
+		}
+		_ = con.SetReadDeadline(time.Now().Add(time.Second))
+		text, _ := io.ReadAll(con)
+		came <- len(text)
+	}()
+	rqs := Request{ID: "one", Method: "POST", Host: "x", Target: "/", Header: http.Header{}, Body: []byte("body"), Allowed: func() bool { return false }}
+	rsp, end := New(platform.Dialect()).Do(t.Context(), lsn.Addr().String(), rqs, talk.Send{Left: 1000})
+	gom.Expect(rsp).To(gomega.BeNil())
+	gom.Expect(end).To(gomega.Equal(ending.Withheld))
+	gom.Eventually(came, 3*time.Second).Should(gomega.Receive(gomega.Equal(0)))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -77,7 +78,7 @@
 // New returns a relay that speaks a dialect.
 func New(dia *talk.Dialect) *Relay {
 	return &Relay{dia: dia, trn: &http.Transport{
-		DialContext: Dialer().DialContext, DisableCompression: true,
+		DialContext: withheld(Dialer()), DisableCompression: true,
 		// No connection is kept. DisableKeepAlives would do so too, but would
 		// ask endpoints to close, and then none could be told from one that is
 		// leaving.
@@ -96,6 +97,9 @@
 	Body   []byte
 	// Written is told when the request was written to an endpoint; it may be nil.
 	Written func()
+	// Allowed is asked when a connection was had, before anything is written: opening one
+	// takes up to a second, and what was looked up before may hold no longer. It may be nil.
+	Allowed func() bool
 }
 
 // Response is an endpoint's answer; its body is read from Body and must be
@@ -125,6 +129,8 @@
 	res, err := rel.trn.RoundTrip(req)
 	if err != nil {
 		switch {
+		case errors.Is(err, errWithheld):
+			return nil, ending.Withheld
 		case !connected.Load():
 			return nil, ending.NothingSent
 		case ctx.Err() != nil:
@@ -177,7 +183,7 @@
 	if len(rqs.Body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(rqs.Body)), int64(len(rqs.Body))
 	}
-	return req.WithContext(withTrace(ctx, connected, rqs.Written)), nil
+	return req.WithContext(withTrace(withAllowed(ctx, rqs.Allowed), connected, rqs.Written)), nil
 }
 
 // dropHop takes out the headers that concern one connection, those that its
--- a/pkg/ending/ending.go
+++ b/pkg/ending/ending.go
@@ -37,6 +37,9 @@
 	Unsigned // unsigned
 	// GaveUp: our own context ended; it may have run.
 	GaveUp // gave_up
+	// Withheld: a connection was had, and no byte was written, since the request was allowed
+	// no longer.
+	Withheld // withheld
 )
 
 // Broken gives the ending of a call whose connection broke: our own end of it, if the
@@ -49,12 +52,15 @@
 }
 
 // RanNothing tells whether it is proved that nothing ran.
-func (end Ending) RanNothing() bool { return end == NothingSent || end == Refused }
+func (end Ending) RanNothing() bool { return !end.Sent() || end == Refused }
+
+// Sent tells whether any byte of the request may have been written.
+func (end Ending) Sent() bool { return end != NothingSent && end != Withheld }
 
 // Cause gives what another attempt after this one is counted as.
 func (end Ending) Cause() retry.Cause {
 	switch end {
-	case NothingSent:
+	case NothingSent, Withheld:
 		return retry.NothingSent
 	case Refused:
 		return retry.Refused
@@ -67,14 +73,14 @@
 // Verdict tells routing how the endpoint did. One that we gave up because its time was
 // over, outlasted, is the endpoint's fault; were it neutral, an endpoint that is too
 // slow for every deadline would never be found out, for only fast answers would be
-// counted. One that we gave up because its caller went is nobody's.
+// counted. One that we gave up because its caller went, or sent nothing of, is nobody's.
 func (end Ending) Verdict(outlasted bool) route.Verdict {
 	switch {
 	case end == Answered:
 		return route.Good
 	case end == Refused || end == GaveUp && outlasted:
 		return route.Overload
-	case end == GaveUp:
+	case end == GaveUp || end == Withheld:
 		return route.Neutral
 	}
 	return route.Broken
--- a/pkg/ending/ending_string.go
+++ b/pkg/ending/ending_string.go
@@ -16,11 +16,12 @@
 	_ = x[Foreign-5]
 	_ = x[Unsigned-6]
 	_ = x[GaveUp-7]
+	_ = x[Withheld-8]
 }
 
-const _Ending_name = "answerednothing_sentrefusederroredcutforeignunsignedgave_up"
+const _Ending_name = "answerednothing_sentrefusederroredcutforeignunsignedgave_upwithheld"
 
-var _Ending_index = [...]uint8{0, 8, 20, 27, 34, 37, 44, 52, 59}
+var _Ending_index = [...]uint8{0, 8, 20, 27, 34, 37, 44, 52, 59, 67}
 
 func (i Ending) String() string {
 	idx := int(i) - 0
--- a/pkg/ending/ending_test.go
+++ b/pkg/ending/ending_test.go
@@ -22,11 +22,11 @@
 }
 
 // TestOnlyProofCounts: a caller that is told "not run" repeats its booking elsewhere. An
-// ending that merely looks as if nothing ran would book twice; there are two that prove it.
+// ending that merely looks as if nothing ran would book twice; there are three that prove it.
 func TestOnlyProofCounts(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	for end := Answered; end <= GaveUp; end++ {
-		gom.Expect(end.RanNothing()).To(gomega.Equal(end == NothingSent || end == Refused), end.String())
+	for end := Answered; end <= Withheld; end++ {
+		gom.Expect(end.RanNothing()).To(gomega.Equal(end == NothingSent || end == Refused || end == Withheld), end.String())
 	}
 }
 
@@ -36,6 +36,7 @@
 	gom := gomega.NewWithT(t)
 	gom.Expect(GaveUp.Verdict(true)).To(gomega.Equal(route.Overload))
 	gom.Expect(GaveUp.Verdict(false)).To(gomega.Equal(route.Neutral))
+	gom.Expect(Withheld.Verdict(false)).To(gomega.Equal(route.Neutral))
 	gom.Expect(Refused.Verdict(false)).To(gomega.Equal(route.Overload))
 	gom.Expect(Answered.Verdict(false)).To(gomega.Equal(route.Good))
 	for _, end := range []Ending{NothingSent, Errored, Cut, Foreign, Unsigned} {
@@ -49,7 +50,7 @@
 	gom := gomega.NewWithT(t)
 	want := map[Ending]retry.Cause{
 		NothingSent: retry.NothingSent, Refused: retry.Refused, Errored: retry.Cut, Cut: retry.Cut,
-		Foreign: retry.WrongAnswer, Unsigned: retry.WrongAnswer, GaveUp: retry.Cut,
+		Foreign: retry.WrongAnswer, Unsigned: retry.WrongAnswer, GaveUp: retry.Cut, Withheld: retry.NothingSent,
 	}
 	for end, cause := range want {
 		gom.Expect(end.Cause()).To(gomega.Equal(cause), end.String())
