internal/front: a body is read no longer than its request's time

What callers see: no answer for up to 30 s after their deadline when their body comes slowly or stops coming.

Cause: the body was read under net/http's time for whole requests alone; the request's own context begins after it.

Change: the reading ends when the request's time does; who waits is told that nothing ran, and the connection is closed. Once the body is there the bound is taken off the connection. The end of a planned stop still ends the reading at once.

Ruled out: the product's own dialect, whose deadline stands in the body itself, so that none is known while it is read.

--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"time"
 
 	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/relay"
@@ -110,8 +112,11 @@
 	if most > 0 {
 		rdr = io.LimitReader(rdr, most+1)
 	}
-	body, err := io.ReadAll(rdr)
+	body, err := fr.readBy(cl, rdr)
 	switch {
+	case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && cl.http.Context().Err() == nil:
+		cl.out.last = true
+		return outcm.Refuse(outcm.DeadlinePassed, soonest, "the body did not come in time")
 	case err != nil && errors.Is(err, io.ErrUnexpectedEOF):
 		return outcm.New(outcm.NotRun, outcm.CallerGone, "the body ended early")
 	case err != nil:
@@ -126,6 +131,23 @@
 	return outcm.Result{}
 }
 
+// readBy reads a body up to the request's end. Without a bound of its own a body that comes
+// slowly is read on when nobody waits for its answer any more.
+func (fr *Front) readBy(cl *call, rdr io.Reader) ([]byte, error) {
+	if cl.out.ctl.SetReadDeadline(fr.deadline(cl.until)) != nil {
+		return io.ReadAll(rdr)
+	}
+	if ctx := cl.http.Context(); ctx.Err() != nil {
+		// A planned stop ended the reading right before.
+		return nil, context.Cause(ctx)
+	}
+	body, err := io.ReadAll(rdr)
+	if err == nil {
+		_ = cl.out.ctl.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
 // identify finds the workspace by its token. Tokens are honoured only while it is
 // known that they were in force a short while ago: one that was taken away must
 // not run anything anywhere, also on an instance that has heard nothing since.
--- a/internal/node/smuggle_test.go
+++ b/internal/node/smuggle_test.go
@@ -58,6 +58,32 @@
 }
 
 var _ = ginkgo.Describe("a request's end", func() {
+	// Guards against a body that is read on, and later runs, when its request's time is up.
+	ginkgo.It("that doesn't come in the request's time is not waited for", func() {
+		wld := newWorld(1)
+		raw := wld.dialRaw()
+		head := strings.Replace(rawHead("slow", "Content-Length: 10"), fake.HeaderDeadline+": 4000", fake.HeaderDeadline+": 500", 1)
+		began := time.Now()
+		status, closes := raw.send(head + "half ")
+		expect(status).To(equal(http.StatusServiceUnavailable))
+		expect(closes).To(gomega.BeTrue())
+		expect(time.Since(began)).To(gomega.BeNumerically("<", 2*time.Second))
+		expect(raw.ended()).To(gomega.BeTrue())
+		expect(runs(wld.plain)).To(gomega.BeEmpty())
+	})
+
+	// Guards against connections that end because an earlier request's time is up.
+	ginkgo.It("in time leaves its connection to later requests", func() {
+		wld := newWorld(1)
+		raw := wld.dialRaw()
+		head := strings.Replace(rawHead("quick", "Content-Length: 4"), fake.HeaderDeadline+": 4000", fake.HeaderDeadline+": 500", 1)
+		status, _ := raw.send(head + "body")
+		expect(status).To(equal(http.StatusOK))
+		time.Sleep(700 * time.Millisecond)
+		status, _ = raw.send(rawHead("later", "Content-Length: 4") + "body")
+		expect(status).To(equal(http.StatusOK))
+	})
+
 	// A proxy before us reads a body by its length, the server by its chunks. What
 	// the one took for the rest of a body would run as a booking that nobody sent.
 	ginkgo.It("that can be read in two ways is refused, and nothing behind it runs", func() {
