internal/node: a planned stop's last wait counts the time of a suspension

What callers see: a cut connection at the end of a process that is ended by force, in place of the word whether their request ran.

Cause: the last wait of a stop, for requests under way, ended with a context of the runtime, whose timers stand still while the machine is suspended. All other waits of a stop go by the instance's clock, which counts that time, as does who ends the process.

--- a/internal/node/cutoff_test.go
+++ b/internal/node/cutoff_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -242,3 +243,23 @@
 	expect(ans.err).NotTo(anything())
 	expect(ans.status).To(equal(http.StatusOK), ans.body)
 }
+
+// Guards against a stop that goes on beyond its time, to be killed under its callers, because
+// the machine was suspended meanwhile.
+func TestStopCountsTheTimeOfASuspension(t *testing.T) {
+	stp := newStops(t, 1, time.Second)
+	stp.sendAll(stream, "15000")
+	nod := stp.nodes[0]
+	eventually(func() int64 { return nod.front.Under() }, soon).Should(equal(int64(1)))
+	var suspended atomic.Int64
+	nod.clk = clock.New(func() clock.Milli { return clock.Clock{}.Now() + clock.Milli(suspended.Load()) })
+	ended := make(chan struct{})
+	go func() {
+		nod.Stop(context.Background())
+		close(ended)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	suspended.Store(int64(stopSpan))
+	eventually(ended, stopSpan.Duration()/2).Should(gomega.BeClosed())
+	stp.wait()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -276,7 +276,7 @@
 	nod.log.Info().Int64("kept_ms", int64(kept)).Int64("stop_ms", int64(nod.set.Stop())).Int64("under_way", nod.front.Under()).Msg("leaving")
 	// The control thread may be busy; what comes meanwhile is bound by the stop's end too.
 	nod.front.Leave(end)
-	sctx, cancel := context.WithDeadline(ctx, time.Now().Add((end - nod.clk.Now()).Duration()))
+	sctx, cancel := nod.withEnd(ctx, end)
 	defer cancel()
 	nod.ctl.Leave(sctx)
 	nod.until(ctx, min(began+kept, end), func() bool { return false })
@@ -291,6 +291,17 @@
 	nod.Kill()
 }
 
+// withEnd gives a context that ends at an instant of the instance's clock, which goes on while
+// the machine is suspended; those of the runtime don't.
+func (nod *Node) withEnd(ctx context.Context, end clock.Milli) (context.Context, context.CancelFunc) {
+	ectx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		nod.until(ectx, end, func() bool { return false })
+	}()
+	return ectx, cancel
+}
+
 // until waits for an instant, or until done.
 func (nod *Node) until(ctx context.Context, at clock.Milli, done func() bool) {
 	for nod.clk.Now() < at && ctx.Err() == nil && !done() {
