internal/state: members whose lines are missing from the store are told

What callers see: after a cut, whoever starts doesn't learn from the store of an instance that was taken for dead meanwhile, until news comes round.

Cause: the first reader withdraws the lines of members that it takes for dead. One that comes back is a member again, but it writes its line only when it looks for itself, and followers do so in their first seconds alone.

Considered: that the instance looks again when it hears that it was taken for dead. It doesn't cover one that was forgotten meanwhile, nor a store that lost lines.

Change: the first reader, which looks at all lines anyway, tells members whose lines are missing at two looks in a row (a message of its own kind, sixteen at a look at the most); they write them once more, unless that is under way.

--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/talk"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/platform"
 	"amaranthvalve/platform/fake"
 )
 
@@ -168,6 +171,26 @@
 		}
 	})
 
+	// Guards against an instance whose line was withdrawn by mistake and stays away, so that
+	// whoever starts doesn't learn of it from the store.
+	ginkgo.It("stands in the store again after its line was withdrawn", func() {
+		wld := newWorld(4)
+		sto := platform.Dialect().Store(wld.srv.Addr(), http.DefaultClient)
+		follower := wld.nodes[slices.IndexFunc(wld.nodes, func(nod *Node) bool { return nod.ctl.Follows() })]
+		name := string(follower.ctl.Self())
+		listed := func() bool {
+			all, err := sto.Instances(context.Background())
+			return err == nil && slices.ContainsFunc(all, func(inst talk.Instance) bool { return inst.Name == name })
+		}
+		eventually(listed, soon).Should(gomega.BeTrue())
+		// Its own looks of the beginning are over.
+		time.Sleep(7 * time.Second)
+		expect(follower.ctl.Follows()).To(gomega.BeTrue())
+		expect(sto.Withdraw(context.Background(), name)).To(gomega.Succeed())
+		expect(listed()).To(gomega.BeFalse())
+		eventually(listed, 3*soon).Should(gomega.BeTrue())
+	})
+
 	ginkgo.It("starts without the store", func() {
 		wld := newWorld(1)
 		wld.store.SetMode(fake.Busy)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -83,6 +83,8 @@
 	// Working is sent while an answer is being made, so that a receiver which
 	// hears nothing knows that the sender is gone.
 	Working
+	// Unlisted tells that the receiver's line is missing from the store.
+	Unlisted
 )
 
 // Message is what travels, in both directions.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -77,6 +77,8 @@
 	// were read or another instance told of all that it knows.
 	asked *signal
 	met   *signal
+	// unlisted are the members whose lines were missing from the store at the last look.
+	unlisted map[ident.Incarnation]bool
 	// announced tells that our own line was written.
 	announced atomic.Bool
 }
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -313,6 +313,9 @@
 			ans = ctl.group.Message(peer.OK, msg.From)
 		case peer.StateWanted:
 			ans = ctl.shareState(now)
+		case peer.Unlisted:
+			ctl.announceAgain()
+			ans = ctl.group.Message(peer.OK, msg.From)
 		}
 	})
 	return ans
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthvalve/internal/loop"
+	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -17,6 +18,8 @@
 	greetMost = 16
 	// lookMargin is how long after a look's time its answer is there.
 	lookMargin = 200 * time.Millisecond
+	// remindMost bounds the members that are reminded of their lines at a look.
+	remindMost = 16
 	// withdrawMost bounds the lines that one write takes out.
 	withdrawMost = 500
 	// announceAfter is how long after our own look the others have looked who started at the
@@ -85,12 +88,18 @@
 	}
 	ours := func(inst talk.Instance) bool { return inst.Name == string(ctl.set.Self) }
 	if announced && !slices.ContainsFunc(list, ours) {
-		ctl.announced.Store(false)
-		ctl.loop.Go(ctl.announce)
+		ctl.announceAgain()
 	}
 	return list, nil
 }
 
+// announceAgain writes our own line once more, unless it is being written.
+func (ctl *Control) announceAgain() {
+	if ctl.announced.Swap(false) {
+		ctl.loop.Go(ctl.announce)
+	}
+}
+
 // announce writes our own line to the store, however often that takes, once all that start
 // with this instance have looked.
 func (ctl *Control) announce(ctx context.Context) {
@@ -140,9 +149,54 @@
 	if read {
 		ctl.endReplaced(list, now)
 		ctl.tidy(list)
+		ctl.remind(list)
+	}
+}
+
+// looksForAll tells whether this instance keeps the store's lines in order for all: the first
+// of the readers does. One that stops, and knows of nobody else, ranks nobody.
+func (ctl *Control) looksForAll() bool {
+	ranked := ctl.list.Homes(readersName)
+	return len(ranked) > 0 && ranked[0] == ctl.set.Self
+}
+
+// remind tells members whose lines are missing from the store, at two looks in a row. An
+// instance that was cut off and taken for dead has had its line withdrawn; as long as it
+// follows a reader it doesn't look for itself, and whoever starts meanwhile doesn't
+// learn of it from the store.
+func (ctl *Control) remind(list []talk.Instance) {
+	if !ctl.looksForAll() {
+		ctl.unlisted = nil
+		return
+	}
+	listed := map[ident.Incarnation]bool{}
+	for _, inst := range list {
+		listed[ident.Incarnation(inst.Name)] = true
+	}
+	before := ctl.unlisted
+	ctl.unlisted = map[ident.Incarnation]bool{}
+	reminded := 0
+	for _, mbr := range ctl.list.All() {
+		who := mbr.Who()
+		if who == ctl.set.Self || mbr.Status() != member.Alive || listed[who] {
+			continue
+		}
+		ctl.unlisted[who] = true
+		if before[who] && reminded < remindMost && ctl.set.Link != nil {
+			reminded++
+			ctl.loop.Go(func(ctx context.Context) { ctl.remindOne(ctx, who) })
+		}
 	}
 }
 
+func (ctl *Control) remindOne(ctx context.Context, who ident.Incarnation) {
+	actx, cancel := context.WithTimeout(ctx, stateWait)
+	defer cancel()
+	// One that hears nothing of it is reminded again at the next look.
+	_, err := ctl.set.Link.Ask(actx, who.Addr(), peer.Message{Kind: peer.Unlisted, From: ctl.set.Self, To: who})
+	ctl.set.Log.Info().AnErr("error", err).Str("member", string(who)).Msg("line missing from the store")
+}
+
 // endReplaced notes the end of instances whose lines were taken out of the store while
 // another stands there with the same address: an instance that starts withdraws the
 // lines of those before it. A line that merely stands beside another one proves
@@ -178,12 +232,10 @@
 	return fresh
 }
 
-// tidy takes lines out of the store whose instances have ended. The first of the readers
-// does it for all, in one write: after a loss of all there are hundreds, and the store
+// tidy takes lines out of the store whose instances have ended, in one write: after a loss of all there are hundreds, and the store
 // writes one after another, with the lines of the living behind them.
 func (ctl *Control) tidy(list []talk.Instance) {
-	// An instance that stops, and knows of nobody else, ranks nobody.
-	if ranked := ctl.list.Homes(readersName); len(ranked) == 0 || ranked[0] != ctl.set.Self {
+	if !ctl.looksForAll() {
 		return
 	}
 	var ended []string
