internal/node: a test of results whose caller leaves between two stages

With the giving back of results at a request's end taken out, its test passes.

Cause: the test is too weak, not the safeguard needless. Its caller leaves while the second stage is being made. A run without the safeguard shows that the makers hold nothing from then on: the first stage's result was given back by the gatherer once it was fetched, the second's because nobody waits for the order.

Change: a second test, in which the first stage is made, the second one is refused, and the caller leaves: only the request itself knows of the result then. The first test stays as it is.

--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -416,6 +416,38 @@
 		expect(runs(wld.engines)).To(gomega.BeEmpty())
 	})
 
+	// Guards against results that take room at their maker when nobody wants them any more.
+	ginkgo.It("whose caller leaves between two stages gives back what was made for it", func() {
+		wld := newWorld(2)
+		wld.store.RemoveEndpoint(wld.makers[1].ID())
+		for _, nod := range wld.nodes {
+			eventually(func() bool {
+				return slices.ContainsFunc(nod.ctl.View().Endpoints(), func(ep talk.Endpoint) bool { return ep.ID.Name() == wld.makers[1].ID() })
+			}, soon).Should(gomega.BeFalse())
+		}
+		// The first stage is made, the second one is refused until its time is up.
+		mkr := wld.makers[0]
+		mkr.Fault(fake.None)
+		for range 1000 {
+			mkr.Fault(fake.Shed)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		done := make(chan got, 1)
+		go func() {
+			done <- wld.sendCtx(ctx, 1, ask{path: "/stream-staged/x", header: map[string]string{
+				fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk",
+			}})
+		}()
+		eventually(mkr.Held, soon).Should(equal(1))
+		expect(mkr.Calls()).To(gomega.HaveLen(1))
+		cancel()
+		eventually(done, soon).Should(gomega.Receive())
+		eventually(mkr.Held, soon).Should(equal(0))
+		expect(mkr.Calls()).To(gomega.HaveLen(1))
+		expect(runs(wld.engines)).To(gomega.BeEmpty())
+	})
+
 	// The instance that gathers a pool's pieces dies without a word. Requests at the
 	// other one are served all the same.
 	ginkgo.It("outlives the instance that gathers its pieces", func() {
