internal/batch: pieces are made again within a share of those ordered

What callers see: one request in a hundred is refused in the middle of its way while instances are stopped and started one after the other: "an input is gone".

Cause: a pool's pieces were sent again within a fixed reserve, 25 at once and 2.5 a second, whatever was ordered. retry_share, the share of a pool's requests that may be sent again, was used for final calls only. A pool that is ordered some six hundred pieces in a second loses more than the reserve in any rolling stop.

Change: each piece that is ordered pays for a share of one that is sent again; the reserve is for what goes beyond. The credit is bounded by half of the reserve, so that a burst stays one of 25.

The new test has 8 pieces made again of 120; before, the third order of two was refused.

--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -23,8 +23,10 @@
 	Clock   clock.Clock
 	Meter   *meter.Meter
 	Log     zerolog.Logger
-	// In each Window at most Reserve pieces of a pool are sent again. Half of
+	// Share is the part of a pool's pieces that may be sent again. Beyond it, in each
+	// Window at most Reserve pieces are. Half of
 	// them may be at once; the other half comes back evenly.
+	Share   float64
 	Reserve float64
 	Window  clock.Milli
 	// Fetched is told of results that have been fetched by all that take them, to be
--- a/internal/batch/fetch_test.go
+++ b/internal/batch/fetch_test.go
@@ -49,7 +49,7 @@
 		Free: func(context.Context, *http.Client, string, []string) error { return nil },
 	}
 	bnc.desk = New(Setup{
-		Dialect: dia, After: after, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second,
+		Dialect: dia, After: after, Meter: meter.New(), Log: zerolog.Nop(), Share: 0.1, Reserve: 10, Window: 10 * clock.Second,
 		Fetched: func(lots []Lot) {
 			for _, lot := range lots {
 				bnc.back <- lot
@@ -169,3 +169,27 @@
 	gom.Expect(bnc.desk.Make(context.Background(), ask).Flaw).To(gomega.Equal(talk.NoFlaw))
 	gom.Expect(bnc.desk.Make(context.Background(), ask).Flaw).To(gomega.Equal(talk.InputGone))
 }
+
+// Guards against requests that are refused at a busy pool because a few of its many results
+// were lost.
+func TestMakingAgainGrowsWithTheOrders(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bnc := newBench(2)
+	ask := Order{Pool: "ranks", Request: "r1", Count: 2, Due: 20 * clock.Second, Until: 30 * clock.Second}
+	make := func() talk.Flaw {
+		bnc.ends <- nil
+		fld := bnc.desk.Make(context.Background(), ask)
+		gom.Expect(bnc.begun).To(gomega.Receive())
+		return fld.Flaw
+	}
+	for range 60 {
+		gom.Expect(make()).To(gomega.Equal(talk.NoFlaw))
+	}
+	// As many by the share, as the part of the reserve that may be used at once.
+	ask.Again = true
+	for range 4 {
+		gom.Expect(make()).To(gomega.Equal(talk.NoFlaw))
+	}
+	bnc.ends <- nil
+	gom.Expect(bnc.desk.Make(context.Background(), ask).Flaw).To(gomega.Equal(talk.InputGone), "it stays bounded")
+}
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
@@ -51,7 +49,7 @@
 	link float64
 	// holdUntil is the instant until which inputs are held to their calls' ends.
 	holdUntil clock.Milli
-	budget    *rate.Limiter
+	budget    budget
 	// wakeAt is when the book is asked again at the latest.
 	wakeAt clock.Milli
 	freed  map[string][]string
@@ -66,7 +64,7 @@
 }
 
 func newPool(name string, set Setup) *pool {
-	return &pool{set: set, name: name, slots: map[int64]slot{}, freed: map[string][]string{}, budget: rate.NewLimiter(rate.Limit(set.Reserve/2/set.Window.Seconds()), int(set.Reserve/2))}
+	return &pool{set: set, name: name, slots: map[int64]slot{}, freed: map[string][]string{}, budget: newBudget(set)}
 }
 
 func (pol *pool) sync(spc plan.DraftBatch, makers []gather.Maker) {
@@ -92,7 +90,9 @@
 	ord := &order{Order: ask, results: make([]Handle, ask.Count), missing: ask.Count, tries: make([]int, ask.Count), done: make(chan struct{})}
 	pol.mtx.Lock()
 	now := pol.set.Clock.Now()
-	if ask.Again && !pol.budget.AllowN(time.Now(), ask.Count) {
+	if !ask.Again {
+		pol.budget.ordered(ask.Count)
+	} else if !pol.budget.take(ask.Count) {
 		defer pol.mtx.Unlock()
 		pol.set.Log.Info().Str("request", ask.Request).Int("stage", ask.Stage).Str("pool", ask.Pool).Int("pieces", ask.Count).
 			Msg("no budget to make inputs again")
@@ -325,7 +325,7 @@
 	case slt.ord.fetch.over:
 		slt.ord.end(talk.InputGone)
 		return
-	case slt.ord.tries[slt.index] >= maxTries || !pol.budget.Allow():
+	case slt.ord.tries[slt.index] >= maxTries || !pol.budget.take(1):
 		slt.ord.end(flaw)
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 	kept := relay.Kept(keptIdle)
 	share, most, window := nod.set.Retries()
 	desk := batch.New(batch.Setup{
-		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Reserve: most, Window: window,
+		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: most, Window: window,
 		Gone:    func(id ident.Process, why string) { nod.ctl.Left(id, why) },
 		Fetched: func(lots []batch.Lot) { nod.homes.FreeAll(lots) },
 	})
