internal/state: views stay younger than tokens may be honoured for

What callers see: 503, "it is not known whether the token is still in force", at a system that is well, where tokens_for_ms is short: now and then at 2000, again and again at 1000, the least that is allowed.

Cause: a reader's view is up to 1.4 s old, twice the time that the store holds its read, a follower's 0.5 s more.

Ruled out: troubles; in the reproduction everything is well.

Change: a read is held for a fifth of tokens_for_ms at the most, a question of a follower for a tenth. From 5 s on, as the users have it, nothing changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,7 +151,7 @@
 	nod.ctl = state.New(state.Setup{
 		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
 		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle)), Meter: nod.mtr, Log: nod.log,
-		Dialect: dia, Link: nod.link,
+		Dialect: dia, Link: nod.link, TokensFor: nod.set.TokensFor(),
 		Changed: func(vw *state.View) {
 			desk.Sync(vw.Plan(), vw.Endpoints())
 			pls.Sync(vw)
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -33,6 +33,21 @@
 	})
 
 	// A token is taken away. Within the bound no instance runs anything for it.
+	// Guards against tokens that are refused at a system that is well, because what followers
+	// know is older than tokens may be honoured for.
+	ginkgo.It("honours tokens all the time where they may be honoured briefly", func() {
+		wld := newTokensWorld(5, 1500)
+		refused := map[string]int{}
+		for began := time.Now(); time.Since(began) < 6*time.Second; time.Sleep(10 * time.Millisecond) {
+			for i := range wld.nodes {
+				if ans := wld.send(i, ask{path: "/log/x", method: http.MethodGet}); ans.status != http.StatusOK {
+					refused[ans.body]++
+				}
+			}
+		}
+		expect(refused).To(gomega.BeEmpty())
+	})
+
 	ginkgo.It("takes up a change at once", func() {
 		wld := newWorld(2)
 		wld.keys = []string{"another"}
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -66,8 +66,9 @@
 	keys    []string
 	// text has the settings of the instance that was started last.
 	text string
-	// stop is how long a planned stop may take; defers has work done at the test's end.
+	// stop is how long a planned stop may take, tokens how long tokens are honoured; defers has work done at the test's end.
 	stop   clock.Milli
+	tokens clock.Milli
 	defers func(work func())
 }
 
@@ -77,9 +78,19 @@
 	return newStoppingWorld(nodes, 8*clock.Second, func(work func()) { ginkgo.DeferCleanup(work) })
 }
 
+// newTokensWorld is newWorld with another time for which tokens are honoured.
+func newTokensWorld(nodes int, tokens clock.Milli) *world {
+	return fill(&world{stop: 8 * clock.Second, tokens: tokens, defers: func(work func()) { ginkgo.DeferCleanup(work) }}, nodes)
+}
+
 // newStoppingWorld is newWorld with another time for planned stops.
 func newStoppingWorld(nodes int, stop clock.Milli, defers func(work func())) *world {
-	wld := &world{store: fake.NewStore(), keys: []string{key}, servers: map[string]*stand.Server{}, stop: stop, defers: defers}
+	return fill(&world{stop: stop, tokens: 2 * clock.Second, defers: defers}, nodes)
+}
+
+// fill starts what a world consists of.
+func fill(wld *world, nodes int) *world {
+	wld.store, wld.keys, wld.servers = fake.NewStore(), []string{key}, map[string]*stand.Server{}
 	var err error
 	wld.srv, err = stand.Serve("127.0.0.1:0", wld.store.Handler())
 	expect(err).NotTo(anything())
@@ -174,9 +185,9 @@
 zone = "dc1"
 platform = "http://%s"
 keep_ms = 100
-tokens_for_ms = 2000
+tokens_for_ms = %d
 stop_ms = %d
-`, freePort(), freePort(), freePort(), freePort(), srv.Addr(), wld.stop)
+`, freePort(), freePort(), freePort(), freePort(), srv.Addr(), wld.tokens, wld.stop)
 	wld.text = text
 	set, fts := conf.Parse([]byte(text))
 	expect(set).NotTo(gomega.BeNil(), "%v", fts)
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -45,6 +45,8 @@
 	Dialect *talk.Dialect
 	// Link is nil for an instance that stands alone.
 	Link *peer.Link
+	// TokensFor is the age up to which a view's tokens are honoured, zero for no bound.
+	TokensFor clock.Milli
 	// Changed is told of each new view that has other endpoints or another plan
 	// than the one before; on the control thread.
 	Changed func(vw *View)
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -24,6 +24,9 @@
 	// at once; the time only sets how often a quiet store is asked and how old
 	// a view becomes before it is known to be in force.
 	holdFor = 700 * clock.Milli(1)
+	// holdShare is the part of the time for which tokens are honoured that a read is held at
+	// the most. The next answer comes after two of them, and as much later as it is passed on.
+	holdShare = 0.2
 	// readWait bounds a read beyond the time it is held: a slow store answers
 	// in some hundred milliseconds, a silent connection never does.
 	readWait = 1500 * time.Millisecond
@@ -149,8 +152,9 @@
 	store, clk := dct.ctl.set.Store, dct.ctl.set.Clock
 	sent := clk.Now()
 	if from >= 0 {
-		wctx, cancel := context.WithTimeout(ctx, holdFor.Duration()+readWait)
-		changed, err := store.Watch(wctx, from, holdFor)
+		hold := dct.ctl.share(holdFor, holdShare)
+		wctx, cancel := context.WithTimeout(ctx, hold.Duration()+readWait)
+		changed, err := store.Watch(wctx, from, hold)
 		cancel()
 		if err != nil {
 			return 0, err
@@ -159,7 +163,7 @@
 			took := clk.Since(sent)
 			dct.ctl.loop.Do(ctx, func(clock.Milli) {
 				dct.confirm(sent)
-				dct.slow = min(max(took-holdFor, 0), slowMost)
+				dct.slow = min(max(took-hold, 0), slowMost)
 			})
 			return from, nil
 		}
@@ -179,6 +183,14 @@
 	return doc.End, nil
 }
 
+// share gives a span, or a part of the time for which tokens are honoured if that is shorter.
+func (ctl *Control) share(span clock.Milli, part float64) clock.Milli {
+	if ctl.set.TokensFor == 0 {
+		return span
+	}
+	return min(span, clock.Milli(part*float64(ctl.set.TokensFor)))
+}
+
 // errStoreDown stands for the answer of a store that didn't answer for documents.
 var errStoreDown = errors.New("the store didn't answer when it was asked for documents")
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -19,6 +19,9 @@
 const (
 	// newsHold is how long a reader waits for a change before it answers.
 	newsHold = 500 * time.Millisecond
+	// newsShare is the part of the time for which tokens are honoured that a reader waits at
+	// the most.
+	newsShare = 0.1
 	// newsOld is how long a reader may have heard nothing from the store to be of
 	// use to others: its way there may be lost, while theirs is not. The store
 	// answers it every holdFor, and as much later as it is slow. With newsHold and the
@@ -123,7 +126,8 @@
 		return ans
 	}
 	began := ctl.set.Clock.Now()
-	vw := ctl.waitFor(ctx, newsHold, func(vw *View) bool {
+	hold := ctl.share(clock.FromDuration(newsHold), newsShare)
+	vw := ctl.waitFor(ctx, hold.Duration(), func(vw *View) bool {
 		// Who hears nothing from the store says so at once: the follower goes elsewhere.
 		silent := !wnt.Patient && vw.silence(ctl.set.Clock.Now()) > newsOld
 		return silent || vw.offset > wnt.Offset || vw.news(wnt)
--- a/internal/state/source_test.go
+++ b/internal/state/source_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 )
 
@@ -82,3 +83,17 @@
 		gom.Expect(count / len(src.readers)).To(gomega.BeNumerically("<=", readersPer))
 	}
 }
+
+// Guards against views of followers that are older than tokens may be honoured for: a reader
+// knows the store twice the time ago that its read is held, a follower as much later as its
+// reader waits. A fifth of the time is left for the ways, a tenth for the request's.
+func TestViewsAreYoungerThanTokens(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	for tokens := clock.Second; tokens <= clock.Minute; tokens += 100 {
+		ctl := &Control{set: Setup{TokensFor: tokens}}
+		age := 2*ctl.share(holdFor, holdShare) + ctl.share(clock.FromDuration(newsHold), newsShare)
+		gom.Expect(age).To(gomega.BeNumerically("<=", tokens*7/10))
+	}
+	ctl := &Control{}
+	gom.Expect(ctl.share(holdFor, holdShare)).To(gomega.Equal(holdFor))
+}
