pkg/clock, internal/front: no timer ends before the instant that it stands for

Cause: not the stop. The instance's log has the request let in with 1,251 ms to its deadline and 2,395 ms to the end of the stop, and ended as deadline_passed. Instants are whole milliseconds, rounded down, and the context's end was reckoned from them: up to a millisecond early.

Change: clock.Timer gives the runtime's instant a millisecond later.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -143,11 +142,6 @@
 	}
 }
 
-// deadline gives an instant of our clock as the runtime's timers take it.
-func (fr *Front) deadline(until clock.Milli) time.Time {
-	return time.Now().Add((until - fr.set.Clock.Now()).Duration())
-}
-
 // tokens gives the length of the request's prompt, zero for plain calls.
 func (cl *call) tokens() int {
 	if cl.ask.Prompt == nil {
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/onsi/gomega"
 )
 
 // TestNeverRunsBackwards: whatever the machine does, a later look gives no
@@ -47,3 +49,14 @@
 		t.Errorf("the clock lost %v of running time", -drift)
 	}
 }
+
+// Guards against deadlines that pass up to a millisecond before the caller's.
+func TestTimerIsNeverEarly(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	for range 20000 {
+		began := time.Now()
+		end := Clock{}.Timer(Clock{}.Now() + 5)
+		gom.Expect(end.Sub(began)).To(gomega.BeNumerically(">=", 5*time.Millisecond))
+		gom.Expect(time.Until(end)).To(gomega.BeNumerically("<=", 6*time.Millisecond))
+	}
+}
