--- a/internal/stage/graph_test.go
+++ b/internal/stage/graph_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -35,16 +36,22 @@
 
 // sides is a document whose first two stages run beside one another, with its pools.
 type sides struct {
+	clk  clock.Clock
 	rnr  *Runner
 	doc  *svcdoc.Document
 	pool map[string]*stand.Endpoint
 }
 
 func serveSides(t *testing.T, kind string, encodeMs, sideMs int64) *sides {
+	return serveSidesBy(t, clock.Clock{}, kind, encodeMs, sideMs)
+}
+
+// serveSidesBy is serveSides with another clock.
+func serveSidesBy(t *testing.T, clk clock.Clock, kind string, encodeMs, sideMs int64) *sides {
 	gom := gomega.NewWithT(t)
 	doc, fts := svcdoc.Parse([]byte(strings.ReplaceAll(twoBesideOneAnother, "KIND", kind)))
 	gom.Expect(doc).NotTo(gomega.BeNil(), "%v", fts)
-	sds := &sides{doc: doc, rnr: New(clock.Clock{}, "dc1", meter.New(), func(_, _ string) {}), pool: map[string]*stand.Endpoint{
+	sds := &sides{clk: clk, doc: doc, rnr: New(clk, "dc1", meter.New(), func(_, _ string) {}), pool: map[string]*stand.Endpoint{
 		"encoders": stand.NewEndpoint("e1", encodeMs, 4), "side": stand.NewEndpoint("s1", sideMs, 4), "rerankers": stand.NewEndpoint("r1", 1, 4),
 	}}
 	eps := map[string][]route.Endpoint{}
@@ -58,10 +65,12 @@
 	return sds
 }
 
-func (sds *sides) run() (string, *Job, outcm.Result) {
+func (sds *sides) run() (string, *Job, outcm.Result) { return sds.runFor(3 * clock.Second) }
+
+func (sds *sides) runFor(span clock.Milli) (string, *Job, outcm.Result) {
 	kind, _ := sds.doc.Request("")
 	wsp, _ := sds.doc.Workspace("w")
-	job := &Job{RequestID: "k", Workspace: wsp, Doc: sds.doc, Kind: kind, Input: "x", Deadline: clock.Clock{}.Now() + 3000}
+	job := &Job{RequestID: "k", Workspace: wsp, Doc: sds.doc, Kind: kind, Input: "x", Deadline: sds.clk.Now() + span}
 	out, res := sds.rnr.Run(context.Background(), job)
 	return out, job, res
 }
@@ -106,3 +115,25 @@
 	gom.Expect(job.HasEffect()).To(gomega.BeFalse())
 	gom.Expect(sds.pool["side"].Executions()).To(gomega.BeEmpty())
 }
+
+// Guards against deadlines that pass at once, or much too late, because the machine's wall clock
+// was set after the instance's start, as at the end of a suspension that the machine
+// doesn't count.
+func TestWallClockWasSet(t *testing.T) {
+	for name, ahead := range map[string]clock.Milli{"forward": clock.Hour, "back": -clock.Hour} {
+		t.Run(name, func(t *testing.T) {
+			gom := gomega.NewWithT(t)
+			clk := clock.New(func() clock.Milli { return clock.Clock{}.Now() - ahead })
+			sds := serveSidesBy(t, clk, "retrieve", 1, 1)
+			out, _, res := sds.run()
+			gom.Expect(res.Outcome()).To(gomega.Equal(outcm.Done), res.Detail())
+			gom.Expect(out).To(gomega.Equal("rerank(encode(x) side(x))"))
+
+			sds.pool["rerankers"].SetFaults(stand.Faults{SlowMs: 5000})
+			began := time.Now()
+			_, _, res = sds.runFor(300)
+			gom.Expect(res.Outcome()).NotTo(gomega.Equal(outcm.Done))
+			gom.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2*time.Second))
+		})
+	}
+}
