internal/state, internal/contr: answers of the control thread are given, not written

What could be seen: another instance's message is answered by a torn answer when its asker's time ends in that moment.

Cause: an event of the control thread set a variable of its asker, and runs on after the asker has left.

Ruled out: events whose askers return without the variable when the context has ended.

Change: all of these use loop.Get, which hands the answer over.

--- a/internal/contr/claims.go
+++ b/internal/contr/claims.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"amaranthvalve/internal/feed"
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/platf"
@@ -293,8 +294,7 @@
 // IsFree tells whether this instance knows of no attempt that holds or settled
 // a key.
 func (ctl *Control) IsFree(ctx context.Context, ask ClaimAsk) bool {
-	free := false
-	ctl.Do(ctx, func(clock.Milli) { free = ctl.claims.find(ask.Key, ask.Boot).Phase() == claim.Free })
+	free, _ := loop.Get(ctx, ctl.loop, func(clock.Milli) bool { return ctl.claims.find(ask.Key, ask.Boot).Phase() == claim.Free })
 	return free
 }
 
--- a/internal/contr/members.go
+++ b/internal/contr/members.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"amaranthvalve/internal/group"
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -57,24 +58,31 @@
 
 // Handle answers another instance; it is given to the link.
 func (ctl *Control) Handle(ctx context.Context, msg peer.Message) peer.Message {
-	ans := peer.Message{Kind: peer.Nack, From: ctl.set.Self}
 	if msg.Kind == peer.Indirect {
 		return ctl.members.group.ProbeFor(ctx, msg)
 	}
-	ctl.Do(ctx, func(now clock.Milli) {
-		ctl.members.group.Learn(msg, now, now)
-		switch msg.Kind {
-		case peer.Probe:
-			ans = ctl.members.group.Message(peer.OK, msg.From)
-		case peer.StateWanted:
-			if body, ok := ctl.docs.stateFor(); ok {
-				ans.Kind, ans.Body = peer.OK, body
-			}
-		case peer.AnswerWanted:
-			if text, ok := ctl.claims.answers[string(msg.Body)]; ok {
-				ans.Kind, ans.Body = peer.OK, []byte(text)
-			}
+	ans, ok := loop.Get(ctx, ctl.loop, func(now clock.Milli) peer.Message { return ctl.answer(msg, now) })
+	if !ok {
+		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
+	}
+	return ans
+}
+
+// answer takes a message on the control thread.
+func (ctl *Control) answer(msg peer.Message, now clock.Milli) peer.Message {
+	ctl.members.group.Learn(msg, now, now)
+	ans := peer.Message{Kind: peer.Nack, From: ctl.set.Self}
+	switch msg.Kind {
+	case peer.Probe:
+		return ctl.members.group.Message(peer.OK, msg.From)
+	case peer.StateWanted:
+		if body, ok := ctl.docs.stateFor(); ok {
+			ans.Kind, ans.Body = peer.OK, body
 		}
-	})
+	case peer.AnswerWanted:
+		if text, ok := ctl.claims.answers[string(msg.Body)]; ok {
+			ans.Kind, ans.Body = peer.OK, []byte(text)
+		}
+	}
 	return ans
 }
--- a/internal/contr/publish.go
+++ b/internal/contr/publish.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthvalve/internal/feed"
+	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -103,22 +104,25 @@
 // SnapshotNow appends all documents again at once and gives the number of
 // records; it is what takeSnapshot does when they grow old.
 func (ctl *Control) SnapshotNow(ctx context.Context) int {
-	count := 0
-	ctl.Do(ctx, func(now clock.Milli) { count = ctl.docs.appendAgain(now, now+1) })
+	count, _ := loop.Get(ctx, ctl.loop, func(now clock.Milli) int { return ctl.docs.appendAgain(now, now+1) })
 	return count
 }
 
 // History gives a service's last decisions.
 func (ctl *Control) History(ctx context.Context, service string) []wire.Change {
-	list := []wire.Change{}
-	ctl.Do(ctx, func(clock.Milli) {
+	list, ok := loop.Get(ctx, ctl.loop, func(clock.Milli) []wire.Change {
+		list := []wire.Change{}
 		for _, dec := range ctl.docs.reg.History(service) {
 			list = append(list, wire.Change{
 				ID: dec.ID(), Offset: dec.Offset(), Base: dec.Base(), AtMs: dec.At(), By: dec.By(),
 				Verdict: dec.Verdict().String(), Detail: dec.Detail(),
 			})
 		}
+		return list
 	})
+	if !ok {
+		return []wire.Change{}
+	}
 	return list
 }
 
@@ -134,18 +138,9 @@
 	if ctl.Stopping() {
 		st.Ready, st.Why = false, outcm.Stopping.String()
 	}
-	ctl.Do(ctx, func(now clock.Milli) {
-		st.LogAgeMs = now - ctl.docs.logAsOf
-		st.Keys = ctl.claims.ldg.Len()
-		for name, ten := range ctl.leases.book.All() {
-			st.Leases = append(st.Leases, wire.LeaseOf(name, ten))
-		}
-		for _, mbr := range ctl.members.list.All() {
-			st.Members = append(st.Members, wire.StatusMember{
-				Instance: string(mbr.Who()), Zone: mbr.Zone(), Status: mbr.Status().String(), Applied: mbr.Applied(), Load: mbr.Load(),
-			})
-		}
-	})
+	if told, ok := loop.Get(ctx, ctl.loop, func(now clock.Milli) wire.Status { return ctl.fill(st, now) }); ok {
+		st = told
+	}
 	for name, hld := range vw.Docs() {
 		st.Services = append(st.Services, wire.StatusService{Service: name, Revision: hld.Revision()})
 	}
@@ -153,3 +148,18 @@
 	sortStatus(&st)
 	return st
 }
+
+// fill adds what the control thread knows to a status.
+func (ctl *Control) fill(st wire.Status, now clock.Milli) wire.Status {
+	st.LogAgeMs = now - ctl.docs.logAsOf
+	st.Keys = ctl.claims.ldg.Len()
+	for name, ten := range ctl.leases.book.All() {
+		st.Leases = append(st.Leases, wire.LeaseOf(name, ten))
+	}
+	for _, mbr := range ctl.members.list.All() {
+		st.Members = append(st.Members, wire.StatusMember{
+			Instance: string(mbr.Who()), Zone: mbr.Zone(), Status: mbr.Status().String(), Applied: mbr.Applied(), Load: mbr.Load(),
+		})
+	}
+	return st
+}
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -314,25 +314,33 @@
 
 // Handle answers another instance; it is given to the link.
 func (ctl *Control) Handle(ctx context.Context, msg peer.Message) peer.Message {
-	ans := peer.Message{Kind: peer.Nack, From: ctl.set.Self}
 	if msg.Kind == peer.Indirect {
 		return ctl.group.ProbeFor(ctx, msg)
 	}
-	ctl.loop.Do(ctx, func(now clock.Milli) {
-		ctl.group.Learn(msg, 0, now)
-		switch msg.Kind {
-		case peer.Probe:
-			ans = ctl.group.Message(peer.OK, msg.From)
-		case peer.StateWanted:
-			ans = ctl.shareState(now)
-		case peer.Unlisted:
-			ctl.announceAgain()
-			ans = ctl.group.Message(peer.OK, msg.From)
-		}
-	})
+	ans, ok := loop.Get(ctx, ctl.loop, func(now clock.Milli) peer.Message { return ctl.answer(msg, now) })
+	if !ok {
+		return ctl.nack()
+	}
 	return ans
 }
 
+// answer takes a message on the control thread.
+func (ctl *Control) answer(msg peer.Message, now clock.Milli) peer.Message {
+	ctl.group.Learn(msg, 0, now)
+	switch msg.Kind {
+	case peer.Probe:
+		return ctl.group.Message(peer.OK, msg.From)
+	case peer.StateWanted:
+		return ctl.shareState(now)
+	case peer.Unlisted:
+		ctl.announceAgain()
+		return ctl.group.Message(peer.OK, msg.From)
+	}
+	return ctl.nack()
+}
+
+func (ctl *Control) nack() peer.Message { return peer.Message{Kind: peer.Nack, From: ctl.set.Self} }
+
 func (ctl *Control) shareState(now clock.Milli) peer.Message {
 	if ctl.docs.plan == nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -257,3 +257,23 @@
 		ctl.tidy(before)
 	})).To(gomega.BeTrue())
 }
+
+// Guards against an answer that is written while its asker, whose time is up, reads it; the race
+// detector tells.
+func TestLateAnswerIsNotRead(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl := started(t, talk.Store{})
+	held, begun, ended := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	ctl.loop.Offer(func(clock.Milli) {
+		close(begun)
+		<-held
+	})
+	<-begun
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	time.AfterFunc(60*time.Millisecond, func() { close(held) })
+	ans := ctl.Handle(ctx, peer.Message{Kind: peer.Probe, From: "10.0.0.9:1#a"})
+	gom.Expect(ans.Kind).To(gomega.Equal(peer.Nack))
+	ctl.loop.Offer(func(clock.Milli) { close(ended) })
+	gom.Eventually(ended, soon).Should(gomega.BeClosed())
+}
