--- a/internal/batch/budget.go
+++ b/internal/batch/budget.go
@@ -6,10 +6,10 @@
 	"golang.org/x/time/rate"
 )
 
-// budget bounds the pieces of a pool that are sent again: to a share of those that were
-// ordered, and a reserve for times in which few were. By the reserve alone a busy pool,
-// where the same share fails, refuses requests whose inputs could be made again in time. It
-// is not safe for concurrent use.
+// budget bounds the pieces of a pool that are sent again. Those whose results were lost are
+// made again within a share of the pieces that were ordered: by a reserve alone a busy pool
+// refuses requests whose inputs could be had in time. All others, and what goes beyond the
+// share, have a reserve. It is not safe for concurrent use.
 type budget struct {
 	share   float64
 	most    float64
@@ -29,11 +29,15 @@
 	bdg.credit = min(bdg.credit+bdg.share*float64(pieces), bdg.most)
 }
 
-// take asks for so many pieces to be sent again.
-func (bdg *budget) take(pieces int) bool {
+// remake asks for so many pieces to be made again whose results were lost.
+func (bdg *budget) remake(pieces int) bool {
 	if bdg.credit >= float64(pieces) {
 		bdg.credit -= float64(pieces)
 		return true
 	}
 	return bdg.reserve.AllowN(time.Now(), pieces)
 }
+
+// repeat asks for a piece to be sent again that was not made. Those that find no room are
+// many where room is short, and more of them take it from the others.
+func (bdg *budget) repeat() bool { return bdg.reserve.Allow() }
--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -23,8 +23,8 @@
 	Clock   clock.Clock
 	Meter   *meter.Meter
 	Log     zerolog.Logger
-	// Share is the part of a pool's pieces that may be sent again. Beyond it, in each
-	// Window at most Reserve pieces are. Half of
+	// Share is the part of a pool's pieces that may be made again when their results were
+	// lost. Beyond it, in each Window at most Reserve pieces are sent again. Half of
 	// them may be at once; the other half comes back evenly.
 	Share   float64
 	Reserve float64
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -92,7 +92,7 @@
 	now := pol.set.Clock.Now()
 	if !ask.Again {
 		pol.budget.ordered(ask.Count)
-	} else if !pol.budget.take(ask.Count) {
+	} else if !pol.budget.remake(ask.Count) {
 		defer pol.mtx.Unlock()
 		pol.set.Log.Info().Str("request", ask.Request).Int("stage", ask.Stage).Str("pool", ask.Pool).Int("pieces", ask.Count).
 			Msg("no budget to make inputs again")
@@ -325,7 +325,7 @@
 	case slt.ord.fetch.over:
 		slt.ord.end(talk.InputGone)
 		return
-	case slt.ord.tries[slt.index] >= maxTries || !pol.budget.take(1):
+	case slt.ord.tries[slt.index] >= maxTries || !pol.budget.repeat():
 		slt.ord.end(flaw)
 		return
 	}
