--- a/internal/batch/fetch_test.go
+++ b/internal/batch/fetch_test.go
@@ -176,19 +176,19 @@
 	gom := gomega.NewWithT(t)
 	bnc := newBench(2)
 	ask := Order{Pool: "ranks", Request: "r1", Count: 2, Due: 20 * clock.Second, Until: 30 * clock.Second}
-	make := func() talk.Flaw {
+	order := func() talk.Flaw {
 		bnc.ends <- nil
 		fld := bnc.desk.Make(context.Background(), ask)
 		gom.Expect(bnc.begun).To(gomega.Receive())
 		return fld.Flaw
 	}
 	for range 60 {
-		gom.Expect(make()).To(gomega.Equal(talk.NoFlaw))
+		gom.Expect(order()).To(gomega.Equal(talk.NoFlaw))
 	}
 	// As many by the share, as the part of the reserve that may be used at once.
 	ask.Again = true
 	for range 4 {
-		gom.Expect(make()).To(gomega.Equal(talk.NoFlaw))
+		gom.Expect(order()).To(gomega.Equal(talk.NoFlaw))
 	}
 	bnc.ends <- nil
 	gom.Expect(bnc.desk.Make(context.Background(), ask).Flaw).To(gomega.Equal(talk.InputGone), "it stays bounded")
--- a/internal/filter/entry.go
+++ b/internal/filter/entry.go
@@ -176,7 +176,7 @@
 	if res := chn.beforeClaim(ctx, cl); res.Outcome() != outcm.Pending {
 		return res
 	}
-	wctx, cancel := context.WithDeadline(ctx, chn.clk.Timer(cl.deadline))
+	wctx, cancel := context.WithDeadline(ctx, chn.clk.Deadline(cl.deadline))
 	defer cancel()
 	cld := chn.ctl.Claim(wctx, cl.claim)
 	cl.looked = cld.Looked
--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -55,7 +55,7 @@
 	if res := fr.read(cl, pln.Limits()); res.Outcome() != outcm.Pending {
 		return res
 	}
-	ctx, cancel := context.WithDeadline(ctx, fr.set.Clock.Timer(cl.until))
+	ctx, cancel := context.WithDeadline(ctx, fr.set.Clock.Deadline(cl.until))
 	defer cancel()
 	return nxt(ctx, cl)
 }
@@ -134,7 +134,7 @@
 // readBy reads a body up to the request's end. Without a bound of its own a body that comes
 // slowly is read on when nobody waits for its answer any more.
 func (fr *Front) readBy(cl *call, rdr io.Reader) ([]byte, error) {
-	if cl.out.ctl.SetReadDeadline(fr.set.Clock.Timer(cl.until)) != nil {
+	if cl.out.ctl.SetReadDeadline(fr.set.Clock.Deadline(cl.until)) != nil {
 		return io.ReadAll(rdr)
 	}
 	if ctx := cl.http.Context(); ctx.Err() != nil {
--- a/internal/serve/draining.go
+++ b/internal/serve/draining.go
@@ -13,7 +13,7 @@
 // Draining is a plain server whose planned stop answers all that it accepted. It is made by
 // [NewDraining].
 type Draining struct {
-	lsn  net.Listener
+	lsn  *queueListener
 	srv  *http.Server
 	live atomic.Int64
 }
@@ -44,7 +44,7 @@
 
 // Shutdown closes the listener and ends like [Server.Shutdown].
 func (drn *Draining) Shutdown(ctx context.Context) {
-	_ = drn.lsn.Close()
+	drn.lsn.drain()
 	drn.srv.SetKeepAlivesEnabled(false)
 	quiet(ctx, &drn.live)
 	_ = drn.srv.Shutdown(ctx)
--- a/internal/serve/queue.go
+++ b/internal/serve/queue.go
@@ -10,9 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// queueListener hands out the connections that wait in the kernel's queue when it is closed.
-// The kernel resets those that nobody has accepted by then, whatever they carry; where
-// the process gets little time, the goroutine that accepts them is late.
+// queueListener hands out the connections that wait in the kernel's queue when it is drained.
+// The kernel resets those that nobody has accepted when a listener is closed, whatever they
+// carry; where the process gets little time, the goroutine that accepts them is late.
 type queueListener struct {
 	net.Listener
 	// raw is the listener that the kernel has, without what bounds it.
@@ -36,12 +36,12 @@
 	return con, nil
 }
 
-// Close implements net.Listener.
-func (qln *queueListener) Close() error {
+// drain closes the listener and keeps what waits in the kernel's queue for Accept.
+func (qln *queueListener) drain() {
 	qln.mtx.Lock()
 	defer qln.mtx.Unlock()
 	qln.rest = append(qln.rest, queued(qln.raw)...)
-	return qln.Listener.Close()
+	_ = qln.Close()
 }
 
 // queued accepts what waits in the kernel's queue, nothing if the listener has none or is closed.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -46,7 +46,7 @@
 
 // Server accepts connections. It is made by [New].
 type Server struct {
-	lsn     net.Listener
+	lsn     *queueListener
 	handler http.Handler
 
 	mtx     sync.Mutex
@@ -129,7 +129,7 @@
 // way until the context ends. Connections that were accepted before, or wait to be, have their
 // requests answered: net/http's own Shutdown closes those without a word whose heads it hasn't read yet.
 func (srv *Server) Shutdown(ctx context.Context) {
-	_ = srv.lsn.Close()
+	srv.lsn.drain()
 	srv.mtx.Lock()
 	srv.closed = true
 	all := srv.all
--- a/internal/stage/job.go
+++ b/internal/stage/job.go
@@ -100,7 +100,7 @@
 // Run takes the job through all its stages, each as soon as what it takes is made. When
 // one fails, those that run beside it are given up.
 func (rnr *Runner) Run(ctx context.Context, job *Job) (string, outcm.Result) {
-	ctx, cancel := context.WithDeadline(ctx, rnr.clk.Timer(job.Deadline))
+	ctx, cancel := context.WithDeadline(ctx, rnr.clk.Deadline(job.Deadline))
 	defer cancel()
 	count := job.Doc.Stages()
 	outs := make([]string, count)
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -152,7 +152,7 @@
 	store, clk := dct.ctl.set.Store, dct.ctl.set.Clock
 	sent := clk.Now()
 	if from >= 0 {
-		hold := dct.ctl.share(holdFor, holdShare)
+		hold := dct.ctl.capped(holdFor, holdShare)
 		wctx, cancel := context.WithTimeout(ctx, hold.Duration()+readWait)
 		changed, err := store.Watch(wctx, from, hold)
 		cancel()
@@ -183,8 +183,8 @@
 	return doc.End, nil
 }
 
-// share gives a span, or a part of the time for which tokens are honoured if that is shorter.
-func (ctl *Control) share(span clock.Milli, part float64) clock.Milli {
+// capped gives a span, or a part of the time for which tokens are honoured if that is shorter.
+func (ctl *Control) capped(span clock.Milli, part float64) clock.Milli {
 	if ctl.set.TokensFor == 0 {
 		return span
 	}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -126,7 +126,7 @@
 		return ans
 	}
 	began := ctl.set.Clock.Now()
-	hold := ctl.share(clock.FromDuration(newsHold), newsShare)
+	hold := ctl.capped(clock.FromDuration(newsHold), newsShare)
 	vw := ctl.waitFor(ctx, hold.Duration(), func(vw *View) bool {
 		// Who hears nothing from the store says so at once: the follower goes elsewhere.
 		silent := !wnt.Patient && vw.silence(ctl.set.Clock.Now()) > newsOld
--- a/internal/state/source_test.go
+++ b/internal/state/source_test.go
@@ -91,9 +91,9 @@
 	gom := gomega.NewWithT(t)
 	for tokens := clock.Second; tokens <= clock.Minute; tokens += 100 {
 		ctl := &Control{set: Setup{TokensFor: tokens}}
-		age := 2*ctl.share(holdFor, holdShare) + ctl.share(clock.FromDuration(newsHold), newsShare)
+		age := 2*ctl.capped(holdFor, holdShare) + ctl.capped(clock.FromDuration(newsHold), newsShare)
 		gom.Expect(age).To(gomega.BeNumerically("<=", tokens*7/10))
 	}
 	ctl := &Control{}
-	gom.Expect(ctl.share(holdFor, holdShare)).To(gomega.Equal(holdFor))
+	gom.Expect(ctl.capped(holdFor, holdShare)).To(gomega.Equal(holdFor))
 }
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -57,9 +57,9 @@
 // Since gives the span from then to the present instant.
 func (c Clock) Since(then Milli) Milli { return c.Now() - then }
 
-// Timer gives an instant of this clock as the runtime's timers take it. It is up to a
-// millisecond later and never earlier, since this clock's instants are rounded down.
-func (c Clock) Timer(at Milli) time.Time {
+// Deadline gives an instant of this clock as the runtime's timers and contexts take it. It is
+// up to a millisecond later and never earlier, since this clock's instants are rounded down.
+func (c Clock) Deadline(at Milli) time.Time {
 	return time.Now().Add((at + 1 - c.Now()).Duration())
 }
 
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -51,11 +51,11 @@
 }
 
 // Guards against deadlines that pass up to a millisecond before the caller's.
-func TestTimerIsNeverEarly(t *testing.T) {
+func TestDeadlineIsNeverEarly(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	for range 20000 {
 		began := time.Now()
-		end := Clock{}.Timer(Clock{}.Now() + 5)
+		end := Clock{}.Deadline(Clock{}.Now() + 5)
 		gom.Expect(end.Sub(began)).To(gomega.BeNumerically(">=", 5*time.Millisecond))
 		gom.Expect(time.Until(end)).To(gomega.BeNumerically("<=", 6*time.Millisecond))
 	}
