internal/front, pkg/poison: lines name a request by what stays the same, and tell whether its endpoint ended

Whether its endpoint has ended is found by opening a connection: one that has refuses. No decision uses either yet; the name under which gatherers remember when a request came first is made from the same hash.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -192,6 +192,9 @@
 		return run.answer(ctx, tgt, rsp, began)
 	}
 	run.finish(tgt, end.Verdict(outlasted), took)
+	if end == ending.Cut {
+		fr.wasCut(cl, tgt)
+	}
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
 		Str("ending", end.String()).Bool("outlasted", outlasted).Int64("took_ms", int64(took)).Msg("attempt failed")
 	if rsp != nil && rsp.Reply.Misdirected {
@@ -305,8 +308,7 @@
 	took := fr.set.Clock.Since(began)
 	switch {
 	case err != nil:
-		run.finish(tgt, ending.Broken(ctx).Verdict(false), took)
-		return run.judge(ctx, ending.Broken(ctx))
+		return run.broken(ctx, tgt, took)
 	case len(body) > keptWhole:
 		run.finish(tgt, route.Good, took)
 		return run.large(rsp, body)
@@ -328,6 +330,16 @@
 	return outcm.OK(), false
 }
 
+// broken ends an attempt whose answer broke off.
+func (run *running) broken(ctx context.Context, tgt homes.Seat, took clock.Milli) (outcm.Result, bool) {
+	end := ending.Broken(ctx)
+	run.finish(tgt, end.Verdict(false), took)
+	if end == ending.Cut {
+		run.fr.wasCut(run.cl, tgt)
+	}
+	return run.judge(ctx, end)
+}
+
 // large hands on an answer that is too long to be kept.
 func (run *running) large(rsp *relay.Response, body []byte) (outcm.Result, bool) {
 	out := run.cl.out
@@ -390,9 +402,8 @@
 			run.after = name
 		}
 	}
-	run.finish(tgt, ending.Broken(ctx).Verdict(false), fr.set.Clock.Since(began))
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("after", run.after).Msg("stream cut")
-	res, again := run.judge(ctx, ending.Broken(ctx))
+	res, again := run.broken(ctx, tgt, fr.set.Clock.Since(began))
 	if again {
 		fr.set.Meter.Retried(retry.Resumed)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/poison"
 )
 
 // Setup is what a front is made of.
@@ -84,6 +85,10 @@
 	mtx  sync.Mutex
 	made []made
 	out  *output
+	// marked is the request's mark once marking is done: reading a long body takes a while,
+	// and most requests need none.
+	marking sync.Once
+	marked  poison.Mark
 	// what the line of the end tells
 	attempts int
 	remakes  int
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -113,7 +113,7 @@
 	if len(pools) == 0 {
 		return
 	}
-	cl.spent = fr.homes.Ask(ctx, cl.view, cl.mark(), pools)
+	cl.spent = fr.homes.Ask(ctx, cl.view, cl.visit(), pools)
 	cl.due -= cl.spent
 }
 
@@ -128,15 +128,11 @@
 	return names
 }
 
-// mark names a request by all that a caller sends with it again when it comes back;
-// only the attempt's own name and the time left are other ones then.
-func (cl *call) mark() uint64 {
-	sum := xxhash.New()
-	for _, text := range []string{cl.http.Method, cl.http.Host, cl.http.RequestURI, cl.wsp, cl.ask.PieceKey} {
-		_, _ = sum.WriteString(text + "\x00")
-	}
-	_, _ = sum.Write(cl.req.Body)
-	return sum.Sum64()
+// visit names a request by all that a caller sends with it again when it comes back; only
+// the attempt's own name and the time left are other ones then.
+func (cl *call) visit() uint64 {
+	mrk := cl.mark()
+	return xxhash.Sum64String(string(mrk[:]) + cl.http.Method + "\x00" + cl.ask.PieceKey)
 }
 
 // need estimates the time of a request from now to its first byte.
