internal/state, internal/front, pkg/poison, pkg/rumor: ends of endpoints count against a request at all instances

What callers saw: streams on an engine broke off whenever a certain request of somebody else reached it, 14 engines in eleven seconds; the request was sent on without bound.

Cause: nothing counted under which requests endpoints end, and what an instance could have learned would have stayed with it: each repeat has a name of its own and goes to any instance.

A request has a mark (host, target, workspace, body). When an attempt is cut off and its endpoint's address refuses connections afterwards, and the endpoint wasn't leaving, that end counts against the mark; three ends quarantine it for ten minutes after the last one: 503 that names the endpoints, their ages and who told, without a time to come back. An endpoint that runs the request to its end clears it. Ends are facts (pkg/rumor): versioned registers that instances push to their neighbours within 5 ms, and exchange on probes where digests differ; bounded (4096, those of many ends stay longer) and ended after an hour.

Further tests: each of three instances sees one end, 0.2 s later all four refuse; an instance cut off meanwhile and one that starts later refuse within 3 s; cut connections and leaving endpoints don't count; clearing.

--- a/internal/front/cuts.go
+++ b/internal/front/cuts.go
@@ -2,25 +2,68 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
+	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/poison"
 )
 
+// namedEnds bounds the endpoints that a refusal names.
+const namedEnds = 4
+
 // mark names the request by what stays the same when its caller sends it again.
 func (cl *call) mark() poison.Mark {
 	cl.marking.Do(func() { cl.marked = poison.MarkOf(cl.http.Host, cl.http.RequestURI, cl.wsp, cl.req.Body) })
 	return cl.marked
 }
 
-// wasCut examines an endpoint that has cut off an attempt: whether it has ended, or only the
-// connection.
+// wasCut examines an endpoint that has cut off an attempt. If it has ended, and not only the
+// connection, the request is suspected, here and at all other instances.
 func (fr *Front) wasCut(cl *call, tgt homes.Seat) {
-	mrk := cl.mark()
+	mrk, leaving := cl.mark(), fr.set.Control.View().IsLeaving(tgt.ID)
 	go func() {
 		ended := relay.Ended(context.Background(), tgt.Addr)
+		if ended && !leaving {
+			fr.set.Control.EndedUnder(mrk, tgt.ID)
+		}
 		fr.set.Log.Info().Str("request", cl.ask.ID).Stringer("mark", mrk).Str("workspace", cl.wsp).Str("pool", cl.pool.Name()).
-			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Msg("cut off")
+			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Bool("leaving", leaving).Msg("cut off")
 	}()
 }
+
+// ranWhole clears a request that an endpoint has run to its end.
+func (fr *Front) ranWhole(cl *call) {
+	if sus := fr.set.Control.View().Suspects(); !sus.Empty() && len(sus.Ends(cl.mark())) > 0 {
+		fr.set.Control.RanWhole(cl.mark())
+	}
+}
+
+// quarantine refuses requests under which several endpoints have ended: the next one would
+// end too, and break off what others have there.
+func (fr *Front) quarantine(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
+	if fr.isQuarantined(cl) {
+		return fr.quarantined(cl)
+	}
+	return nxt(ctx, cl)
+}
+
+func (fr *Front) isQuarantined(cl *call) bool {
+	sus := fr.set.Control.View().Suspects()
+	return !sus.Empty() && sus.Quarantined(cl.mark(), fr.set.Clock.Now()) > 0
+}
+
+// quarantined gives the refusal of such a request. It names no time to come back: the same
+// request would be refused again.
+func (fr *Front) quarantined(cl *call) outcm.Result {
+	now := fr.set.Clock.Now()
+	ends := fr.set.Control.View().Suspects().Ends(cl.mark())
+	var told []string
+	for _, end := range ends[max(len(ends)-namedEnds, 0):] {
+		told = append(told, fmt.Sprintf("%s %.1f s ago, told by %s", end.Endpoint, (now-end.At).Seconds(), end.By))
+	}
+	return outcm.New(outcm.NotRun, outcm.Quarantined, fmt.Sprintf("%d endpoints ended under this request: %s", len(ends), strings.Join(told, "; ")))
+}
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -3,12 +3,13 @@
 //
 // A request passes, in this order:
 //
-//	match     the route, by host and path; the limits of what may be sent
-//	stay      refused during a planned stop that ends before the answer would
-//	identify  the workspace, by its token, unless the route is open
-//	admit     refused at once when it can't be answered in time
-//	stages    the pieces that must be made before it can run, wave by wave
-//	final     the endpoint that answers, and another one where that is allowed
+//	match       the route, by host and path; the limits of what may be sent
+//	stay        refused during a planned stop that ends before the answer would
+//	identify    the workspace, by its token, unless the route is open
+//	quarantine  refused when several endpoints have ended under the same request
+//	admit       refused at once when it can't be answered in time
+//	stages      the pieces that must be made before it can run, wave by wave
+//	final       the endpoint that answers, and another one where that is allowed
 //
 // A filter either gives a result itself, and then nothing behind it sees the
 // request, or calls the next one. The plan is taken once, so that one request sees
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -50,6 +50,9 @@
 	if !fr.stillAllowed(cl) {
 		return notHonoured()
 	}
+	if fr.isQuarantined(cl) {
+		return fr.quarantined(cl)
+	}
 	fr.pools.Sent(cl.pool.Name())
 	run := &running{fr: fr, cl: cl, after: cl.ask.After}
 	if !cl.route.Resumable() {
@@ -162,7 +165,7 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.releasing(cl, tgt)
 	defer stop()
-	rqs.Allowed = func() bool { return fr.stillAllowed(cl) }
+	rqs.Allowed = func() bool { return fr.stillAllowed(cl) && !fr.isQuarantined(cl) }
 	var ovt overtime
 	hurry := run.hurry(&ovt, cancel)
 	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, talk.Send{
@@ -215,7 +218,7 @@
 	careful := fr.firsts.careful(cl.route.Name(), cl.route.Goal(), fr.set.Clock.Now())
 	return time.AfterFunc(max(minPatience, patience*careful).Duration(), func() {
 		ovt.end(func() bool {
-			return fr.stillAllowed(cl) && fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View())
+			return fr.stillAllowed(cl) && !fr.isQuarantined(cl) && fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View())
 		}, cancel)
 	})
 }
@@ -265,9 +268,11 @@
 		return res, false
 	case run.ran >= cl.route.Attempts() || run.ran+run.refused >= cl.route.Attempts()+refusalsMore:
 		return res, false
+	case fr.isQuarantined(cl) && run.ran == 0:
+		return fr.quarantined(cl), false
 	case !fr.stillAllowed(cl) && run.ran == 0:
 		return notHonoured(), false
-	case !fr.stillAllowed(cl):
+	case !fr.stillAllowed(cl) || fr.isQuarantined(cl):
 		return res, false
 	case end.Sent() && !run.paid && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
@@ -313,6 +318,7 @@
 		run.finish(tgt, route.Good, took)
 		return run.large(rsp, body)
 	}
+	fr.ranWhole(cl)
 	run.finish(tgt, statusVerdict(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.begun {
 		run.kept = &kept{rsp: rsp, body: body}
@@ -351,6 +357,7 @@
 		n, err := rsp.Body.Read(body[:cap(body)])
 		body = body[:n]
 		if errors.Is(err, io.EOF) {
+			run.fr.ranWhole(run.cl)
 			if out.write(body) != nil {
 				return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
 			}
@@ -388,6 +395,7 @@
 		now := fr.set.Clock.Now()
 		cl.pause, last = max(cl.pause, now-last), now
 		if errors.Is(err, io.EOF) {
+			fr.ranWhole(cl)
 			run.finish(tgt, route.Good, fr.set.Clock.Since(began))
 			return outcm.OK(), false
 		}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -54,7 +54,7 @@
 // New returns a front with its filters in their order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, homes: set.Homes}
-	fr.head = chain.Link(fr.final, fr.match, fr.stay, fr.identify, fr.admit, fr.stages)
+	fr.head = chain.Link(fr.final, fr.match, fr.stay, fr.identify, fr.quarantine, fr.admit, fr.stages)
 	return fr
 }
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -59,11 +59,12 @@
 	EventLateRelease  = "claim_released_late"
 	EventForeign      = "foreign_answer_dropped"
 	EventEntrySkipped = "endpoint_entry_skipped"
+	EventFactEvicted  = "fact_evicted"
 )
 
 var events = []string{
 	EventDropped, EventLogBack, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeign, EventEntrySkipped,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeign, EventEntrySkipped, EventFactEvicted,
 }
 
 // Names of the gauges.
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/platform/fake"
 )
@@ -31,14 +33,19 @@
 	reached []time.Time
 	next    int
 	sent    int
+	// over tells that the test has ended.
+	over bool
 }
 
 // endsEngines adds engines, and has all of them end on requests with the deadly body.
 func (wld *world) endsEngines(more int) *morgue {
 	mrg := &morgue{wld: wld, next: len(wld.engines)}
-	for _, ep := range wld.engines {
-		mrg.arm(ep)
-	}
+	wld.defers(func() {
+		mrg.mtx.Lock()
+		defer mrg.mtx.Unlock()
+		mrg.over = true
+	})
+	mrg.rearm()
 	for range more {
 		mrg.add()
 	}
@@ -52,17 +59,27 @@
 
 func (mrg *morgue) add() {
 	mrg.mtx.Lock()
-	id := fmt.Sprintf("engine-%d", mrg.next)
+	defer mrg.mtx.Unlock()
+	if mrg.over {
+		return
+	}
+	ep := mrg.wld.add("engines", fmt.Sprintf("engine-%d", mrg.next))
 	mrg.next++
-	ep := mrg.wld.add("engines", id)
 	mrg.wld.engines = append(mrg.wld.engines, ep)
-	mrg.mtx.Unlock()
-	mrg.arm(ep)
+	mrg.arm(ep, mrg.wld.servers[ep.ID()])
+}
+
+// rearm has all engines end on such requests again.
+func (mrg *morgue) rearm() {
+	mrg.mtx.Lock()
+	defer mrg.mtx.Unlock()
+	for _, ep := range mrg.wld.engines {
+		mrg.arm(ep, mrg.wld.servers[ep.ID()])
+	}
 }
 
 // arm has an engine end, its entry go and another one come.
-func (mrg *morgue) arm(ep *fake.Endpoint) {
-	srv := mrg.wld.servers[ep.ID()]
+func (mrg *morgue) arm(ep *fake.Endpoint, srv *stand.Server) {
 	ep.EndsOn(deadly, func() {
 		mrg.mtx.Lock()
 		mrg.reached = append(mrg.reached, time.Now())
@@ -75,6 +92,13 @@
 	})
 }
 
+// all lists the engines that there were so far.
+func (mrg *morgue) all() []*fake.Endpoint {
+	mrg.mtx.Lock()
+	defer mrg.mtx.Unlock()
+	return slices.Clone(mrg.wld.engines)
+}
+
 // count gives how many deadly requests reached engines so far.
 func (mrg *morgue) count() int {
 	mrg.mtx.Lock()
@@ -107,4 +131,128 @@
 		expect(mrg.count() - before).To(gomega.BeNumerically("<=", 3))
 		expect(wld.send(0, ask{path: "/stream-once/plan", body: "another plan"}).status).To(equal(http.StatusOK))
 	})
+
+	// Guards against a refusal that has its caller come back in vain, and against one that doesn't
+	// tell what it goes by.
+	ginkgo.It("is refused at once then, with the endpoints that ended and without a time to come back", func() {
+		wld := newWorld(2)
+		mrg := wld.endsEngines(4)
+		var last got
+		eventually(func() string {
+			last = mrg.repeat(time.Millisecond)[0]
+			return last.body
+		}, soon).Should(gomega.ContainSubstring(`"quarantined"`))
+		expect(last.status).To(equal(http.StatusServiceUnavailable))
+		expect(last.header).NotTo(gomega.HaveKey("Retry-After"))
+		expect(last.body).To(gomega.MatchRegexp(`3 endpoints ended under this request: engine-\d+ .*s ago, told by 127.*; engine-\d+ .*; engine-\d+`))
+	})
+
+	// Guards against an end that counts at the instance alone that saw it.
+	ginkgo.It("is refused by all once each of three instances has seen one end", func() {
+		wld := newWorld(4)
+		mrg := wld.endsEngines(4)
+		for mrg.count() < 3 {
+			wld.send(mrg.count(), ask{path: "/stream-once/plan", body: deadly})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for i := range wld.nodes {
+			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
+		}
+		expect(mrg.count()).To(equal(3))
+	})
+
+	// Guards against a request that is refused since its connections were cut, by endpoints that
+	// go on, and by endpoints that left as they had said.
+	ginkgo.It("is not one whose connections are cut, or whose endpoints leave", func() {
+		wld := newWorld(2)
+		for i := range 6 {
+			fault(wld.plain, fake.Cuts, fake.Cuts)
+			expect(wld.send(i%2, ask{path: "/booking/x", body: "cut"}).status).To(equal(http.StatusBadGateway))
+			for _, ep := range wld.plain {
+				ep.Mend()
+			}
+		}
+		var grp sync.WaitGroup
+		for i := range 3 {
+			id := fmt.Sprintf("leaving-%d", i)
+			ep := wld.add("bookings", id)
+			for _, old := range wld.plain {
+				wld.entry("bookings", old.ID(), wld.servers[old.ID()].Addr(), true)
+			}
+			wld.plain = []*fake.Endpoint{ep}
+			eventually(func() bool { return wld.nodes[0].pools.Knows("bookings", 1) }, soon).Should(gomega.BeTrue())
+			ep.Fault(fake.Hangs)
+			grp.Go(func() { wld.send(0, ask{path: "/booking/x", body: "left"}) })
+			eventually(func() int { return len(ep.Runs()) }, soon).Should(equal(1))
+			wld.entry("bookings", id, wld.servers[id].Addr(), true)
+			eventually(func() bool { return wld.nodes[0].pools.Knows("bookings", 0) }, soon).Should(gomega.BeTrue())
+			wld.servers[id].Close()
+			grp.Wait()
+		}
+		time.Sleep(200 * time.Millisecond)
+		expect(wld.nodes[0].ctl.View().Suspects().Empty()).To(gomega.BeTrue())
+	})
+
+	// Guards against requests of others that are refused with it: same target and body of another
+	// caller, another body or target of the same one.
+	ginkgo.It("has no other request refused", func() {
+		wld := newWorld(2)
+		mrg := wld.endsEngines(4)
+		eventually(func() string { return mrg.repeat(time.Millisecond)[0].body }, soon).Should(gomega.ContainSubstring(`"quarantined"`))
+		ended := mrg.count()
+		for i := range wld.nodes {
+			expect(wld.send(i, ask{path: "/stream-once/plan", body: "another"}).status).To(equal(http.StatusOK))
+			expect(wld.send(i, ask{path: "/stream-once/plan?again", body: deadly}).body).NotTo(gomega.ContainSubstring(`"quarantined"`))
+		}
+		expect(mrg.count()).To(equal(ended + 2))
+	})
+
+	// Guards against an instance that starts, or was cut off from the others, and lets the request
+	// in that all others refuse.
+	ginkgo.It("is refused by an instance that starts later, and by one that was cut off", func() {
+		var off atomic.Bool
+		wld := newWorld(0)
+		for range 3 {
+			wld.startLinked(func(nod *Node) {
+				last := len(wld.nodes) == 2
+				nod.link.Cut = func(addr string) bool {
+					return off.Load() && (last || addr == wld.nodes[2].link.Addr())
+				}
+			})
+		}
+		wld.meet()
+		mrg := wld.endsEngines(4)
+		off.Store(true)
+		for mrg.count() < 3 {
+			wld.send(mrg.count()%2, ask{path: "/stream-once/plan", body: deadly})
+		}
+		off.Store(false)
+		wld.start()
+		time.Sleep(spreadWithin)
+		ended := mrg.count()
+		for i := range wld.nodes {
+			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
+		}
+		expect(mrg.count()).To(equal(ended))
+	})
+
+	// Guards against requests that are refused since they were at endpoints that ended for another
+	// reason, again and again, and ran in between.
+	ginkgo.It("is cleared once an endpoint has run it", func() {
+		wld := newWorld(2)
+		mrg := wld.endsEngines(4)
+		for range 3 {
+			ended := mrg.count()
+			eventually(func() int {
+				mrg.repeat(time.Millisecond)
+				return mrg.count()
+			}, soon).Should(gomega.BeNumerically(">=", ended+2))
+			time.Sleep(2 * backAfterEnd)
+			for _, ep := range mrg.all() {
+				ep.EndsOn("", nil)
+			}
+			expect(mrg.repeat(time.Millisecond)[0].status).To(equal(http.StatusOK))
+			mrg.rearm()
+		}
+	})
 })
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -116,11 +116,16 @@
 		}
 		wld.srv.Close()
 	})
+	wld.meet()
+	return wld
+}
+
+// meet waits until all instances know one another and are ready.
+func (wld *world) meet() {
 	for _, nod := range wld.nodes {
-		eventually(func() int { return len(nod.ctl.View().Members()) }, soon).Should(equal(nodes))
+		eventually(func() int { return len(nod.ctl.View().Members()) }, soon).Should(equal(len(wld.nodes)))
 		eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) && nod.pools.Knows("bookings", 2) }, soon).Should(gomega.BeTrue())
 	}
-	return wld
 }
 
 func (wld *world) add(service, id string) *fake.Endpoint {
@@ -170,7 +175,10 @@
 }
 
 // start starts one more instance.
-func (wld *world) start() *Node {
+func (wld *world) start() *Node { return wld.startLinked(func(*Node) {}) }
+
+// startLinked starts one more instance; change may alter its link before it is used.
+func (wld *world) startLinked(change func(nod *Node)) *Node {
 	wy := &way{store: wld.store.Handler()}
 	srv, err := stand.Serve("127.0.0.1:0", wy)
 	expect(err).NotTo(anything())
@@ -194,6 +202,7 @@
 	var nod *Node
 	nod, err = New(set, platform.Dialect(), nodeLog)
 	expect(err).NotTo(anything())
+	change(nod)
 	nod.Start()
 	wld.nodes = append(wld.nodes, nod)
 	return nod
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,6 +30,7 @@
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/rumor"
 )
 
 // Error is the class of errors of the link.
@@ -85,6 +86,8 @@
 	Working
 	// Unlisted tells that the receiver's line is missing from the store.
 	Unlisted
+	// FactsTold tells facts that the sender has learned.
+	FactsTold
 )
 
 // Message is what travels, in both directions.
@@ -108,6 +111,10 @@
 	Age     clock.Milli `cbor:"11,keyasint,omitempty"`
 	// Up is for how long the store has answered the sender without a failure.
 	Up clock.Milli `cbor:"12,keyasint,omitempty"`
+	// Facts are some that the receiver may not know, and Digest names all that the
+	// sender knows.
+	Facts  []rumor.Fact `cbor:"13,keyasint,omitempty"`
+	Digest uint64       `cbor:"14,keyasint,omitempty"`
 }
 
 // Link is one instance's end of the links to all others.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -65,6 +65,7 @@
 	list    *member.List
 	docs    docsCtl
 	endpts  endptsCtl
+	facts   factsCtl
 	leaving bool
 	dirty   bool
 	// ranked are the changes of the members that the view's ranks follow from; beats
@@ -98,6 +99,7 @@
 	}
 	ctl.docs.ctl, ctl.docs.offset = ctl, -1
 	ctl.endpts = endptsCtl{ctl: ctl, left: map[ident.Process]clock.Milli{}, upElse: never}
+	ctl.facts = newFacts(ctl)
 	ctl.view.Store(&View{offset: -1})
 	turned := make(chan struct{})
 	ctl.turned.Store(&turned)
@@ -145,6 +147,7 @@
 	ctl.beats = true
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
+	ctl.facts.step(now)
 	ctl.set.Meter.Set(meter.GaugeLogAge, float64(now-ctl.docs.asOf))
 	ctl.set.Meter.Set(meter.GaugeEventQueue, float64(ctl.loop.Waiting()))
 }
@@ -157,6 +160,7 @@
 		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, listed: ctl.endpts.listed(), digest: old.digest, past: old.past,
 		members: old.members, homes: old.homes, sources: old.sources, othersOK: old.othersOK,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, heard: ctl.docs.heardAt, slow: ctl.docs.slow,
+		suspects: ctl.facts.suspects,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.ranked || ctl.beats {
 		vw.members = ctl.list.All()
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -253,6 +253,7 @@
 func (ctl *Control) dress(msg *peer.Message) {
 	msg.Left = ctl.endpts.lately()
 	msg.Up = ctl.endpts.up(ctl.set.Clock.Now())
+	msg.Digest = ctl.facts.spread.Digest()
 	if ctl.docs.plan != nil {
 		msg.Known, msg.Applied, msg.Age = true, ctl.docs.offset, ctl.set.Clock.Since(ctl.docs.asOf)
 	}
@@ -265,6 +266,7 @@
 	for _, id := range msg.Left {
 		ctl.endpts.heardLeaving(ident.Process(id), "told by another instance", now)
 	}
+	ctl.facts.heard(msg, sent > 0, now)
 	if sent > 0 {
 		ctl.endpts.heardUpFor(msg.Up, sent)
 	}
@@ -328,8 +330,12 @@
 func (ctl *Control) answer(msg peer.Message, now clock.Milli) peer.Message {
 	ctl.group.Learn(msg, 0, now)
 	switch msg.Kind {
+	case peer.FactsTold:
+		return peer.Message{Kind: peer.OK, From: ctl.set.Self}
 	case peer.Probe:
-		return ctl.group.Message(peer.OK, msg.From)
+		ans := ctl.group.Message(peer.OK, msg.From)
+		ans.Facts = ctl.facts.spread.Missing(msg.Digest, now)
+		return ans
 	case peer.StateWanted:
 		return ctl.shareState(now)
 	case peer.Unlisted:
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -6,6 +6,7 @@
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/poison"
 )
 
 // View is what traffic sees of the control state. It is never changed.
@@ -28,6 +29,7 @@
 	text     []byte
 	leaving  bool
 	othersOK bool
+	suspects *poison.List
 }
 
 // ViewOf returns a view that knows a plan and endpoints and nothing else, for decisions that
@@ -51,10 +53,20 @@
 // Endpoints gives all endpoints.
 func (vw *View) Endpoints() []talk.Endpoint { return vw.endpoints }
 
+// IsLeaving tells whether an endpoint is leaving: it said so, or its entry is gone. One that
+// has ended keeps its entry for some seconds.
+func (vw *View) IsLeaving(id ident.Process) bool {
+	ep, ok := find(vw.endpoints, id)
+	return !ok || ep.Leaving
+}
+
 // Gatherers lists the instances in the order in which they gather a pool's
 // pieces, or place its prompts.
 func (vw *View) Gatherers(pool string) []ident.Incarnation { return vw.homes[pool] }
 
+// Suspects tells under which requests endpoints have ended.
+func (vw *View) Suspects() *poison.List { return vw.suspects }
+
 // Leaving tells that a planned stop is under way.
 func (vw *View) Leaving() bool { return vw.leaving }
 
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -28,6 +28,13 @@
 	return "", false
 }
 
+// IsMesh tells whether everybody is a neighbour of everybody.
+func (lst *List) IsMesh() bool { return len(lst.members) <= MeshSize }
+
+// Neighbours gives those whom this instance probes: everybody, or Fanout of them in a larger
+// system, in which all are reached from each by neighbours of neighbours.
+func (lst *List) Neighbours() []ident.Incarnation { return lst.neighbours() }
+
 func (lst *List) neighbours() []ident.Incarnation {
 	var others []ident.Incarnation
 	for who, mbr := range lst.members {
--- a/pkg/outcm/outcm.go
+++ b/pkg/outcm/outcm.go
@@ -62,13 +62,14 @@
 	BodyTooLarge                     // body_too_large
 	Hopeless                         // hopeless
 	Crowded                          // crowded
+	Quarantined                      // quarantined
 )
 
 // Reasons lists every reason, for the counters and for tests that must cover
 // them all.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(Crowded)+1)
-	for rs := None; rs <= Crowded; rs++ {
+	all := make([]Reason, 0, int(Quarantined)+1)
+	for rs := None; rs <= Quarantined; rs++ {
 		all = append(all, rs)
 	}
 	return all
--- /dev/null
+++ b/pkg/rumor/rumor_test.go
@@ -0,0 +1,97 @@
+package rumor
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"amaranthvalve/pkg/clock"
+)
+
+func newTable(most int) *Table {
+	tbl := &Table{}
+	tbl.Bound(EndedUnder, Bounds{Keep: clock.Minute, Most: most})
+	return tbl
+}
+
+func Example() {
+	var one, two Table
+	for _, tbl := range []*Table{&one, &two} {
+		tbl.Bound(EndedUnder, Bounds{Keep: clock.Minute, Most: 10})
+	}
+	one.Set(EndedUnder, "request", "told by one", 0)
+	fmt.Println(one.Digest() == two.Digest())
+	two.Learn(one.Some(10, 20), 20)
+	value, at, _ := two.Get(EndedUnder, "request")
+	fmt.Println(one.Digest() == two.Digest(), value, at)
+	// Output:
+	// false
+	// true told by one 0
+}
+
+// Guards against tables that were told the same facts and say different things.
+func TestTablesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		gom := gomega.NewWithT(t)
+		facts := rapid.SliceOf(rapid.Custom(func(rt *rapid.T) Fact {
+			return Fact{
+				Kind: EndedUnder, Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "key"),
+				Value:   rapid.SampledFrom([]string{"", "x", "y"}).Draw(rt, "value"),
+				Version: rapid.Uint64Range(1, 3).Draw(rt, "version"), Age: clock.Milli(rapid.IntRange(0, 100).Draw(rt, "age")),
+			}
+		})).Draw(rt, "facts")
+		one, two := newTable(10), newTable(10)
+		one.Learn(facts, 1000)
+		for _, fct := range rapid.Permutation(facts).Draw(rt, "order") {
+			two.Learn([]Fact{fct}, 1000)
+			two.Learn([]Fact{fct}, 1000)
+		}
+		gom.Expect(one.Digest()).To(gomega.Equal(two.Digest()))
+		strip := func(list []Fact) []Fact {
+			for i := range list {
+				list[i].Age = 0
+			}
+			return list
+		}
+		gom.Expect(strip(one.All(EndedUnder, 1000))).To(gomega.Equal(strip(two.All(EndedUnder, 1000))))
+	})
+}
+
+// Guards against facts that circulate for ever: one that a peer still has is not taken again.
+func TestFactsEnd(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	one, two := newTable(10), newTable(10)
+	one.Set(EndedUnder, "a", "x", 0)
+	late := one.Some(10, clock.Minute-1)
+	gom.Expect(two.Learn(late, clock.Minute-1)).To(gomega.HaveLen(1))
+	gom.Expect(one.Expire(clock.Minute)).To(gomega.BeTrue())
+	gom.Expect(one.Digest()).To(gomega.BeZero())
+	gom.Expect(one.Learn(two.Some(10, clock.Minute), clock.Minute)).To(gomega.BeEmpty())
+	gom.Expect(one.Expire(clock.Minute)).To(gomega.BeFalse())
+}
+
+// Guards against many new facts that push out those which matter more.
+func TestWeightyFactsStay(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	tbl := &Table{}
+	tbl.Bound(EndedUnder, Bounds{Keep: clock.Minute, Most: 4, Weight: func(key string) int {
+		if slices.Contains([]string{"heavy", "other"}, key) {
+			return 1
+		}
+		return 0
+	}})
+	tbl.Set(EndedUnder, "heavy", "x", 0)
+	tbl.Set(EndedUnder, "other", "x", 1)
+	for i := range 100 {
+		tbl.Set(EndedUnder, fmt.Sprint(i), "x", clock.Milli(2+i))
+	}
+	gom.Expect(tbl.Len()).To(gomega.Equal(4))
+	gom.Expect(tbl.Evicted()).To(gomega.Equal(98))
+	for _, key := range []string{"heavy", "other", "98", "99"} {
+		_, _, ok := tbl.Get(EndedUnder, key)
+		gom.Expect(ok).To(gomega.BeTrue(), key)
+	}
+}
