--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -236,6 +236,27 @@
 		expect(mrg.count()).To(equal(ended))
 	})
 
+	// Guards against instances that all ended, and whose successors let the request in again.
+	ginkgo.It("is refused after all instances have ended", func() {
+		wld := newWorld(3)
+		mrg := wld.endsEngines(4)
+		for mrg.count() < 3 {
+			wld.send(mrg.count(), ask{path: "/stream-once/plan", body: deadly})
+		}
+		time.Sleep(spreadWithin)
+		for _, nod := range wld.nodes {
+			nod.Kill()
+		}
+		wld.nodes = nil
+		for range 3 {
+			wld.start()
+		}
+		for i := range wld.nodes {
+			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
+		}
+		expect(mrg.count()).To(equal(3))
+	})
+
 	// Guards against requests that are refused since they were at endpoints that ended for another
 	// reason, again and again, and ran in between.
 	ginkgo.It("is cleared once an endpoint has run it", func() {
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -194,7 +194,7 @@
 		follower := wld.nodes[slices.IndexFunc(wld.nodes, func(nod *Node) bool { return nod.ctl.Follows() })]
 		name := string(follower.ctl.Self())
 		listed := func() bool {
-			all, err := sto.Instances(context.Background())
+			all, _, err := sto.Instances(context.Background())
 			return err == nil && slices.ContainsFunc(all, func(inst talk.Instance) bool { return inst.Name == name })
 		}
 		eventually(listed, soon).Should(gomega.BeTrue())
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -28,6 +28,7 @@
 	telling  bool
 	suspects *poison.List
 	evicted  int
+	kept     kept
 }
 
 func newFacts(ctl *Control) factsCtl {
@@ -41,6 +42,7 @@
 	if fcl.spread.Expire(now) {
 		fcl.read(now)
 	}
+	fcl.keep(now)
 }
 
 // heard takes what another instance told. One whose answer shows that it knows other things
@@ -69,6 +71,7 @@
 func (fcl *factsCtl) read(now clock.Milli) {
 	before := fcl.suspects
 	fcl.suspects = poison.Read(fcl.spread.All(rumor.EndedUnder, now), now)
+	fcl.kept.wanted = rumor.Digest(fcl.keeps(now))
 	for _, mrk := range fcl.suspects.Newly(before, now) {
 		evt := fcl.ctl.set.Log.Warn().Stringer("mark", mrk)
 		for _, end := range fcl.suspects.Ends(mrk) {
--- a/internal/state/meet.go
+++ b/internal/state/meet.go
@@ -82,10 +82,11 @@
 	announced := ctl.announced.Load()
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
-	list, err := ctl.set.Store.Instances(ctx)
+	list, kept, err := ctl.set.Store.Instances(ctx)
 	if err != nil {
 		return nil, err
 	}
+	ctl.loop.Do(ctx, func(now clock.Milli) { ctl.facts.readKept(kept, now) })
 	ours := func(inst talk.Instance) bool { return inst.Name == string(ctl.set.Self) }
 	if announced && !slices.ContainsFunc(list, ours) {
 		ctl.announceAgain()
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -39,7 +39,7 @@
 		sto.Endpoints = func(context.Context) ([]talk.Endpoint, []error, error) { return list("e1"), nil, nil }
 	}
 	if sto.Instances == nil {
-		sto.Instances = func(context.Context) ([]talk.Instance, error) { return nil, nil }
+		sto.Instances = func(context.Context) ([]talk.Instance, []byte, error) { return nil, nil, nil }
 	}
 	if sto.Announce == nil {
 		sto.Announce = func(context.Context, talk.Instance) error { return nil }
@@ -88,7 +88,7 @@
 			<-ctx.Done()
 			return ctx.Err()
 		},
-		Instances: func(context.Context) ([]talk.Instance, error) { return lines("before", 30), nil },
+		Instances: func(context.Context) ([]talk.Instance, []byte, error) { return lines("before", 30), nil, nil },
 	})
 	gom.Eventually(ctl.Met(), soon).Should(gomega.BeClosed())
 	gom.Eventually(func() int { return len(ctl.View().Members()) }, soon).Should(gomega.Equal(31))
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -194,10 +194,13 @@
 	Newest func(ctx context.Context) (Document, error)
 	Watch  func(ctx context.Context, from int64, hold clock.Milli) (bool, error)
 	// Endpoints lists the endpoints, Instances the system's own, the oldest line
-	// first.
+	// first, with what they keep beside their lines, nil for nothing.
 	Endpoints func(ctx context.Context) ([]Endpoint, []error, error)
-	Instances func(ctx context.Context) ([]Instance, error)
+	Instances func(ctx context.Context) (list []Instance, kept []byte, err error)
 	// Announce writes our own line, Withdraw takes lines out by their names.
 	Announce func(ctx context.Context, inst Instance) error
 	Withdraw func(ctx context.Context, names ...string) error
+	// Keep writes what the instances keep beside their lines, in place of what was kept
+	// before; nil for nothing.
+	Keep func(ctx context.Context, kept []byte) error
 }
--- a/pkg/poison/list.go
+++ b/pkg/poison/list.go
@@ -1,8 +1,11 @@
 package poison
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/hex"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -101,10 +104,46 @@
 	return max(ends[len(ends)-1].At+quarantineFor-now, 0)
 }
 
+// Quarantining gives those of the facts by which requests are refused, or will be once they are
+// tried again: the last ones of each, of so many requests at most.
+func Quarantining(facts []rumor.Fact, lst *List, marks, each int) []rumor.Fact {
+	var list []rumor.Fact
+	wanted := map[string]bool{}
+	for mrk, ends := range lst.all() {
+		if len(ends) <= endsAllowed || marks == 0 {
+			continue
+		}
+		marks--
+		for _, end := range ends[max(len(ends)-each, 0):] {
+			wanted[Key(mrk, end.Endpoint)] = true
+		}
+	}
+	for _, fct := range facts {
+		if wanted[fct.Key] {
+			list = append(list, fct)
+		}
+	}
+	return list
+}
+
+// all gives the ends under each request, in the order of the marks.
+func (lst *List) all() iter.Seq2[Mark, []End] {
+	return func(yield func(Mark, []End) bool) {
+		if lst == nil {
+			return
+		}
+		for _, mrk := range slices.SortedFunc(maps.Keys(lst.byMark), func(x, y Mark) int { return bytes.Compare(x[:], y[:]) }) {
+			if !yield(mrk, lst.byMark[mrk]) {
+				return
+			}
+		}
+	}
+}
+
 // Newly gives the requests that are quarantined now and weren't by an earlier list.
 func (lst *List) Newly(before *List, now clock.Milli) []Mark {
 	var marks []Mark
-	for mrk := range lst.byMark {
+	for mrk := range lst.all() {
 		if lst.Quarantined(mrk, now) > 0 && before.Quarantined(mrk, now) == 0 {
 			marks = append(marks, mrk)
 		}
--- a/pkg/rumor/rumor.go
+++ b/pkg/rumor/rumor.go
@@ -204,6 +204,15 @@
 // Digest names what the table says, whatever the ages; zero for nothing.
 func (tbl *Table) Digest() uint64 { return tbl.digest }
 
+// Digest names what a list of facts says, whatever the ages; zero for nothing.
+func Digest(list []Fact) uint64 {
+	sum := uint64(0)
+	for _, fct := range list {
+		sum ^= digest(name{fct.Kind, fct.Key}, entry{value: fct.Value, version: fct.Version})
+	}
+	return sum
+}
+
 func digest(nme name, ent entry) uint64 {
 	sum := xxhash.New()
 	var head [10]byte
