internal/batch, pkg/gather, internal/front: the end of a maker counts against each request that had pieces in the call

What callers would see: the same fault one stage earlier. A request whose pieces end their maker has them sent to the next one by the gatherer, up to three times, in one call with the pieces of others; all of them would be suspected of each end, and three ends refuse them.

Cause, by reading: the final call was the only one whose end was looked at. Change: a call that fails has its maker's address tried; if the maker has ended and wasn't leaving, the answer to each order names it, and the asker counts the end against the request. What is sent again goes into calls by itself, and so do pieces of a request under which endpoints ended before. A call without an answer in time counts as nothing.

The mutant fails its test.

--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -36,6 +36,8 @@
 	After func(span clock.Milli, work func())
 	// Gone is told of an endpoint whose address answers as another one.
 	Gone func(id ident.Process, why string)
+	// Ended tells whether the process at an address has ended; nil if it can't be told.
+	Ended func(ctx context.Context, addr string) bool
 }
 
 // Desk gathers the pieces of all pools that fall to this instance.
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -3,6 +3,7 @@
 import (
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
 )
 
 // Order asks for the pieces of one stage of one request. Spans count from when it
@@ -32,6 +33,9 @@
 	Last []Lot `cbor:"14,keyasint,omitempty"`
 	// Again tells that the pieces were made before, and lost.
 	Again bool `cbor:"15,keyasint,omitempty"`
+	// Alone tells that the pieces share no call with those of others: endpoints have ended
+	// under the request.
+	Alone bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Lot is results of a pool, and the address of the instance that had them made.
@@ -49,6 +53,8 @@
 	Wait clock.Milli `cbor:"3,keyasint,omitempty"`
 	// Fetched tells that the order's last inputs were given back.
 	Fetched bool `cbor:"4,keyasint,omitempty"`
+	// Ended are the endpoints that ended while they had pieces of the order.
+	Ended []ident.Process `cbor:"5,keyasint,omitempty"`
 }
 
 // Handle names a result and where it is.
@@ -73,6 +79,7 @@
 	missing int
 	tries   []int
 	fetch   fetch
+	ends    []ident.Process
 	flaw    talk.Flaw
 	ended   bool
 	done    chan struct{}
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -123,7 +123,7 @@
 // settle ends an order. What was made of one that failed is given back.
 func (pol *pool) settle(ord *order) Filled {
 	ord.end(talk.Late)
-	out := Filled{Flaw: ord.flaw, Wait: pol.book.Wait(pol.set.Clock.Now()), Fetched: ord.fetch.over}
+	out := Filled{Flaw: ord.flaw, Wait: pol.book.Wait(pol.set.Clock.Now()), Fetched: ord.fetch.over, Ended: ord.ends}
 	if ord.flaw == talk.NoFlaw {
 		out.Results = ord.results
 		return out
@@ -154,6 +154,7 @@
 	pol.slots[pol.next] = slot{ord: ord, index: index}
 	pol.book.Add(gather.Piece{
 		ID: pol.next, Job: ord.job, Due: ord.Due, Until: ord.Until, Rank: ord.Rank, Zone: ord.Zone, NearUntil: ord.NearUntil, Bytes: ord.Bytes, Rest: rest,
+		Alone: ord.Alone || len(ord.ends) > 0,
 	})
 }
 
@@ -219,8 +220,12 @@
 	if rep.Misdirected {
 		pol.set.Gone(ep.ID, "another endpoint answers at its address")
 	}
+	ended := pol.endedIn(ctx, bat, err)
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
+	if ended {
+		pol.endedUnder(bat)
+	}
 	pol.log(bat, made, took, err)
 	pol.take(bat, made, err)
 	pol.run()
--- a/internal/front/cuts.go
+++ b/internal/front/cuts.go
@@ -35,9 +35,18 @@
 	}()
 }
 
+// endsUnder gives the endpoints that ended under a request.
+func (fr *Front) endsUnder(cl *call) []poison.End {
+	sus := fr.set.Control.View().Suspects()
+	if sus.Empty() {
+		return nil
+	}
+	return sus.Ends(cl.mark())
+}
+
 // ranWhole clears a request that an endpoint has run to its end.
 func (fr *Front) ranWhole(cl *call) {
-	if sus := fr.set.Control.View().Suspects(); !sus.Empty() && len(sus.Ends(cl.mark())) > 0 {
+	if len(fr.endsUnder(cl)) > 0 {
 		fr.set.Control.RanWhole(cl.mark())
 	}
 }
@@ -60,7 +69,7 @@
 // request would be refused again.
 func (fr *Front) quarantined(cl *call) outcm.Result {
 	now := fr.set.Clock.Now()
-	ends := fr.set.Control.View().Suspects().Ends(cl.mark())
+	ends := fr.endsUnder(cl)
 	var told []string
 	for _, end := range ends[max(len(ends)-namedEnds, 0):] {
 		told = append(told, fmt.Sprintf("%s %.1f s ago, told by %s", end.Endpoint, (now-end.At).Seconds(), end.By))
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -250,7 +250,7 @@
 	raw := cl.route.Stages()[stg]
 	ord := batch.Order{
 		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.count(stg), Bytes: raw.Bytes, Rank: cl.rank, Zone: cl.near(stg),
-		Last: cl.lots(last), Again: slices.Contains(cl.again, stg),
+		Last: cl.lots(last), Again: slices.Contains(cl.again, stg), Alone: len(fr.endsUnder(cl)) > 0,
 	}
 	if len(raw.After) == 0 {
 		ord.Key = cl.ask.PieceKey
@@ -282,6 +282,9 @@
 	})
 	ended := fr.set.Clock.Now()
 	fr.tell(cl, jb.ord.Stage, home, ended-began, fld)
+	for _, id := range fld.Ended {
+		fr.set.Control.EndedUnder(cl.mark(), id)
+	}
 	out := stageOut{stage: jb.ord.Stage, flaw: fld.Flaw}
 	if fld.Fetched {
 		out.fetched = jb.last
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,6 +144,7 @@
 	desk := batch.New(batch.Setup{
 		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: most, Window: window,
 		Gone:    func(id ident.Process, why string) { nod.ctl.Left(id, why) },
+		Ended:   relay.Ended,
 		Fetched: func(lots []batch.Lot) { nod.homes.FreeAll(lots) },
 	})
 	pls := pools.New(pools.Setup{Clock: nod.clk, Zone: nod.set.Zone(), RepeatShare: share, Repeats: most})
--- a/pkg/gather/fill.go
+++ b/pkg/gather/fill.go
@@ -21,9 +21,13 @@
 		return Batch{}, false
 	}
 	cl.take(jobs[first])
+	if jobs[first][0].Alone {
+		return bk.begin(mkr, cl, now)
+	}
+	jobs = slices.DeleteFunc(jobs, func(job []Piece) bool { return job[0].Alone })
 	for _, near := range []bool{true, false} {
-		for _, job := range jobs[first+1:] {
-			if (job[0].Zone == "" || job[0].Zone == mkr.Zone) == near && cl.fits(job) {
+		for _, job := range jobs {
+			if (job[0].Zone == "" || job[0].Zone == mkr.Zone) == near && !cl.taken[job[0].ID] && cl.fits(job) {
 				cl.take(job)
 			}
 		}
--- a/pkg/gather/fill_test.go
+++ b/pkg/gather/fill_test.go
@@ -61,3 +61,35 @@
 	bat, _ = large.Next(1000)
 	gom.Expect(bat.Pieces).To(gomega.HaveLen(7), "a part of a job would take room that is short")
 }
+
+// Guards against pieces of a job that is to be alone which share a call with another's, whichever
+// is the more urgent.
+func TestAJobIsAlone(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	for _, first := range []int64{1, 2} {
+		bk := Book{}
+		bk.Set(Spec{Places: 1, Most: 10, Call: 100, Item: 1})
+		bk.Sync([]Maker{{ID: "a"}, {ID: "b"}, {ID: "c"}})
+		for i, job := range []int64{1, 1, 2, 2, 3} {
+			due := clock.Minute
+			if job == first {
+				due = 10 * clock.Second
+			}
+			bk.Add(Piece{ID: int64(i), Job: job, Due: due, Until: clock.Hour, Alone: i == 3})
+		}
+		jobs := map[int64]bool{}
+		for i := range 2 {
+			bat, ok := bk.Next(clock.Milli(i) * clock.Second)
+			gom.Expect(ok).To(gomega.BeTrue())
+			alone := false
+			for _, pc := range bat.Pieces {
+				jobs[pc.Job] = true
+				alone = alone || pc.Job == 2
+			}
+			if alone {
+				gom.Expect(bat.Pieces).To(gomega.HaveLen(2))
+			}
+		}
+		gom.Expect(jobs).To(gomega.HaveLen(3))
+	}
+}
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -104,6 +104,9 @@
 	// Rest tells that other pieces of its job are made or under way: their results
 	// take room until this piece is made too.
 	Rest bool
+	// Alone tells that its job shares no call with others: an endpoint ended under it, and the
+	// next one may too.
+	Alone bool
 }
 
 // Batch is a call to be made.
@@ -238,8 +241,13 @@
 	}
 }
 
-// Add takes a piece that waits from now on.
-func (bk *Book) Add(pc Piece) { bk.waiting = append(bk.waiting, pc) }
+// Add takes a piece that waits from now on. One that is alone makes its whole job so.
+func (bk *Book) Add(pc Piece) {
+	bk.waiting = append(bk.waiting, pc)
+	for i := range bk.waiting {
+		bk.waiting[i].Alone = bk.waiting[i].Alone || pc.Alone && bk.waiting[i].Job == pc.Job
+	}
+}
 
 // Remove takes a piece out that nobody wants any more; false if it doesn't wait.
 func (bk *Book) Remove(id int64) bool {
