internal/batch: an endpoint that takes no connection had ended before the call

What callers would see: a request refused as one that ends endpoints, though endpoints ended for reasons of their own.

Change: a call that got no connection counts for nothing.

--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 
 	"amaranthvalve/internal/talk"
@@ -10,10 +11,13 @@
 	"amaranthvalve/pkg/ident"
 )
 
-// endedIn tells whether the endpoint of a call that failed has ended. One that gave no answer in
-// time hasn't, as far as is known.
+// endedIn tells whether the endpoint of a call that failed has ended while it had the call. One
+// that gave no answer in time hasn't, as far as is known, and one that took no connection had
+// ended before.
 func (pol *pool) endedIn(ctx context.Context, bat gather.Batch, err error) bool {
-	if err == nil || errors.Is(err, talk.ErrFull) || ctx.Err() != nil || bat.Maker.Leaving || pol.set.Ended == nil {
+	var opr *net.OpError
+	dialling := errors.As(err, &opr) && opr.Op == "dial"
+	if err == nil || dialling || errors.Is(err, talk.ErrFull) || ctx.Err() != nil || bat.Maker.Leaving || pol.set.Ended == nil {
 		return false
 	}
 	return pol.set.Ended(ctx, bat.Maker.Addr)
