internal/soak: requests that end endpoints, the rule judged as the users word it

A request with the same path, body and caller comes ten times a second for ten seconds, at any instance; each endpoint that begins to run it ends: its listener closes, its entry lapses 3.6 s later, another one is there within 0.6 s. Judged: when it has ended three, instances that are well send it to endpoints at most three times more, later than 3 s after; nothing else is refused as such; its refusal names no time to come back.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -235,7 +235,11 @@
 	clr.n++
 	att.id, att.path, att.sent = fmt.Sprintf("%s-%d", clr.name, clr.n), "/"+att.route+"/x?n="+strconv.Itoa(clr.n), time.Now()
 	ins, knd := att.ins, att.kind
-	if knd.method == http.MethodPost {
+	switch {
+	case att.body != "":
+		// The same request again, under another name.
+		att.path = "/" + att.route + "/x?n=same"
+	case knd.method == http.MethodPost:
 		att.body = "body of " + att.id
 	}
 	headers := map[string]string{}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -47,6 +47,7 @@
 	{"herd kill", (*world).herdKill},
 	{"way between instances", (*world).peerWay},
 	{"stops one after the other", (*world).rollingStop},
+	{"request that ends endpoints", (*world).deadlyRequest},
 }
 
 // withStops is the number of kinds from which on runs may have answers of varied length.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -51,6 +51,8 @@
 		if att.status != http.StatusInternalServerError {
 			wld.breaks("mixed: %s at %s got %d with an endpoint's signature", att.id, att.ins.name, att.status)
 		}
+	case promise(att.status) && strings.Contains(att.answer, quarantined):
+		wld.judgeQuarantine(att)
 	case promise(att.status):
 		if att.header.Get("Retry-After") == "" {
 			wld.breaks("refusal: %s at %s got %d without when to come back", att.id, att.ins.name, att.status)
@@ -115,6 +117,7 @@
 		wld.judgeCut(att, ran)
 	}
 	wld.judgeVersions()
+	wld.judgeDeadly()
 }
 
 // judgeRun holds one run against the request that it belongs to.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -112,6 +112,8 @@
 	broken   []string
 	// notes are what the judgement of some attempts went by.
 	notes []string
+	// deadlies are the deadly requests that came.
+	deadlies []*deadly
 	// heldAll tells that requests count as held whatever became of their connections.
 	heldAll bool
 	next    int
@@ -192,6 +194,7 @@
 	}
 	ep.SetAddr(ep.wire.addr())
 	ep.Takes, ep.Lasts = 5*time.Millisecond, wld.lasts
+	ep.EndsOn(deadlyText, func() { wld.endsUnder(ep) })
 	wld.eps = append(wld.eps, ep)
 	wld.store.PutEndpoint(ep.ID(), fake.Entry(pool, ep.wire.addr(), false))
 }
