internal/relay, internal/state, platform: lines tell of the rates that endpoints name

What was missing: no line said that an answer named a rate, to whom and when, so that a rate which nobody reads couldn't be told from one that only the askers hear and not who places for all.

Each answer of an endpoint, whatever was asked, is heard in one place (the transports of package relay), and a line tells when an instance hears a rate for the first time, another one, or none any more. No decision uses it yet. A rate that is no number from 0 names nothing.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,7 +139,10 @@
 	}
 	inc := ident.NewIncarnation(self)
 	nod.log = nod.log.With().Str("instance", string(inc)).Logger()
-	kept := relay.Kept(keptIdle)
+	heard := func(addr string, res *http.Response, ago time.Duration) {
+		nod.ctl.Answered(addr, dia.Reply(res), nod.clk.Now()-clock.FromDuration(ago))
+	}
+	kept := relay.Kept(keptIdle, heard)
 	share, most, window := nod.set.Retries()
 	desk := batch.New(batch.Setup{
 		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: most, Window: window,
@@ -151,7 +154,7 @@
 	nod.pools = pls
 	nod.ctl = state.New(state.Setup{
 		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
-		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle)), Meter: nod.mtr, Log: nod.log,
+		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle, nil)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link, TokensFor: nod.set.TokensFor(),
 		Changed: func(vw *state.View) {
 			desk.Sync(vw.Plan(), vw.Endpoints())
@@ -163,7 +166,7 @@
 	})
 	nod.homes = homes.New(homes.Setup{Control: nod.ctl, Desk: desk, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, Held: asksHeld(dia, kept)})
 	nod.front = front.New(front.Setup{
-		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia), Pools: pls, Homes: nod.homes, Clock: nod.clk,
+		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, heard), Pools: pls, Homes: nod.homes, Clock: nod.clk,
 		Meter: nod.mtr, Log: nod.log,
 		TokensFor: clock.Milli(tokensShare * float64(nod.set.TokensFor())),
 	})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,13 +55,13 @@
 }
 
 // Kept returns a client whose connections are kept for calls that may be
-// repeated; idle is how long.
-func Kept(idle time.Duration) *http.Client {
+// repeated; idle is how long. heard is told of each answer; it may be nil.
+func Kept(idle time.Duration, heard Heard) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &hearing{heard: heard, next: &http.Transport{
 			DialContext: Dialer().DialContext, DisableCompression: true,
 			MaxIdleConnsPerHost: keptPerHost, IdleConnTimeout: idle,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -72,18 +72,18 @@
 // Relay passes requests on. It is made by [New] and safe for concurrent use.
 type Relay struct {
 	dia *talk.Dialect
-	trn *http.Transport
+	trn http.RoundTripper
 }
 
-// New returns a relay that speaks a dialect.
-func New(dia *talk.Dialect) *Relay {
-	return &Relay{dia: dia, trn: &http.Transport{
+// New returns a relay that speaks a dialect. heard is told of each answer; it may be nil.
+func New(dia *talk.Dialect, heard Heard) *Relay {
+	return &Relay{dia: dia, trn: &hearing{heard: heard, next: &http.Transport{
 		DialContext: withheld(Dialer()), DisableCompression: true,
 		// No connection is kept. DisableKeepAlives would do so too, but would
 		// ask endpoints to close, and then none could be told from one that is
 		// leaving.
 		MaxIdleConnsPerHost: -1,
-	}}
+	}}}
 }
 
 // Request is a caller's request, read whole.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -66,6 +66,7 @@
 	docs    docsCtl
 	endpts  endptsCtl
 	facts   factsCtl
+	rates   map[ident.Process]rate
 	leaving bool
 	dirty   bool
 	// ranked are the changes of the members that the view's ranks follow from; beats
@@ -160,7 +161,7 @@
 		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, listed: ctl.endpts.listed(), digest: old.digest, past: old.past,
 		members: old.members, homes: old.homes, sources: old.sources, othersOK: old.othersOK,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, heard: ctl.docs.heardAt, slow: ctl.docs.slow,
-		suspects: ctl.facts.suspects,
+		suspects: ctl.facts.suspects, rates: ctl.rates,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.ranked || ctl.beats {
 		vw.members = ctl.list.All()
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -30,6 +30,7 @@
 	leaving  bool
 	othersOK bool
 	suspects *poison.List
+	rates    map[ident.Process]rate
 }
 
 // ViewOf returns a view that knows a plan and endpoints and nothing else, for decisions that
--- a/internal/talk/talk.go
+++ b/internal/talk/talk.go
@@ -72,6 +72,10 @@
 	// Load is the endpoint's own word on its load, if HasLoad.
 	Load    int
 	HasLoad bool
+	// Rate is how many requests a second the endpoint takes from all instances together,
+	// if HasRate.
+	Rate    float64
+	HasRate bool
 }
 
 // Endpoint is an endpoint as the store lists it.
