internal/homes, internal/state, internal/pools, internal/batch: one instance keeps the rates that a pool's endpoints name

What operators saw: an engine in need asked for one request a second from all instances together and got 12 or 13 in 4 s, as many as before.

A rate is a fact that all instances share (pkg/rumor, versioned); an answer without one, to a request sent after it was named, lifts it. The instance that places a pool's prompts or gathers its pieces, which sees all of them, keeps the rates of the pool's endpoints (pkg/limit, Rates: one request beyond its turn at the most); for a plain endpoint it is asked for a permit, by each instance no sooner than it said. Whoever can't reach it sends such an endpoint nothing; one that has begun to keep rates lately, or passes over a silent instance that may still keep them, sends half, so that two keepers stay within one and a half times the rate; one that passes over two is cut off itself and sends nothing. Calls that give results back count, questions for room and for held prompts aren't asked there. Less than one request in four seconds isn't kept to, for it would never be heard that the need has ended.

Its load of makers is slower now: one maker alone did all, and the check that the other isn't idle failed once under the race detector (4 calls of more than 4); the check is the same. Also: the keeper killed, a rate lifted and one that holds through silence, all endpoints of a pool in need, an instance cut off (it first took itself for the keeper and sent 6 to 8 of 40: hence the rule on two silent ones).

--- a/internal/batch/desk.go
+++ b/internal/batch/desk.go
@@ -38,6 +38,9 @@
 	Gone func(id ident.Process, why string)
 	// Ended tells whether the process at an address has ended; nil if it can't be told.
 	Ended func(ctx context.Context, addr string) bool
+	// Keeps gives the part of the rates of a pool's endpoints that this instance may send; nil
+	// for all.
+	Keeps func(pool string) float64
 }
 
 // Desk gathers the pieces of all pools that fall to this instance.
@@ -55,8 +58,9 @@
 	return &Desk{set: set, pools: map[string]*pool{}}
 }
 
-// Sync takes the pools of a plan and the endpoints that are known.
-func (dsk *Desk) Sync(pln *plan.Plan, endpoints []talk.Endpoint) {
+// Sync takes the pools of a plan, the endpoints that are known, and the rates that some of these
+// name, in requests a second.
+func (dsk *Desk) Sync(pln *plan.Plan, endpoints []talk.Endpoint, rates map[string]float64) {
 	if pln == nil {
 		return
 	}
@@ -66,7 +70,7 @@
 	}
 	for name, pol := range pln.Pools() {
 		if spc := pol.Batch(); spc != nil {
-			dsk.pool(name).sync(*spc, makers[name])
+			dsk.pool(name).sync(*spc, makers[name], rates)
 		}
 	}
 }
--- a/internal/batch/fetch_test.go
+++ b/internal/batch/fetch_test.go
@@ -59,7 +59,7 @@
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{
 		Name: "ranks", Batch: &plan.DraftBatch{Places: 1, Most: most, Call: 1000, Item: 1, Link: 1000},
 	}}})
-	bnc.desk.Sync(pln, []talk.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}})
+	bnc.desk.Sync(pln, []talk.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}}, nil)
 	return bnc
 }
 
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -10,6 +10,7 @@
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
 	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/retry"
 )
@@ -43,6 +44,7 @@
 
 	mtx   sync.Mutex
 	book  gather.Book
+	rates limit.Rates
 	slots map[int64]slot
 	next  int64
 	// link is how fast the endpoints fetch, in Mbit/s; zero if it isn't known.
@@ -67,9 +69,10 @@
 	return &pool{set: set, name: name, slots: map[int64]slot{}, freed: map[string][]string{}, budget: newBudget(set)}
 }
 
-func (pol *pool) sync(spc plan.DraftBatch, makers []gather.Maker) {
+func (pol *pool) sync(spc plan.DraftBatch, makers []gather.Maker, rates map[string]float64) {
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
+	pol.rates.Sync(rates)
 	pol.book.Set(gather.Spec{Places: spc.Places, Most: spc.Most, Call: spc.Call, Item: spc.Item, Room: spc.Room, Keep: spc.Keep})
 	pol.link, pol.room, pol.keep, pol.makers = spc.Link, spc.Room, spc.Keep, makers
 	pol.book.Sync(makers)
@@ -161,11 +164,14 @@
 // run makes the calls that the book asks for.
 func (pol *pool) run() {
 	now := pol.set.Clock.Now()
+	share := pol.holdRated(now)
 	for {
 		bat, ok := pol.book.Next(now)
 		if !ok {
 			break
 		}
+		pol.rates.Take(bat.Maker.ID, share, now)
+		pol.book.Hold(bat.Maker.ID, now+pol.rates.Wait(bat.Maker.ID, now))
 		go pol.call(bat)
 	}
 	// Whatever still finds a place is not given up.
@@ -374,7 +380,7 @@
 // repeated: the maker drops the result by itself after a while.
 func (pol *pool) giveBack(res Handle) {
 	if len(pol.freed[res.Addr]) == 0 {
-		pol.set.After(freeAfter, func() { pol.flush(res.Addr) })
+		pol.set.After(max(freeAfter, pol.freeEach(res.Addr)), func() { pol.flush(res.Addr) })
 	}
 	pol.freed[res.Addr] = append(pol.freed[res.Addr], res.Name)
 }
@@ -383,6 +389,7 @@
 	pol.mtx.Lock()
 	list := pol.freed[addr]
 	delete(pol.freed, addr)
+	pol.takeFree(addr)
 	pol.mtx.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), freeWait)
 	defer cancel()
--- a/internal/batch/survey.go
+++ b/internal/batch/survey.go
@@ -63,6 +63,9 @@
 	var grp sync.WaitGroup
 	var held, silent atomic.Int64
 	for _, mkr := range list {
+		if pol.isRated(mkr.ID) {
+			continue
+		}
 		grp.Go(func() {
 			places <- struct{}{}
 			defer func() { <-places }()
@@ -77,6 +80,13 @@
 	return held.Load(), int(silent.Load())
 }
 
+// isRated tells whether an endpoint names a rate: then it is asked nothing that can be done without.
+func (pol *pool) isRated(id string) bool {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	return pol.rates.Has(id)
+}
+
 // askRoom asks one endpoint, and gives the bytes that it holds for others.
 func (pol *pool) askRoom(mkr gather.Maker) (int64, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), surveyWait)
--- a/internal/batch/survey_test.go
+++ b/internal/batch/survey_test.go
@@ -48,7 +48,7 @@
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{
 		Name: "ranks", Batch: &plan.DraftBatch{Places: 1, Most: 9, Call: 9000, Item: 1, Room: 1000, Keep: 4000},
 	}}})
-	desk.Sync(pln, []talk.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}, {ID: "rank-2", Pool: "ranks", Addr: "a:2", Leaving: true}})
+	desk.Sync(pln, []talk.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}, {ID: "rank-2", Pool: "ranks", Addr: "a:2", Leaving: true}}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for range 4 {
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -79,6 +79,8 @@
 	came   came
 	words  words
 	terms  terms
+	// permits are those of plain pools' keepers.
+	permits permits
 	// unseated counts the questions for a place in a row that an instance didn't answer.
 	unseated map[ident.Incarnation]int
 }
--- a/internal/homes/homes_test.go
+++ b/internal/homes/homes_test.go
@@ -32,7 +32,7 @@
 	}}
 	desk := batch.New(batch.Setup{Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second})
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{Name: "encode", Batch: &plan.DraftBatch{Places: 1, Most: 9, Call: 20}}}})
-	desk.Sync(pln, []talk.Endpoint{{ID: "e1", Pool: "encode", Addr: "a:1"}})
+	desk.Sync(pln, []talk.Endpoint{{ID: "e1", Pool: "encode", Addr: "a:1"}}, nil)
 	self := ident.NewIncarnation("127.0.0.1:1")
 	hms := New(Setup{
 		Control: state.New(state.Setup{Self: self, Meter: meter.New(), Log: zerolog.Nop()}), Desk: desk, Link: &peer.Link{},
--- a/internal/homes/places.go
+++ b/internal/homes/places.go
@@ -69,21 +69,25 @@
 
 // Place chooses the endpoint of a final call, and counts the request there.
 func (hms *Homes) Place(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Seat, bool) {
+	if pol, ok := vw.Plan().Pool(pool); ok && pol.Engine() == nil {
+		return hms.placePlain(ctx, vw, pool, ask)
+	}
 	who := hms.placer(vw, pool)
 	if who == hms.set.Control.Self() {
-		return hms.pick(pool, ticket, ask)
+		return hms.pick(pool, ticket, ask, hms.keeps(vw, pool))
 	}
 	if std, ok := hms.seatAt(ctx, who, seating{Pool: pool, Ticket: ticket, Ask: ask}); ok {
 		if tgt, ok := hms.set.Pools.Take(pool, std.ID, std.From, ticket, ask); ok {
 			return Seat{Target: tgt, placer: who}, true
 		}
 	}
-	return hms.pick(pool, ticket, ask)
+	return hms.pick(pool, ticket, ask, 0)
 }
 
-// pick chooses by what this instance knows.
-func (hms *Homes) pick(pool, ticket string, ask place.Ask) (Seat, bool) {
-	tgt, ok := hms.set.Pools.Pick(pool, ticket, ask)
+// pick chooses by what this instance knows; share is the part of the engines' rates that it
+// may send.
+func (hms *Homes) pick(pool, ticket string, ask place.Ask, share float64) (Seat, bool) {
+	tgt, ok := hms.set.Pools.Pick(pool, ticket, ask, share)
 	if ok && tgt.Ticket != "" {
 		why, request := tgt.Why, ticket
 		if at := strings.LastIndexByte(ticket, '/'); at >= 0 {
@@ -105,7 +109,7 @@
 			}
 		}
 	}
-	seat, ok := hms.set.Pools.Aim(pool, ask)
+	seat, ok := hms.set.Pools.Aim(pool, ask, hms.keeps(vw, pool))
 	return seat.Engine, seat.Read, ok
 }
 
@@ -117,7 +121,8 @@
 		return hms.set.Control.Self()
 	}
 	who := hms.gatherer(vw, pool)
-	if hms.terms.is(pool, who == hms.set.Control.Self()) {
+	hms.terms.is(pool, who == hms.set.Control.Self(), hms.set.Clock.Now())
+	if hms.terms.begins(pool) {
 		go hms.learn(vw, pool)
 	}
 	return who
@@ -173,11 +178,12 @@
 		hms.placer(vw, stg.Pool)
 	}
 	var std seated
+	share := hms.Keeps(stg.Pool)
 	if stg.Aim {
-		if seat, ok := hms.set.Pools.Aim(stg.Pool, stg.Ask); ok {
+		if seat, ok := hms.set.Pools.Aim(stg.Pool, stg.Ask, share); ok {
 			std = seated{ID: seat.Engine.ID, Read: seat.Read}
 		}
-	} else if seat, ok := hms.pick(stg.Pool, stg.Ticket, stg.Ask); ok {
+	} else if seat, ok := hms.pick(stg.Pool, stg.Ticket, stg.Ask, share); ok {
 		std = seated{ID: string(seat.ID), From: seat.From}
 	}
 	if body, err := cbor.Marshal(std); err == nil {
--- a/internal/homes/terms.go
+++ b/internal/homes/terms.go
@@ -7,6 +7,7 @@
 
 	"amaranthvalve/internal/state"
 	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
 )
 
 const (
@@ -18,22 +19,45 @@
 	askedWait   = 300 * time.Millisecond
 )
 
-// terms tells which pools' prompts this instance places. The zero value is none.
+// terms tells since when this instance places pools' prompts, or keeps their endpoints' rates. The
+// zero value is none.
 type terms struct {
-	mtx  sync.Mutex
-	mine map[string]bool
+	mtx   sync.Mutex
+	began map[string]clock.Milli
+	// fresh are those whose beginning was told to nobody.
+	fresh map[string]bool
 }
 
-// is notes whether this instance places a pool's prompts now, and tells whether that begins.
-func (trm *terms) is(pool string, mine bool) (begins bool) {
+// is notes whether a pool falls to this instance now.
+func (trm *terms) is(pool string, mine bool, now clock.Milli) {
 	trm.mtx.Lock()
 	defer trm.mtx.Unlock()
-	if trm.mine == nil {
-		trm.mine = map[string]bool{}
+	if trm.began == nil {
+		trm.began, trm.fresh = map[string]clock.Milli{}, map[string]bool{}
 	}
-	begins = mine && !trm.mine[pool]
-	trm.mine[pool] = mine
-	return begins
+	_, was := trm.began[pool]
+	switch {
+	case mine && !was:
+		trm.began[pool], trm.fresh[pool] = now, true
+	case !mine && was:
+		delete(trm.began, pool)
+	}
+}
+
+// begins tells, once for each time, that a pool began to fall to this instance.
+func (trm *terms) begins(pool string) bool {
+	trm.mtx.Lock()
+	defer trm.mtx.Unlock()
+	fresh := trm.fresh[pool]
+	delete(trm.fresh, pool)
+	return fresh
+}
+
+// since gives when a pool began to fall to this instance.
+func (trm *terms) since(pool string) clock.Milli {
+	trm.mtx.Lock()
+	defer trm.mtx.Unlock()
+	return trm.began[pool]
 }
 
 // learn asks a pool's engines what they hold of prompts.
@@ -51,7 +75,7 @@
 	var mtx sync.Mutex
 	asked, failed, parts := 0, 0, 0
 	for _, ep := range vw.Endpoints() {
-		if ep.Pool != pool || ep.Leaving || asked >= askedMost {
+		if _, rated := vw.Rate(ep.ID); rated || ep.Pool != pool || ep.Leaving || asked >= askedMost {
 			continue
 		}
 		asked++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,6 +112,8 @@
 			return nod.homes.Seat(msg)
 		case peer.PlaceTold:
 			return nod.homes.Heard(msg)
+		case peer.PermitWanted:
+			return nod.homes.Permit(msg)
 		}
 		return nod.ctl.Handle(ctx, msg)
 	})
@@ -148,6 +150,7 @@
 		Dialect: dia, Client: kept, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: most, Window: window,
 		Gone:    func(id ident.Process, why string) { nod.ctl.Left(id, why) },
 		Ended:   relay.Ended,
+		Keeps:   func(pool string) float64 { return nod.homes.Keeps(pool) },
 		Fetched: func(lots []batch.Lot) { nod.homes.FreeAll(lots) },
 	})
 	pls := pools.New(pools.Setup{Clock: nod.clk, Zone: nod.set.Zone(), RepeatShare: share, Repeats: most})
@@ -157,7 +160,7 @@
 		Clock: nod.clk, Store: dia.Store(nod.set.Store(), relay.Kept(keptIdle, nil)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link, TokensFor: nod.set.TokensFor(),
 		Changed: func(vw *state.View) {
-			desk.Sync(vw.Plan(), vw.Endpoints())
+			desk.Sync(vw.Plan(), vw.Endpoints(), vw.Rates())
 			pls.Sync(vw)
 			if pln := vw.Plan(); pln != nil {
 				nod.calls.SetLimits(serve.Limits{Header: pln.Limits().HeaderTime, Idle: pln.Limits().IdleTime})
--- a/internal/node/rate_test.go
+++ b/internal/node/rate_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -79,6 +81,10 @@
 			eps  []*fake.Endpoint
 			rate float64
 		}{{toEngines, wld.engines, 1}, {toPlain, wld.plain, 1}, {toMakers, wld.makers, 2}}
+		for _, ep := range wld.makers {
+			// One maker by itself is too slow for what is asked.
+			ep.Takes = 200 * time.Millisecond
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), 9*time.Second)
 		defer cancel()
 		began := time.Now()
@@ -93,4 +99,119 @@
 			expect(len(knd.eps[0].Came())).To(gomega.BeNumerically(">", 4), "%s left idle", knd.ask.path)
 		}
 	})
+
+	// Guards against a rate that is exceeded, or not used for long, when the instance that kept it
+	// ends.
+	ginkgo.It("gets no more, and isn't left idle, when the instance that keeps its rate ends", func() {
+		wld := newWorld(4)
+		wld.engines[0].SetRate(2)
+		ctx, cancel := context.WithTimeout(context.Background(), 16*time.Second)
+		defer cancel()
+		began := time.Now()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			wld.load(ctx, toEngines, 20)
+		}()
+		time.Sleep(5 * time.Second)
+		keeper := wld.nodes[0].ctl.View().Gatherers("engines")[0]
+		killed := time.Now()
+		for _, nod := range wld.nodes {
+			if nod.ctl.Self() == keeper {
+				nod.Kill()
+			}
+		}
+		<-done
+		expect(mostCame(wld.engines[0], began.Add(spreadWithin))).To(gomega.BeNumerically("<=", allowedCame(2)))
+		last := killed
+		for _, at := range wld.engines[0].Came() {
+			if at.After(killed) {
+				expect(at.Sub(last)).To(gomega.BeNumerically("<", 6*time.Second))
+				last = at
+			}
+		}
+		expect(time.Since(last)).To(gomega.BeNumerically("<", 6*time.Second))
+	})
+
+	// Guards against a rate that holds on after the endpoint names it no more, and against one that
+	// is forgotten while nothing is sent.
+	ginkgo.It("gets as many as before once it names none, and not before", func() {
+		wld := newWorld(2)
+		wld.plain[0].SetRate(1)
+		short, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		wld.load(short, toPlain, 20)
+		time.Sleep(3 * time.Second)
+		from := time.Now()
+		short, cancel = context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		ends := wld.load(short, toPlain, 20)
+		expect(mostCame(wld.plain[0], from)).To(gomega.BeNumerically("<=", allowedCame(1)))
+		expect(ends).To(gomega.HaveLen(1))
+		wld.plain[0].Unname()
+		short, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		from = time.Now()
+		wld.load(short, toPlain, 20)
+		expect(mostCame(wld.plain[0], from)).To(gomega.BeNumerically(">", 15))
+	})
+
+	// Guards against requests that wait in vain, or are sent beyond the rates, where all endpoints
+	// of a pool name one.
+	ginkgo.It("has what goes beyond it refused with when to come back, where there is no other endpoint", func() {
+		wld := newWorld(2)
+		for _, ep := range wld.engines {
+			ep.SetRate(1)
+		}
+		short, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		began := time.Now()
+		ends := wld.load(short, toEngines, 10)
+		for _, ep := range wld.engines {
+			expect(mostCame(ep, began.Add(spreadWithin))).To(gomega.BeNumerically("<=", allowedCame(1)))
+		}
+		expect(ends).To(gomega.HaveKey(http.StatusServiceUnavailable))
+		expect(ends).To(gomega.HaveLen(2))
+		sent := time.Now()
+		for ans := wld.send(0, toEngines); time.Since(sent) < 2*time.Second; ans = wld.send(0, toEngines) {
+			if ans.status == http.StatusServiceUnavailable {
+				expect(ans.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			}
+		}
+	})
+
+	// Guards against an instance that is cut off from the others and sends what it likes.
+	ginkgo.It("gets nothing from an instance that can't ask who keeps its rate", func() {
+		var off atomic.Int32
+		wld := newWorld(0)
+		for i := range int32(3) {
+			wld.startLinked(func(nod *Node) {
+				nod.link.Cut = func(addr string) bool {
+					cut := off.Load() - 1
+					return cut >= 0 && (cut == i || addr == wld.nodes[cut].link.Addr())
+				}
+			})
+		}
+		wld.meet()
+		for _, knd := range []struct {
+			pool string
+			ask  ask
+			ep   *fake.Endpoint
+		}{{"engines", toEngines, wld.engines[0]}, {"bookings", toPlain, wld.plain[0]}} {
+			knd.ep.SetRate(1)
+			for i := range 20 {
+				wld.send(i%3, knd.ask)
+			}
+			time.Sleep(500 * time.Millisecond)
+			last := wld.nodes[0].ctl.View().Gatherers(knd.pool)[2]
+			asker := slices.IndexFunc(wld.nodes, func(nod *Node) bool { return nod.ctl.Self() == last })
+			off.Store(int32(asker + 1))
+			before := len(knd.ep.Came())
+			for range 40 {
+				expect(wld.send(asker, knd.ask).status).To(equal(http.StatusOK))
+			}
+			expect(len(knd.ep.Came())).To(equal(before), knd.pool)
+			off.Store(0)
+		}
+	})
 })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -88,6 +88,8 @@
 	Unlisted
 	// FactsTold tells facts that the sender has learned.
 	FactsTold
+	// PermitWanted asks for a plain endpoint that names a rate and may be sent a request.
+	PermitWanted
 )
 
 // Message is what travels, in both directions.
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -8,12 +8,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"amaranthvalve/internal/state"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/plan"
@@ -60,6 +62,8 @@
 	set  Setup
 	mtx  sync.Mutex
 	byID map[string]*finals
+	// rates spaces requests to endpoints that name one, as far as this instance keeps them.
+	rates limit.Rates
 	// firsts is the mean time from a final call to its first byte, by route.
 	firsts map[string]float64
 }
@@ -69,6 +73,8 @@
 	engines *place.Book
 	plain   *route.Pool
 	budget  retry.Budget
+	// ids are the names of all endpoints.
+	ids []string
 	// under are the calls under way.
 	under ident.Watch
 }
@@ -90,6 +96,7 @@
 	}
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
+	pls.rates.Sync(vw.Rates())
 	for name, pol := range pln.Pools() {
 		pls.pool(name, pol).sync(byPool[name], pol.Engine())
 	}
@@ -112,8 +119,10 @@
 }
 
 func (fnl *finals) sync(list []talk.Endpoint, spc *plan.DraftEngine) {
+	fnl.ids = fnl.ids[:0]
 	for _, ep := range list {
 		fnl.under.Listed(ep.ID)
+		fnl.ids = append(fnl.ids, string(ep.ID))
 	}
 	if fnl.engines != nil {
 		engines := make([]place.Engine, len(list))
@@ -133,8 +142,9 @@
 }
 
 // Pick chooses the endpoint of a final call at the moment of sending, by what this instance
-// knows, and counts the request there under its ticket.
-func (pls *Pools) Pick(pool, ticket string, ask place.Ask) (Target, bool) {
+// knows, and counts the request there under its ticket. share is the part of the endpoints'
+// rates that this instance may send; with none, endpoints that name one are left out.
+func (pls *Pools) Pick(pool, ticket string, ask place.Ask, share float64) (Target, bool) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	now := pls.set.Clock.Now()
@@ -142,6 +152,7 @@
 	if fnl == nil {
 		return Target{}, false
 	}
+	ask.Avoid = slices.Concat(ask.Avoid, pls.closed(fnl, share, now))
 	if fnl.plain != nil {
 		ep, ok := fnl.plain.Pick(route.Ask{Avoid: ask.Avoid}, now)
 		return Target{ID: ident.Process(ep.ID), Addr: ep.Addr}, ok
@@ -150,21 +161,24 @@
 	if !ok {
 		return Target{}, false
 	}
+	pls.rates.Take(seat.Engine.ID, share, now)
 	tgt := fnl.take(seat.Engine, seat.From, ticket, ask, now)
 	tgt.Why = seat
 	return tgt, true
 }
 
 // Aim chooses the model engine that a request will probably go to, so that its results
-// can be made near it; false if the pool has no engines.
-func (pls *Pools) Aim(pool string, ask place.Ask) (place.Seat, bool) {
+// can be made near it; false if the pool has no engines. share is as for Pick.
+func (pls *Pools) Aim(pool string, ask place.Ask, share float64) (place.Seat, bool) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	fnl := pls.byID[pool]
 	if fnl == nil || fnl.engines == nil {
 		return place.Seat{}, false
 	}
-	return fnl.engines.Pick(ask, pls.set.Clock.Now())
+	now := pls.set.Clock.Now()
+	ask.Avoid = slices.Concat(ask.Avoid, pls.closed(fnl, share, now))
+	return fnl.engines.Pick(ask, now)
 }
 
 // Take counts a request at an engine that another instance chose for it; false if that
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -47,8 +47,8 @@
 	Link *peer.Link
 	// TokensFor is the age up to which a view's tokens are honoured, zero for no bound.
 	TokensFor clock.Milli
-	// Changed is told of each new view that has other endpoints or another plan
-	// than the one before; on the control thread.
+	// Changed is told of each new view that has other endpoints, other rates of these or
+	// another plan than the one before; on the control thread.
 	Changed func(vw *View)
 }
 
@@ -66,9 +66,10 @@
 	docs    docsCtl
 	endpts  endptsCtl
 	facts   factsCtl
-	rates   map[ident.Process]rate
 	leaving bool
 	dirty   bool
+	// rated tells that rates of endpoints changed.
+	rated bool
 	// ranked are the changes of the members that the view's ranks follow from; beats
 	// tells that a step has passed, and with it signs of life and loads.
 	ranked uint64
@@ -161,7 +162,7 @@
 		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, listed: ctl.endpts.listed(), digest: old.digest, past: old.past,
 		members: old.members, homes: old.homes, sources: old.sources, othersOK: old.othersOK,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, heard: ctl.docs.heardAt, slow: ctl.docs.slow,
-		suspects: ctl.facts.suspects, rates: ctl.rates,
+		suspects: ctl.facts.suspects, rates: ctl.facts.rates,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.ranked || ctl.beats {
 		vw.members = ctl.list.All()
@@ -183,10 +184,10 @@
 		next := make(chan struct{})
 		close(*ctl.turned.Swap(&next))
 	}
-	if ctl.dirty && ctl.set.Changed != nil {
+	if (ctl.dirty || ctl.rated) && ctl.set.Changed != nil {
 		ctl.set.Changed(vw)
 	}
-	ctl.dirty = false
+	ctl.dirty, ctl.rated = false, false
 }
 
 // rank sets what follows from who is there.
@@ -202,10 +203,8 @@
 		return
 	}
 	vw.homes = make(map[string][]ident.Incarnation, len(vw.plan.Pools()))
-	for name, pol := range vw.plan.Pools() {
-		if pol.Batch() != nil || pol.Engine() != nil {
-			vw.homes[name] = ctl.list.Homes(name)
-		}
+	for name := range vw.plan.Pools() {
+		vw.homes[name] = ctl.list.Homes(name)
 	}
 }
 
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"amaranthvalve/internal/meter"
@@ -27,6 +28,7 @@
 	// telling tells that fresh facts will be told in a moment.
 	telling  bool
 	suspects *poison.List
+	rates    map[ident.Process]rate
 	evicted  int
 	kept     kept
 }
@@ -34,6 +36,7 @@
 func newFacts(ctl *Control) factsCtl {
 	fcl := factsCtl{ctl: ctl}
 	fcl.spread.Bound(rumor.EndedUnder, poison.Bounds(func() *poison.List { return ctl.facts.suspects }))
+	fcl.spread.Bound(rumor.NamedRate, ratesBounds)
 	return fcl
 }
 
@@ -69,6 +72,10 @@
 
 // read makes of the facts what traffic goes by.
 func (fcl *factsCtl) read(now clock.Milli) {
+	if rates := readRates(fcl.spread.All(rumor.NamedRate, now), now); !maps.Equal(rates, fcl.rates) {
+		fcl.rates = rates
+		fcl.ctl.rated = true
+	}
 	before := fcl.suspects
 	fcl.suspects = poison.Read(fcl.spread.All(rumor.EndedUnder, now), now)
 	fcl.kept.wanted = rumor.Digest(fcl.keeps(now))
--- a/internal/state/rates.go
+++ b/internal/state/rates.go
@@ -1,23 +1,45 @@
 package state
 
 import (
-	"maps"
+	"strconv"
 
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/rumor"
 )
 
-// namedMargin is how much later than a rate was named a request must be sent for an answer
-// without one to lift it: answers overtake one another, and ages are told with some milliseconds
-// too little.
-const namedMargin = 200 * clock.Milli(1)
+const (
+	// namedMargin is how much later than a rate was named a request must be sent for an answer
+	// without one to lift it: answers overtake one another, and ages are told with some
+	// milliseconds too little.
+	namedMargin = 200 * clock.Milli(1)
+	// renewAfter is after how long a rate that is named again is told again.
+	renewAfter = 10 * clock.Second
+	// lifted is the value of a rate that is named no more.
+	lifted = ""
+)
+
+// ratesBounds are those of the facts on rates, some 100 B each. A rate that nobody hears of any more,
+// since the endpoint gets nothing, holds for as long.
+var ratesBounds = rumor.Bounds{Keep: clock.Hour, Most: 4096}
 
 // rate is what an endpoint takes from all instances together.
 type rate struct {
 	perSecond float64
-	// named is when it was named last.
-	named clock.Milli
+	// told is when it was told last.
+	told clock.Milli
+}
+
+// readRates makes of the facts what traffic goes by.
+func readRates(facts []rumor.Fact, now clock.Milli) map[ident.Process]rate {
+	rates := map[ident.Process]rate{}
+	for _, fct := range facts {
+		if perSecond, err := strconv.ParseFloat(fct.Value, 64); err == nil {
+			rates[ident.Process(fct.Key)] = rate{perSecond: perSecond, told: now - fct.Age}
+		}
+	}
+	return rates
 }
 
 // Rate gives how many requests a second an endpoint takes from all instances together; false if
@@ -27,6 +49,15 @@
 	return rte.perSecond, ok
 }
 
+// Rates gives the rates of all endpoints that name one, by their names.
+func (vw *View) Rates() map[string]float64 {
+	all := make(map[string]float64, len(vw.rates))
+	for id, rte := range vw.rates {
+		all[string(id)] = rte.perSecond
+	}
+	return all
+}
+
 // Answered is told by traffic what an endpoint's answer said, and when the request was sent.
 func (ctl *Control) Answered(addr string, rep talk.Reply, sent clock.Milli) {
 	vw := ctl.View()
@@ -35,31 +66,34 @@
 	}
 	for _, ep := range vw.endpoints {
 		if ep.Addr == addr {
-			ctl.named(ep, rep, sent)
+			ctl.named(vw, ep, rep, sent)
 			return
 		}
 	}
 }
 
-func (ctl *Control) named(ep talk.Endpoint, rep talk.Reply, sent clock.Milli) {
-	known, ok := ctl.View().rates[ep.ID]
+// named tells all instances that an endpoint names a rate for the first time or another one, or
+// none any more: an answer without one, to a request that was sent after it had been named.
+func (ctl *Control) named(vw *View, ep talk.Endpoint, rep talk.Reply, sent clock.Milli) {
+	known, ok := vw.rates[ep.ID]
+	value := lifted
 	switch {
-	case rep.HasRate && (!ok || known.perSecond != rep.Rate):
-	case !rep.HasRate && rep.Signed && ok && sent > known.named+namedMargin:
-	default:
+	case rep.HasRate:
+		value = strconv.FormatFloat(rep.Rate, 'f', -1, 64)
+		if ok && known.perSecond == rep.Rate && ctl.set.Clock.Since(known.told) < renewAfter {
+			return
+		}
+	case !ok || !rep.Signed || sent <= known.told+namedMargin:
 		return
 	}
 	ctl.loop.Offer(func(now clock.Milli) {
-		rates := maps.Clone(ctl.rates)
-		if rates == nil {
-			rates = map[ident.Process]rate{}
+		before, at, had := ctl.facts.spread.Get(rumor.NamedRate, string(ep.ID))
+		if had && before == value && now-at < renewAfter || !had && value == lifted {
+			return
 		}
-		delete(rates, ep.ID)
-		if rep.HasRate {
-			rates[ep.ID] = rate{perSecond: rep.Rate, named: now}
+		ctl.facts.learned([]rumor.Fact{ctl.facts.spread.Renew(rumor.NamedRate, string(ep.ID), value, now)}, now)
+		if !had || before != value {
+			ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("per_second", value).Str("before", before).Msg("rate of an endpoint")
 		}
-		ctl.rates = rates
-		ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Bool("named", rep.HasRate).Float64("per_second", rep.Rate).
-			Float64("before", known.perSecond).Msg("rate of an endpoint")
 	})
 }
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -62,7 +62,7 @@
 }
 
 // Gatherers lists the instances in the order in which they gather a pool's
-// pieces, or place its prompts.
+// pieces, or place its prompts, and keep the rates of its endpoints.
 func (vw *View) Gatherers(pool string) []ident.Incarnation { return vw.homes[pool] }
 
 // Suspects tells under which requests endpoints have ended.
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -68,7 +68,7 @@
 	var free []*maker
 	soonest := clock.Milli(-1)
 	for _, mkr := range bk.makers {
-		if mkr.Leaving || now < mkr.closed || now < mkr.full {
+		if mkr.Leaving || now < mkr.closed || now < mkr.full || now < mkr.later {
 			continue
 		}
 		done := bk.left(mkr, now) + clock.Milli(mkr.slowness(now)*float64(bk.spec.Time(1)))
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -152,6 +152,8 @@
 	guessed  bool
 	failures int
 	closed   clock.Milli
+	// later is the instant from which it may be called again.
+	later clock.Milli
 	// full is until when the endpoint has no room, by its own word.
 	full clock.Milli
 }
@@ -241,6 +243,13 @@
 	}
 }
 
+// Hold keeps calls from an endpoint until an instant.
+func (bk *Book) Hold(id string, until clock.Milli) {
+	if mkr, ok := bk.byID[id]; ok {
+		mkr.later = until
+	}
+}
+
 // Add takes a piece that waits from now on. One that is alone makes its whole job so.
 func (bk *Book) Add(pc Piece) {
 	bk.waiting = append(bk.waiting, pc)
@@ -315,7 +324,7 @@
 func (bk *Book) rate(now clock.Milli) (rate float64, soonest clock.Milli) {
 	soonest = -1
 	for _, mkr := range bk.makers {
-		if mkr.Leaving || now < mkr.closed {
+		if mkr.Leaving || now < mkr.closed || now < mkr.later {
 			continue
 		}
 		rate += float64(max(bk.spec.Places, 1)) / mkr.slowness(now)
--- a/pkg/rumor/kind_string.go
+++ b/pkg/rumor/kind_string.go
@@ -9,11 +9,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[EndedUnder-1]
+	_ = x[NamedRate-2]
 }
 
-const _Kind_name = "ended_under"
+const _Kind_name = "ended_undernamed_rate"
 
-var _Kind_index = [...]uint8{0, 11}
+var _Kind_index = [...]uint8{0, 11, 21}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/pkg/rumor/rumor.go
+++ b/pkg/rumor/rumor.go
@@ -20,6 +20,8 @@
 const (
 	// EndedUnder: an endpoint ended under a request; the key names both.
 	EndedUnder Kind = iota + 1 // ended_under
+	// NamedRate: an endpoint, which the key names, takes so many requests a second.
+	NamedRate // named_rate
 )
 
 // Fact is one fact as it travels.
@@ -75,12 +77,20 @@
 // Set notes what this instance has learned, and gives the fact to be passed on; false if the
 // table says so already.
 func (tbl *Table) Set(kind Kind, key, value string, now clock.Milli) (Fact, bool) {
-	old, ok := tbl.facts[name{kind, key}]
-	if ok && old.value == value {
+	if old, ok := tbl.facts[name{kind, key}]; ok && old.value == value {
 		return Fact{}, false
 	}
-	fct := Fact{Kind: kind, Key: key, Value: value, Version: old.version + 1}
-	return fct, len(tbl.Learn([]Fact{fct}, now)) > 0
+	fct := tbl.Renew(kind, key, value, now)
+	_, _, ok := tbl.Get(kind, key)
+	return fct, ok
+}
+
+// Renew notes what this instance has learned, though the table may say so already, and gives the
+// fact to be passed on: its age counts from now.
+func (tbl *Table) Renew(kind Kind, key, value string, now clock.Milli) Fact {
+	fct := Fact{Kind: kind, Key: key, Value: value, Version: tbl.facts[name{kind, key}].version + 1}
+	tbl.Learn([]Fact{fct}, now)
+	return fct
 }
 
 // Learn takes facts from another instance, and gives those that changed the table.
