internal/soak: endpoints that name a rate, the rule judged as the users word it

An endpoint names 0.25, 0.5 or 1 request a second for ten seconds. Judged: from 3 s after, the final calls that instances which are well send there, in any 4 s at most one and a half times that and five.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -48,6 +48,7 @@
 	{"way between instances", (*world).peerWay},
 	{"stops one after the other", (*world).rollingStop},
 	{"request that ends endpoints", (*world).deadlyRequest},
+	{"endpoint names a rate", (*world).namesRate},
 }
 
 // withStops is the number of kinds from which on runs may have answers of varied length.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -118,6 +118,7 @@
 	}
 	wld.judgeVersions()
 	wld.judgeDeadly()
+	wld.judgeRates()
 }
 
 // judgeRun holds one run against the request that it belongs to.
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -42,6 +42,8 @@
 	drained  time.Time
 	gone     bool
 	troubled time.Time
+	// rated is until when it names a rate.
+	rated time.Time
 }
 
 // terms are what holds for the whole of a run.
@@ -114,6 +116,8 @@
 	notes []string
 	// deadlies are the deadly requests that came.
 	deadlies []*deadly
+	// named are the rates that endpoints named.
+	named []*named
 	// heldAll tells that requests count as held whatever became of their connections.
 	heldAll bool
 	next    int
