--- a/internal/homes/rates.go
+++ b/internal/homes/rates.go
@@ -10,6 +10,7 @@
 	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/place"
 )
 
@@ -19,19 +20,10 @@
 // prompts, who sees all of these anyway. For a plain endpoint it is asked for a permit. Who can't
 // reach it sends such an endpoint nothing.
 
-const (
-	// newFor is how long an instance that begins to keep a pool's rates may send but newShare of
-	// them: whoever kept them before may not know of it yet, and both together must stay
-	// within one and a half times the rate.
-	newFor   = 5 * clock.Second
-	newShare = 0.5
-	// permitAgain is how long a keeper that gave no answer isn't asked.
-	permitAgain = 200 * clock.Milli(1)
-)
+// permitAgain is how long a keeper that gave no answer isn't asked.
+const permitAgain = 200 * clock.Milli(1)
 
-// keeps gives the part of the rates of a pool's endpoints that this instance may send. One that was
-// silent and would go before it may be keeping them still, for others; of two that are silent this
-// instance rather is cut off itself.
+// keeps gives the part of the rates of a pool's endpoints that this instance may send.
 func (hms *Homes) keeps(vw *state.View, pool string) (share float64) {
 	if hms.set.Link == nil {
 		return 1
@@ -42,13 +34,10 @@
 	now := hms.set.Clock.Now()
 	before, mine := hms.silentBefore(vw, pool)
 	hms.terms.is(pool, mine, now)
-	switch {
-	case !mine || before > 1:
+	if !mine {
 		return 0
-	case before > 0 || now-hms.terms.since(pool) < newFor:
-		return newShare
 	}
-	return 1
+	return limit.KeptShare(before, now-hms.terms.since(pool))
 }
 
 // silentBefore tells whether a pool falls to this instance, and how many it would fall to if they
--- a/pkg/limit/rates.go
+++ b/pkg/limit/rates.go
@@ -6,6 +6,28 @@
 // would never be heard to need less no longer.
 const leastRate = 0.25
 
+const (
+	// newFor is how long an instance that begins to keep rates may send but newShare of them:
+	// whoever kept them before may not know of it yet, and both together must stay within one
+	// and a half times the rate.
+	newFor   = 5 * clock.Second
+	newShare = 0.5
+)
+
+// KeptShare gives the part of endpoints' rates that the instance which keeps them may send. silent
+// is how many others would keep them if they weren't silent, term how long this instance has.
+// One that is silent may be keeping them still, for others; if two are, this instance rather is
+// cut off itself.
+func KeptShare(silent int, term clock.Milli) float64 {
+	switch {
+	case silent > 1:
+		return 0
+	case silent > 0 || term < newFor:
+		return newShare
+	}
+	return 1
+}
+
 // Rates spaces the requests to endpoints that name how many they take a second. One request may
 // come sooner than its turn, so that what nobody sent in time isn't lost (the generic cell rate
 // algorithm with a burst of two). The zero value limits nothing. It is not safe for concurrent
