internal/node: the clock of a suspended stop is there from the start

Cause: the test put another clock into an instance whose requests were under way. Since the hearing of each answer reads that clock (the age of an answer that names a rate), on the request's thread. Ruled out: a race in the product, which never changes its clock.

Change: the instance is given the test's clock before it starts. What is checked is the same.

--- a/internal/node/cutoff_test.go
+++ b/internal/node/cutoff_test.go
@@ -47,8 +47,13 @@
 // newStops starts instances whose routes have answered quickly so far. An event of each of
 // the next hundred streams of an engine takes so long.
 func newStops(t *testing.T, nodes int, event time.Duration) *stops {
+	return newTimedStops(t, nodes, event, clock.Clock{})
+}
+
+// newTimedStops is newStops with planned stops timed by another clock.
+func newTimedStops(t *testing.T, nodes int, event time.Duration, clk clock.Clock) *stops {
 	gomega.RegisterTestingT(t)
-	stp := &stops{world: newStoppingWorld(nodes, stopSpan, t.Cleanup)}
+	stp := &stops{world: fill(&world{stop: stopSpan, tokens: 2 * clock.Second, defers: t.Cleanup, clk: clk}, nodes)}
 	for i := range stp.nodes {
 		for range 5 {
 			expect(stp.send(i, ask{path: stream}).status).To(equal(http.StatusOK))
@@ -247,12 +252,12 @@
 // Guards against a stop that goes on beyond its time, to be killed under its callers, because
 // the machine was suspended meanwhile.
 func TestStopCountsTheTimeOfASuspension(t *testing.T) {
-	stp := newStops(t, 1, time.Second)
+	var suspended atomic.Int64
+	clk := clock.New(func() clock.Milli { return clock.Clock{}.Now() + clock.Milli(suspended.Load()) })
+	stp := newTimedStops(t, 1, time.Second, clk)
 	stp.sendAll(stream, "15000")
 	nod := stp.nodes[0]
 	eventually(func() int64 { return nod.front.Under() }, soon).Should(equal(int64(1)))
-	var suspended atomic.Int64
-	nod.clk = clock.New(func() clock.Milli { return clock.Clock{}.Now() + clock.Milli(suspended.Load()) })
 	ended := make(chan struct{})
 	go func() {
 		nod.Stop(context.Background())
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -70,6 +70,8 @@
 	stop   clock.Milli
 	tokens clock.Milli
 	defers func(work func())
+	// clk is the clock by which planned stops are timed.
+	clk clock.Clock
 }
 
 // newWorld starts two engines, two plain endpoints, two makers and so many
@@ -202,6 +204,7 @@
 	var nod *Node
 	nod, err = New(set, platform.Dialect(), nodeLog)
 	expect(err).NotTo(anything())
+	nod.clk = wld.clk
 	change(nod)
 	nod.Start()
 	wld.nodes = append(wld.nodes, nod)
