internal/front: a failure clears no request of the ends under it

What callers would see: a request that ends the endpoints which run it gets a failure now and then from one that is ill, and the next three end again.

Cause, by reading: any whole answer cleared the request, a 500 too. An endpoint that fails part of its requests may do so before it runs them.

Change: answers from 500 on clear nothing, and neither do those that end with their connection, which look whole when their endpoint ends.

--- a/internal/front/cuts.go
+++ b/internal/front/cuts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 
 	"amaranthvalve/internal/chain"
@@ -44,9 +45,11 @@
 	return sus.Ends(cl.mark())
 }
 
-// ranWhole clears a request that an endpoint has run to its end.
-func (fr *Front) ranWhole(cl *call) {
-	if len(fr.endsUnder(cl)) > 0 {
+// ranWhole clears a request that an endpoint has run to its end. A failure proves nothing, since
+// the endpoint may have failed before it began, and neither does an answer that ends
+// with its connection: so does that of an endpoint which ends.
+func (fr *Front) ranWhole(cl *call, rsp *relay.Response) {
+	if rsp.Framed && rsp.Status < http.StatusInternalServerError && len(fr.endsUnder(cl)) > 0 {
 		fr.set.Control.RanWhole(cl.mark())
 	}
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -318,7 +318,7 @@
 		run.finish(tgt, route.Good, took)
 		return run.large(rsp, body)
 	}
-	fr.ranWhole(cl)
+	fr.ranWhole(cl, rsp)
 	run.finish(tgt, statusVerdict(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.begun {
 		run.kept = &kept{rsp: rsp, body: body}
@@ -357,7 +357,7 @@
 		n, err := rsp.Body.Read(body[:cap(body)])
 		body = body[:n]
 		if errors.Is(err, io.EOF) {
-			run.fr.ranWhole(run.cl)
+			run.fr.ranWhole(run.cl, rsp)
 			if out.write(body) != nil {
 				return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller left"), false
 			}
@@ -395,7 +395,7 @@
 		now := fr.set.Clock.Now()
 		cl.pause, last = max(cl.pause, now-last), now
 		if errors.Is(err, io.EOF) {
-			fr.ranWhole(cl)
+			fr.ranWhole(cl, rsp)
 			run.finish(tgt, route.Good, fr.set.Clock.Since(began))
 			return outcm.OK(), false
 		}
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -276,4 +276,30 @@
 			mrg.rearm()
 		}
 	})
+
+	// Guards against a request that is let in without bound since endpoints fail it now and then
+	// before they run it.
+	ginkgo.It("is not cleared by a failure", func() {
+		wld := newWorld(2)
+		mrg := wld.endsEngines(4)
+		for mrg.count() < 2 {
+			wld.send(mrg.count(), ask{path: "/stream-once/plan", body: deadly})
+		}
+		time.Sleep(2 * backAfterEnd)
+		for _, ep := range mrg.all() {
+			ep.EndsOn("", nil)
+			ep.Fault(fake.Fails)
+		}
+		expect(mrg.repeat(time.Millisecond)[0].status).To(equal(http.StatusInternalServerError))
+		for _, ep := range mrg.all() {
+			ep.Mend()
+		}
+		mrg.rearm()
+		wld.send(0, ask{path: "/stream-once/plan", body: deadly})
+		expect(mrg.count()).To(equal(3))
+		time.Sleep(200 * time.Millisecond)
+		for i := range wld.nodes {
+			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
+		}
+	})
 })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -110,6 +110,8 @@
 	Reply  talk.Reply
 	Body   io.ReadCloser
 	Length int64
+	// Framed tells that the end of the body is marked; one that isn't ends with its connection.
+	Framed bool
 }
 
 // hopHeaders concern one connection only.
@@ -138,7 +140,10 @@
 		}
 		return nil, ending.Cut
 	}
-	rsp := &Response{Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Body: res.Body, Length: res.ContentLength}
+	rsp := &Response{
+		Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Body: res.Body, Length: res.ContentLength,
+		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+	}
 	end := rel.judge(rqs.ID, rsp)
 	if end != ending.Answered && end != ending.Refused {
 		_ = res.Body.Close()
