internal/relay, internal/batch: an end is not missed for a lost packet

What callers would see: a request that ends endpoints is let in longer than it need be where links lose packets.

Cause, by reading: one connection is opened to see whether an endpoint ended. Its first packet is sent again only after a second, and the dialler waits for 0.8 s, so that one lost packet made it count as an endpoint that can't be reached.

A gatherer's pieces wait for the look at most 0.4 s, 0.8 s before.

--- a/internal/batch/ended.go
+++ b/internal/batch/ended.go
@@ -5,12 +5,16 @@
 	"errors"
 	"net"
 	"slices"
+	"time"
 
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/pkg/gather"
 	"amaranthvalve/pkg/ident"
 )
 
+// endedWait bounds the look at the endpoint of a call that failed: the call's pieces wait for it.
+const endedWait = 400 * time.Millisecond
+
 // endedIn tells whether the endpoint of a call that failed has ended while it had the call. One
 // that gave no answer in time hasn't, as far as is known, and one that took no connection had
 // ended before.
@@ -20,6 +24,8 @@
 	if err == nil || dialling || errors.Is(err, talk.ErrFull) || ctx.Err() != nil || bat.Maker.Leaving || pol.set.Ended == nil {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, endedWait)
+	defer cancel()
 	return pol.set.Ended(ctx, bat.Maker.Addr)
 }
 
--- a/internal/relay/ended_test.go
+++ b/internal/relay/ended_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"context"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,3 +22,24 @@
 	gom.Expect(Ended(t.Context(), lsn.Addr().String())).To(gomega.BeTrue())
 	gom.Expect(Ended(t.Context(), lsn.Addr().String())).To(gomega.BeTrue())
 }
+
+// Guards against missing an end since a packet was lost on the way, and against trying for ever.
+func TestSilentAddressesAreTriedAgain(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	silent := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	for _, tst := range []struct {
+		answers []error
+		ended   bool
+	}{
+		{[]error{silent, syscall.ECONNREFUSED}, true},
+		{[]error{silent, silent, syscall.ECONNREFUSED}, true},
+		{[]error{silent, silent, silent}, false},
+	} {
+		asked := 0
+		gom.Expect(ended(t.Context(), func(context.Context) (net.Conn, error) {
+			asked++
+			return nil, tst.answers[asked-1]
+		})).To(gomega.Equal(tst.ended))
+		gom.Expect(asked).To(gomega.Equal(len(tst.answers)))
+	}
+}
