internal/front: a request that is quarantined has no further stage begun

What callers would see: makers that end under a request which all instances refuse already, when it was let in before and its stages take long.

Cause, by reading: the quarantine was looked at before the first stage and before the final call. Change: also after each stage. The test of a stage that takes a third of a second fails without it (the second stage is made; the mutant) and passes five times in a row.

--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -195,6 +195,10 @@
 				return walk.Failed
 			}
 			cl.keep(out)
+			if fr.isQuarantined(cl) {
+				refusal = fr.quarantined(cl)
+				return walk.Failed
+			}
 			return walk.Made
 		},
 		Unused: func(stg int) { fr.giveBack(cl, stg) },
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -13,6 +13,8 @@
 
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/poison"
 	"amaranthvalve/platform/fake"
 )
 
@@ -302,4 +304,31 @@
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
 		}
 	})
+
+	// Guards against pieces that are made, at endpoints that may end under them, for a request
+	// that was quarantined while its first stage was made.
+	ginkgo.It("has no further stage begun", func() {
+		wld := newWorld(1)
+		for _, ep := range wld.makers {
+			ep.DelayedTakes = 300 * time.Millisecond
+			ep.Fault(fake.Delayed)
+		}
+		came := func() int { return len(wld.makers[0].Came()) + len(wld.makers[1].Came()) }
+		before := came()
+		answer := make(chan got, 1)
+		go func() {
+			answer <- wld.send(0, ask{path: staged, body: deadly, header: map[string]string{fake.HeaderPieces: "1,1", fake.HeaderPieceKey: "pk"}})
+		}()
+		eventually(came, soon).Should(gomega.BeNumerically(">", before))
+		for i := range 3 {
+			wld.nodes[0].ctl.EndedUnder(poison.MarkOf(host, staged, "corella", []byte(deadly)), ident.Process(fmt.Sprintf("i-%d", i)))
+		}
+		var ans got
+		eventually(answer, soon).Should(gomega.Receive(&ans))
+		expect(ans.body).To(gomega.ContainSubstring(`"quarantined"`))
+		for _, call := range slices.Concat(wld.makers[0].Calls(), wld.makers[1].Calls()) {
+			expect(call).To(gomega.HaveEach(gomega.HaveSuffix("/0/0")))
+		}
+		eventually(func() int { return held(wld.makers) }, soon).Should(gomega.BeZero())
+	})
 })
