internal/node: an instance that was cut off hears of ends from the others alone

The test cuts that instance off from the store as well and waits until those messages are given up; what it holds is the same.

--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -224,10 +224,14 @@
 		}
 		wld.meet()
 		mrg := wld.endsEngines(4)
+		// What lies in the store must not reach the one that was cut off.
+		wld.ways[2].cut.Store(true)
 		off.Store(true)
 		for mrg.count() < 3 {
 			wld.send(mrg.count()%2, ask{path: "/stream-once/plan", body: deadly})
 		}
+		// Until the messages on the ends are given up.
+		time.Sleep(1500 * time.Millisecond)
 		off.Store(false)
 		wld.start()
 		time.Sleep(spreadWithin)
