pkg/poison, internal/front, internal/state: a quarantine that is over lets a request in once, and is longer next time

What callers would see: ten minutes after its last end a request that ends endpoints was let in by every instance at once, until one of the ends was known, and again ten minutes later for as long as it came; an hour after that its ends were forgotten. Three more are allowed in all.

Cause, by reading: the quarantine had one length, and was over everywhere at the same moment.

Change: a request whose quarantine is over is on trial. The instance that lets it in counts the end before anything is sent, which all others know within milliseconds, sends it to one endpoint, and takes the end back if nothing ran or the endpoint goes on.

Evidence: four instances that know of three ends eleven minutes ago; while the first trial runs, and after its end, 12 and 4 sendings at all of them are refused, one engine ends. Without the count beforehand the test fails, as do the mutants of the longer quarantine and of the end that is taken back.

--- a/internal/front/cuts.go
+++ b/internal/front/cuts.go
@@ -9,6 +9,7 @@
 	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/homes"
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/poison"
 )
@@ -28,8 +29,11 @@
 	mrk, leaving := cl.mark(), fr.set.Control.View().IsLeaving(tgt.ID)
 	go func() {
 		ended := relay.Ended(context.Background(), tgt.Addr)
-		if ended && !leaving {
+		switch counts := ended && !leaving; {
+		case counts && !cl.trial:
 			fr.set.Control.EndedUnder(mrk, tgt.ID)
+		case !counts && cl.trial:
+			fr.set.Control.Disprove(mrk, cl.attempt())
 		}
 		fr.set.Log.Info().Str("request", cl.ask.ID).Stringer("mark", mrk).Str("workspace", cl.wsp).Str("pool", cl.pool.Name()).
 			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Bool("leaving", leaving).Msg("cut off")
@@ -57,15 +61,27 @@
 // quarantine refuses requests under which several endpoints have ended: the next one would
 // end too, and break off what others have there.
 func (fr *Front) quarantine(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
-	if fr.isQuarantined(cl) {
+	sus := fr.set.Control.View().Suspects()
+	switch {
+	case sus.Empty() || !sus.OnTrial(cl.mark()):
+		return nxt(ctx, cl)
+	case fr.isQuarantined(cl) || !fr.set.Control.Presume(cl.mark(), cl.attempt()):
 		return fr.quarantined(cl)
 	}
-	return nxt(ctx, cl)
+	cl.trial = true
+	res := nxt(ctx, cl)
+	if res.IsRefusal() {
+		fr.set.Control.Disprove(cl.mark(), cl.attempt())
+	}
+	return res
 }
 
+// attempt names this attempt of the caller's where an endpoint's name is expected.
+func (cl *call) attempt() ident.Process { return ident.Process("attempt " + cl.ask.ID) }
+
 func (fr *Front) isQuarantined(cl *call) bool {
 	sus := fr.set.Control.View().Suspects()
-	return !sus.Empty() && sus.Quarantined(cl.mark(), fr.set.Clock.Now()) > 0
+	return !cl.trial && !sus.Empty() && sus.Quarantined(cl.mark(), fr.set.Clock.Now()) > 0
 }
 
 // quarantined gives the refusal of such a request. It names no time to come back: the same
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -212,7 +212,7 @@
 // ended: otherwise there would be none, and this one may still be answered.
 func (run *running) hurry(ovt *overtime, cancel func()) *time.Timer {
 	fr, cl := run.fr, run.cl
-	if !cl.route.Repeatable() || run.ran+1 >= cl.route.Attempts() || len(cl.inputs) > 0 {
+	if !cl.route.Repeatable() || run.ran+1 >= cl.route.Attempts() || len(cl.inputs) > 0 || cl.trial {
 		return time.NewTimer(longestWait.Duration())
 	}
 	careful := fr.firsts.careful(cl.route.Name(), cl.route.Goal(), fr.set.Clock.Now())
@@ -272,7 +272,7 @@
 		return fr.quarantined(cl), false
 	case !fr.stillAllowed(cl) && run.ran == 0:
 		return notHonoured(), false
-	case !fr.stillAllowed(cl) || fr.isQuarantined(cl):
+	case !fr.stillAllowed(cl) || fr.isQuarantined(cl) || cl.trial && run.ran > 0:
 		return res, false
 	case end.Sent() && !run.paid && !fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,6 +89,8 @@
 	// and most requests need none.
 	marking sync.Once
 	marked  poison.Mark
+	// trial tells that the request is let in after its quarantine: it is sent to one endpoint.
+	trial bool
 	// what the line of the end tells
 	attempts int
 	remakes  int
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -11,10 +12,13 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/internal/talk"
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/poison"
+	"amaranthvalve/pkg/rumor"
 	"amaranthvalve/platform/fake"
 )
 
@@ -335,4 +339,62 @@
 		}
 		eventually(func() int { return held(wld.makers) }, soon).Should(gomega.BeZero())
 	})
+
+	// Guards against a request that all instances let in at once when its quarantine is over.
+	ginkgo.It("is let in once when its quarantine is over, and refused for longer then", func() {
+		wld := newWorld(4)
+		mrg := wld.endsEngines(4)
+		for _, ep := range wld.engines {
+			ep.Takes = 600 * time.Millisecond
+		}
+		wld.endedBefore(11 * clock.Minute)
+		first := make(chan got, 1)
+		go func() { first <- wld.send(0, ask{path: "/stream-once/plan", body: deadly}) }()
+		time.Sleep(300 * time.Millisecond)
+		for range 3 {
+			for i := range wld.nodes {
+				expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
+			}
+		}
+		expect((<-first).body).NotTo(gomega.ContainSubstring(`"quarantined"`))
+		time.Sleep(2 * backAfterEnd)
+		for i := range wld.nodes {
+			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
+		}
+		expect(mrg.count()).To(equal(1))
+	})
+
+	// Guards against a request that stays refused although what it ended was mended meanwhile, or
+	// since nothing could be tried.
+	ginkgo.It("is cleared when it runs after its quarantine, and tried again when nothing ran", func() {
+		wld := newWorld(2)
+		wld.endedBefore(11 * clock.Minute)
+		fault(wld.engines, fake.Shed, fake.Shed, fake.Shed, fake.Shed)
+		expect(wld.send(0, ask{path: "/stream-once/plan", body: deadly}).body).NotTo(gomega.ContainSubstring(`"quarantined"`))
+		for _, ep := range wld.engines {
+			ep.Mend()
+		}
+		time.Sleep(300 * time.Millisecond)
+		for range 3 {
+			for i := range wld.nodes {
+				expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).status).To(equal(http.StatusOK), "instance %d", i)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	})
 })
+
+// endedBefore has all instances know of three ends under the deadly request, so long ago.
+func (wld *world) endedBefore(ago clock.Milli) {
+	mrk := poison.MarkOf(host, "/stream-once/plan", "corella", []byte(deadly))
+	var facts []rumor.Fact
+	for i := range 3 {
+		facts = append(facts, rumor.Fact{
+			Kind: rumor.EndedUnder, Key: poison.Key(mrk, ident.Process(fmt.Sprintf("before-%d", i))), Value: "127.0.0.1:1", Version: 1, Age: ago,
+		})
+	}
+	for _, nod := range wld.nodes {
+		nod.ctl.Handle(context.Background(), peer.Message{Kind: peer.FactsTold, From: wld.nodes[0].ctl.Self(), To: nod.ctl.Self(), Facts: facts})
+		eventually(func() bool { return nod.ctl.View().Suspects().OnTrial(mrk) }, soon).Should(gomega.BeTrue())
+	}
+}
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -126,15 +126,18 @@
 	})
 }
 
+// note takes a fact on the end of an endpoint that this instance has learned by itself.
+func (fcl *factsCtl) note(key, value string, now clock.Milli) {
+	if fct, ok := fcl.spread.Set(rumor.EndedUnder, key, value, now); ok {
+		fcl.learned([]rumor.Fact{fct}, now)
+	}
+}
+
 // EndedUnder is told by traffic that an endpoint ended while it had a request.
 func (ctl *Control) EndedUnder(mrk poison.Mark, id ident.Process) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellWait)
 	defer cancel()
-	ctl.loop.Do(ctx, func(now clock.Milli) {
-		if fct, ok := ctl.facts.spread.Set(rumor.EndedUnder, poison.Key(mrk, id), ctl.set.Self.Addr(), now); ok {
-			ctl.facts.learned([]rumor.Fact{fct}, now)
-		}
-	})
+	ctl.loop.Do(ctx, func(now clock.Milli) { ctl.facts.note(poison.Key(mrk, id), ctl.set.Self.Addr(), now) })
 }
 
 // RanWhole is told by traffic that an endpoint has run a suspected request to its end.
@@ -143,3 +146,24 @@
 		ctl.facts.learned(poison.Clear(&ctl.facts.spread.Table, ctl.facts.suspects, mrk, now), now)
 	})
 }
+
+// Presume counts an end under a request that is let in again after its quarantine, before it is sent
+// to any endpoint, so that no other instance lets it in beside this one. False if another has.
+func (ctl *Control) Presume(mrk poison.Mark, attempt ident.Process) bool {
+	presumed := false
+	ctx, cancel := context.WithTimeout(context.Background(), tellWait)
+	defer cancel()
+	ctl.loop.Do(ctx, func(now clock.Milli) {
+		if ctl.facts.suspects.Quarantined(mrk, now) > 0 {
+			return
+		}
+		presumed = true
+		ctl.facts.note(poison.Key(mrk, attempt), ctl.set.Self.Addr(), now)
+	})
+	return presumed
+}
+
+// Disprove takes an end back that was presumed.
+func (ctl *Control) Disprove(mrk poison.Mark, attempt ident.Process) {
+	ctl.loop.Offer(func(now clock.Milli) { ctl.facts.note(poison.Key(mrk, attempt), poison.Cleared, now) })
+}
--- a/internal/state/kept.go
+++ b/internal/state/kept.go
@@ -19,7 +19,7 @@
 	keepAgain = clock.Second
 	// keptMarks and keptEnds bound what is written: requests, and ends of each.
 	keptMarks = 64
-	keptEnds  = 4
+	keptEnds  = 6
 )
 
 // keptFacts are the facts as they lie in the store.
--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -8,9 +8,14 @@
 //
 // When an endpoint ends, all requests that it had are suspected: the [End] counts against each.
 // Ends are facts that all instances share (package rumor), so that they count wherever they
-// were seen. A request under which more endpoints have ended than chance lets expect is
-// quarantined: every instance refuses it. A request that an endpoint runs to its end
-// is cleared of all ends that were known by then.
+// were seen. A request that an endpoint runs to its end is cleared of all ends that were known
+// by then.
+//
+// # Quarantine
+//
+// A request under which more endpoints have ended than chance lets expect is quarantined: every
+// instance refuses it. When its quarantine is over, one instance lets it in on trial, and counts
+// its end beforehand. Each end makes the next quarantine longer.
 //
 // # What is no end
 //
--- a/pkg/poison/list.go
+++ b/pkg/poison/list.go
@@ -19,19 +19,21 @@
 	// request may be at an endpoint that ends for another reason, and be there once more when
 	// it is sent to the next one.
 	endsAllowed = 2
-	// quarantineFor is how long after the last end a request is refused. Then it is tried
-	// again: whatever it ended may have been mended.
-	quarantineFor = 10 * clock.Minute
-	// remembered is how long an end counts, so that a request that is tried again after its
-	// quarantine and ends one more endpoint is refused at once.
-	remembered = clock.Hour
+	// firstQuarantine is how long after the last end a request is refused at first. Then it is
+	// let in once more: whatever it ended may have been mended. Each further end makes its
+	// quarantine longer times as long.
+	firstQuarantine = 10 * clock.Minute
+	longer          = 6
+	// remembered is how long an end counts, and how long a request is refused at the most. By then
+	// it has been let in three times more.
+	remembered = clock.Day
 	// mostEnds bounds the ends that are kept, some 200 B each.
 	mostEnds = 4096
 )
 
-// cleared is the value of an end that counts no longer. Any other value is the address of the
+// Cleared is the value of an end that counts no longer. Any other value is the address of the
 // instance that told of it.
-const cleared = ""
+const Cleared = ""
 
 // End is the end of an endpoint while a request was there.
 type End struct {
@@ -72,7 +74,7 @@
 func Read(facts []rumor.Fact, now clock.Milli) *List {
 	lst := &List{byMark: map[Mark][]End{}}
 	for _, fct := range facts {
-		if mrk, endpoint, ok := split(fct.Key); ok && fct.Value != cleared {
+		if mrk, endpoint, ok := split(fct.Key); ok && fct.Value != Cleared {
 			lst.byMark[mrk] = append(lst.byMark[mrk], End{Endpoint: endpoint, By: fct.Value, At: now - fct.Age})
 		}
 	}
@@ -97,20 +99,28 @@
 
 // Quarantined gives for how much longer a request is refused; zero if it isn't.
 func (lst *List) Quarantined(mrk Mark, now clock.Milli) clock.Milli {
-	ends := lst.Ends(mrk)
-	if len(ends) <= endsAllowed {
+	if !lst.OnTrial(mrk) {
 		return 0
 	}
-	return max(ends[len(ends)-1].At+quarantineFor-now, 0)
+	ends := lst.Ends(mrk)
+	span := firstQuarantine
+	for range len(ends) - endsAllowed - 1 {
+		span = min(longer*span, remembered)
+	}
+	return max(ends[len(ends)-1].At+span-now, 0)
 }
 
+// OnTrial tells whether so many endpoints have ended under a request that it is let in once at a
+// time, and only when its quarantine is over.
+func (lst *List) OnTrial(mrk Mark) bool { return len(lst.Ends(mrk)) > endsAllowed }
+
 // Quarantining gives those of the facts by which requests are refused, or will be once they are
 // tried again: the last ones of each, of so many requests at most.
 func Quarantining(facts []rumor.Fact, lst *List, marks, each int) []rumor.Fact {
 	var list []rumor.Fact
 	wanted := map[string]bool{}
 	for mrk, ends := range lst.all() {
-		if len(ends) <= endsAllowed || marks == 0 {
+		if !lst.OnTrial(mrk) || marks == 0 {
 			continue
 		}
 		marks--
@@ -156,7 +166,7 @@
 func Clear(tbl *rumor.Table, lst *List, mrk Mark, now clock.Milli) []rumor.Fact {
 	var fresh []rumor.Fact
 	for _, end := range lst.Ends(mrk) {
-		if fct, ok := tbl.Set(rumor.EndedUnder, Key(mrk, end.Endpoint), cleared, now); ok {
+		if fct, ok := tbl.Set(rumor.EndedUnder, Key(mrk, end.Endpoint), Cleared, now); ok {
 			fresh = append(fresh, fct)
 		}
 	}
--- a/pkg/poison/list_test.go
+++ b/pkg/poison/list_test.go
@@ -99,20 +99,27 @@
 	gom.Expect(far.lst.Empty()).To(gomega.BeTrue())
 }
 
-// Guards against a request that stays refused for ever, and against one that may end three more
-// endpoints each time that its quarantine is over.
-func TestQuarantineEndsAndComesBackAtOnce(t *testing.T) {
+// Guards against a request that stays refused for ever, and against one that may end more than
+// three endpoints, one each time that its quarantine is over.
+func TestQuarantineEndsAndComesBackLonger(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	sus := newSuspects()
-	for i := range 3 {
+	for i := range endsAllowed {
 		sus.end(deadly, fmt.Sprintf("i-%d", i), 0)
 	}
-	gom.Expect(sus.lst.Quarantined(deadly, quarantineFor-1)).To(gomega.Equal(clock.Milli(1)))
-	gom.Expect(sus.lst.Quarantined(deadly, quarantineFor)).To(gomega.BeZero())
-	sus.end(deadly, "i-4", quarantineFor)
-	gom.Expect(sus.lst.Quarantined(deadly, quarantineFor)).To(gomega.Equal(quarantineFor))
-	gom.Expect(sus.tbl.Expire(quarantineFor + remembered)).To(gomega.BeTrue())
-	sus.read(quarantineFor + remembered)
+	now, again := clock.Milli(0), -1
+	for now < remembered {
+		sus.end(deadly, fmt.Sprintf("again-%d", again), now)
+		again++
+		span := sus.lst.Quarantined(deadly, now)
+		gom.Expect(sus.lst.Quarantined(deadly, now+span-1)).To(gomega.Equal(clock.Milli(1)))
+		gom.Expect(sus.lst.Quarantined(deadly, now+span)).To(gomega.BeZero())
+		gom.Expect(sus.lst.OnTrial(deadly)).To(gomega.BeTrue())
+		now += span
+	}
+	gom.Expect(again).To(gomega.Equal(3))
+	gom.Expect(sus.tbl.Expire(now + remembered)).To(gomega.BeTrue())
+	sus.read(now + remembered)
 	gom.Expect(sus.lst.Empty()).To(gomega.BeTrue())
 }
 
