internal/state: a rate counts for each endpoint that is listed with the address

What operators would see: an engine that is born in need at the address of one which ended gets as many requests as others for some seconds.

Cause, by reading: an answer's endpoint was looked up by its address, and the first entry taken; that of an endpoint which ended stays for up to 3.6 s. Change: all entries with the address. For the one that has ended it makes no difference. The test fails without it (the mutant).

--- a/internal/state/rates.go
+++ b/internal/state/rates.go
@@ -64,10 +64,11 @@
 	if rep.Misdirected || !rep.HasRate && len(vw.rates) == 0 {
 		return
 	}
+	// The entry of one that has ended stays for some seconds, and another one may have its
+	// address by then.
 	for _, ep := range vw.endpoints {
 		if ep.Addr == addr {
 			ctl.named(vw, ep, rep, sent)
-			return
 		}
 	}
 }
