internal/state: a rate that is named on is told again every ten minutes

What operators would see: control traffic beyond its bound of 2 KB/s an instance where five endpoints are in need, and rates that are forgotten beyond 4,096.

Cause, by reading: a rate was told again to all every 10 s, for as long as it was named: 480 B/s an endpoint at sixteen messages of 0.3 KB (worked out). Rates are kept for an hour, so that a sixth of it is often enough. 16,384 are kept, since there may be 12,000 endpoints. The test of two hours in fake time failed before (every minute told); the mutant fails it.

--- a/internal/state/rates.go
+++ b/internal/state/rates.go
@@ -14,15 +14,19 @@
 	// without one to lift it: answers overtake one another, and ages are told with some
 	// milliseconds too little.
 	namedMargin = 200 * clock.Milli(1)
-	// renewAfter is after how long a rate that is named again is told again.
-	renewAfter = 10 * clock.Second
+	// rateKept is how long a rate holds of which nobody hears any more, since the endpoint gets
+	// nothing, and renewAfter after how long one that is named on is told again: each time costs
+	// every instance some messages.
+	rateKept   = clock.Hour
+	renewAfter = 10 * clock.Minute
+	// mostRates bounds the rates that are known, some 100 B each.
+	mostRates = 16 << 10
 	// lifted is the value of a rate that is named no more.
 	lifted = ""
 )
 
-// ratesBounds are those of the facts on rates, some 100 B each. A rate that nobody hears of any more,
-// since the endpoint gets nothing, holds for as long.
-var ratesBounds = rumor.Bounds{Keep: clock.Hour, Most: 4096}
+// ratesBounds are those of the facts on rates.
+var ratesBounds = rumor.Bounds{Keep: rateKept, Most: mostRates}
 
 // rate is what an endpoint takes from all instances together.
 type rate struct {
--- a/internal/state/rates_test.go
+++ b/internal/state/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -25,3 +26,27 @@
 	_, ok := ctl.View().Rate("other")
 	gom.Expect(ok).To(gomega.BeFalse())
 }
+
+// Guards against a rate that is told to all instances again and again for as long as it is named,
+// and against one that is forgotten meanwhile.
+func TestARateThatIsNamedOnIsToldRarely(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var passed atomic.Int64
+	clk := clock.New(func() clock.Milli { return clock.Clock{}.Now() + clock.Milli(passed.Load()) })
+	ctl := startedAt(t, talk.Store{}, clk)
+	gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(1))
+	told, digest := 0, uint64(0)
+	const span = 2 * clock.Hour
+	for range int(span / clock.Minute) {
+		ctl.Answered("e1", talk.Reply{HasRate: true, Rate: 2}, clk.Now())
+		gom.Expect(ctl.loop.Do(t.Context(), func(clock.Milli) {
+			if now := ctl.facts.spread.Digest(); now != digest {
+				told, digest = told+1, now
+			}
+		})).To(gomega.BeTrue())
+		_, ok := ctl.View().Rate("e1")
+		gom.Expect(ok).To(gomega.BeTrue())
+		passed.Add(int64(clock.Minute))
+	}
+	gom.Expect(told).To(gomega.BeNumerically("<=", int(span/(10*clock.Minute))+1))
+}
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -48,11 +48,14 @@
 }
 
 // started starts a control thread for a test.
-func started(t *testing.T, sto talk.Store) *Control {
+func started(t *testing.T, sto talk.Store) *Control { return startedAt(t, sto, clock.Clock{}) }
+
+// startedAt is started with another clock.
+func startedAt(t *testing.T, sto talk.Store, clk clock.Clock) *Control {
 	pln, _ := plan.Compile(plan.Draft{})
 	dia := &talk.Dialect{Compile: func([]byte) (*plan.Plan, []error) { return pln, nil }}
 	ctl := New(Setup{
-		Self: ident.NewIncarnation("10.0.0.1:1"), Meter: meter.New(), Log: zerolog.Nop(), Dialect: dia, Store: storeOf(sto),
+		Self: ident.NewIncarnation("10.0.0.1:1"), Meter: meter.New(), Log: zerolog.Nop(), Dialect: dia, Store: storeOf(sto), Clock: clk,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
