internal/early, internal/shell: a daemon takes its signals before all else

What an operator sees: SIGHUP reaches a process that was started a moment ago, and the process is gone; SIGTERM then is no planned stop.

Cause: signals were registered only after settings and log were read, those of the product's own dialect without SIGHUP. Ruled out: a signal during a stop, or a fault in reading the settings again.

Change: a package that imports the standard library alone takes the signals as the program is initialized, and the daemon acts on them once it stands; its first line tells that they are taken. Without dialect = "platform" SIGHUP gives a line.

--- a/cmd/amvnode/main.go
+++ b/cmd/amvnode/main.go
@@ -4,7 +4,8 @@
 import (
 	"os"
 
+	"amaranthvalve/internal/early"
 	"amaranthvalve/internal/shell"
 )
 
-func main() { os.Exit(shell.RunNode(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(shell.RunNode(os.Args[1:], os.Stdout, os.Stderr, early.Taken())) }
--- a/internal/shell/amv.go
+++ b/internal/shell/amv.go
@@ -30,5 +30,5 @@
 
 // RunAmv runs the operators' and callers' command.
 func RunAmv(args []string, out, err io.Writer) int {
-	return run("amv", "The command of amaranthvalve's operators and callers. Exit status: 0 done, 1 refused or failed, 2 wrong call.", &amvCmd{}, args, out, err)
+	return run("amv", "The command of amaranthvalve's operators and callers. Exit status: 0 done, 1 refused or failed, 2 wrong call. A signal ends it; what it has sent may still be done.", &amvCmd{}, args, out, err)
 }
--- a/internal/shell/routed.go
+++ b/internal/shell/routed.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/early"
 	"amaranthvalve/internal/node"
 	"amaranthvalve/internal/talk"
 	"amaranthvalve/internal/zlog"
@@ -27,7 +26,7 @@
 
 // runRouted runs an instance that speaks a dialect until SIGTERM or SIGINT. Its
 // settings are read again on SIGHUP and when the file has changed.
-func runRouted(con *console, path string, set *conf.Settings, dia *talk.Dialect) error {
+func runRouted(con *console, path string, set *conf.Settings, dia *talk.Dialect, sgs early.Signals) error {
 	lvl, err := zerolog.ParseLevel(set.LogLevel())
 	if err != nil {
 		lvl = zerolog.InfoLevel
@@ -37,8 +36,6 @@
 	if most := set.Memory(); most > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(most)))
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	nod, err := node.New(set, dia, log)
 	if err != nil {
 		return err
@@ -50,14 +47,13 @@
 	defer tkr.Stop()
 	for {
 		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				log.Info().Str("signal", sig.String()).Msg("planned stop")
-				ctx, cancel := context.WithTimeout(context.Background(), set.Stop().Duration())
-				defer cancel()
-				nod.Stop(ctx)
-				return nil
-			}
+		case sig := <-sgs.Stop:
+			log.Info().Str("signal", sig.String()).Msg("planned stop")
+			ctx, cancel := context.WithTimeout(context.Background(), set.Stop().Duration())
+			defer cancel()
+			nod.Stop(ctx)
+			return nil
+		case <-sgs.Reload:
 			wch.reload("signal")
 		case <-tkr.C:
 			if wch.changed() {
--- a/internal/shell/stand.go
+++ b/internal/shell/stand.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"os/signal"
 	"syscall"
 
@@ -69,9 +68,13 @@
 
 type demoCmd struct{}
 
+const standAbout = `Stand-ins for tests, and the demo. Example: amvstand demo
+
+SIGTERM, SIGINT and SIGHUP end a stand-in.`
+
 // RunStand runs the stand-ins and the demo.
 func RunStand(args []string, out, err io.Writer) int {
-	return run("amvstand", "Stand-ins for tests, and the demo. Example: amvstand demo", &standCmd{}, args, out, err)
+	return run("amvstand", standAbout, &standCmd{}, args, out, err)
 }
 
 // Run is the command.
@@ -101,7 +104,7 @@
 // serveUntilSignal prints the address that it listens on, for whoever started
 // it on a free port.
 func serveUntilSignal(con *console, addr string, handler http.Handler, meanwhile func(context.Context, string)) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stop()
 	srv, err := stand.Serve(addr, handler)
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -200,6 +200,9 @@
 	for _, what := range ins.byItself {
 		wld.breaks("%s", what)
 	}
+	if ins.unheard > 0 {
+		wld.notes = append(wld.notes, fmt.Sprintf("%s: %d processes ended by a reload that was asked for before their first line", ins.name, ins.unheard))
+	}
 	ins.log.mtx.Lock()
 	defer ins.log.mtx.Unlock()
 	for _, line := range ins.log.bad {
