internal/state, internal/front: trials begin and are cancelled; one that the control thread doesn't take in time isn't begun

Names after a second reading. What the control thread says of a trial is read only once it has said it; before, an answer that came after a second was written beside the reading.

--- a/internal/front/cuts.go
+++ b/internal/front/cuts.go
@@ -33,7 +33,7 @@
 		case counts && !cl.trial:
 			fr.set.Control.EndedUnder(mrk, tgt.ID)
 		case !counts && cl.trial:
-			fr.set.Control.Disprove(mrk, cl.attempt())
+			fr.set.Control.CancelTrial(mrk, cl.trialName())
 		}
 		fr.set.Log.Info().Str("request", cl.ask.ID).Stringer("mark", mrk).Str("workspace", cl.wsp).Str("pool", cl.pool.Name()).
 			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Bool("leaving", leaving).Msg("cut off")
@@ -65,19 +65,19 @@
 	switch {
 	case sus.Empty() || !sus.OnTrial(cl.mark()):
 		return nxt(ctx, cl)
-	case fr.isQuarantined(cl) || !fr.set.Control.Presume(cl.mark(), cl.attempt()):
+	case fr.isQuarantined(cl) || !fr.set.Control.BeginTrial(cl.mark(), cl.trialName()):
 		return fr.quarantined(cl)
 	}
 	cl.trial = true
 	res := nxt(ctx, cl)
 	if res.IsRefusal() {
-		fr.set.Control.Disprove(cl.mark(), cl.attempt())
+		fr.set.Control.CancelTrial(cl.mark(), cl.trialName())
 	}
 	return res
 }
 
-// attempt names this attempt of the caller's where an endpoint's name is expected.
-func (cl *call) attempt() ident.Process { return ident.Process("attempt " + cl.ask.ID) }
+// trialName names this attempt of the caller's where an endpoint's name is expected.
+func (cl *call) trialName() ident.Process { return ident.Process("attempt " + cl.ask.ID) }
 
 func (fr *Front) isQuarantined(cl *call) bool {
 	sus := fr.set.Control.View().Suspects()
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -31,8 +31,8 @@
 	spreadWithin = 3 * time.Second
 )
 
-// morgue has engines end under requests, and counts.
-type morgue struct {
+// crashes has engines end under requests, and counts.
+type crashes struct {
 	wld *world
 	mtx sync.Mutex
 	// reached are the instants at which requests with the deadly body reached engines.
@@ -44,80 +44,80 @@
 }
 
 // endsEngines adds engines, and has all of them end on requests with the deadly body.
-func (wld *world) endsEngines(more int) *morgue {
-	mrg := &morgue{wld: wld, next: len(wld.engines)}
+func (wld *world) endsEngines(more int) *crashes {
+	crs := &crashes{wld: wld, next: len(wld.engines)}
 	wld.defers(func() {
-		mrg.mtx.Lock()
-		defer mrg.mtx.Unlock()
-		mrg.over = true
+		crs.mtx.Lock()
+		defer crs.mtx.Unlock()
+		crs.over = true
 	})
-	mrg.rearm()
+	crs.rearm()
 	for range more {
-		mrg.add()
+		crs.add()
 	}
 	for _, nod := range wld.nodes {
 		eventually(func() int {
 			return len(slices.DeleteFunc(slices.Clone(nod.ctl.View().Endpoints()), func(ep talk.Endpoint) bool { return ep.Pool != "engines" }))
 		}, soon).Should(equal(len(wld.engines)))
 	}
-	return mrg
+	return crs
 }
 
-func (mrg *morgue) add() {
-	mrg.mtx.Lock()
-	defer mrg.mtx.Unlock()
-	if mrg.over {
+func (crs *crashes) add() {
+	crs.mtx.Lock()
+	defer crs.mtx.Unlock()
+	if crs.over {
 		return
 	}
-	ep := mrg.wld.add("engines", fmt.Sprintf("engine-%d", mrg.next))
-	mrg.next++
-	mrg.wld.engines = append(mrg.wld.engines, ep)
-	mrg.arm(ep, mrg.wld.servers[ep.ID()])
+	ep := crs.wld.add("engines", fmt.Sprintf("engine-%d", crs.next))
+	crs.next++
+	crs.wld.engines = append(crs.wld.engines, ep)
+	crs.arm(ep, crs.wld.servers[ep.ID()])
 }
 
 // rearm has all engines end on such requests again.
-func (mrg *morgue) rearm() {
-	mrg.mtx.Lock()
-	defer mrg.mtx.Unlock()
-	for _, ep := range mrg.wld.engines {
-		mrg.arm(ep, mrg.wld.servers[ep.ID()])
+func (crs *crashes) rearm() {
+	crs.mtx.Lock()
+	defer crs.mtx.Unlock()
+	for _, ep := range crs.wld.engines {
+		crs.arm(ep, crs.wld.servers[ep.ID()])
 	}
 }
 
 // arm has an engine end, its entry go and another one come.
-func (mrg *morgue) arm(ep *fake.Endpoint, srv *stand.Server) {
+func (crs *crashes) arm(ep *fake.Endpoint, srv *stand.Server) {
 	ep.EndsOn(deadly, func() {
-		mrg.mtx.Lock()
-		mrg.reached = append(mrg.reached, time.Now())
-		mrg.mtx.Unlock()
+		crs.mtx.Lock()
+		crs.reached = append(crs.reached, time.Now())
+		crs.mtx.Unlock()
 		srv.Close()
 		time.AfterFunc(backAfterEnd, func() {
-			mrg.wld.store.RemoveEndpoint(ep.ID())
-			mrg.add()
+			crs.wld.store.RemoveEndpoint(ep.ID())
+			crs.add()
 		})
 	})
 }
 
 // all lists the engines that there were so far.
-func (mrg *morgue) all() []*fake.Endpoint {
-	mrg.mtx.Lock()
-	defer mrg.mtx.Unlock()
-	return slices.Clone(mrg.wld.engines)
+func (crs *crashes) all() []*fake.Endpoint {
+	crs.mtx.Lock()
+	defer crs.mtx.Unlock()
+	return slices.Clone(crs.wld.engines)
 }
 
 // count gives how many deadly requests reached engines so far.
-func (mrg *morgue) count() int {
-	mrg.mtx.Lock()
-	defer mrg.mtx.Unlock()
-	return len(mrg.reached)
+func (crs *crashes) count() int {
+	crs.mtx.Lock()
+	defer crs.mtx.Unlock()
+	return len(crs.reached)
 }
 
 // repeat has the deadly request come again for a span, to one instance after the other.
-func (mrg *morgue) repeat(span time.Duration) []got {
+func (crs *crashes) repeat(span time.Duration) []got {
 	var list []got
 	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
-		mrg.sent++
-		list = append(list, mrg.wld.send(mrg.sent%len(mrg.wld.nodes), ask{path: "/stream-once/plan", body: deadly}))
+		crs.sent++
+		list = append(list, crs.wld.send(crs.sent%len(crs.wld.nodes), ask{path: "/stream-once/plan", body: deadly}))
 	}
 	return list
 }
@@ -127,14 +127,14 @@
 	// seen but some of the ends.
 	ginkgo.It("reaches no more than three once all could know of three ends", func() {
 		wld := newWorld(4)
-		mrg := wld.endsEngines(4)
-		for mrg.count() < 3 {
-			mrg.repeat(time.Millisecond)
+		crs := wld.endsEngines(4)
+		for crs.count() < 3 {
+			crs.repeat(time.Millisecond)
 		}
-		mrg.repeat(spreadWithin)
-		before := mrg.count()
-		mrg.repeat(3 * time.Second)
-		expect(mrg.count() - before).To(gomega.BeNumerically("<=", 3))
+		crs.repeat(spreadWithin)
+		before := crs.count()
+		crs.repeat(3 * time.Second)
+		expect(crs.count() - before).To(gomega.BeNumerically("<=", 3))
 		expect(wld.send(0, ask{path: "/stream-once/plan", body: "another plan"}).status).To(equal(http.StatusOK))
 	})
 
@@ -142,10 +142,10 @@
 	// tell what it goes by.
 	ginkgo.It("is refused at once then, with the endpoints that ended and without a time to come back", func() {
 		wld := newWorld(2)
-		mrg := wld.endsEngines(4)
+		crs := wld.endsEngines(4)
 		var last got
 		eventually(func() string {
-			last = mrg.repeat(time.Millisecond)[0]
+			last = crs.repeat(time.Millisecond)[0]
 			return last.body
 		}, soon).Should(gomega.ContainSubstring(`"quarantined"`))
 		expect(last.status).To(equal(http.StatusServiceUnavailable))
@@ -156,15 +156,15 @@
 	// Guards against an end that counts at the instance alone that saw it.
 	ginkgo.It("is refused by all once each of three instances has seen one end", func() {
 		wld := newWorld(4)
-		mrg := wld.endsEngines(4)
-		for mrg.count() < 3 {
-			wld.send(mrg.count(), ask{path: "/stream-once/plan", body: deadly})
+		crs := wld.endsEngines(4)
+		for crs.count() < 3 {
+			wld.send(crs.count(), ask{path: "/stream-once/plan", body: deadly})
 		}
 		time.Sleep(200 * time.Millisecond)
 		for i := range wld.nodes {
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
 		}
-		expect(mrg.count()).To(equal(3))
+		expect(crs.count()).To(equal(3))
 	})
 
 	// Guards against a request that is refused since its connections were cut, by endpoints that
@@ -203,14 +203,14 @@
 	// caller, another body or target of the same one.
 	ginkgo.It("has no other request refused", func() {
 		wld := newWorld(2)
-		mrg := wld.endsEngines(4)
-		eventually(func() string { return mrg.repeat(time.Millisecond)[0].body }, soon).Should(gomega.ContainSubstring(`"quarantined"`))
-		ended := mrg.count()
+		crs := wld.endsEngines(4)
+		eventually(func() string { return crs.repeat(time.Millisecond)[0].body }, soon).Should(gomega.ContainSubstring(`"quarantined"`))
+		ended := crs.count()
 		for i := range wld.nodes {
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: "another"}).status).To(equal(http.StatusOK))
 			expect(wld.send(i, ask{path: "/stream-once/plan?again", body: deadly}).body).NotTo(gomega.ContainSubstring(`"quarantined"`))
 		}
-		expect(mrg.count()).To(equal(ended + 2))
+		expect(crs.count()).To(equal(ended + 2))
 	})
 
 	// Guards against an instance that starts, or was cut off from the others, and lets the request
@@ -227,31 +227,31 @@
 			})
 		}
 		wld.meet()
-		mrg := wld.endsEngines(4)
+		crs := wld.endsEngines(4)
 		// What lies in the store must not reach the one that was cut off.
 		wld.ways[2].cut.Store(true)
 		off.Store(true)
-		for mrg.count() < 3 {
-			wld.send(mrg.count()%2, ask{path: "/stream-once/plan", body: deadly})
+		for crs.count() < 3 {
+			wld.send(crs.count()%2, ask{path: "/stream-once/plan", body: deadly})
 		}
 		// Until the messages on the ends are given up.
 		time.Sleep(1500 * time.Millisecond)
 		off.Store(false)
 		wld.start()
 		time.Sleep(spreadWithin)
-		ended := mrg.count()
+		ended := crs.count()
 		for i := range wld.nodes {
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
 		}
-		expect(mrg.count()).To(equal(ended))
+		expect(crs.count()).To(equal(ended))
 	})
 
 	// Guards against instances that all ended, and whose successors let the request in again.
 	ginkgo.It("is refused after all instances have ended", func() {
 		wld := newWorld(3)
-		mrg := wld.endsEngines(4)
-		for mrg.count() < 3 {
-			wld.send(mrg.count(), ask{path: "/stream-once/plan", body: deadly})
+		crs := wld.endsEngines(4)
+		for crs.count() < 3 {
+			wld.send(crs.count(), ask{path: "/stream-once/plan", body: deadly})
 		}
 		time.Sleep(spreadWithin)
 		for _, nod := range wld.nodes {
@@ -264,26 +264,26 @@
 		for i := range wld.nodes {
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
 		}
-		expect(mrg.count()).To(equal(3))
+		expect(crs.count()).To(equal(3))
 	})
 
 	// Guards against requests that are refused since they were at endpoints that ended for another
 	// reason, again and again, and ran in between.
 	ginkgo.It("is cleared once an endpoint has run it", func() {
 		wld := newWorld(2)
-		mrg := wld.endsEngines(4)
+		crs := wld.endsEngines(4)
 		for range 3 {
-			ended := mrg.count()
+			ended := crs.count()
 			eventually(func() int {
-				mrg.repeat(time.Millisecond)
-				return mrg.count()
+				crs.repeat(time.Millisecond)
+				return crs.count()
 			}, soon).Should(gomega.BeNumerically(">=", ended+2))
 			time.Sleep(2 * backAfterEnd)
-			for _, ep := range mrg.all() {
+			for _, ep := range crs.all() {
 				ep.EndsOn("", nil)
 			}
-			expect(mrg.repeat(time.Millisecond)[0].status).To(equal(http.StatusOK))
-			mrg.rearm()
+			expect(crs.repeat(time.Millisecond)[0].status).To(equal(http.StatusOK))
+			crs.rearm()
 		}
 	})
 
@@ -291,22 +291,22 @@
 	// before they run it.
 	ginkgo.It("is not cleared by a failure", func() {
 		wld := newWorld(2)
-		mrg := wld.endsEngines(4)
-		for mrg.count() < 2 {
-			wld.send(mrg.count(), ask{path: "/stream-once/plan", body: deadly})
+		crs := wld.endsEngines(4)
+		for crs.count() < 2 {
+			wld.send(crs.count(), ask{path: "/stream-once/plan", body: deadly})
 		}
 		time.Sleep(2 * backAfterEnd)
-		for _, ep := range mrg.all() {
+		for _, ep := range crs.all() {
 			ep.EndsOn("", nil)
 			ep.Fault(fake.Fails)
 		}
-		expect(mrg.repeat(time.Millisecond)[0].status).To(equal(http.StatusInternalServerError))
-		for _, ep := range mrg.all() {
+		expect(crs.repeat(time.Millisecond)[0].status).To(equal(http.StatusInternalServerError))
+		for _, ep := range crs.all() {
 			ep.Mend()
 		}
-		mrg.rearm()
+		crs.rearm()
 		wld.send(0, ask{path: "/stream-once/plan", body: deadly})
-		expect(mrg.count()).To(equal(3))
+		expect(crs.count()).To(equal(3))
 		time.Sleep(200 * time.Millisecond)
 		for i := range wld.nodes {
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
@@ -343,7 +343,7 @@
 	// Guards against a request that all instances let in at once when its quarantine is over.
 	ginkgo.It("is let in once when its quarantine is over, and refused for longer then", func() {
 		wld := newWorld(4)
-		mrg := wld.endsEngines(4)
+		crs := wld.endsEngines(4)
 		for _, ep := range wld.engines {
 			ep.Takes = 600 * time.Millisecond
 		}
@@ -361,7 +361,7 @@
 		for i := range wld.nodes {
 			expect(wld.send(i, ask{path: "/stream-once/plan", body: deadly}).body).To(gomega.ContainSubstring(`"quarantined"`), "instance %d", i)
 		}
-		expect(mrg.count()).To(equal(1))
+		expect(crs.count()).To(equal(1))
 	})
 
 	// Guards against a request that stays refused although what it ended was mended meanwhile, or
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -147,23 +147,21 @@
 	})
 }
 
-// Presume counts an end under a request that is let in again after its quarantine, before it is sent
-// to any endpoint, so that no other instance lets it in beside this one. False if another has.
-func (ctl *Control) Presume(mrk poison.Mark, attempt ident.Process) bool {
-	presumed := false
+// BeginTrial counts an end under a request whose quarantine is over, before it is sent to any
+// endpoint, so that no other instance lets it in beside this one. False if another one has.
+func (ctl *Control) BeginTrial(mrk poison.Mark, attempt ident.Process) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), tellWait)
 	defer cancel()
-	ctl.loop.Do(ctx, func(now clock.Milli) {
-		if ctl.facts.suspects.Quarantined(mrk, now) > 0 {
-			return
+	began := false
+	done := ctl.loop.Do(ctx, func(now clock.Milli) {
+		if began = ctl.facts.suspects.Quarantined(mrk, now) == 0; began {
+			ctl.facts.note(poison.Key(mrk, attempt), ctl.set.Self.Addr(), now)
 		}
-		presumed = true
-		ctl.facts.note(poison.Key(mrk, attempt), ctl.set.Self.Addr(), now)
 	})
-	return presumed
+	return done && began
 }
 
-// Disprove takes an end back that was presumed.
-func (ctl *Control) Disprove(mrk poison.Mark, attempt ident.Process) {
+// CancelTrial takes the end of a trial back: nothing ran, or the endpoint goes on.
+func (ctl *Control) CancelTrial(mrk poison.Mark, attempt ident.Process) {
 	ctl.loop.Offer(func(now clock.Milli) { ctl.facts.note(poison.Key(mrk, attempt), poison.Cleared, now) })
 }
