--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -16,7 +16,7 @@
 // which bounds the time until each has been probed (the paper's round robin).
 func (lst *List) nextTarget() (ident.Incarnation, bool) {
 	if lst.turn >= len(lst.order) {
-		lst.order, lst.turn = lst.neighbours(), 0
+		lst.order, lst.turn = lst.Neighbours(), 0
 	}
 	for lst.turn < len(lst.order) {
 		who := lst.order[lst.turn]
@@ -33,9 +33,7 @@
 
 // Neighbours gives those whom this instance probes: everybody, or Fanout of them in a larger
 // system, in which all are reached from each by neighbours of neighbours.
-func (lst *List) Neighbours() []ident.Incarnation { return lst.neighbours() }
-
-func (lst *List) neighbours() []ident.Incarnation {
+func (lst *List) Neighbours() []ident.Incarnation {
 	var others []ident.Incarnation
 	for who, mbr := range lst.members {
 		if who != lst.self && mbr.news.Status != Dead {
@@ -51,7 +49,7 @@
 // helpers picks those who probe a silent member for us.
 func (lst *List) helpers(target ident.Incarnation) []ident.Incarnation {
 	var picked []ident.Incarnation
-	for _, who := range lst.neighbours() {
+	for _, who := range lst.Neighbours() {
 		if who != target && lst.members[who].news.Status <= Leaving && len(picked) < IndirectProbes {
 			picked = append(picked, who)
 		}
--- a/pkg/rumor/spread_test.go
+++ b/pkg/rumor/spread_test.go
@@ -2,132 +2,38 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/fleet"
 	"amaranthvalve/pkg/clock"
-	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/rumor"
 )
 
-const (
-	// step is the way between two instances, and how long facts are gathered for a message.
-	step = 5 * clock.Milli(1)
-	// tick is the time between two steps of the membership.
-	tick = 100 * clock.Milli(1)
-)
-
-// inst is an instance as far as facts go.
-type inst struct {
-	who    ident.Incarnation
-	list   *member.List
-	spread rumor.Spread
-	cut    bool
-	sent   int
-}
-
-// fleet is instances that tell one another facts, in fake time, over links that lose messages.
-type fleet struct {
-	rng   *rand.Rand
-	lost  float64
-	now   clock.Milli
-	insts []*inst
-	byWho map[ident.Incarnation]*inst
-}
-
-func newFleet(count int, lost float64, seed uint64) *fleet {
-	flt := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), lost: lost, byWho: map[ident.Incarnation]*inst{}}
-	for i := range count {
-		flt.insts = append(flt.insts, flt.start(i, "a"))
-	}
-	flt.acquaint()
-	return flt
-}
+// knowers is a fleet in which some instances learn facts.
+type knowers struct{ *fleet.Fleet }
 
-func (flt *fleet) start(i int, boot string) *inst {
-	who := ident.Incarnation(fmt.Sprintf("10.0.%d.%d:1#%s", i/250, i%250, boot))
-	ins := &inst{who: who, list: member.New(who, "dc1", "", flt.now)}
-	ins.spread.Bound(rumor.EndedUnder, rumor.Bounds{Keep: clock.Hour, Most: 1000})
-	flt.byWho[who] = ins
-	return ins
-}
-
-// acquaint has all know one another.
-func (flt *fleet) acquaint() {
-	for _, ins := range flt.insts {
-		for _, oth := range flt.insts {
-			ins.list.Learn([]member.News{{Who: oth.who, Zone: "dc1", Seq: 1}}, flt.now)
-		}
-	}
-}
-
-func (flt *fleet) reaches(from, to *inst) bool {
-	from.sent++
-	return to != nil && !from.cut && !to.cut && flt.rng.Float64() >= flt.lost
-}
-
-// run lets a span pass.
-func (flt *fleet) run(span clock.Milli) {
-	for end := flt.now + span; flt.now < end; flt.now += step {
-		type told struct {
-			from, to *inst
-			facts    []rumor.Fact
-		}
-		var all []told
-		for _, ins := range flt.insts {
-			for _, part := range ins.spread.Flush() {
-				for _, who := range ins.list.Neighbours() {
-					all = append(all, told{ins, flt.byWho[who], part})
-				}
-			}
-		}
-		for _, tld := range all {
-			if flt.reaches(tld.from, tld.to) {
-				tld.to.spread.Told(tld.facts, tld.to.list.IsMesh(), flt.now)
-			}
-		}
-		if flt.now%tick != 0 {
-			continue
-		}
-		for _, ins := range flt.insts {
-			for _, act := range ins.list.Tick(flt.now) {
-				flt.probe(ins, flt.byWho[act.Target])
-			}
-		}
-	}
-}
-
-func (flt *fleet) probe(ins, oth *inst) {
-	if !flt.reaches(ins, oth) {
-		return
-	}
-	oth.list.Learn(ins.list.Gossip(oth.who), flt.now)
-	answer, digest := oth.spread.Missing(ins.spread.Digest(), flt.now), oth.spread.Digest()
-	if !flt.reaches(oth, ins) {
-		return
-	}
-	ins.list.Ack(oth.who, flt.now)
-	ins.spread.Told(answer, ins.list.IsMesh(), flt.now)
-	if more := ins.spread.Missing(digest, flt.now); len(more) > 0 && flt.reaches(ins, oth) {
-		oth.spread.Told(more, oth.list.IsMesh(), flt.now)
-	}
+func newKnowers(count int, lost float64, seed uint64) knowers {
+	return knowers{fleet.New(fleet.Setup{Count: count, Lost: lost, Seed: seed, Begin: func(ins *fleet.Instance) {
+		ins.Spread().Bound(rumor.EndedUnder, rumor.Bounds{Keep: clock.Hour, Most: 1000})
+	}})}
 }
 
 // learn has an instance learn a fact by itself.
-func (flt *fleet) learn(i int, key string) {
-	if fct, ok := flt.insts[i].spread.Set(rumor.EndedUnder, key, "x", flt.now); ok {
-		flt.insts[i].spread.Learned(fct)
+func (knw knowers) learn(i int, key string) {
+	spread := knw.Instances()[i].Spread()
+	if fct, ok := spread.Set(rumor.EndedUnder, key, "x", knw.Now()); ok {
+		spread.Learned(fct)
 	}
 }
 
 // knowing counts the instances that know so many facts.
-func (flt *fleet) knowing(count int) int {
+func (knw knowers) knowing(count int) int {
 	all := 0
-	for _, ins := range flt.insts {
-		if ins.spread.Len() == count {
+	for _, ins := range knw.Instances() {
+		if ins.Spread().Len() == count {
 			all++
 		}
 	}
@@ -143,35 +49,30 @@
 	}{{8, 3 * clock.Second}, {66, 3 * clock.Second}, {195, 5 * clock.Second}} {
 		t.Run(fmt.Sprint(size.instances), func(t *testing.T) {
 			gom := gomega.NewWithT(t)
-			flt := newFleet(size.instances, 0.05, uint64(size.instances))
-			flt.run(2 * clock.Second)
+			knw := newKnowers(size.instances, 0.05, uint64(size.instances))
+			knw.Run(2*clock.Second, nil)
 			for i := range 3 {
-				flt.learn(i, fmt.Sprint(i))
-				flt.run(500)
+				knw.learn(i, fmt.Sprint(i))
+				knw.Run(500, nil)
 			}
-			gom.Expect(flt.knowing(3)).To(gomega.BeNumerically(">=", size.instances*99/100), "at once")
-			flt.run(size.within - 500)
-			gom.Expect(flt.knowing(3)).To(gomega.Equal(size.instances))
+			gom.Expect(knw.knowing(3)).To(gomega.BeNumerically(">=", size.instances*99/100), "at once")
+			knw.Run(size.within-500, nil)
+			gom.Expect(knw.knowing(3)).To(gomega.Equal(size.instances))
 
-			for i, ins := range flt.insts {
-				ins.cut = i%5 == 4
+			for i, ins := range knw.Instances() {
+				knw.Cut(ins, i%5 == 4)
 			}
-			flt.learn(0, "while some are cut off")
-			flt.run(2 * clock.Second)
-			for _, ins := range flt.insts {
-				ins.cut = false
+			knw.learn(0, "while some are cut off")
+			knw.Run(2*clock.Second, nil)
+			for _, ins := range knw.Instances() {
+				knw.Cut(ins, false)
 			}
-			flt.run(size.within)
-			gom.Expect(flt.knowing(4)).To(gomega.Equal(size.instances), "after the cut")
+			knw.Run(size.within, nil)
+			gom.Expect(knw.knowing(4)).To(gomega.Equal(size.instances), "after the cut")
 
-			for i := range flt.insts {
-				if i%10 == 9 {
-					flt.insts[i] = flt.start(i, "b")
-				}
-			}
-			flt.acquaint()
-			flt.run(size.within)
-			gom.Expect(flt.knowing(4)).To(gomega.Equal(size.instances), "after restarts")
+			knw.Restart(func(i int) bool { return i%10 == 9 })
+			knw.Run(size.within, nil)
+			gom.Expect(knw.knowing(4)).To(gomega.Equal(size.instances), "after restarts")
 		})
 	}
 }
@@ -180,16 +81,19 @@
 func TestFactsAreToldOnce(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	for _, count := range []int{8, 66} {
-		flt := newFleet(count, 0, 1)
-		flt.learn(0, "one")
-		for range 20 {
-			flt.run(step)
+		knw := newKnowers(count, 0, 1)
+		knw.Run(clock.Second, nil)
+		before := map[*fleet.Instance]int{}
+		for _, ins := range knw.Instances() {
+			before[ins] = ins.Sent()
 		}
+		knw.learn(0, "one")
+		knw.Run(20*fleet.Step-1, nil)
 		most := 0
-		for _, ins := range flt.insts {
-			most = max(most, ins.sent)
+		for _, ins := range knw.Instances() {
+			most = max(most, ins.Sent()-before[ins])
 		}
-		gom.Expect(flt.knowing(1)).To(gomega.Equal(count))
+		gom.Expect(knw.knowing(1)).To(gomega.Equal(count))
 		gom.Expect(most).To(gomega.BeNumerically("<=", member.MeshSize))
 	}
 }
