--- a/internal/pools/rates.go
+++ b/internal/pools/rates.go
@@ -8,6 +8,9 @@
 	"amaranthvalve/pkg/route"
 )
 
+// permitAgain is after how long whoever found no permit asks again, at the latest.
+const permitAgain = clock.Second
+
 // closed lists the endpoints that may be sent nothing now since they name a rate.
 func (pls *Pools) closed(fnl *finals, share float64, now clock.Milli) []string {
 	var ids []string
@@ -36,9 +39,9 @@
 	now := pls.set.Clock.Now()
 	fnl := pls.byID[pool]
 	if fnl == nil || fnl.plain == nil {
-		return "", clock.Second
+		return "", permitAgain
 	}
-	wait = clock.Second
+	wait = permitAgain
 	for _, ep := range fnl.plain.Standings() {
 		if !pls.rates.Has(ep.ID) || ep.Leaving {
 			continue
