internal/front: an attempt is ended for its time only once another endpoint takes the next one

What callers saw: a request that may be repeated and was under way at a slow endpoint was answered with 502 (it may have run) before its deadline, though its endpoint went on.

Cause: an attempt that takes far longer than others is ended once another one is allowed and paid for, but whether any endpoint would take it was asked only afterwards. Endpoints that name a rate take none for seconds, so what was seldom before (all others full or left out) is common in their pools. Ruled out: the end of the planned stop (it came 0.7 s later), and the request's deadline.

Change: the next attempt has its endpoint before the present one is ended; until there is one the present one goes on, and it is looked for again every 250 ms. An endpoint's place that isn't used is given back.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -32,13 +32,6 @@
 	// results take a few more on their way. Held until the first event, they took room that
 	// other pieces waited for.
 	fetchFor = 60 * time.Millisecond
-	// patience is how many times what it hardly takes a final call that may be repeated
-	// may take to its first byte before it is tried at another endpoint, and never less
-	// than minPatience. A hung endpoint would otherwise hold a request until its route's
-	// time is up, while others could answer it in some tens of milliseconds. Four times
-	// is what internal/stage goes by too.
-	patience    = 4
-	minPatience = 250 * clock.Milli(1)
 	// keptWhole bounds an answer that is read whole before it is handed on, in
 	// bytes.
 	keptWhole = 1 << 20
@@ -58,6 +51,7 @@
 	if !cl.route.Resumable() {
 		run.after = ""
 	}
+	defer run.giveUpNext()
 	for {
 		tgt, res := run.place(ctx)
 		if res.Outcome() != outcm.Pending {
@@ -85,8 +79,10 @@
 	// word that they didn't.
 	ran     int
 	refused int
-	// paid tells that the attempt was ended for its time, and the next one paid for.
+	// paid tells that the attempt was ended for its time, and the next one paid for; next is
+	// where that one goes.
 	paid bool
+	next *homes.Seat
 	// after is the last event that the caller has of a stream.
 	after string
 	// failed is what the attempt before ended with; kept is a whole failure of
@@ -104,6 +100,10 @@
 // place finds an endpoint; a full pool is waited for a moment.
 func (run *running) place(ctx context.Context) (homes.Seat, outcm.Result) {
 	fr, cl := run.fr, run.cl
+	if next := run.next; next != nil {
+		run.next = nil
+		return *next, outcm.Result{}
+	}
 	until := fr.set.Clock.Now() + max(cl.due-cl.arrived, 0)/waitShare
 	for {
 		ask := cl.want(run.avoid)
@@ -167,7 +167,7 @@
 	defer stop()
 	rqs.Allowed = func() bool { return fr.stillAllowed(cl) && !fr.isQuarantined(cl) }
 	var ovt overtime
-	hurry := run.hurry(&ovt, cancel)
+	hurry := run.hurry(actx, &ovt, cancel)
 	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, talk.Send{
 		Endpoint: tgt.ID, Workspace: cl.wsp, Left: cl.until - began, Priority: cl.rank, Inputs: cl.inputs, Fetch: tgt.From, After: run.after,
 	})
@@ -206,23 +206,6 @@
 	return run.judge(ctx, end)
 }
 
-// hurry ends an attempt that takes far longer than others did, if there may be another.
-// One that can't be repeated, or whose inputs can't be had again, has all the time that is
-// left. The next one is allowed, and paid for from the pool's budget, before this one is
-// ended: otherwise there would be none, and this one may still be answered.
-func (run *running) hurry(ovt *overtime, cancel func()) *time.Timer {
-	fr, cl := run.fr, run.cl
-	if !cl.route.Repeatable() || run.ran+1 >= cl.route.Attempts() || len(cl.inputs) > 0 || cl.trial {
-		return time.NewTimer(longestWait.Duration())
-	}
-	careful := fr.firsts.careful(cl.route.Name(), cl.route.Goal(), fr.set.Clock.Now())
-	return time.AfterFunc(max(minPatience, patience*careful).Duration(), func() {
-		ovt.end(func() bool {
-			return fr.stillAllowed(cl) && !fr.isQuarantined(cl) && fr.pools.Repeat(cl.pool.Name(), fr.set.Control.View())
-		}, cancel)
-	})
-}
-
 // releasing gives the request with a hook that gives back what it takes, once the
 // engine has had time to fetch it, and what ends the hook.
 //
--- a/internal/front/overtime.go
+++ b/internal/front/overtime.go
@@ -11,15 +11,16 @@
 	ended   bool
 }
 
-// end ends the attempt if it is under way and may allows it.
-func (ovt *overtime) end(may func() bool, cancel func()) {
+// end ends the attempt if it is under way and may allows it, and tells whether it did.
+func (ovt *overtime) end(may func() bool, cancel func()) bool {
 	ovt.mtx.Lock()
 	defer ovt.mtx.Unlock()
 	if ovt.settled || !may() {
-		return
+		return false
 	}
 	ovt.ended = true
 	cancel()
+	return true
 }
 
 // settle keeps an attempt from being ended, and tells whether it has been.
--- a/internal/node/rate_test.go
+++ b/internal/node/rate_test.go
@@ -214,4 +214,19 @@
 			off.Store(0)
 		}
 	})
+
+	// Guards against a request that is ended at a slow endpoint, for another attempt, though all
+	// other endpoints name a rate and take none.
+	ginkgo.It("leaves requests at a slow endpoint where it is the only other one", func() {
+		wld := newWorld(1)
+		wld.plain[0].SetRate(0.25)
+		for range 20 {
+			expect(wld.send(0, toPlain).status).To(equal(http.StatusOK))
+		}
+		wld.plain[1].DelayedTakes = 1500 * time.Millisecond
+		for range 3 {
+			wld.plain[1].Fault(fake.Delayed)
+			expect(wld.send(0, toPlain).status).To(equal(http.StatusOK))
+		}
+	})
 })
