internal/soak: a request of which no byte passed was lost on its way

Change: one on a connection that was made silent for good, and over which no byte ever passed, is left out too; all else counts as before. A case of its own in TestHeldIsToldUnlessItWasLostOnItsWay; the six others are unchanged.

--- a/internal/soak/held_test.go
+++ b/internal/soak/held_test.go
@@ -86,6 +86,15 @@
 				return send(t, ins, con)
 			}, broken: 1,
 		},
+		"silenced between the instant of the sending and the first byte": {
+			play: func(t *testing.T, ins *instance) *attempt {
+				con, sent := connect(t, ins), time.Now()
+				ins.front.stick()
+				att := send(t, ins, con)
+				att.sent = sent
+				return att
+			},
+		},
 		"silenced before the sending":                  {play: silencedBefore},
 		"silenced before the sending, where all count": {play: silencedBefore, heldAll: true, broken: 1},
 	} {
--- a/internal/soak/wire_test.go
+++ b/internal/soak/wire_test.go
@@ -65,10 +65,14 @@
 
 // swallowed tells whether what was sent at an instant on a connection that was dialled at
 // another one can't have reached who was dialled: the connection was silent for good
-// before, and no byte has passed since. An earlier connection of the same address was
+// before, and no byte has passed since; or it became so while the request was about to be
+// written, and no byte ever passed. An earlier connection of the same address was
 // silenced before this one was dialled.
 func (rec record) swallowed(dialled, sent time.Time) bool {
-	return rec.stuckAt.After(dialled) && rec.stuckAt.Before(sent) && rec.passedAt.Before(sent)
+	if !rec.stuckAt.After(dialled) {
+		return false
+	}
+	return rec.passed == 0 || rec.stuckAt.Before(sent) && rec.passedAt.Before(sent)
 }
 
 // tell describes the connection as of the sending of a request.
