internal/front, internal/dial, pkg/place: lines and metrics tell why an endpoint isn't reached

Cause: of the hypotheses on the partitioned instances the third (what one instance can't reach is avoided by all) can't be told from the log lines: a failed attempt says "nothing_sent" for a refused connection, a reset and silence alike, and the line on a chosen engine doesn't say how many engines are ejected. No metric counts dials.

Change: the line `attempt failed` has the error of the connection, `engine chosen` the number of ejected engines; amv_endpoint_dials_total counts dials by result, from zero. Dialling moves from internal/relay to internal/dial, with the function as a parameter of the clients, so that a later change has one place. No decision differs.

--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -96,7 +96,7 @@
 			request = ticket[:at]
 		}
 		crd.set.Log.Info().Str("request", request).Str("pool", pool).Str("endpoint", string(tgt.ID)).Int("tokens", ask.Prompt.InTokens).Int("held_tokens", why.CachedTokens).
-			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Msg("engine chosen")
+			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Int("ejected", why.Ejected).Msg("engine chosen")
 	}
 	return Placement{Target: tgt}, ok
 }
--- /dev/null
+++ b/internal/dial/doc.go
@@ -0,0 +1,2 @@
+// Package dial opens connections to endpoints.
+package dial
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -169,7 +169,7 @@
 	rqs.Allowed = func() bool { return fr.tokenValid(cl) && !fr.isQuarantined(cl) }
 	var cgd cancelGuard
 	timer := run.cancelIfSlow(actx, &cgd, cancel)
-	rsp, end := fr.set.Relay.Do(actx, tgt.Addr, rqs, proto.SendMeta{
+	rsp, end, err := fr.set.Relay.Do(actx, tgt.Addr, rqs, proto.SendMeta{
 		Endpoint: tgt.ID, Workspace: cl.wsp, Remaining: cl.deadline - began, Priority: cl.rank, Inputs: cl.inputs, Fetch: tgt.FetchFrom, LastEvent: run.lastEvent,
 	})
 	timer.Stop()
@@ -200,7 +200,7 @@
 		fr.checkCrash(cl, tgt)
 	}
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
-		Str("ending", end.String()).Bool("outlasted", slow).Int64("took_ms", int64(took)).Msg("attempt failed")
+		Str("ending", end.String()).AnErr("error", err).Bool("outlasted", slow).Int64("took_ms", int64(took)).Msg("attempt failed")
 	if rsp != nil && rsp.Reply.Misdirected {
 		fr.set.Control.EndpointLeaving(tgt.ID, "another endpoint answers at its address")
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -17,6 +17,7 @@
 
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
+	"amaranthvalve/pkg/reach"
 	"amaranthvalve/pkg/retry"
 )
 
@@ -33,6 +34,7 @@
 	engineMs    *prometheus.CounterVec
 	wastedMs    *prometheus.CounterVec
 	events      *prometheus.CounterVec
+	dials       *prometheus.CounterVec
 	gauges      *prometheus.GaugeVec
 
 	mtx     sync.Mutex
@@ -86,6 +88,7 @@
 	mtr.retries = mtr.counter("retries_total", "Stage attempts after the first, by cause.", "cause")
 	mtr.engineMs = mtr.counter("stage_engine_ms_total", "Endpoint time spent, milliseconds.", "service", "stage")
 	mtr.wastedMs = mtr.counter("stage_wasted_ms_total", "Endpoint time spent on attempts whose result nobody used, milliseconds.", "service", "stage")
+	mtr.dials = mtr.counter("endpoint_dials_total", "Connections opened to endpoints, by path and result.", "path", "result")
 	mtr.events = mtr.counter("events_total", "Notable events by kind.", "kind")
 	mtr.requestTime = mtr.histogram("request_seconds", "Time from a request's arrival to its answer.", "service")
 	mtr.stageTime = mtr.histogram("stage_seconds", "Time of a stage's successful attempt, waiting included.", "service", "stage")
@@ -116,6 +119,11 @@
 	for _, cause := range retry.Causes() {
 		mtr.retries.WithLabelValues(cause.String())
 	}
+	for _, path := range reach.Paths() {
+		for _, res := range reach.Results() {
+			mtr.dials.WithLabelValues(path.String(), res.String())
+		}
+	}
 	for _, kind := range events {
 		mtr.events.WithLabelValues(kind)
 	}
@@ -169,5 +177,10 @@
 // CountEvent counts an event by its kind.
 func (mtr *Meter) CountEvent(kind string) { mtr.events.WithLabelValues(kind).Inc() }
 
+// CountDial counts an attempt to open a connection to an endpoint, by its path and its result.
+func (mtr *Meter) CountDial(path reach.Path, res reach.Result) {
+	mtr.dials.WithLabelValues(path.String(), res.String()).Inc()
+}
+
 // SetGauge sets a gauge by name.
 func (mtr *Meter) SetGauge(name string, val float64) { mtr.gauges.WithLabelValues(name).Set(val) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/coord"
+	"amaranthvalve/internal/dial"
 	"amaranthvalve/internal/front"
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
@@ -29,6 +30,7 @@
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/place"
+	"amaranthvalve/pkg/reach"
 )
 
 // Error is the class of errors that prevent an instance from starting.
@@ -144,7 +146,8 @@
 	onReply := func(addr string, res *http.Response, ago time.Duration) {
 		nod.ctl.RecordReply(addr, dia.Reply(res), nod.clk.Now()-clock.FromDuration(ago))
 	}
-	cli := relay.PooledClient(idleConnTimeout, onReply)
+	toEndpoint := dial.Counted(dial.Direct().DialContext, func(res reach.Result) { nod.mtr.CountDial(reach.Direct, res) })
+	cli := relay.PooledClient(idleConnTimeout, toEndpoint, onReply)
 	share, reserve, window := nod.set.RetryBudget()
 	btr := batch.New(batch.Setup{
 		Dialect: dia, Client: cli, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: reserve, Window: window,
@@ -157,7 +160,7 @@
 	nod.pools = pls
 	nod.ctl = state.New(state.Setup{
 		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
-		Clock: nod.clk, Store: dia.Store(nod.set.StoreAddr(), relay.PooledClient(idleConnTimeout, nil)), Meter: nod.mtr, Log: nod.log,
+		Clock: nod.clk, Store: dia.Store(nod.set.StoreAddr(), relay.PooledClient(idleConnTimeout, dial.Direct().DialContext, nil)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link, TokenMaxViewAge: nod.set.TokenMaxViewAge(),
 		OnChange: func(vw *state.View) {
 			btr.Sync(vw.Plan(), vw.Endpoints(), vw.Rates())
@@ -169,7 +172,7 @@
 	})
 	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli)})
 	nod.front = front.New(front.Setup{
-		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
+		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, toEndpoint, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
 		Meter: nod.mtr, Log: nod.log,
 		TokenMaxViewAge: clock.Milli(tokenAgeShare * float64(nod.set.TokenMaxViewAge())),
 	})
--- a/internal/relay/allowed.go
+++ b/internal/relay/allowed.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+
+	"amaranthvalve/internal/dial"
 )
 
 // errWithheld is returned for a request that was not sent because it is no longer allowed.
@@ -21,9 +23,9 @@
 
 // dialAllowed returns a dial function that closes the new connection if its request is no longer
 // allowed. Each connection is dialled for one request.
-func dialAllowed(dlr *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
+func dialAllowed(next dial.Func) dial.Func {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		con, err := dlr.DialContext(ctx, network, addr)
+		con, err := next(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"amaranthvalve/internal/dial"
 )
 
 const (
@@ -22,7 +24,7 @@
 // ProcessEnded reports whether the process at an address has ended: connections to it are refused.
 // It returns false if the address can't be reached, or if another process already listens there.
 func ProcessEnded(ctx context.Context, addr string) bool {
-	dlr := Dialer()
+	dlr := dial.Direct()
 	return refusesConnections(ctx, func(ctx context.Context) (net.Conn, error) { return dlr.DialContext(ctx, "tcp", addr) })
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,60 +5,26 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"net/url"
 	"slices"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"amaranthvalve/internal/dial"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/ending"
 )
 
-// Times of a connection.
-const (
-	// dialTimeout bounds the opening of a connection: a machine without power does not answer at
-	// all.
-	dialTimeout = 800 * time.Millisecond
-	// userTimeout is how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT); idle
-	// connections are probed every keepAliveInterval. A dead connection would otherwise hold a
-	// request until its deadline. An endpoint that is merely slow acknowledges both.
-	userTimeout       = 1500 * time.Millisecond
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 2
-)
-
-// Dialer returns a dialer whose connections detect an unreachable peer.
-func Dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
-	}
-}
-
 // PooledClient returns a client that reuses connections, for calls that may be repeated;
 // connections are closed when they have been unused for idle. obs is called with each answer; it
 // may be nil.
-func PooledClient(idle time.Duration, obs Observer) *http.Client {
+func PooledClient(idle time.Duration, dlf dial.Func, obs Observer) *http.Client {
 	return &http.Client{
 		Transport: &observedTransport{observe: obs, next: &http.Transport{
-			DialContext: Dialer().DialContext, DisableCompression: true,
+			DialContext: dlf, DisableCompression: true,
 			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -75,9 +41,9 @@
 }
 
 // New returns a relay for a dialect. obs is called with each answer; it may be nil.
-func New(dia *proto.Dialect, obs Observer) *Relay {
+func New(dia *proto.Dialect, dlf dial.Func, obs Observer) *Relay {
 	return &Relay{dia: dia, trn: &observedTransport{observe: obs, next: &http.Transport{
-		DialContext: dialAllowed(Dialer()), DisableCompression: true,
+		DialContext: dialAllowed(dlf), DisableCompression: true,
 		// No connection is reused. DisableKeepAlives would achieve that too, but sends "Connection:
 		// close" to endpoints; they would then answer the same, which could not be told from an
 		// endpoint that is leaving.
@@ -119,24 +85,16 @@
 }
 
 // Do sends a request to an endpoint. The response is nil unless it answers this request; a refusal
-// comes with its response.
-func (rel *Relay) Do(ctx context.Context, addr string, rqs Request, snd proto.SendMeta) (*Response, ending.Ending) {
+// comes with its response. The error, if any, is that of the connection.
+func (rel *Relay) Do(ctx context.Context, addr string, rqs Request, snd proto.SendMeta) (*Response, ending.Ending, error) {
 	var connected atomic.Bool
 	req, err := rel.request(ctx, addr, rqs, snd, &connected)
 	if err != nil {
-		return nil, ending.NothingSent
+		return nil, ending.NothingSent, err
 	}
 	res, err := rel.trn.RoundTrip(req)
 	if err != nil {
-		switch {
-		case errors.Is(err, errWithheld):
-			return nil, ending.Withheld
-		case !connected.Load():
-			return nil, ending.NothingSent
-		case ctx.Err() != nil:
-			return nil, ending.GaveUp
-		}
-		return nil, ending.Cut
+		return nil, endingOf(ctx, err, connected.Load()), err
 	}
 	rsp := &Response{
 		Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Body: res.Body, Length: res.ContentLength,
@@ -145,11 +103,24 @@
 	end := rel.classify(rqs.ID, rsp)
 	if end != ending.Answered && end != ending.Refused {
 		_ = res.Body.Close()
-		return nil, end
+		return nil, end, nil
 	}
 	rel.dia.StripHeaders(rsp.Header)
 	dropHop(rsp.Header)
-	return rsp, end
+	return rsp, end, nil
+}
+
+// endingOf returns the ending of an attempt without a response.
+func endingOf(ctx context.Context, err error, connected bool) ending.Ending {
+	switch {
+	case errors.Is(err, errWithheld):
+		return ending.Withheld
+	case !connected:
+		return ending.NothingSent
+	case ctx.Err() != nil:
+		return ending.GaveUp
+	}
+	return ending.Cut
 }
 
 // classify returns the ending of an attempt, by the request that its answer names and by what the
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -72,6 +72,8 @@
 	Read         clock.Milli
 	Streams      int
 	CachedTokens int
+	// Ejected is the number of engines of the pool that are ejected.
+	Ejected int
 }
 
 // evaluation is an [Ask] with the values derived from it that are common to all engines.
@@ -108,11 +110,27 @@
 	return plc.placement(best, evl), true
 }
 
+func (plc *Placer) countEjected(now clock.Milli) int {
+	count := 0
+	for _, eng := range plc.list {
+		if eng.isEjected(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// isEjected reports whether an engine gets no requests for its failures: it is not probed yet, or a
+// probe is in progress.
+func (eng *engine) isEjected(now clock.Milli) bool {
+	return now < eng.ejectedUntil || eng.ejectedUntil > 0 && eng.probing
+}
+
 func (plc *Placer) placement(eng *engine, evl evaluation) Placement {
 	cached := evl.cachedBy(eng)
 	plm := Placement{
 		Engine: eng.Engine, Wait: clock.Milli(eng.queueTime(evl.now)), Read: clock.Milli(plc.readTime(eng, evl.Prompt.InTokens-cached, evl.now)),
-		Streams: int(eng.streams(evl.now)), CachedTokens: cached,
+		Streams: int(eng.streams(evl.now)), CachedTokens: cached, Ejected: plc.countEjected(evl.now),
 	}
 	if eng.Fetches && evl.cachedAt != nil && evl.cachedAt != eng && evl.mostCached >= cached+minFetchTokens {
 		plm.FetchAddr = evl.cachedAt.Addr
@@ -200,7 +218,7 @@
 	for _, eng := range plc.list {
 		switch {
 		case eng.Leaving || slices.Contains(avoid, eng.ID):
-		case now < eng.ejectedUntil || eng.ejectedUntil > 0 && eng.probing:
+		case eng.isEjected(now):
 			ejected = append(ejected, eng)
 		case eng.Slots > 0 && eng.streams(now) >= float64(eng.Slots), eng.Memory > 0 && eng.memoryNeed() > eng.Memory:
 			full = append(full, eng)
--- /dev/null
+++ b/pkg/reach/doc.go
@@ -0,0 +1,2 @@
+// Package reach describes how an instance reaches endpoints.
+package reach
--- /dev/null
+++ b/pkg/reach/result.go
@@ -0,0 +1,35 @@
+package reach
+
+//go:generate go tool stringer -type=Result,Path -linecomment -output=result_string.go
+
+// Result is how an attempt to open a connection to an endpoint ended.
+type Result int
+
+// The results.
+const (
+	// Connected: the connection was opened.
+	Connected Result = iota // connected
+	// Refused: the address refuses connections: no process listens there, or the path is blocked.
+	Refused // refused
+	// Unanswered: there was no answer in time.
+	Unanswered // unanswered
+	// Unreachable: the network has no path to the address, or reset the connection.
+	Unreachable // unreachable
+	// Canceled: the caller gave up.
+	Canceled // canceled
+)
+
+// Results returns all results.
+func Results() []Result { return []Result{Connected, Refused, Unanswered, Unreachable, Canceled} }
+
+// Path is the way on which an instance reaches an endpoint.
+type Path int
+
+// The paths.
+const (
+	// Direct: the instance opens the connection itself.
+	Direct Path = iota // direct
+)
+
+// Paths returns all paths.
+func Paths() []Path { return []Path{Direct} }
