--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,8 @@
 	pools *pools.Pools
 	coord *coord.Coordinator
 	link  *peer.Link
+	// dialDirect opens connections to endpoints; tests replace it.
+	dialDirect dial.Func
 
 	callers      *serve.Server
 	auxServers   []*http.Server
@@ -83,7 +85,7 @@
 // New opens the sockets of an instance that serves a dialect. It accepts no requests
 // before Start.
 func New(set *conf.Settings, dia *proto.Dialect, log zerolog.Logger) (*Node, error) {
-	nod := &Node{set: set, log: log, mtr: meter.New(), stopped: make(chan struct{})}
+	nod := &Node{set: set, log: log, mtr: meter.New(), stopped: make(chan struct{}), dialDirect: dial.Direct().DialContext}
 	nod.entryTTL.Store(int64(set.EntryTTL()))
 	lsn, err := net.Listen("tcp", set.CallerAddr())
 	if err != nil {
@@ -146,7 +148,9 @@
 	onReply := func(addr string, res *http.Response, ago time.Duration) {
 		nod.ctl.RecordReply(addr, dia.Reply(res), nod.clk.Now()-clock.FromDuration(ago))
 	}
-	toEndpoint := dial.Counted(dial.Direct().DialContext, func(res reach.Result) { nod.mtr.CountDial(reach.Direct, res) })
+	toEndpoint := dial.Counted(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return nod.dialDirect(ctx, network, addr)
+	}, func(res reach.Result) { nod.mtr.CountDial(reach.Direct, res) })
 	cli := relay.PooledClient(idleConnTimeout, toEndpoint, onReply)
 	share, reserve, window := nod.set.RetryBudget()
 	btr := batch.New(batch.Setup{
