internal/dial, pkg/reach: instances partitioned from all endpoints connect through others

What callers saw: instances without a link to any endpoint refused nearly all first attempts, and stages failed at all instances whose coordinator was partitioned.

Cause: each instance dials every endpoint itself and takes what it can't reach for down; there is no way to run a request through another instance, and a coordinator that reaches nothing keeps its role. The class: one instance's view of an endpoint is taken for the endpoint's state.

Change: connections to endpoints are opened by internal/dial, directly and, if that fails or takes over 50 ms, through another instance, which copies the bytes over the link. Package reach decides by two observations, whether a relay reaches the address and whether this instance reaches any.

Why it works: a connection that was not opened has carried no byte of a request, so that a second path is safe for requests that may run once; tokens, deadlines, quarantine and retries stay where they were.

Not in this change: what counts as a crash of an endpoint (connections refused by a partition still do).

--- a/internal/relay/crash.go
+++ b/internal/dial/crash.go
@@ -1,13 +1,10 @@
-package relay
+package dial
 
 import (
 	"context"
-	"errors"
-	"net"
-	"syscall"
 	"time"
 
-	"amaranthvalve/internal/dial"
+	"amaranthvalve/pkg/reach"
 )
 
 const (
@@ -23,25 +20,37 @@
 
 // ProcessEnded reports whether the process at an address has ended: connections to it are refused.
 // It returns false if the address can't be reached, or if another process already listens there.
-func ProcessEnded(ctx context.Context, addr string) bool {
-	dlr := dial.Direct()
-	return refusesConnections(ctx, func(ctx context.Context) (net.Conn, error) { return dlr.DialContext(ctx, "tcp", addr) })
+func (dlr *Dialer) ProcessEnded(ctx context.Context, addr string) bool {
+	return dlr.observe(ctx, addr) == reach.Refused
 }
 
-func refusesConnections(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) bool {
-	for accepted, unanswered := 0, 0; ; {
-		con, err := dial(ctx)
-		switch {
-		case err == nil:
+// observe dials an address until its state is clear: refused, connected or unanswered.
+func (dlr *Dialer) observe(ctx context.Context, addr string) reach.Result {
+	return observe(ctx, func(ctx context.Context) reach.Result {
+		con, err := dlr.direct(ctx, "tcp", addr)
+		if con != nil {
 			_ = con.Close()
-			accepted++
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return true
+		}
+		return ResultOf(err)
+	})
+}
+
+func observe(ctx context.Context, dial func(ctx context.Context) reach.Result) reach.Result {
+	for accepted, unanswered := 0, 0; ; {
+		switch res := dial(ctx); res {
+		case reach.Refused:
+			return res
+		case reach.Connected:
+			if accepted++; accepted >= maxAccepted {
+				return res
+			}
 		default:
-			unanswered++
+			if unanswered++; unanswered >= maxUnanswered {
+				return res
+			}
 		}
-		if accepted >= maxAccepted || unanswered >= maxUnanswered || !sleep(ctx, crashCheckInterval) {
-			return false
+		if !sleep(ctx, crashCheckInterval) {
+			return reach.Canceled
 		}
 	}
 }
--- /dev/null
+++ b/internal/dial/serve.go
@@ -0,0 +1,116 @@
+package dial
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/proto"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/reach"
+)
+
+const (
+	// maxServed bounds the connections that an instance relays at a time: each takes a descriptor and
+	// two buffers.
+	maxServed = 1024
+	// servedTimeout bounds the opening of a connection for another instance, which tries other relays
+	// meanwhile.
+	servedTimeout = 300 * time.Millisecond
+	// copyBytes is the size of such a buffer.
+	copyBytes = 16 << 10
+)
+
+// serving counts the connections that this instance relays.
+type serving struct {
+	count atomic.Int64
+}
+
+// Served returns the number of connections that this instance relays.
+func (dlr *Dialer) Served() int64 { return dlr.serving.count.Load() }
+
+// ServeTunnel relays a connection to an endpoint for another instance; it is registered with the link.
+func (dlr *Dialer) ServeTunnel(msg peer.Message, tnl *peer.Tunnel) {
+	defer dlr.serving.count.Add(-1)
+	con, reply := dlr.connectFor(msg, dlr.serving.count.Add(1))
+	ans := peer.Message{Kind: peer.Nack, From: dlr.set.Self}
+	if con != nil {
+		ans.Kind = peer.OK
+	}
+	body, err := cbor.Marshal(reply)
+	ans.Body = body
+	if err != nil || tnl.Answer(ans) != nil || con == nil {
+		if con != nil {
+			_ = con.Close()
+		}
+		_ = tnl.Close()
+		return
+	}
+	splice(tnl, con)
+}
+
+// connectFor opens the connection that another instance asks for. count is the number of connections
+// relayed here with this one.
+func (dlr *Dialer) connectFor(msg peer.Message, count int64) (net.Conn, tunnelReply) {
+	var trq tunnelRequest
+	if cbor.Unmarshal(msg.Body, &trq) != nil {
+		return nil, tunnelReply{Result: reach.Unreachable, Withheld: true}
+	}
+	ep, ok := dlr.endpoint(trq.Endpoint)
+	if !ok || count > maxServed {
+		return nil, tunnelReply{Result: reach.Unreachable, Withheld: true}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), boundedBy(trq.Timeout))
+	defer cancel()
+	con, err := dlr.direct(ctx, "tcp", ep.Addr)
+	if err != nil {
+		return nil, tunnelReply{Result: ResultOf(err), Blind: !dlr.reachesOthers(context.Background(), ep.Addr)}
+	}
+	return con, tunnelReply{}
+}
+
+// boundedBy returns a caller's timeout within the one for connections.
+func boundedBy(span clock.Milli) time.Duration {
+	return min(max(span.Duration(), 0), servedTimeout)
+}
+
+// endpoint returns the endpoint with an ID. Its address here may differ from the one that the caller
+// knows, and an address that is no endpoint's is never connected.
+func (dlr *Dialer) endpoint(id ident.Process) (proto.Endpoint, bool) {
+	for _, ep := range dlr.set.Endpoints() {
+		if ep.ID == id {
+			return ep, true
+		}
+	}
+	return proto.Endpoint{}, false
+}
+
+// splice copies between a tunnel and the connection of an endpoint until both directions have ended.
+// A broken connection breaks the tunnel, so that the caller can tell a complete answer from a cut one;
+// a tunnel that was closed closes the connection, by which the endpoint learns that its caller is gone.
+func splice(tnl *peer.Tunnel, con net.Conn) {
+	var grp sync.WaitGroup
+	grp.Go(func() {
+		_, _ = io.CopyBuffer(onlyWriter{con}, tnl, make([]byte, copyBytes))
+		_ = con.Close()
+	})
+	_, err := io.CopyBuffer(onlyWriter{tnl}, con, make([]byte, copyBytes))
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		tnl.Reset()
+	} else {
+		_ = tnl.Close()
+	}
+	grp.Wait()
+}
+
+// onlyWriter hides the other methods of a writer, by which io.CopyBuffer would choose a buffer of its
+// own.
+type onlyWriter struct{ io.Writer }
--- /dev/null
+++ b/internal/dial/tunnel_test.go
@@ -0,0 +1,198 @@
+package dial
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/proto"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/reach"
+)
+
+// network is an instance that reaches no endpoint, one that relays for it, and an endpoint.
+type network struct {
+	origin, relay *Dialer
+	endpoint      net.Listener
+	addr          string
+	// unknown is set if the relay doesn't know the endpoint.
+	unknown atomic.Bool
+	// healed ends the partition of the origin, blocked partitions the relay as well.
+	healed, blocked atomic.Bool
+}
+
+func newNetwork(t *testing.T) *network {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = lsn.Close() })
+	nwk := &network{endpoint: lsn, addr: lsn.Addr().String()}
+	refuse := func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	partitioned := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if !nwk.healed.Load() {
+			return refuse(ctx, network, addr)
+		}
+		return Direct().DialContext(ctx, network, addr)
+	}
+	there := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if nwk.blocked.Load() {
+			return refuse(ctx, network, addr)
+		}
+		return Direct().DialContext(ctx, network, addr)
+	}
+	link := func() *peer.Link {
+		server, client, err := peer.EphemeralTLS()
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		lnk, err := peer.Listen("127.0.0.1:0", server, client, func(context.Context, peer.Message) peer.Message { return peer.Message{Kind: peer.Nack} })
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		return lnk
+	}
+	here, other := link(), link()
+	endpoints := func() []proto.Endpoint { return []proto.Endpoint{{ID: "one", Addr: nwk.addr}} }
+	relay := ident.Incarnation(other.Addr() + "#b")
+	set := Setup{Endpoints: endpoints, Meter: meter.New(), Log: zerolog.Nop()}
+	set.Self, set.Link, set.Direct = ident.Incarnation(here.Addr()+"#a"), here, partitioned
+	set.Relays = func() []reach.Relay { return []reach.Relay{{ID: relay, Capacity: 1}} }
+	nwk.origin = New(set)
+	set.Self, set.Link, set.Direct = relay, other, there
+	set.Relays = func() []reach.Relay { return nil }
+	set.Endpoints = func() []proto.Endpoint {
+		if nwk.unknown.Load() {
+			return nil
+		}
+		return endpoints()
+	}
+	nwk.relay = New(set)
+	other.HandleTunnel = nwk.relay.ServeTunnel
+	ctx, cancel := context.WithCancel(context.Background())
+	go here.Serve(ctx)
+	go other.Serve(ctx)
+	t.Cleanup(func() {
+		nwk.origin.Close()
+		nwk.relay.Close()
+		cancel()
+	})
+	return nwk
+}
+
+// connect opens a connection through the relay and returns both of its ends.
+func (nwk *network) connect(gom *gomega.WithT) (net.Conn, *net.TCPConn) {
+	con, err := nwk.origin.DialContext(context.Background(), "tcp", nwk.addr)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	end, err := nwk.endpoint.Accept()
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	return con, end.(*net.TCPConn)
+}
+
+// Guards against bytes that are lost, changed or held back on the way through a relay.
+func TestTunnelCarriesBytes(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	con, end := newNetwork(t).connect(gom)
+	sent := make([]byte, 8<<20)
+	_, _ = rand.Read(sent)
+	for _, dir := range []struct{ from, to net.Conn }{{con, end}, {end, con}} {
+		got := make([]byte, len(sent))
+		done := make(chan error, 1)
+		go func() {
+			_, err := io.ReadFull(dir.to, got)
+			done <- err
+		}()
+		_, err := dir.from.Write(sent)
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		gom.Eventually(done, 10*time.Second).Should(gomega.Receive(gomega.BeNil()))
+		gom.Expect(bytes.Equal(got, sent)).To(gomega.BeTrue())
+	}
+	began := time.Now()
+	_, _ = end.Write([]byte("an event"))
+	_, err := io.ReadFull(con, make([]byte, 8))
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+}
+
+// Guards against a response that ends with its connection and looks complete although that was reset.
+func TestTunnelTellsResetFromEnd(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	con, end := nwk.connect(gom)
+	_, _ = end.Write([]byte("all of it"))
+	_ = end.Close()
+	text, err := io.ReadAll(con)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(string(text)).To(gomega.Equal("all of it"))
+
+	con, end = nwk.connect(gom)
+	_, _ = end.Write([]byte("a part"))
+	_, err = io.ReadFull(con, make([]byte, 6))
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	_ = end.SetLinger(0)
+	_ = end.Close()
+	_, err = con.Read(make([]byte, 1))
+	gom.Expect(err).To(gomega.HaveOccurred())
+	gom.Expect(errors.Is(err, io.EOF)).To(gomega.BeFalse())
+}
+
+// Guards against an endpoint that works on for a caller that is gone, and against relayed connections
+// that are never freed.
+func TestTunnelPassesOnTheClose(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	con, end := nwk.connect(gom)
+	gom.Expect(nwk.relay.Served()).To(gomega.BeEquivalentTo(1))
+	_ = con.Close()
+	_ = end.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	_, err := end.Read(make([]byte, 1))
+	gom.Expect(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)).To(gomega.BeTrue(), "%v", err)
+	_ = end.Close()
+	gom.Eventually(nwk.relay.Served, time.Second).Should(gomega.BeZero())
+}
+
+// Guards against a relay that connects to addresses which are no endpoints, and against asking again
+// for an endpoint that no instance reaches.
+func TestRelayConnectsOnlyToEndpoints(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	_, err := nwk.origin.DialContext(t.Context(), "tcp", "127.0.0.1:9")
+	gom.Expect(err).To(gomega.HaveOccurred())
+	nwk.unknown.Store(true)
+	_, err = nwk.origin.DialContext(t.Context(), "tcp", nwk.addr)
+	gom.Expect(err).To(gomega.HaveOccurred())
+	gom.Expect(nwk.relay.Served()).To(gomega.BeZero())
+}
+
+// Guards against requests that wait for relays although nobody reaches the endpoint.
+func TestUnreachedEndpointFailsAtOnce(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	nwk.blocked.Store(true)
+	began := time.Now()
+	_, err := nwk.origin.DialContext(t.Context(), "tcp", nwk.addr)
+	gom.Expect(err).To(gomega.HaveOccurred())
+	gom.Expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+}
+
+// Guards against connections that stay relayed after the partition has healed.
+func TestHealedPathIsUsed(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	nwk.connect(gom)
+	nwk.healed.Store(true)
+	gom.Eventually(func() bool {
+		con, _ := nwk.connect(gom)
+		_, direct := con.(*net.TCPConn)
+		return direct
+	}, 3*probeInterval, probeInterval/5).Should(gomega.BeTrue())
+}
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -29,7 +29,7 @@
 func (fr *Front) checkCrash(cl *call, tgt coord.Placement) {
 	fpr, leaving := cl.fingerprint(), fr.set.Control.View().IsLeaving(tgt.ID)
 	go func() {
-		ended := relay.ProcessEnded(context.Background(), tgt.Addr)
+		ended := fr.set.ProcessEnded(context.Background(), tgt.Addr)
 		switch counts := ended && !leaving; {
 		case counts && !cl.trial:
 			fr.set.Control.RecordCrash(fpr, tgt.ID)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,9 +31,11 @@
 	Relay       *relay.Relay
 	Pools       *pools.Pools
 	Coordinator *coord.Coordinator
-	Clock       clock.Clock
-	Meter       *meter.Meter
-	Log         zerolog.Logger
+	// ProcessEnded reports whether the process at an endpoint's address has ended.
+	ProcessEnded func(ctx context.Context, addr string) bool
+	Clock        clock.Clock
+	Meter        *meter.Meter
+	Log          zerolog.Logger
 	// TokenMaxViewAge is the maximum age of a view whose tokens are accepted.
 	TokenMaxViewAge clock.Milli
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -78,6 +78,8 @@
 	GaugeInFlight   = "requests_in_flight"
 	GaugeQueue      = "requests_waiting"
 	GaugeEventQueue = "control_events_waiting"
+	GaugeSevered    = "endpoints_reached_by_relay"
+	GaugeBlind      = "blind"
 )
 
 // New returns a meter whose counters are zero.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,9 @@
 	link  *peer.Link
 	// dialDirect opens connections to endpoints; tests replace it.
 	dialDirect dial.Func
+	dialer     *dial.Dialer
+	// pooled is the client for calls that may be repeated.
+	pooled *http.Client
 
 	callers      *serve.Server
 	auxServers   []*http.Server
@@ -130,6 +133,7 @@
 		}
 		return nod.coord.HandleOrder(ctx, msg)
 	}
+	nod.link.HandleTunnel = func(msg peer.Message, tnl *peer.Tunnel) { nod.dialer.ServeTunnel(msg, tnl) }
 	nod.link.OnRefused = func(err error) {
 		nod.mtr.CountEvent(meter.EventPeerRefused)
 		nod.log.Warn().Err(err).Msg("peer connection refused")
@@ -148,15 +152,22 @@
 	onReply := func(addr string, res *http.Response, ago time.Duration) {
 		nod.ctl.RecordReply(addr, dia.Reply(res), nod.clk.Now()-clock.FromDuration(ago))
 	}
-	toEndpoint := dial.Counted(func(ctx context.Context, network, addr string) (net.Conn, error) {
-		return nod.dialDirect(ctx, network, addr)
-	}, func(res reach.Result) { nod.mtr.CountDial(reach.Direct, res) })
-	cli := relay.PooledClient(idleConnTimeout, toEndpoint, onReply)
+	nod.dialer = dial.New(dial.Setup{
+		Self: inc, Zone: nod.set.Zone(), Link: nod.link, Clock: nod.clk, Meter: nod.mtr, Log: nod.log,
+		Direct: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return nod.dialDirect(ctx, network, addr)
+		},
+		Endpoints: func() []proto.Endpoint { return nod.ctl.View().Endpoints() },
+		Relays:    func() []reach.Relay { return nod.ctl.View().Relays(inc) },
+		OnHealed:  func() { nod.pooled.CloseIdleConnections() },
+	})
+	cli := relay.PooledClient(idleConnTimeout, nod.dialer.DialContext, onReply)
+	nod.pooled = cli
 	share, reserve, window := nod.set.RetryBudget()
 	btr := batch.New(batch.Setup{
 		Dialect: dia, Client: cli, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: reserve, Window: window,
 		OnMisdirected:   func(id ident.Process, why string) { nod.ctl.EndpointLeaving(id, why) },
-		ProcessEnded:    relay.ProcessEnded,
+		ProcessEnded:    nod.dialer.ProcessEnded,
 		RateShare:       func(pool string) float64 { return nod.coord.RateShare(pool) },
 		OnInputsFetched: func(sets []batch.ResultSet) { nod.coord.ReleaseAll(sets) },
 	})
@@ -166,7 +177,9 @@
 		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
 		Clock: nod.clk, Store: dia.Store(nod.set.StoreAddr(), relay.PooledClient(idleConnTimeout, dial.Direct().DialContext, nil)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link, TokenMaxViewAge: nod.set.TokenMaxViewAge(),
+		Blind: nod.dialer.Blind, Relayed: nod.dialer.Served,
 		OnChange: func(vw *state.View) {
+			nod.dialer.SetKnown(len(vw.Endpoints()))
 			btr.Sync(vw.Plan(), vw.Endpoints(), vw.Rates())
 			pls.Sync(vw)
 			if pln := vw.Plan(); pln != nil {
@@ -176,8 +189,8 @@
 	})
 	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli)})
 	nod.front = front.New(front.Setup{
-		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, toEndpoint, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
-		Meter: nod.mtr, Log: nod.log,
+		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, nod.dialer.DialContext, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
+		Meter: nod.mtr, Log: nod.log, ProcessEnded: nod.dialer.ProcessEnded,
 		TokenMaxViewAge: clock.Milli(tokenAgeShare * float64(nod.set.TokenMaxViewAge())),
 	})
 }
@@ -299,7 +312,7 @@
 	nod.waitUntil(ctx, min(start+serveFor, end), func() bool { return false })
 	nod.log.Info().Int64("under_way", nod.front.InFlight()).Msg("accepting no new connections, finishing requests in flight")
 	nod.callers.Shutdown(sctx)
-	nod.waitUntil(ctx, end, func() bool { return nod.coord.Orders() == 0 })
+	nod.waitUntil(ctx, end, func() bool { return nod.coord.Orders() == 0 && nod.dialer.Served() == 0 })
 	// The last answers to other instances and the releases of results take a moment to arrive.
 	nod.waitUntil(ctx, min(nod.clk.Now()+shutdownFlush, end), func() bool { return false })
 	inFlight := nod.front.InFlight()
@@ -328,6 +341,7 @@
 
 // Kill terminates the instance at once, like a crash.
 func (nod *Node) Kill() {
+	nod.dialer.Close()
 	nod.callers.Close()
 	for _, srv := range nod.auxServers {
 		_ = srv.Close()
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,6 +16,7 @@
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/dial"
+	"amaranthvalve/platform/fake"
 )
 
 // Bounds of the users' rule on partitioned instances: from settleTime after the begin of a partition,
@@ -173,10 +175,22 @@
 // served counts the first attempts at partitioned and other instances, and those that were served.
 type served struct {
 	cut, cutServed, others, othersServed int
+	// cutTimes and otherTimes are the times of those that were served.
+	cutTimes, otherTimes []time.Duration
 }
 
 func (srd served) String() string {
-	return fmt.Sprintf("partitioned instances served %d of %d, the others %d of %d", srd.cutServed, srd.cut, srd.othersServed, srd.others)
+	return fmt.Sprintf("partitioned instances served %d of %d, in %v at the median, 95 in 100 in %v; the others %d of %d, in %v, %v",
+		srd.cutServed, srd.cut, quantile(srd.cutTimes, 0.5), quantile(srd.cutTimes, 0.95),
+		srd.othersServed, srd.others, quantile(srd.otherTimes, 0.5), quantile(srd.otherTimes, 0.95))
+}
+
+// quantile returns a quantile of a list, zero if it is empty.
+func quantile(list []time.Duration, share float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	return slices.Sorted(slices.Values(list))[int(share*float64(len(list)-1))].Round(time.Millisecond / 10)
 }
 
 // breaksRule reports whether partitioned instances served too few.
@@ -197,10 +211,11 @@
 			for kind, rqt := range partitionRequests {
 				rqt.id = fmt.Sprintf("%d-%d-%d-%d", time.Now().UnixNano(), round, node, kind)
 				grp.Go(func() {
+					sent := time.Now()
 					ok := tbd.send(node, rqt).status == http.StatusOK
 					mtx.Lock()
 					defer mtx.Unlock()
-					srd.count(node < cut, ok)
+					srd.count(node < cut, ok, time.Since(sent))
 				})
 			}
 		}
@@ -210,18 +225,22 @@
 	return srd
 }
 
-func (srd *served) count(cut, ok bool) {
-	one := 0
-	if ok {
-		one = 1
-	}
+// add adds the counts of another round.
+func (srd *served) add(oth served) {
+	srd.cut, srd.cutServed, srd.others, srd.othersServed = srd.cut+oth.cut, srd.cutServed+oth.cutServed, srd.others+oth.others, srd.othersServed+oth.othersServed
+	srd.cutTimes, srd.otherTimes = append(srd.cutTimes, oth.cutTimes...), append(srd.otherTimes, oth.otherTimes...)
+}
+
+func (srd *served) count(cut, ok bool, took time.Duration) {
+	sent, done, times := &srd.others, &srd.othersServed, &srd.otherTimes
 	if cut {
-		srd.cut++
-		srd.cutServed += one
-		return
+		sent, done, times = &srd.cut, &srd.cutServed, &srd.cutTimes
+	}
+	*sent++
+	if ok {
+		*done++
+		*times = append(*times, took)
 	}
-	srd.others++
-	srd.othersServed += one
 }
 
 var _ = ginkgo.Describe("an instance partitioned from all endpoints", func() {
@@ -235,8 +254,124 @@
 		}
 		time.Sleep(settleTime)
 		srd := tbd.sendAll(4, 10)
+		ginkgo.GinkgoLogr.Info(srd.String())
 		expect(srd.breaksRule()).To(gomega.BeFalse(), "%s", srd)
 		expect(srd.othersServed).To(equal(srd.others), "%s", srd)
 	})
-})
 
+	// Guards against the same in the other shapes of a partition, at any number of instances.
+	ginkgo.DescribeTable("serves first attempts, whatever the partition does with connections", func(cut int, fresh, existing block) {
+		tbd, prts := newPartitionTestbed(8)
+		expect(tbd.sendAll(cut, 1).othersServed).To(equal((8 - cut) * len(partitionRequests)))
+		for _, prt := range prts[:cut] {
+			prt.set(fresh, existing)
+		}
+		time.Sleep(settleTime)
+		srd := tbd.sendAll(cut, 10)
+		ginkgo.GinkgoLogr.Info(srd.String())
+		expect(srd.breaksRule()).To(gomega.BeFalse(), "%s", srd)
+		expect(srd.othersServed).To(equal(srd.others), "%s", srd)
+	},
+		ginkgo.Entry("new ones of one instance get no answer, open ones go on", 1, drops, open),
+		ginkgo.Entry("all of three instances hang", 3, drops, drops),
+		ginkgo.Entry("those of six instances are reset, and new ones refused", 6, refuses, refuses),
+		ginkgo.Entry("all of seven instances hang", 7, drops, drops),
+	)
+
+	// Guards against relayed responses that are held back, and against endpoints that go on working for
+	// callers that have disconnected.
+	ginkgo.It("relays events as they come, and the disconnect of the caller", func() {
+		tbd, prts := newPartitionTestbed(2)
+		prts[0].set(refuses, open)
+		for _, ep := range tbd.engines {
+			ep.Duration = 400 * time.Millisecond
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		req, err := fake.Request(http.MethodPost, tbd.nodes[0].set.CallerAddr(), "/stream-once/x", host, "a-stream", deadline, key, "plan", nil)
+		expect(err).NotTo(anything())
+		sent := time.Now()
+		res, err := client.Do(req.WithContext(ctx))
+		expect(err).NotTo(anything())
+		defer func() { _ = res.Body.Close() }()
+		_, err = res.Body.Read(make([]byte, 64))
+		expect(err).NotTo(anything())
+		expect(time.Since(sent)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+		cancel()
+		eventually(func() int { return tbd.engines[0].Disconnects() + tbd.engines[1].Disconnects() }, 500*time.Millisecond).Should(equal(1))
+	})
+
+	// Guards against a response that looks complete although the relay crashed in its middle.
+	ginkgo.It("passes on no response as complete that its relay has cut off", func() {
+		tbd, prts := newPartitionTestbed(2)
+		prts[0].set(refuses, open)
+		for _, ep := range tbd.engines {
+			ep.Duration = 500 * time.Millisecond
+		}
+		done := make(chan response, 1)
+		go func() { done <- tbd.send(0, request{path: "/stream-once/x", body: "plan"}) }()
+		eventually(func() int { return len(runs(tbd.engines)) }, pollTimeout).Should(equal(1))
+		time.Sleep(600 * time.Millisecond)
+		tbd.nodes[1].Kill()
+		var rsp response
+		eventually(done, 4*time.Second).Should(gomega.Receive(&rsp))
+		expect(rsp.err).To(anything())
+	})
+
+	// Guards against a relay's planned shutdown that interrupts the requests of other instances.
+	ginkgo.It("has its requests finished by a relay that shuts down", func() {
+		tbd, prts := newPartitionTestbed(2)
+		prts[0].set(refuses, open)
+		for _, ep := range tbd.engines {
+			ep.Duration = 500 * time.Millisecond
+		}
+		done := make(chan response, 1)
+		go func() { done <- tbd.send(0, request{path: "/stream-once/x", body: "plan"}) }()
+		eventually(func() int { return len(runs(tbd.engines)) }, pollTimeout).Should(equal(1))
+		tbd.nodes[1].Stop(context.Background())
+		var rsp response
+		eventually(done, 4*time.Second).Should(gomega.Receive(&rsp))
+		expect(rsp.err).NotTo(anything())
+		expect(rsp.status).To(equal(http.StatusOK))
+	})
+
+	// Guards against requests that wait although no instance reaches any endpoint, and against relays
+	// that keep trying one another.
+	ginkgo.It("refuses requests at once if all others are partitioned too", func() {
+		tbd, prts := newPartitionTestbed(3)
+		for _, prt := range prts {
+			prt.set(refuses, refuses)
+		}
+		tbd.sendAll(3, 2)
+		for node := range tbd.nodes {
+			sent := time.Now()
+			rsp := tbd.send(node, request{path: "/booking/x", body: "a booking"})
+			expect(rsp.status).To(equal(http.StatusServiceUnavailable))
+			expect(rsp.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			expect(time.Since(sent)).To(gomega.BeNumerically("<", 300*time.Millisecond))
+		}
+		for _, prt := range prts {
+			prt.set(open, open)
+		}
+		eventually(func() int { return tbd.sendAll(3, 1).cutServed }, pollTimeout).Should(equal(3 * len(partitionRequests)))
+	})
+
+	// Guards against connections that stay relayed after the partition has healed, and against one that
+	// comes and goes every second.
+	ginkgo.It("returns to direct connections when the partition heals", func() {
+		tbd, prts := newPartitionTestbed(3)
+		var srd served
+		for range 3 {
+			prts[0].set(drops, drops)
+			srd.add(tbd.sendAll(1, 8))
+			prts[0].set(open, open)
+			srd.add(tbd.sendAll(1, 8))
+		}
+		expect(srd.breaksRule()).To(gomega.BeFalse(), "%s", srd)
+		ginkgo.GinkgoLogr.Info(srd.String())
+		eventually(func() int64 {
+			tbd.sendAll(1, 1)
+			return tbd.nodes[1].dialer.Served() + tbd.nodes[2].dialer.Served()
+		}, pollTimeout).Should(gomega.BeZero())
+	})
+})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,8 +44,10 @@
 	serverName      = "amv-peer"
 	maxConns        = 64
 	maxMessageBytes = 32 << 20
-	idleTimeout     = 30 * time.Second
-	answerTimeout   = 5 * time.Second
+	// maxStreams bounds the concurrent requests and tunnels of one peer.
+	maxStreams    = 1024
+	idleTimeout   = 30 * time.Second
+	answerTimeout = 5 * time.Second
 	// keepAliveInterval is the interval of the keep-alives of a long request, and keepAliveTimeout
 	// how long its caller waits for the next one: three may be late or lost before the request
 	// fails.
@@ -90,6 +92,8 @@
 	PushFacts
 	// GetPermit requests a plain endpoint with a declared rate that may be sent a request.
 	GetPermit
+	// OpenTunnel requests a tunnel to an endpoint; its stream carries the endpoint's connection.
+	OpenTunnel
 )
 
 // Message is a request or a response.
@@ -130,6 +134,9 @@
 	// HandleLong handles long requests, those of the kinds OrderItems and PollUpdate, in place of
 	// handle. While it runs the caller is sent KeepAlive at keepAliveInterval. It may be nil.
 	HandleLong func(ctx context.Context, msg Message) Message
+	// HandleTunnel answers OpenTunnel by [Tunnel.Answer], and then carries the bytes. It is called on
+	// a goroutine of its own; it may be nil.
+	HandleTunnel func(msg Message, tnl *Tunnel)
 	// Partitioned reports whether this instance is partitioned from an address, for tests; nil for
 	// none. It applies to outgoing and to incoming requests.
 	Partitioned func(addr string) bool
@@ -140,6 +147,7 @@
 	dials map[string]chan struct{}
 	// accepted has the connections that peers opened.
 	accepted map[*quic.Conn]struct{}
+	tunnels  tunnelConns
 }
 
 // TLSConfigs returns the TLS configurations of an instance from its files. They are read at each
@@ -240,7 +248,7 @@
 	return &quic.Config{
 		MaxIdleTimeout:       idleTimeout,
 		HandshakeIdleTimeout: 2 * time.Second,
-		MaxIncomingStreams:   256,
+		MaxIncomingStreams:   maxStreams,
 	}
 }
 
@@ -264,6 +272,7 @@
 
 // closeConns closes all connections, so that peers need not detect the end of this instance.
 func (lnk *Link) closeConns() {
+	lnk.tunnels.closeAll()
 	lnk.mtx.Lock()
 	defer lnk.mtx.Unlock()
 	for qcn := range lnk.accepted {
@@ -289,7 +298,7 @@
 			lnk.reportRefused(err)
 			return
 		}
-		go lnk.answer(ctx, str)
+		go lnk.answer(ctx, qcn, str)
 	}
 }
 
@@ -302,7 +311,7 @@
 	}
 }
 
-func (lnk *Link) answer(ctx context.Context, str *quic.Stream) {
+func (lnk *Link) answer(ctx context.Context, qcn *quic.Conn, str *quic.Stream) {
 	_ = str.SetDeadline(time.Now().Add(answerTimeout))
 	msg, err := read(str)
 	if err != nil || lnk.Partitioned != nil && lnk.Partitioned(msg.From.Addr()) {
@@ -310,6 +319,10 @@
 		str.CancelWrite(0)
 		return
 	}
+	if lnk.HandleTunnel != nil && msg.Kind == OpenTunnel {
+		lnk.acceptTunnel(qcn, str, msg)
+		return
+	}
 	if lnk.HandleLong != nil && (msg.Kind == OrderItems || msg.Kind == PollUpdate) {
 		lnk.answerLong(str, msg)
 		return
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -48,6 +48,11 @@
 	// TokenMaxViewAge is the maximum age of a view by which tokens are accepted; zero means no
 	// bound.
 	TokenMaxViewAge clock.Milli
+	// Blind reports whether this instance reaches no endpoint itself; nil for never.
+	Blind func() bool
+	// Relayed returns the number of connections that this instance relays for others, which counts as
+	// load; nil for none.
+	Relayed func() int64
 	// OnChange is called on the control loop with each new view whose plan, endpoints or endpoint
 	// rates differ from those of the view before.
 	OnChange func(vw *View)
@@ -146,8 +151,15 @@
 }
 
 func (ctl *Control) step(now clock.Milli) {
-	ctl.list.SetSelf(ctl.docs.offset, int(ctl.load.Load()), ctl.leaving, now)
+	load := ctl.load.Load()
+	if ctl.set.Relayed != nil {
+		load += ctl.set.Relayed()
+	}
+	ctl.list.SetSelf(ctl.docs.offset, int(load), ctl.leaving, now)
 	ctl.list.SetStale(ctl.docs.plan == nil || now-ctl.docs.asOf > staleAfter)
+	if ctl.set.Blind != nil {
+		ctl.list.SetBlind(ctl.set.Blind())
+	}
 	ctl.stepped = true
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -7,6 +7,7 @@
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/poison"
+	"amaranthvalve/pkg/reach"
 )
 
 // View is the control state as seen by requests. It is immutable.
@@ -51,6 +52,18 @@
 // Members returns the instances that are not dead.
 func (vw *View) Members() []member.Member { return vw.members }
 
+// Relays returns the instances that may relay connections to endpoints for another one: they are
+// alive and reach endpoints themselves.
+func (vw *View) Relays(self ident.Incarnation) []reach.Relay {
+	var list []reach.Relay
+	for _, mbr := range vw.members {
+		if mbr.ID() != self && mbr.Status() == member.Alive && !mbr.Blind() {
+			list = append(list, reach.Relay{ID: mbr.ID(), Zone: mbr.Zone(), Load: mbr.Load(), Capacity: mbr.Capacity()})
+		}
+	}
+	return list
+}
+
 // Endpoints returns all endpoints.
 func (vw *View) Endpoints() []proto.Endpoint { return vw.endpoints }
 
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -79,7 +79,7 @@
 // (J. Mosheyev and others, "Weighted distributed hash tables", 2005, in the form of the
 // logarithmic method), so that a member with twice the capacity owns twice as many names.
 // Members below weakFraction of the largest capacity come last, since a single name may
-// take more work than they can do.
+// take more work than they can do, and after them the blind ones.
 //
 // The ranking is by address and not by incarnation, each address once. When all instances
 // restart at once, an instance knows the addresses within milliseconds and the new
@@ -89,18 +89,23 @@
 func (lst *List) Owners(name string) []ident.Incarnation {
 	type scored struct {
 		who   ident.Incarnation
+		blind bool
 		cores float64
 		score float64
 	}
 	var serving []scored
 	strongest := 0.0
 	for _, mbr := range lst.byAddress() {
-		serving = append(serving, scored{who: mbr.update.ID, cores: mbr.capacity(), score: mbr.score(name)})
+		serving = append(serving, scored{who: mbr.update.ID, blind: mbr.update.Blind, cores: mbr.capacity(), score: mbr.score(name)})
 		strongest = max(strongest, mbr.capacity())
 	}
 	slices.SortFunc(serving, func(x, y scored) int {
 		weakX, weakY := x.cores < weakFraction*strongest, y.cores < weakFraction*strongest
 		switch {
+		case x.blind != y.blind && x.blind:
+			return 1
+		case x.blind != y.blind:
+			return -1
 		case weakX && !weakY:
 			return 1
 		case weakY && !weakX:
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -82,6 +82,9 @@
 	Stale bool `cbor:"9,keyasint,omitempty"`
 	// Capacity is the CPU capacity of the member in cores; zero counts as 1.
 	Capacity float64 `cbor:"10,keyasint,omitempty"`
+	// Blind reports that the member reaches no endpoint itself; it owns names only if all members are
+	// blind.
+	Blind bool `cbor:"12,keyasint,omitempty"`
 	// Ended reports that the member is proved to have ended and is not merely unresponsive.
 	Ended bool `cbor:"11,keyasint,omitempty"`
 }
@@ -119,6 +122,12 @@
 // Stale reports whether the member declared that its documents may be out of date.
 func (mbr Member) Stale() bool { return mbr.update.Stale }
 
+// Blind reports whether the member declared that it reaches no endpoint itself.
+func (mbr Member) Blind() bool { return mbr.update.Blind }
+
+// Capacity returns the member's capacity in cores.
+func (mbr Member) Capacity() float64 { return mbr.capacity() }
+
 // LastSeen returns the time of the last sign of life, received directly or through others.
 func (mbr Member) LastSeen() clock.Milli { return mbr.lastSeen }
 
@@ -209,8 +218,21 @@
 	}
 }
 
-// Changes increases whenever a member joins or ends or its status, capacity or staleness
-// changes. While it is unchanged, so is everything derived from the membership.
+// SetBlind sets whether the instance itself reaches no endpoint. The change is spread at once: the
+// others go on sending it orders until they know.
+func (lst *List) SetBlind(blind bool) {
+	me := lst.members[lst.self]
+	if me.update.Blind == blind {
+		return
+	}
+	me.update.Blind = blind
+	me.update.Beat++
+	lst.changes++
+	lst.extraProbes = ExtraProbes
+}
+
+// Changes increases whenever a member joins or ends or its status, capacity, staleness or
+// blindness changes. While it is unchanged, so is everything derived from the membership.
 func (lst *List) Changes() uint64 { return lst.changes }
 
 // Find returns the known state of a member.
@@ -280,6 +302,11 @@
 		cur.update.Beat, cur.update.Load, cur.update.Stale = item.Beat, item.Load, item.Stale
 		cur.update.Capacity = item.Capacity
 		cur.lastSeen = now
+		if cur.update.Blind != item.Blind {
+			cur.update.Blind, cur.sends = item.Blind, 0
+			lst.changes++
+			lst.extraProbes = ExtraProbes
+		}
 	}
 	cur.update.Applied = max(cur.update.Applied, item.Applied)
 	if !overrides(item, cur.update) {
--- a/pkg/member/owner_test.go
+++ b/pkg/member/owner_test.go
@@ -35,3 +35,36 @@
 	gom.Expect(first["a#1"]).To(gomega.BeNumerically("~", 400, 60))
 	gom.Expect(first["b#1"]).To(gomega.BeNumerically("~", 200, 50))
 }
+
+// Guards against a coordinator that reaches no endpoint, while others do: all instances send it their
+// orders. The change has to reach the others before its next period.
+func TestBlindMembersOwnLast(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lists := map[ident.Incarnation]*List{}
+	ids := []ident.Incarnation{"a#1", "b#1", "c#1"}
+	for _, self := range ids {
+		lists[self] = New(self, "z", "", 0)
+		for _, who := range ids {
+			lists[self].Merge([]Update{{ID: who, Seq: 1}}, 0)
+		}
+	}
+	first := lists["a#1"].Owners("pool")[0]
+	for _, blind := range []bool{true, false} {
+		lists[first].SetBlind(blind)
+		for _, who := range ids {
+			if who != first {
+				lists[who].Merge(lists[first].Updates(who), 10)
+			}
+		}
+		for _, who := range ids {
+			owners := lists[who].Owners("pool")
+			gom.Expect(owners[0] == first).To(gomega.Equal(!blind), string(who))
+			gom.Expect(owners).To(gomega.HaveLen(3))
+		}
+	}
+	for _, who := range ids {
+		lists[who].SetBlind(true)
+		lists[first].Merge(lists[who].Updates(first), 20)
+	}
+	gom.Expect(lists[first].Owners("pool")[0]).To(gomega.Equal(first))
+}
--- a/pkg/reach/result.go
+++ b/pkg/reach/result.go
@@ -29,7 +29,9 @@
 const (
 	// Direct: the instance opens the connection itself.
 	Direct Path = iota // direct
+	// Relayed: another instance opens it and relays the bytes.
+	Relayed // relayed
 )
 
 // Paths returns all paths.
-func Paths() []Path { return []Path{Direct} }
+func Paths() []Path { return []Path{Direct, Relayed} }
--- a/pkg/reach/result_string.go
+++ b/pkg/reach/result_string.go
@@ -31,11 +31,12 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Direct-0]
+	_ = x[Relayed-1]
 }
 
-const _Path_name = "direct"
+const _Path_name = "directrelayed"
 
-var _Path_index = [...]uint8{0, 6}
+var _Path_index = [...]uint8{0, 6, 13}
 
 func (i Path) String() string {
 	idx := int(i) - 0
