internal/dial: a blind instance looks for direct paths when no relay reaches an endpoint

Cause: while an instance was blind, an address that had failed directly within the last second was not dialled again, and probes come every half second, so that paths which were open again stayed unused.

Change: if no relay reaches an endpoint, a blind instance connects to a few endpoints first, one check for all requests, and dials directly if any accepts. Checks no longer end with the request that began them.

--- a/internal/dial/check.go
+++ b/internal/dial/check.go
@@ -29,24 +29,24 @@
 
 // reachesOthers reports whether this instance reaches any endpoint other than that at an address,
 // which was not reached. Without another endpoint it returns true: nothing tells otherwise.
-func (dlr *Dialer) reachesOthers(ctx context.Context, addr string) bool {
+func (dlr *Dialer) reachesOthers(addr string) bool {
 	chk := &dlr.checks
 	chk.mtx.Lock()
 	defer chk.mtx.Unlock()
 	if now := dlr.set.Clock.Now(); chk.at == 0 || now-chk.at >= checkValid {
-		chk.reaches, chk.at = dlr.connectsAny(ctx, addr), dlr.set.Clock.Now()
+		chk.reaches, chk.at = dlr.connectsAny(addr), dlr.set.Clock.Now()
 	}
 	return chk.reaches
 }
 
 // connectsAny connects to a few endpoints other than that at an address, and reports whether any
 // accepted.
-func (dlr *Dialer) connectsAny(ctx context.Context, addr string) bool {
+func (dlr *Dialer) connectsAny(addr string) bool {
 	addrs := dlr.sampleAddrs(addr)
 	if len(addrs) == 0 {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	results := make(chan bool, len(addrs))
 	for _, oth := range addrs {
@@ -119,7 +119,7 @@
 	defer cancel()
 	switch {
 	case blind:
-		dlr.connectsAny(ctx, "")
+		dlr.connectsAny("")
 	case severed:
 		dlr.probe(ctx, addr)
 	}
--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -102,17 +102,18 @@
 	return dlr.directFirst(ctx, network, addr)
 }
 
-// relayFirst connects through a relay. Unless it failed just now, the direct path is tried after that:
-// the endpoint may be new, and reached by this instance alone.
+// relayFirst connects through a relay, and directly if no relay reaches the endpoint: the partition may
+// have healed. While this instance is blind, it looks first whether it reaches any endpoint, which all
+// connections do together: a path without answers would hold each of them.
 func (dlr *Dialer) relayFirst(ctx context.Context, network, addr string) (net.Conn, error) {
 	con, err := dlr.relayed(ctx, addr)
 	if err == nil || ctx.Err() != nil {
 		return con, err
 	}
 	dlr.mtx.Lock()
-	failed := dlr.table.FailedLately(addr, dlr.set.Clock.Now())
+	blind := dlr.table.Blind()
 	dlr.mtx.Unlock()
-	if failed {
+	if blind && !dlr.reachesOthers("") {
 		return nil, errUnreached
 	}
 	return dlr.direct(ctx, network, addr)
@@ -215,7 +216,7 @@
 	due := dlr.table.CheckDue(dlr.set.Clock.Now())
 	dlr.mtx.Unlock()
 	if due {
-		go dlr.reachesOthers(context.Background(), addr)
+		go dlr.reachesOthers(addr)
 	}
 }
 
--- a/internal/dial/serve.go
+++ b/internal/dial/serve.go
@@ -72,7 +72,7 @@
 	defer cancel()
 	con, err := dlr.direct(ctx, "tcp", ep.Addr)
 	if err != nil {
-		return nil, tunnelReply{Result: ResultOf(err), Blind: !dlr.reachesOthers(context.Background(), ep.Addr)}
+		return nil, tunnelReply{Result: ResultOf(err), Blind: !dlr.reachesOthers(ep.Addr)}
 	}
 	return con, tunnelReply{}
 }
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -41,9 +41,7 @@
 // entry is what is known of an address.
 type entry struct {
 	downUntil clock.Milli
-	// failedAt is when it last failed directly.
-	failedAt clock.Milli
-	usedAt   clock.Milli
+	usedAt    clock.Milli
 }
 
 // Table records how connections to addresses ended. The zero value knows of no failure. It is not
@@ -124,7 +122,7 @@
 			tbl.blindEndedAt = now
 		}
 		clear(tbl.failed)
-		ent.downUntil, ent.failedAt = 0, 0
+		ent.downUntil = 0
 		if healed {
 			// What blocked one path blocked the others; those that still are blocked fail again.
 			clear(tbl.severed)
@@ -132,16 +130,9 @@
 		return healed
 	}
 	tbl.failed[addr] = struct{}{}
-	ent.failedAt = now
 	return false
 }
 
-// FailedLately reports whether a direct connection to an address failed a moment ago.
-func (tbl *Table) FailedLately(addr string, now clock.Milli) bool {
-	ent, ok := tbl.byAddr[addr]
-	return ok && ent.failedAt > 0 && now-ent.failedAt < downFor
-}
-
 // RecordRelayed records a connection through a relay after the direct one failed or took long;
 // connected is unset if a relay that reaches other endpoints didn't reach this one.
 func (tbl *Table) RecordRelayed(addr string, connected bool, now clock.Milli) {
