internal/dial: a refused connection counts as a crash only if a second instance agrees

What callers would see: a request that is at several endpoints while connections are reset and refused by a partition is quarantined at all instances for ten minutes, though no endpoint crashed.

Cause: "connection refused" right after a cut was taken for the end of the endpoint's process; a partition refuses connections too.

Change: an endpoint counts as crashed if another instance is refused as well and reaches other endpoints; a lone instance has to reach other endpoints itself. What a witness sees decides also where this instance gets no answer.

--- a/internal/dial/crash.go
+++ b/internal/dial/crash.go
@@ -4,6 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/reach"
 )
 
@@ -16,12 +20,34 @@
 	// get lost.
 	maxAccepted   = 2
 	maxUnanswered = 3
+	// witnessTimeout bounds the answer of another instance.
+	witnessTimeout = 300 * time.Millisecond
 )
 
-// ProcessEnded reports whether the process at an address has ended: connections to it are refused.
-// It returns false if the address can't be reached, or if another process already listens there.
+// ProcessEnded reports whether the process at an address has ended: connections to it are refused,
+// here and at another instance, and that one reaches other endpoints. A partition may refuse
+// connections too; one instance can't tell.
 func (dlr *Dialer) ProcessEnded(ctx context.Context, addr string) bool {
-	return dlr.observe(ctx, addr) == reach.Refused
+	own := dlr.observe(ctx, addr)
+	if own == reach.Connected {
+		return false
+	}
+	ep, known := dlr.endpointAt(addr)
+	witnesses := dlr.chooseRelays(ep.Zone)
+	if !known || len(witnesses) == 0 {
+		return own == reach.Refused && dlr.reachesOthers(addr)
+	}
+	for _, wit := range witnesses {
+		reply, ok := dlr.askWitness(ctx, wit, ep)
+		switch {
+		case !ok || !reply.proves():
+		case reply.Result == reach.Connected:
+			return false
+		case reply.Result == reach.Refused:
+			return true
+		}
+	}
+	return false
 }
 
 // observe dials an address until its state is clear: refused, connected or unanswered.
@@ -64,3 +90,43 @@
 		return false
 	}
 }
+
+// askWitness asks another instance whether it reaches an endpoint.
+func (dlr *Dialer) askWitness(ctx context.Context, wit reach.Relay, ep proto.Endpoint) (tunnelReply, bool) {
+	body, err := cbor.Marshal(tunnelRequest{Endpoint: ep.ID})
+	if err != nil {
+		return tunnelReply{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	ans, err := dlr.set.Link.Call(ctx, wit.ID.Addr(), peer.Message{Kind: peer.CheckEndpoint, From: dlr.set.Self, To: wit.ID, Body: body})
+	var reply tunnelReply
+	if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &reply) != nil {
+		return tunnelReply{}, false
+	}
+	return reply, true
+}
+
+// HandleCheck tells another instance whether this one reaches an endpoint; it is registered with the
+// link.
+func (dlr *Dialer) HandleCheck(ctx context.Context, msg peer.Message) peer.Message {
+	ans := peer.Message{Kind: peer.Nack, From: dlr.set.Self}
+	var trq tunnelRequest
+	if cbor.Unmarshal(msg.Body, &trq) != nil {
+		return ans
+	}
+	ep, ok := dlr.endpoint(trq.Endpoint)
+	if !ok {
+		return ans
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
+	defer cancel()
+	reply := tunnelReply{Result: dlr.observe(ctx, ep.Addr)}
+	if reply.Result != reach.Connected {
+		reply.Blind = !dlr.reachesOthers(ep.Addr)
+	}
+	if body, err := cbor.Marshal(reply); err == nil {
+		ans.Kind, ans.Body = peer.OK, body
+	}
+	return ans
+}
--- a/internal/dial/crash_test.go
+++ b/internal/dial/crash_test.go
@@ -51,3 +51,26 @@
 		gom.Expect(dials).To(gomega.Equal(len(tst.results)))
 	}
 }
+
+// Guards against taking a partition for a crash: of this instance, or of the one that is asked.
+func TestCrashNeedsSoundWitness(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	gom.Expect(nwk.origin.ProcessEnded(t.Context(), nwk.addr)).To(gomega.BeFalse(), "another instance reaches the endpoint")
+	_ = nwk.endpoint.Close()
+	nwk.blocked.Store(true)
+	gom.Expect(nwk.origin.ProcessEnded(t.Context(), nwk.addr)).To(gomega.BeFalse(), "the other instance is partitioned too")
+	nwk.blocked.Store(false)
+	gom.Eventually(func() bool { return nwk.origin.ProcessEnded(t.Context(), nwk.addr) }).Should(gomega.BeTrue())
+}
+
+// Guards against taking a partition for a crash where there is no other instance to ask.
+func TestLoneInstanceChecksOtherEndpoints(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	nwk.origin.set.Relays = func() []reach.Relay { return nil }
+	_ = nwk.endpoint.Close()
+	gom.Expect(nwk.origin.ProcessEnded(t.Context(), nwk.addr)).To(gomega.BeFalse())
+	nwk.healed.Store(true)
+	gom.Eventually(func() bool { return nwk.origin.ProcessEnded(t.Context(), nwk.addr) }).Should(gomega.BeTrue())
+}
--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -22,7 +22,8 @@
 	"amaranthvalve/pkg/reach"
 )
 
-// network is an instance that reaches no endpoint, one that relays for it, and an endpoint.
+// network is an instance that reaches no endpoint, one that relays for it, an endpoint, and another
+// endpoint that accepts all connections.
 type network struct {
 	origin, relay *Dialer
 	endpoint      net.Listener
@@ -38,6 +39,9 @@
 	lsn, err := net.Listen("tcp", "127.0.0.1:0")
 	gom.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = lsn.Close() })
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = other.Close() })
 	nwk := &network{endpoint: lsn, addr: lsn.Addr().String()}
 	refuse := func(context.Context, string, string) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
@@ -48,27 +52,30 @@
 		}
 		return Direct().DialContext(ctx, network, addr)
 	}
-	there := func(ctx context.Context, network, addr string) (net.Conn, error) {
+	unlessBlocked := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if nwk.blocked.Load() {
 			return refuse(ctx, network, addr)
 		}
 		return Direct().DialContext(ctx, network, addr)
 	}
-	link := func() *peer.Link {
+	link := func(handle func(context.Context, peer.Message) peer.Message) *peer.Link {
 		server, client, err := peer.EphemeralTLS()
 		gom.Expect(err).NotTo(gomega.HaveOccurred())
-		lnk, err := peer.Listen("127.0.0.1:0", server, client, func(context.Context, peer.Message) peer.Message { return peer.Message{Kind: peer.Nack} })
+		lnk, err := peer.Listen("127.0.0.1:0", server, client, handle)
 		gom.Expect(err).NotTo(gomega.HaveOccurred())
 		return lnk
 	}
-	here, other := link(), link()
-	endpoints := func() []proto.Endpoint { return []proto.Endpoint{{ID: "one", Addr: nwk.addr}} }
-	relay := ident.Incarnation(other.Addr() + "#b")
+	here := link(func(context.Context, peer.Message) peer.Message { return peer.Message{Kind: peer.Nack} })
+	there := link(func(ctx context.Context, msg peer.Message) peer.Message { return nwk.relay.HandleCheck(ctx, msg) })
+	endpoints := func() []proto.Endpoint {
+		return []proto.Endpoint{{ID: "one", Addr: nwk.addr}, {ID: "other", Addr: other.Addr().String()}}
+	}
+	relay := ident.Incarnation(there.Addr() + "#b")
 	set := Setup{Endpoints: endpoints, Meter: meter.New(), Log: zerolog.Nop()}
 	set.Self, set.Link, set.Direct = ident.Incarnation(here.Addr()+"#a"), here, partitioned
 	set.Relays = func() []reach.Relay { return []reach.Relay{{ID: relay, Capacity: 1}} }
 	nwk.origin = New(set)
-	set.Self, set.Link, set.Direct = relay, other, there
+	set.Self, set.Link, set.Direct = relay, there, unlessBlocked
 	set.Relays = func() []reach.Relay { return nil }
 	set.Endpoints = func() []proto.Endpoint {
 		if nwk.unknown.Load() {
@@ -77,10 +84,10 @@
 		return endpoints()
 	}
 	nwk.relay = New(set)
-	other.HandleTunnel = nwk.relay.ServeTunnel
+	there.HandleTunnel = nwk.relay.ServeTunnel
 	ctx, cancel := context.WithCancel(context.Background())
 	go here.Serve(ctx)
-	go other.Serve(ctx)
+	go there.Serve(ctx)
 	t.Cleanup(func() {
 		nwk.origin.Close()
 		nwk.relay.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,8 @@
 			return nod.coord.HandleReports(msg)
 		case peer.GetPermit:
 			return nod.coord.HandlePermit(msg)
+		case peer.CheckEndpoint:
+			return nod.dialer.HandleCheck(ctx, msg)
 		}
 		return nod.ctl.Handle(ctx, msg)
 	})
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -185,6 +186,14 @@
 		srd.othersServed, srd.others, quantile(srd.otherTimes, 0.5), quantile(srd.otherTimes, 0.95))
 }
 
+// partitionSeconds returns how long partitions come and go, AMV_PARTITION_SECONDS if that is set.
+func partitionSeconds() time.Duration {
+	if secs, err := strconv.Atoi(os.Getenv("AMV_PARTITION_SECONDS")); err == nil && secs > 0 {
+		return time.Duration(secs) * time.Second
+	}
+	return 4 * time.Second
+}
+
 // quantile returns a quantile of a list, zero if it is empty.
 func quantile(list []time.Duration, share float64) time.Duration {
 	if len(list) == 0 {
@@ -374,4 +383,37 @@
 			return tbd.nodes[1].dialer.Served() + tbd.nodes[2].dialer.Served()
 		}, pollTimeout).Should(gomega.BeZero())
 	})
+
+	// Guards against taking a partition for crashed endpoints: the requests under way would be
+	// quarantined at all instances.
+	ginkgo.It("records no crash of an endpoint when its connections are reset", func() {
+		tbd, prts := newPartitionTestbed(3)
+		for _, ep := range append(slices.Clone(tbd.engines), tbd.plain...) {
+			ep.Duration = 100 * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), partitionSeconds())
+		defer cancel()
+		var grp sync.WaitGroup
+		statuses := map[int]int{}
+		grp.Go(func() { statuses = tbd.generateLoad(ctx, request{path: "/stream/x", body: "the same"}, 100) })
+		grp.Go(func() { tbd.generateLoad(ctx, request{path: "/log/x", method: http.MethodGet}, 100) })
+		for i := 0; ctx.Err() == nil; i++ {
+			time.Sleep(150 * time.Millisecond)
+			for j, prt := range prts {
+				if j <= i%3 {
+					prt.set(refuses, refuses)
+				}
+			}
+			time.Sleep(150 * time.Millisecond)
+			for _, prt := range prts {
+				prt.set(open, open)
+			}
+		}
+		grp.Wait()
+		ginkgo.GinkgoLogr.Info(fmt.Sprint(statuses))
+		expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">", 50))
+		for _, nod := range tbd.nodes {
+			expect(nod.ctl.View().Suspects().Empty()).To(gomega.BeTrue())
+		}
+	})
 })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -94,6 +94,8 @@
 	GetPermit
 	// OpenTunnel requests a tunnel to an endpoint; its stream carries the endpoint's connection.
 	OpenTunnel
+	// CheckEndpoint asks whether the receiver reaches an endpoint.
+	CheckEndpoint
 )
 
 // Message is a request or a response.
