internal/dial: connections outlive an endpoint that is silent for two seconds

What callers would see: an answer that is cut off in its middle because its endpoint's machine fell silent for a second or two and went on.

Cause: TCP_USER_TIMEOUT was 1.5 s. On Linux it decides when sent bytes count as lost and, whatever the count of keep-alive probes, when probes give up.

Change: 2.5 s for connections to endpoints, probes from the first idle second each 0.5 s; the store keeps 1.5 s, since its reads are repeated at once.

The price: a stream at an endpoint without power breaks off a second later.

--- a/internal/dial/crash_test.go
+++ b/internal/dial/crash_test.go
@@ -16,7 +16,7 @@
 
 // standalone returns the dialer of an instance without others that knows no endpoint.
 func standalone() *Dialer {
-	return New(Setup{Direct: Direct().DialContext, Endpoints: func() []proto.Endpoint { return nil }, Meter: meter.New(), Log: zerolog.Nop()})
+	return New(Setup{Direct: Direct(EndpointSilence).DialContext, Endpoints: func() []proto.Endpoint { return nil }, Meter: meter.New(), Log: zerolog.Nop()})
 }
 
 // Guards against taking a broken connection for a crash of its endpoint, and against missing the
--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -50,13 +50,13 @@
 		if !nwk.healed.Load() {
 			return refuse(ctx, network, addr)
 		}
-		return Direct().DialContext(ctx, network, addr)
+		return Direct(EndpointSilence).DialContext(ctx, network, addr)
 	}
 	unlessBlocked := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if nwk.blocked.Load() {
 			return refuse(ctx, network, addr)
 		}
-		return Direct().DialContext(ctx, network, addr)
+		return Direct(EndpointSilence).DialContext(ctx, network, addr)
 	}
 	link := func(handle func(context.Context, peer.Message) peer.Message) *peer.Link {
 		server, client, err := peer.EphemeralTLS()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 // New opens the sockets of an instance that serves a dialect. It accepts no requests
 // before Start.
 func New(set *conf.Settings, dia *proto.Dialect, log zerolog.Logger) (*Node, error) {
-	nod := &Node{set: set, log: log, mtr: meter.New(), stopped: make(chan struct{}), dialDirect: dial.Direct().DialContext}
+	nod := &Node{set: set, log: log, mtr: meter.New(), stopped: make(chan struct{}), dialDirect: dial.Direct(dial.EndpointSilence).DialContext}
 	nod.entryTTL.Store(int64(set.EntryTTL()))
 	lsn, err := net.Listen("tcp", set.CallerAddr())
 	if err != nil {
@@ -177,7 +177,7 @@
 	nod.pools = pls
 	nod.ctl = state.New(state.Setup{
 		Self: inc, Zone: nod.set.Zone(), Caller: nod.set.CallerAddr(), Seeds: nod.set.Peers(), Capacity: nod.set.Capacity(),
-		Clock: nod.clk, Store: dia.Store(nod.set.StoreAddr(), relay.PooledClient(idleConnTimeout, dial.Direct().DialContext, nil)), Meter: nod.mtr, Log: nod.log,
+		Clock: nod.clk, Store: dia.Store(nod.set.StoreAddr(), relay.PooledClient(idleConnTimeout, dial.Direct(dial.StoreSilence).DialContext, nil)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link, TokenMaxViewAge: nod.set.TokenMaxViewAge(),
 		Blind: nod.dialer.Blind, Relayed: nod.dialer.Served,
 		OnChange: func(vw *state.View) {
--- a/internal/relay/allowed_test.go
+++ b/internal/relay/allowed_test.go
@@ -32,7 +32,7 @@
 		came <- len(text)
 	}()
 	rqs := Request{ID: "one", Method: "POST", Host: "x", Target: "/", Header: http.Header{}, Body: []byte("body"), Allowed: func() bool { return false }}
-	rsp, end, _ := New(platform.Dialect(), dial.Direct().DialContext, nil).Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
+	rsp, end, _ := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil).Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
 	gom.Expect(rsp).To(gomega.BeNil())
 	gom.Expect(end).To(gomega.Equal(ending.Withheld))
 	gom.Eventually(came, 3*time.Second).Should(gomega.Receive(gomega.Equal(0)))
