internal/proto, platform, internal/state: what an answer says of its endpoint is one value

Cause: answers come by many ways, each of which picks the fields that it knows; the rate that an endpoint declares was read among what concerns one request, and counted for every endpoint that was listed with the address.

Change: proto.Notice has what any answer says of its endpoint. It is read in one place of the dialect, from the request and its answer, and handed to state.RecordNotice. It belongs to the endpoint that the request named, since another one at the address answers 421; answers to requests that name none, and 421 itself, say nothing. A rate is lifted by a success, no longer by a signature: batches have none, so that the rate of a stage endpoint lasted for an hour.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,8 +151,8 @@
 	}
 	inc := ident.NewIncarnation(self)
 	nod.log = nod.log.With().Str("instance", string(inc)).Logger()
-	onReply := func(addr string, res *http.Response, ago time.Duration) {
-		nod.ctl.RecordReply(addr, dia.Reply(res), nod.clk.Now()-clock.FromDuration(ago))
+	onReply := func(req *http.Request, res *http.Response, ago time.Duration) {
+		nod.ctl.RecordNotice(req.URL.Host, dia.Notice(req, res), nod.clk.Now()-clock.FromDuration(ago))
 	}
 	nod.dialer = dial.New(dial.Setup{
 		Self: inc, Zone: nod.set.Zone(), Link: nod.link, Clock: nod.clk, Meter: nod.mtr, Log: nod.log,
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -72,8 +72,19 @@
 	// Load is the load that the endpoint reports, if HasLoad.
 	Load    int
 	HasLoad bool
-	// Rate is the rate limit that the endpoint declares, in requests per second from all
-	// instances together, if HasRate.
+}
+
+// Notice is what an answer says of its endpoint, whatever the request. All notices reach the control
+// state, from which every choice of an endpoint is served.
+type Notice struct {
+	// Endpoint is the name of the endpoint that the request was meant for; another process at its
+	// address would have said so. It is empty if the request named none, or if another process
+	// answered: the notice is nobody's then.
+	Endpoint string
+	// Success is set if the endpoint answered with a success.
+	Success bool
+	// Rate is the rate limit that the endpoint declares, in requests per second from all instances
+	// together, if HasRate.
 	Rate    float64
 	HasRate bool
 }
@@ -159,6 +170,8 @@
 	// Reply reads the metadata of an endpoint's response. StripHeaders removes the headers that
 	// are meant for the system only.
 	Reply        func(res *http.Response) ReplyMeta
+	// Notice reads what an answer to any request says of its endpoint.
+	Notice func(req *http.Request, res *http.Response) Notice
 	StripHeaders func(hdr http.Header)
 	// EventName returns the ID of a stream event, if it has one.
 	EventName func(event []byte) (string, bool)
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Observer is called with each answer from an address and the time since its request was sent.
-type Observer func(addr string, res *http.Response, ago time.Duration)
+// Observer is called with each request and its answer, and the time since the request was sent.
+type Observer func(req *http.Request, res *http.Response, ago time.Duration)
 
 // observedTransport passes the answers of a transport to an [Observer].
 type observedTransport struct {
@@ -18,7 +18,7 @@
 	sent := time.Now()
 	res, err := obt.next.RoundTrip(req)
 	if err == nil && obt.observe != nil {
-		obt.observe(req.URL.Host, res, time.Since(sent))
+		obt.observe(req, res, time.Since(sent))
 	}
 	return res, err
 }
--- a/internal/state/rates.go
+++ b/internal/state/rates.go
@@ -62,34 +62,32 @@
 	return all
 }
 
-// RecordReply records the rate that an endpoint declares in an answer, or that it declares none any
-// more; sent is when the request was sent.
-func (ctl *Control) RecordReply(addr string, rep proto.ReplyMeta, sent clock.Milli) {
+// RecordNotice records what an answer from an address says of its endpoint; sent is when the request
+// was sent.
+func (ctl *Control) RecordNotice(addr string, ntc proto.Notice, sent clock.Milli) {
 	vw := ctl.View()
-	if rep.Misdirected || !rep.HasRate && len(vw.rates) == 0 {
+	if ntc.Endpoint == "" || !ntc.HasRate && len(vw.rates) == 0 {
 		return
 	}
-	// The entry of an ended endpoint stays for some seconds, and another endpoint may have its
-	// address by then.
 	for _, ep := range vw.endpoints {
-		if ep.Addr == addr {
-			ctl.recordRate(vw, ep, rep, sent)
+		if ep.Addr == addr && ep.ID.Name() == ntc.Endpoint {
+			ctl.recordRate(vw, ep, ntc, sent)
 		}
 	}
 }
 
 // recordRate spreads a new or changed rate of an endpoint to all instances. An answer without a
 // rate, to a request that was sent after the rate was declared, clears it.
-func (ctl *Control) recordRate(vw *View, ep proto.Endpoint, rep proto.ReplyMeta, sent clock.Milli) {
+func (ctl *Control) recordRate(vw *View, ep proto.Endpoint, ntc proto.Notice, sent clock.Milli) {
 	known, ok := vw.rates[ep.ID]
 	value := noRate
 	switch {
-	case rep.HasRate:
-		value = strconv.FormatFloat(rep.Rate, 'f', -1, 64)
-		if ok && known.perSecond == rep.Rate && ctl.set.Clock.Since(known.renewedAt) < rateRenewal {
+	case ntc.HasRate:
+		value = strconv.FormatFloat(ntc.Rate, 'f', -1, 64)
+		if ok && known.perSecond == ntc.Rate && ctl.set.Clock.Since(known.renewedAt) < rateRenewal {
 			return
 		}
-	case !ok || !rep.Signed || sent <= known.renewedAt+rateMargin:
+	case !ok || !ntc.Success || sent <= known.renewedAt+rateMargin:
 		return
 	}
 	ctl.loop.Offer(func(now clock.Milli) {
--- a/internal/state/rates_test.go
+++ b/internal/state/rates_test.go
@@ -9,6 +9,7 @@
 
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
 )
 
 // Guards against a rate that is assigned to an endpoint which had the address before.
@@ -18,13 +19,17 @@
 		return []proto.Endpoint{{ID: "ended", Addr: "a", Pool: "p"}, {ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}, nil, nil
 	}})
 	gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(3))
-	ctl.RecordReply("a", proto.ReplyMeta{HasRate: true, Rate: 2}, clock.Clock{}.Now())
+	ctl.RecordNotice("a", proto.Notice{HasRate: true, Rate: 3}, clock.Clock{}.Now())
+	ctl.RecordNotice("b", proto.Notice{Endpoint: "there", HasRate: true, Rate: 4}, clock.Clock{}.Now())
+	ctl.RecordNotice("a", proto.Notice{Endpoint: "there", HasRate: true, Rate: 2}, clock.Clock{}.Now())
 	gom.Eventually(func() float64 {
 		rate, _ := ctl.View().Rate("there")
 		return rate
 	}, soon).Should(gomega.Equal(2.0))
-	_, ok := ctl.View().Rate("other")
-	gom.Expect(ok).To(gomega.BeFalse())
+	for _, id := range []ident.Process{"other", "ended"} {
+		_, ok := ctl.View().Rate(id)
+		gom.Expect(ok).To(gomega.BeFalse(), string(id))
+	}
 }
 
 // Guards against a rate that is spread to all instances again and again while it is unchanged, and
@@ -38,7 +43,7 @@
 	renewals, digest := 0, uint64(0)
 	const span = 2 * clock.Hour
 	for range int(span / clock.Minute) {
-		ctl.RecordReply("e1", proto.ReplyMeta{HasRate: true, Rate: 2}, clk.Now())
+		ctl.RecordNotice("e1", proto.Notice{Endpoint: "e1", HasRate: true, Rate: 2}, clk.Now())
 		gom.Expect(ctl.loop.Do(t.Context(), func(clock.Milli) {
 			if now := ctl.facts.spread.Digest(); now != digest {
 				renewals, digest = renewals+1, now
