pkg/limit, internal/coord: brittle endpoints are sent no more than they run at a time

What operators would see: endpoints that say they are brittle fall over, several of a service within seconds, since they reject what they have no room for.

Cause: nothing read what they say, and each instance sends to plain endpoints by limits of its own, learnt while more requests could wait. Their sum isn't bounded.

Change: brittleness is a notice, a fact that all instances share, for the whole pool. The pool's coordinator knows what is under way: it grants slots of plain endpoints (limit.Slots), places prompts at engines with a free slot only, and leaves an endpoint alone for a second after a rejection. A new coordinator grants one slot of each for a second, half of them for four more. Its term counts from when it became the first coordinator, not from its first use, and anew after it was isolated; that holds for declared rates too.

--- a/internal/batch/batcher.go
+++ b/internal/batch/batcher.go
@@ -59,9 +59,9 @@
 	return &Batcher{set: set, pools: map[string]*pool{}}
 }
 
-// Sync updates the pools of a plan, the known endpoints, and the declared rates of some of these,
-// in requests per second.
-func (btr *Batcher) Sync(pln *plan.Plan, endpoints []proto.Endpoint, rates map[string]float64) {
+// Sync updates the pools of a plan, the known endpoints, the declared rates of some of these, in
+// requests per second, and the pools whose endpoints are brittle.
+func (btr *Batcher) Sync(pln *plan.Plan, endpoints []proto.Endpoint, rates map[string]float64, brittle map[string]bool) {
 	if pln == nil {
 		return
 	}
@@ -71,7 +71,7 @@
 	}
 	for name, pol := range pln.Pools() {
 		if spc := pol.Batch(); spc != nil {
-			btr.pool(name).sync(*spc, byPool[name], rates)
+			btr.pool(name).sync(*spc, byPool[name], rates, brittle[name])
 		}
 	}
 }
--- a/internal/batch/fetch_test.go
+++ b/internal/batch/fetch_test.go
@@ -59,7 +59,7 @@
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{
 		Name: "ranks", Batch: &plan.DraftBatch{Slots: 1, MaxItems: most, BatchMs: 1000, ItemMs: 1, LinkMbps: 1000},
 	}}})
-	fxt.btr.Sync(pln, []proto.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}}, nil)
+	fxt.btr.Sync(pln, []proto.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}}, nil, nil)
 	return fxt
 }
 
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -70,11 +70,11 @@
 	return &pool{set: set, name: name, refs: map[int64]itemRef{}, pendingReleases: map[string][]string{}, budget: newBudget(set)}
 }
 
-func (pol *pool) sync(spc plan.DraftBatch, endpoints []gather.Endpoint, rates map[string]float64) {
+func (pol *pool) sync(spc plan.DraftBatch, endpoints []gather.Endpoint, rates map[string]float64, brittle bool) {
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
 	pol.rates.Sync(rates)
-	pol.sched.SetSpec(gather.Spec{Slots: spc.Slots, MaxItems: spc.MaxItems, BatchMs: spc.BatchMs, ItemMs: spc.ItemMs, Capacity: spc.ResultBytes, TTL: spc.ResultTTL})
+	pol.sched.SetSpec(gather.Spec{Slots: spc.Slots, MaxItems: spc.MaxItems, BatchMs: spc.BatchMs, ItemMs: spc.ItemMs, Capacity: spc.ResultBytes, TTL: spc.ResultTTL, Brittle: brittle})
 	pol.linkMbps, pol.resultStorage, pol.resultTTL, pol.endpoints = spc.LinkMbps, spc.ResultBytes, spc.ResultTTL, endpoints
 	pol.sched.Sync(endpoints)
 	for _, ep := range endpoints {
--- a/internal/batch/storage_test.go
+++ b/internal/batch/storage_test.go
@@ -48,7 +48,7 @@
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{
 		Name: "ranks", Batch: &plan.DraftBatch{Slots: 1, MaxItems: 9, BatchMs: 9000, ItemMs: 1, ResultBytes: 1000, ResultTTL: 4000},
 	}}})
-	btr.Sync(pln, []proto.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}, {ID: "rank-2", Pool: "ranks", Addr: "a:2", Leaving: true}}, nil)
+	btr.Sync(pln, []proto.Endpoint{{ID: "rank-1", Pool: "ranks", Addr: "a:1"}, {ID: "rank-2", Pool: "ranks", Addr: "a:2", Leaving: true}}, nil, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for range 4 {
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -83,6 +83,8 @@
 	tenures  tenures
 	// permits records until when the coordinators of plain pools have no permits.
 	permits permits
+	// slotWaits records what is known of the coordinators of brittle plain pools.
+	slotWaits slotWaits
 	// placeTimeouts counts consecutive placement requests without an answer.
 	placeTimeouts map[ident.Incarnation]int
 }
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -32,7 +32,7 @@
 	}}
 	btr := batch.New(batch.Setup{Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Reserve: 10, Window: 10 * clock.Second})
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{Name: "encode", Batch: &plan.DraftBatch{Slots: 1, MaxItems: 9, BatchMs: 20}}}})
-	btr.Sync(pln, []proto.Endpoint{{ID: "e1", Pool: "encode", Addr: "a:1"}}, nil)
+	btr.Sync(pln, []proto.Endpoint{{ID: "e1", Pool: "encode", Addr: "a:1"}}, nil, nil)
 	self := ident.NewIncarnation("127.0.0.1:1")
 	crd := New(Setup{
 		Control: state.New(state.Setup{Self: self, Meter: meter.New(), Log: zerolog.Nop()}), Batcher: btr, Link: &peer.Link{},
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -60,6 +60,12 @@
 	End   place.Ending `cbor:"4,keyasint,omitempty"`
 	// Span is the time to the first event, or at the end the longest pause between events.
 	Span clock.Milli `cbor:"5,keyasint,omitempty"`
+	// Slot is the endpoint whose slot is released, empty for requests at model engines; Rejected is
+	// set if it had no room for the request.
+	Slot     ident.Process `cbor:"6,keyasint,omitempty"`
+	Rejected bool          `cbor:"7,keyasint,omitempty"`
+	// repeated is set once the report is sent again.
+	repeated bool
 }
 
 // Placement is the endpoint chosen for a request, and the coordinator that chose it, empty if this
@@ -67,22 +73,32 @@
 type Placement struct {
 	pools.Target
 	promptCoordinator ident.Incarnation
+	// slot is the slot of a request to a brittle plain endpoint, nil for none.
+	slot *slot
 }
 
 // Place chooses the endpoint of a final call and counts the request there.
 func (crd *Coordinator) Place(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
 	if pol, ok := vw.Plan().Pool(pool); ok && pol.Engine() == nil {
-		return crd.placePlain(ctx, vw, pool, ask)
+		return crd.placePlain(ctx, vw, pool, ticket, ask)
 	}
 	inc := crd.promptCoordinator(vw, pool)
 	if inc == crd.set.Control.Self() {
 		return crd.pick(pool, ticket, ask, crd.rateShareIn(vw, pool))
 	}
-	if prp, ok := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask}); ok {
+	prp, answered := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+	if prp.ID != "" {
 		if tgt, ok := crd.set.Pools.Assign(pool, prp.ID, prp.From, ticket, ask); ok {
 			return Placement{Target: tgt, promptCoordinator: inc}, true
 		}
 	}
+	if crd.set.Pools.HasBrittleEngines(pool) {
+		if answered {
+			// The coordinator knows the requests of all instances.
+			return Placement{}, false
+		}
+		ask.Share = 1 / float64(max(len(vw.Members()), 1))
+	}
 	return crd.pick(pool, ticket, ask, 0)
 }
 
@@ -105,7 +121,7 @@
 // prompt; false if there is none.
 func (crd *Coordinator) Predict(ctx context.Context, vw *state.View, pool string, ask place.Ask) (eng place.Engine, read clock.Milli, ok bool) {
 	if inc := crd.promptCoordinator(vw, pool); inc != crd.set.Control.Self() {
-		if prp, ok := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); ok {
+		if prp, ok := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); ok && prp.ID != "" {
 			if eng, ok := crd.set.Pools.Find(pool, prp.ID); ok {
 				return eng, prp.Read, true
 			}
@@ -124,13 +140,15 @@
 		return crd.set.Control.Self()
 	}
 	inc := crd.coordinator(vw, pool)
-	crd.tenures.update(pool, inc == crd.set.Control.Self(), crd.set.Clock.Now())
+	crd.tenures.update(pool, inc == crd.set.Control.Self())
 	if crd.tenures.takeNew(pool) {
 		go crd.queryCaches(vw, pool)
 	}
 	return inc
 }
 
+// requestPlace requests a placement from the coordinator; the reply has no ID if there is none. It
+// returns false if the coordinator did not answer.
 func (crd *Coordinator) requestPlace(ctx context.Context, inc ident.Incarnation, prq placeRequest) (placeReply, bool) {
 	body, err := cbor.Marshal(prq)
 	if err != nil {
@@ -145,7 +163,7 @@
 		return placeReply{}, false
 	}
 	var prp placeReply
-	if cbor.Unmarshal(ans.Body, &prp) != nil || prp.ID == "" {
+	if cbor.Unmarshal(ans.Body, &prp) != nil {
 		return placeReply{}, false
 	}
 	return prp, true
@@ -221,6 +239,10 @@
 		return peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
 	}
 	for _, rpt := range list {
+		if rpt.Slot != "" {
+			crd.set.Pools.ReleaseSlot(rpt.Slot, rpt.Ticket, rpt.Rejected)
+			continue
+		}
 		if rpt.Ended {
 			crd.set.Pools.End(rpt.Pool, rpt.Ticket, rpt.End, rpt.Span)
 			continue
@@ -230,8 +252,7 @@
 	return peer.Message{Kind: peer.OK, From: crd.set.Control.Self()}
 }
 
-// reports collects the reports for each coordinator. Lost reports are not repeated, since a
-// coordinator drops requests without a report after a while.
+// reports collects the reports for each coordinator.
 type reports struct {
 	mtx           sync.Mutex
 	byCoordinator map[ident.Incarnation][]report
@@ -263,5 +284,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	_, _ = crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.ReportPlaced, From: crd.set.Control.Self(), Body: body})
+	if _, err := crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.ReportPlaced, From: crd.set.Control.Self(), Body: body}); err != nil {
+		rps.repeatReleases(crd, inc, list)
+	}
+}
+
+// repeatReleases adds the releases of slots to the next message to a coordinator, each once: a slot
+// that is not released is unused until its request must have ended. Other reports that are lost are
+// not repeated, since a coordinator drops requests without a report after a while.
+func (rps *reports) repeatReleases(crd *Coordinator, inc ident.Incarnation, list []report) {
+	for _, rpt := range list {
+		if rpt.Slot != "" && !rpt.repeated {
+			rpt.repeated = true
+			rps.add(crd, inc, rpt)
+		}
+	}
 }
--- a/internal/coord/rates.go
+++ b/internal/coord/rates.go
@@ -26,19 +26,27 @@
 // rateShareIn returns the fraction of the declared rates of a pool's endpoints that this instance
 // may use by a view of the membership.
 func (crd *Coordinator) rateShareIn(vw *state.View, pool string) (share float64) {
+	return crd.shareIn(vw, pool, limit.CoordinatorShare)
+}
+
+// shareIn returns what this instance may use of a pool as its coordinator, by a function of the number
+// of unresponsive instances that precede it and of its term; zero if it is not the coordinator.
+func (crd *Coordinator) shareIn(vw *state.View, pool string, of func(unresponsive int, term clock.Milli) float64) float64 {
 	if crd.set.Link == nil {
 		return 1
 	}
 	if !crd.hasJoined() {
 		return 0
 	}
-	now := crd.set.Clock.Now()
 	before, mine := crd.unresponsiveBefore(vw, pool)
-	crd.tenures.update(pool, mine, now)
 	if !mine {
 		return 0
 	}
-	return limit.CoordinatorShare(before, now-crd.tenures.since(pool))
+	term := clock.Milli(0)
+	if since, first := vw.CoordinatorSince(pool); first {
+		term = crd.set.Clock.Since(since)
+	}
+	return of(before, term)
 }
 
 // unresponsiveBefore reports whether this instance coordinates a pool, and how many unresponsive
@@ -92,7 +100,10 @@
 
 // placePlain chooses a plain endpoint: one with a declared rate if there is a permit for it, so
 // that its rate is used, and otherwise one without.
-func (crd *Coordinator) placePlain(ctx context.Context, vw *state.View, pool string, ask place.Ask) (Placement, bool) {
+func (crd *Coordinator) placePlain(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
+	if crd.set.Pools.IsBrittle(pool) {
+		return crd.placeBrittle(ctx, vw, pool, ticket, ask)
+	}
 	if crd.set.Pools.HasRates(pool) {
 		if id := crd.acquirePermit(ctx, vw, pool); id != "" {
 			if tgt, ok := crd.set.Pools.PickByID(pool, id, ask.Avoid); ok {
--- a/internal/coord/tenures.go
+++ b/internal/coord/tenures.go
@@ -7,7 +7,6 @@
 
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/internal/state"
-	"amaranthvalve/pkg/clock"
 )
 
 const (
@@ -19,28 +18,25 @@
 	cacheQueryTimeout  = 300 * time.Millisecond
 )
 
-// tenures records since when this instance has coordinated its pools. The zero value is empty.
+// tenures records which pools this instance coordinates. The zero value is empty.
 type tenures struct {
-	mtx    sync.Mutex
-	starts map[string]clock.Milli
+	mtx  sync.Mutex
+	mine map[string]bool
 	// unseen has the pools whose start takeNew has not reported yet.
 	unseen map[string]bool
 }
 
 // update records whether this instance coordinates a pool now.
-func (ten *tenures) update(pool string, mine bool, now clock.Milli) {
+func (ten *tenures) update(pool string, mine bool) {
 	ten.mtx.Lock()
 	defer ten.mtx.Unlock()
-	if ten.starts == nil {
-		ten.starts, ten.unseen = map[string]clock.Milli{}, map[string]bool{}
+	if ten.mine == nil {
+		ten.mine, ten.unseen = map[string]bool{}, map[string]bool{}
 	}
-	_, was := ten.starts[pool]
-	switch {
-	case mine && !was:
-		ten.starts[pool], ten.unseen[pool] = now, true
-	case !mine && was:
-		delete(ten.starts, pool)
+	if mine && !ten.mine[pool] {
+		ten.unseen[pool] = true
 	}
+	ten.mine[pool] = mine
 }
 
 // takeNew reports, once for each time, that this instance has become the coordinator of a pool.
@@ -52,13 +48,6 @@
 	return fresh
 }
 
-// since returns when this instance became the coordinator of a pool.
-func (ten *tenures) since(pool string) clock.Milli {
-	ten.mtx.Lock()
-	defer ten.mtx.Unlock()
-	return ten.starts[pool]
-}
-
 // queryCaches queries the prompt caches of a pool's engines.
 //
 // The previous coordinator knew their contents and has stopped or died. Placed by rendezvous
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -81,7 +81,9 @@
 	notRun     int
 	// repeatPaid is set when the attempt was canceled for being slow and the next one is paid for
 	// from the retry budget; nextPlacement is where that one goes.
-	repeatPaid    bool
+	repeatPaid bool
+	// rejected is set if the endpoint of the last attempt had no room for the request.
+	rejected      bool
 	nextPlacement *coord.Placement
 	// lastEvent is the ID of the last stream event that the caller has received.
 	lastEvent string
@@ -127,14 +129,17 @@
 	fr, cl := run.fr, run.cl
 	if tgt.Ticket == "" {
 		fr.pools.Finish(cl.pool.Name(), tgt.ID, out, took)
+		fr.coord.ReleaseSlot(cl.pool.Name(), tgt, run.rejected)
 		return
 	}
 	end := place.Failed
-	switch out {
-	case route.Success:
+	switch {
+	case out == route.Success:
 		end = place.Succeeded
-	case route.Cancelled:
+	case out == route.Cancelled:
 		end = place.Neutral
+	case run.rejected:
+		end = place.Rejected
 	}
 	fr.coord.RecordEnd(cl.pool.Name(), tgt, end, cl.maxPause)
 }
@@ -159,6 +164,7 @@
 	fr, cl := run.fr, run.cl
 	cl.attempts++
 	cl.endpoint = string(tgt.ID)
+	run.rejected = false
 	run.avoid = append(run.avoid, string(tgt.ID))
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -195,6 +201,7 @@
 		cl.firstByte = took
 		return run.forward(ctx, tgt, rsp, began)
 	}
+	run.rejected = end == ending.Refused && isRejection(rsp)
 	run.release(tgt, end.RouteOutcome(slow), took)
 	if end == ending.Cut {
 		fr.checkCrash(cl, tgt)
@@ -207,6 +214,11 @@
 	return run.afterFailure(ctx, end)
 }
 
+// isRejection reports whether an endpoint refused a request for lack of room.
+func isRejection(rsp *relay.Response) bool {
+	return rsp != nil && rsp.Status == http.StatusServiceUnavailable && !rsp.Reply.Misdirected
+}
+
 // withInputRelease returns the request with a hook that releases its inputs once the engine has
 // had time to fetch them, and a function that stops the hook.
 //
--- a/internal/front/slow.go
+++ b/internal/front/slow.go
@@ -77,6 +77,7 @@
 	fr, pool := run.fr, run.cl.pool.Name()
 	if tgt.Ticket == "" {
 		fr.pools.Finish(pool, tgt.ID, route.Cancelled, 0)
+		fr.coord.ReleaseSlot(pool, tgt, false)
 		return
 	}
 	fr.coord.RecordEnd(pool, tgt, place.Neutral, 0)
--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -20,15 +20,15 @@
 const (
 	// fallenFor is the time from the fall of an endpoint to the start of its successor.
 	fallenFor = 2 * time.Second
-	// brittleSlots is the number of requests that a brittle endpoint runs at a time.
-	brittleSlots = 4
 )
 
 // brittleTest makes the endpoints of a pool brittle and counts their falls.
 type brittleTest struct {
 	tbd  *testbed
 	pool string
-	most int
+	// slots is the number of requests that an endpoint runs at a time, most the number of rejections
+	// within a second that it survives.
+	slots, most int
 
 	mtx   sync.Mutex
 	falls int
@@ -39,9 +39,10 @@
 	all   []*fake.Endpoint
 }
 
-// makeBrittle makes endpoints brittle: more than most rejections within a second fell one.
-func (tbd *testbed) makeBrittle(pool string, list []*fake.Endpoint, most int) *brittleTest {
-	brt := &brittleTest{tbd: tbd, pool: pool, most: most, queue: 2 * brittleSlots}
+// makeBrittle makes endpoints brittle that run a number of requests at a time: more than most
+// rejections within a second fell one.
+func (tbd *testbed) makeBrittle(pool string, list []*fake.Endpoint, slots, most int) *brittleTest {
+	brt := &brittleTest{tbd: tbd, pool: pool, slots: slots, most: most, queue: 2 * slots}
 	tbd.cleanup(func() {
 		brt.mtx.Lock()
 		defer brt.mtx.Unlock()
@@ -57,7 +58,7 @@
 	brt.mtx.Lock()
 	defer brt.mtx.Unlock()
 	brt.all = append(brt.all, ep)
-	ep.SetRoom(brittleSlots, brt.queue)
+	ep.SetRoom(brt.slots, brt.queue)
 	ep.SetBrittle(brt.most, func() {
 		srv.Close()
 		brt.mtx.Lock()
@@ -89,7 +90,7 @@
 	defer brt.mtx.Unlock()
 	brt.queue = queue
 	for _, ep := range brt.all {
-		ep.SetRoom(brittleSlots, queue)
+		ep.SetRoom(brt.slots, queue)
 	}
 }
 
@@ -124,6 +125,9 @@
 }
 
 var _ = ginkgo.Describe("a pool of brittle endpoints", func() {
+	// burst and pause are the size of bursts of requests and the time between them.
+	const burst, pause = 24, 250 * time.Millisecond
+
 	// Guards against endpoints that fall since each instance sends them what it thinks they have room
 	// for, while they let fewer requests wait than before.
 	ginkgo.It("is sent no more by all instances together than it has room for", func() {
@@ -131,12 +135,14 @@
 		for _, ep := range tbd.plain {
 			ep.Duration = 60 * time.Millisecond
 		}
-		brt := tbd.makeBrittle("bookings", tbd.plain, 1)
-		ctx, cancel := context.WithTimeout(context.Background(), settleTime+6*time.Second)
+		brt := tbd.makeBrittle("bookings", tbd.plain, 8, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		tbd.sendBursts(ctx, plainRequest, burst, pause)
+		brt.shrink(0)
+		ctx, cancel = context.WithTimeout(context.Background(), 6*time.Second)
 		defer cancel()
-		time.AfterFunc(settleTime, func() { brt.shrink(0) })
-		// Twelve requests at a time are half as many again as the endpoints run at a time.
-		statuses := tbd.sendBursts(ctx, plainRequest, 12, 250*time.Millisecond)
+		statuses := tbd.sendBursts(ctx, plainRequest, burst, pause)
 		ginkgo.GinkgoLogr.Info(fmt.Sprint(brt.fallCount(), " falls, ", statuses))
 		expect(brt.fallCount()).To(gomega.BeNumerically("<=", fallsAllowed(len(tbd.plain))))
 		sum := 0
@@ -145,4 +151,52 @@
 		}
 		expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">=", 9*sum/10), "%v", statuses)
 	})
+
+	// Guards against the same where prompts are placed and items are batched.
+	ginkgo.It("is sent no more prompts and batches than it has room for", func() {
+		tbd := newTestbed(4)
+		for _, ep := range tbd.engines {
+			ep.Duration = 30 * time.Millisecond
+		}
+		engines, stages := tbd.makeBrittle("engines", tbd.engines, 8, 1), tbd.makeBrittle("rosters", tbd.stages, 1, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		tbd.sendBursts(ctx, stageRequest, burst/3, pause)
+		engines.shrink(0)
+		stages.shrink(0)
+		ctx, cancel = context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		var grp sync.WaitGroup
+		for _, rqt := range []request{engineRequest, stageRequest} {
+			grp.Go(func() { tbd.sendBursts(ctx, rqt, burst/2, pause) })
+		}
+		grp.Wait()
+		expect(engines.fallCount()).To(gomega.BeNumerically("<=", fallsAllowed(len(tbd.engines))))
+		expect(stages.fallCount()).To(gomega.BeNumerically("<=", fallsAllowed(len(tbd.stages))))
+	})
+
+	// Guards against a new coordinator that grants what its predecessor has granted already, and against
+	// instances that send what they like while there is none.
+	ginkgo.It("is sent no more when its coordinator crashes", func() {
+		tbd := newTestbed(4)
+		for _, ep := range tbd.plain {
+			ep.Duration = 60 * time.Millisecond
+		}
+		brt := tbd.makeBrittle("bookings", tbd.plain, 8, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		time.AfterFunc(settleTime, func() {
+			brt.shrink(0)
+			coordinator := tbd.nodes[0].ctl.View().Coordinators("bookings")[0]
+			for _, nod := range tbd.nodes {
+				if nod.ctl.Self() == coordinator {
+					nod.Kill()
+				}
+			}
+		})
+		statuses := tbd.sendBursts(ctx, plainRequest, burst, pause)
+		ginkgo.GinkgoLogr.Info(fmt.Sprint(brt.fallCount(), " falls, ", statuses))
+		expect(brt.fallCount()).To(gomega.BeNumerically("<=", fallsAllowed(len(tbd.plain))))
+		expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">", 300), "%v", statuses)
+	})
 })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,6 +121,8 @@
 			return nod.coord.HandleReports(msg)
 		case peer.GetPermit:
 			return nod.coord.HandlePermit(msg)
+		case peer.TakeSlot:
+			return nod.coord.HandleSlot(msg)
 		case peer.CheckEndpoint:
 			return nod.dialer.HandleCheck(ctx, msg)
 		}
@@ -182,7 +184,7 @@
 		Blind: nod.dialer.Blind, Relayed: nod.dialer.Served,
 		OnChange: func(vw *state.View) {
 			nod.dialer.SetKnown(len(vw.Endpoints()))
-			btr.Sync(vw.Plan(), vw.Endpoints(), vw.Rates())
+			btr.Sync(vw.Plan(), vw.Endpoints(), vw.Rates(), vw.BrittlePools())
 			pls.Sync(vw)
 			if pln := vw.Plan(); pln != nil {
 				nod.callers.SetLimits(serve.Limits{HeaderTimeout: pln.Limits().HeaderTime, IdleTimeout: pln.Limits().IdleTime})
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -96,6 +96,8 @@
 	OpenTunnel
 	// CheckEndpoint asks whether the receiver reaches an endpoint.
 	CheckEndpoint
+	// TakeSlot requests a slot of a brittle plain endpoint for a request.
+	TakeSlot
 )
 
 // Message is a request or a response.
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -68,6 +68,9 @@
 	// rates limits requests to endpoints that declare a rate, to the part that this instance may
 	// use.
 	rates limit.Rates
+	// slots has the slots of brittle endpoints that this instance grants as the coordinator of their
+	// pool.
+	slots limit.Slots
 	// firstBytes is the moving average of the time from a final call to its first byte, by route.
 	firstBytes map[string]float64
 }
@@ -79,6 +82,8 @@
 	budget  retry.Budget
 	// ids are the IDs of all endpoints.
 	ids []string
+	// brittle is set if the endpoints fall over when they reject many requests.
+	brittle bool
 	// calls has the calls in flight, which are cancelled if their endpoint restarts.
 	calls ident.RestartWatch
 }
@@ -101,9 +106,19 @@
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	pls.rates.Sync(vw.Rates())
+	brittle := vw.BrittlePools()
+	sizes := map[string]int{}
 	for name, pol := range pln.Pools() {
-		pls.ensure(name, pol).sync(byPool[name], pol.Engine())
+		pst := pls.ensure(name, pol)
+		pst.sync(byPool[name], pol.Engine())
+		pst.setBrittle(brittle[name])
+		if pst.brittle && pst.plain != nil {
+			for _, ep := range byPool[name] {
+				sizes[string(ep.ID)] = ep.Places
+			}
+		}
 	}
+	pls.slots.Sync(sizes)
 }
 
 // ensure returns the state of a pool, and creates it if it is missing or of another kind.
@@ -145,6 +160,13 @@
 	pst.plain.Sync(plain)
 }
 
+func (pst *poolState) setBrittle(brittle bool) {
+	pst.brittle = brittle
+	if pst.engines != nil {
+		pst.engines.SetBrittle(brittle)
+	}
+}
+
 // Pick chooses the endpoint of a final call at the moment of sending, by the state of this
 // instance, and counts the request there under its ticket. share is the part of the endpoints'
 // declared rates that this instance may use; with share 0, endpoints that declare a rate are left
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -84,9 +84,17 @@
 	// Success is set if the endpoint answered with a success.
 	Success bool
 	// Rate is the rate limit that the endpoint declares, in requests per second from all instances
-	// together, if HasRate.
-	Rate    float64
-	HasRate bool
+	// together.
+	Rate Declared
+	// Brittle is the number of requests that the endpoint can reject within a second for lack of
+	// room; beyond it the endpoint falls over.
+	Brittle Declared
+}
+
+// Declared is a number that an endpoint declares, if Is.
+type Declared struct {
+	Value float64
+	Is    bool
 }
 
 // Endpoint is an endpoint's entry in the store.
@@ -169,9 +177,9 @@
 	SetHeaders func(hdr http.Header, snd SendMeta)
 	// Reply reads the metadata of an endpoint's response. StripHeaders removes the headers that
 	// are meant for the system only.
-	Reply        func(res *http.Response) ReplyMeta
+	Reply func(res *http.Response) ReplyMeta
 	// Notice reads what an answer to any request says of its endpoint.
-	Notice func(req *http.Request, res *http.Response) Notice
+	Notice       func(req *http.Request, res *http.Response) Notice
 	StripHeaders func(hdr http.Header)
 	// EventName returns the ID of a stream event, if it has one.
 	EventName func(event []byte) (string, bool)
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 )
@@ -53,8 +55,8 @@
 	// Relayed returns the number of connections that this instance relays for others, which counts as
 	// load; nil for none.
 	Relayed func() int64
-	// OnChange is called on the control loop with each new view whose plan, endpoints or endpoint
-	// rates differ from those of the view before.
+	// OnChange is called on the control loop with each new view whose plan, endpoints or values
+	// declared by endpoints differ from those of the view before.
 	OnChange func(vw *View)
 }
 
@@ -74,12 +76,14 @@
 	facts     factsCtl
 	leaving   bool
 	dirty     bool
-	// ratesChanged is set if endpoint rates changed since the last view.
-	ratesChanged bool
+	// noticesChanged is set if values declared by endpoints changed since the last view.
+	noticesChanged bool
 	// rankedChanges is the change counter of the member list when the view's rankings were
 	// computed. stepped is set after a step, which updates heartbeats and loads of members.
 	rankedChanges uint64
 	stepped       bool
+	// isolated is set while this instance has lost contact to the others.
+	isolated bool
 	// storedNames are the names of the instance entries last read from the store.
 	storedNames map[string]bool
 	// viewChanged is closed, and replaced, when a view with another plan or other endpoints is
@@ -161,6 +165,7 @@
 		ctl.list.SetBlind(ctl.set.Blind())
 	}
 	ctl.stepped = true
+	ctl.isolated = ctl.list.IsIsolated(now)
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
 	ctl.facts.step(now)
@@ -174,16 +179,23 @@
 	old := ctl.view.Load()
 	vw := &View{
 		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), digest: old.digest, pastLists: old.pastLists,
-		members: old.members, coordinators: old.coordinators, sources: old.sources, othersFresh: old.othersFresh,
+		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
-		suspects: ctl.facts.suspects, rates: ctl.facts.rates,
+		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.stepped {
 		vw.members = ctl.list.All()
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.dirty {
 		ctl.rankedChanges = changed
-		ctl.rankMembers(vw)
+		ctl.rankMembers(vw, now)
+	}
+	if ctl.isolated {
+		// The others have another coordinator by now, and the next term begins with the contact.
+		vw.coordinatorSince = maps.Clone(vw.coordinatorSince)
+		for name := range vw.coordinatorSince {
+			vw.coordinatorSince[name] = now
+		}
 	}
 	if ctl.dirty {
 		vw.digest = digest(vw.endpoints)
@@ -198,14 +210,14 @@
 		next := make(chan struct{})
 		close(*ctl.viewChanged.Swap(&next))
 	}
-	if (ctl.dirty || ctl.ratesChanged) && ctl.set.OnChange != nil {
+	if (ctl.dirty || ctl.noticesChanged) && ctl.set.OnChange != nil {
 		ctl.set.OnChange(vw)
 	}
-	ctl.dirty, ctl.ratesChanged = false, false
+	ctl.dirty, ctl.noticesChanged = false, false
 }
 
 // rankMembers sets the parts of a view that are derived from the members.
-func (ctl *Control) rankMembers(vw *View) {
+func (ctl *Control) rankMembers(vw *View, now clock.Milli) {
 	vw.sources = sourcesOf(ctl.list.Owners(readersRankKey))
 	vw.othersFresh = false
 	for _, mbr := range vw.members {
@@ -216,9 +228,19 @@
 	if vw.plan == nil {
 		return
 	}
+	before := vw.coordinatorSince
 	vw.coordinators = make(map[string][]ident.Incarnation, len(vw.plan.Pools()))
+	vw.coordinatorSince = map[string]clock.Milli{}
 	for name := range vw.plan.Pools() {
 		vw.coordinators[name] = ctl.list.Owners(name)
+		if list := vw.coordinators[name]; len(list) == 0 || list[0] != ctl.set.Self {
+			continue
+		}
+		since, was := before[name]
+		if !was {
+			since = now
+		}
+		vw.coordinatorSince[name] = since
 	}
 }
 
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -28,7 +28,7 @@
 	// flushPending is set while new facts wait to be sent.
 	flushPending bool
 	suspects     *poison.List
-	rates        map[ident.Process]rate
+	declared     map[gossip.Kind]declaredBy
 	evicted      int
 	stored       storedState
 }
@@ -36,7 +36,9 @@
 func newFacts(ctl *Control) factsCtl {
 	fcl := factsCtl{ctl: ctl}
 	fcl.spread.Bound(gossip.CrashedUnder, poison.Bounds(func() *poison.List { return ctl.facts.suspects }))
-	fcl.spread.Bound(gossip.DeclaredRate, ratesBounds)
+	for _, kind := range declaredKinds {
+		fcl.spread.Bound(kind, noticeBounds)
+	}
 	return fcl
 }
 
@@ -70,12 +72,14 @@
 	fcl.scheduleFlush()
 }
 
-// refresh derives the rates and suspects that requests use from the facts.
+// refresh derives the declared values and suspects that requests use from the facts.
 func (fcl *factsCtl) refresh(now clock.Milli) {
-	if rates := readRates(fcl.spread.All(gossip.DeclaredRate, now), now); !maps.Equal(rates, fcl.rates) {
-		fcl.rates = rates
-		fcl.ctl.ratesChanged = true
+	values := map[gossip.Kind]declaredBy{}
+	for _, kind := range declaredKinds {
+		values[kind] = readDeclared(fcl.spread.All(kind, now), now)
+		fcl.ctl.noticesChanged = fcl.ctl.noticesChanged || !maps.Equal(values[kind], fcl.declared[kind])
 	}
+	fcl.declared = values
 	before := fcl.suspects
 	fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
 	fcl.stored.wanted = gossip.Digest(fcl.quarantineFacts(now))
--- a/internal/state/rates_test.go
+++ b/internal/state/notices_test.go
@@ -19,9 +19,9 @@
 		return []proto.Endpoint{{ID: "ended", Addr: "a", Pool: "p"}, {ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}, nil, nil
 	}})
 	gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(3))
-	ctl.RecordNotice("a", proto.Notice{HasRate: true, Rate: 3}, clock.Clock{}.Now())
-	ctl.RecordNotice("b", proto.Notice{Endpoint: "there", HasRate: true, Rate: 4}, clock.Clock{}.Now())
-	ctl.RecordNotice("a", proto.Notice{Endpoint: "there", HasRate: true, Rate: 2}, clock.Clock{}.Now())
+	ctl.RecordNotice("a", proto.Notice{Rate: proto.Declared{Value: 3, Is: true}}, clock.Clock{}.Now())
+	ctl.RecordNotice("b", proto.Notice{Endpoint: "there", Rate: proto.Declared{Value: 4, Is: true}}, clock.Clock{}.Now())
+	ctl.RecordNotice("a", proto.Notice{Endpoint: "there", Rate: proto.Declared{Value: 2, Is: true}}, clock.Clock{}.Now())
 	gom.Eventually(func() float64 {
 		rate, _ := ctl.View().Rate("there")
 		return rate
@@ -43,7 +43,7 @@
 	renewals, digest := 0, uint64(0)
 	const span = 2 * clock.Hour
 	for range int(span / clock.Minute) {
-		ctl.RecordNotice("e1", proto.Notice{Endpoint: "e1", HasRate: true, Rate: 2}, clk.Now())
+		ctl.RecordNotice("e1", proto.Notice{Endpoint: "e1", Rate: proto.Declared{Value: 2, Is: true}}, clk.Now())
 		gom.Expect(ctl.loop.Do(t.Context(), func(clock.Milli) {
 			if now := ctl.facts.spread.Digest(); now != digest {
 				renewals, digest = renewals+1, now
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -3,6 +3,7 @@
 import (
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
@@ -23,6 +24,8 @@
 	endpointsKnown bool
 	members        []member.Member
 	coordinators   map[string][]ident.Incarnation
+	// coordinatorSince has the pools that this instance coordinates, with the time since when.
+	coordinatorSince map[string]clock.Milli
 	// answeredAt is when the store last answered, storeDelay how much longer than the requested hold
 	// that took.
 	answeredAt  clock.Milli
@@ -32,7 +35,9 @@
 	leaving     bool
 	othersFresh bool
 	suspects    *poison.List
-	rates       map[ident.Process]rate
+	declared    map[gossip.Kind]declaredBy
+	// brittlePools has the pools with brittle endpoints.
+	brittlePools map[string]bool
 }
 
 // ViewOf returns a view with a plan and endpoints only, for decisions made without a control loop.
@@ -79,6 +84,13 @@
 // unresponsive, the next one does.
 func (vw *View) Coordinators(pool string) []ident.Incarnation { return vw.coordinators[pool] }
 
+// CoordinatorSince returns since when this instance has been the first coordinator of a pool; false if
+// it is not.
+func (vw *View) CoordinatorSince(pool string) (since clock.Milli, ok bool) {
+	since, ok = vw.coordinatorSince[pool]
+	return since, ok
+}
+
 // Suspects returns the fingerprints of requests under which endpoints have crashed.
 func (vw *View) Suspects() *poison.List { return vw.suspects }
 
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -56,6 +56,10 @@
 // Since returns the time elapsed since then.
 func (c Clock) Since(then Milli) Milli { return c.Now() - then }
 
+// Until returns the time left until an instant of the runtime's timers and contexts; zero if it has
+// passed.
+func (c Clock) Until(at time.Time) Milli { return max(FromDuration(time.Until(at)), 0) }
+
 // Deadline converts an instant of this clock for the runtime's timers and contexts. The
 // result is up to a millisecond later and never earlier, since this clock's instants are
 // rounded down.
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -30,6 +30,8 @@
 	// fullRetryDelay is how long an endpoint without free result storage gets no batch, unless a
 	// result is released sooner.
 	fullRetryDelay = 60 * clock.Milli(1)
+	// brittlePause is how long a brittle endpoint gets no batch after it has rejected one.
+	brittlePause = clock.Second
 	// foreignTTL is how long storage that was refused to an item counts as occupied by foreign
 	// results.
 	foreignTTL = clock.Second
@@ -65,6 +67,8 @@
 	Capacity int64
 	// TTL is how long an endpoint stores a result that is not released.
 	TTL clock.Milli
+	// Brittle is set if endpoints fall over when they reject many batches.
+	Brittle bool
 }
 
 // Time returns the planned time of a batch of n items.
--- a/pkg/gather/learn.go
+++ b/pkg/gather/learn.go
@@ -31,6 +31,9 @@
 		// Another instance schedules this pool too, or batches of the previous scheduler are still
 		// in progress; a slot may be free half a batch later.
 		ep.blockedUntil = now + sch.spec.Time(1)/2
+		if sch.spec.Brittle {
+			ep.blockedUntil = now + brittlePause
+		}
 	case Failed:
 		// A missing answer implies that the batch takes at least this long.
 		ep.setSlowness(max(ep.slowness(now), float64(now-ob.began)/float64(max(sch.spec.Time(ob.count), 1))), now)
--- a/pkg/gather/lost_test.go
+++ b/pkg/gather/lost_test.go
@@ -87,3 +87,24 @@
 	gom.Expect(len(after)).To(gomega.BeNumerically(">", 550))
 	gom.Expect(after[len(after)/2]).To(gomega.BeNumerically("<", 2*calm[len(calm)/2]))
 }
+
+// Guards against an endpoint that falls over since it is called again soon after it has rejected a batch.
+func TestBrittleEndpointIsLeftAlone(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	for _, brittle := range []bool{false, true} {
+		var sch Scheduler
+		sch.SetSpec(Spec{Slots: 1, MaxItems: 4, BatchMs: 200, ItemMs: 20, Brittle: brittle})
+		sch.Sync([]Endpoint{{ID: "one"}})
+		rejected := 0
+		for now := clock.Milli(1000); now < 3000; now += 10 {
+			if sch.Waiting() == 0 {
+				sch.Add(Item{ID: int64(now), Job: int64(now), Due: 10_000, Expires: 10_000})
+			}
+			if bat, ok := sch.Next(now); ok {
+				rejected++
+				sch.End(bat.ID, Busy, nil, now)
+			}
+		}
+		gom.Expect(rejected <= 2).To(gomega.Equal(brittle), "%d rejections in 2 s", rejected)
+	}
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -22,6 +22,9 @@
 	CrashedUnder Kind = iota + 1 // ended_under
 	// DeclaredRate: the maximum request rate that an endpoint declares; the key is the endpoint.
 	DeclaredRate // named_rate
+	// DeclaredBrittle: the number of rejections within a second that an endpoint survives; the key is
+	// the endpoint.
+	DeclaredBrittle // brittle
 )
 
 // Fact is the wire form of a fact.
--- a/pkg/gossip/kind_string.go
+++ b/pkg/gossip/kind_string.go
@@ -10,11 +10,12 @@
 	var x [1]struct{}
 	_ = x[CrashedUnder-1]
 	_ = x[DeclaredRate-2]
+	_ = x[DeclaredBrittle-3]
 }
 
-const _Kind_name = "ended_undernamed_rate"
+const _Kind_name = "ended_undernamed_ratebrittle"
 
-var _Kind_index = [...]uint8{0, 11, 21}
+var _Kind_index = [...]uint8{0, 11, 21, 28}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -210,6 +210,26 @@
 	return seen[len(seen)-most], true
 }
 
+// isolatedAfter is how long an instance has no contact before it counts as isolated.
+const isolatedAfter = 4 * Period
+
+// IsIsolated reports whether this instance has lost contact: for isolatedAfter it has not seen a
+// majority of the members or, above MeshSize, where most are heard of more rarely, any other member.
+// The others have replaced it in its roles by then.
+func (lst *List) IsIsolated(now clock.Milli) bool {
+	if lst.IsMesh() {
+		seen, ok := lst.MajoritySeen(now)
+		return !ok || now-seen > isolatedAfter
+	}
+	last := clock.Milli(0)
+	for who, mbr := range lst.members {
+		if who != lst.self {
+			last = max(last, mbr.lastSeen)
+		}
+	}
+	return now-last > isolatedAfter
+}
+
 // rank orders members by the hash of the name and the member, highest first.
 func rank(name string, ids []ident.Incarnation) []ident.Incarnation {
 	type scored struct {
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -57,6 +57,9 @@
 	Bytes int64  `cbor:"5,keyasint,omitempty"`
 	// MaxGap is the maximum gap between events, zero for no bound.
 	MaxGap clock.Milli `cbor:"6,keyasint,omitempty"`
+	// Share is the part of the slots of brittle engines that may be used, of which one always may;
+	// zero for all of them.
+	Share float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Placement is the placement of a prompt.
@@ -96,7 +99,7 @@
 // slot: see [Placer.Begin].
 func (plc *Placer) Pick(ask Ask, now clock.Milli) (Placement, bool) {
 	plc.expire(now)
-	open := plc.available(ask.Avoid, now)
+	open := plc.available(ask, now)
 	if len(open) == 0 {
 		return Placement{}, false
 	}
@@ -212,15 +215,16 @@
 }
 
 // available returns the engines to choose from: healthy ones with a free slot, or else healthy
-// ones, or else all that are not leaving.
-func (plc *Placer) available(avoid []string, now clock.Milli) []*engine {
+// ones, or else all that are not leaving. Brittle engines need a free slot.
+func (plc *Placer) available(ask Ask, now clock.Milli) []*engine {
 	var free, full, ejected []*engine
 	for _, eng := range plc.list {
 		switch {
-		case eng.Leaving || slices.Contains(avoid, eng.ID):
+		case eng.Leaving || slices.Contains(ask.Avoid, eng.ID):
+		case plc.brittle && (eng.isFull(now) || eng.exceeds(ask.Share, now) || eng.rejectedAt > 0 && now-eng.rejectedAt < rejectPause):
 		case eng.isEjected(now):
 			ejected = append(ejected, eng)
-		case eng.Slots > 0 && eng.streams(now) >= float64(eng.Slots), eng.Memory > 0 && eng.memoryNeed() > eng.Memory:
+		case eng.isFull(now):
 			full = append(full, eng)
 		default:
 			free = append(free, eng)
@@ -235,6 +239,16 @@
 	return ejected
 }
 
+// exceeds reports whether a part of an engine's slots is in use, zero for none.
+func (eng *engine) exceeds(share float64, now clock.Milli) bool {
+	return share > 0 && eng.streams(now) >= max(1, share*float64(eng.Slots))
+}
+
+// isFull reports whether all slots or all memory of an engine is in use.
+func (eng *engine) isFull(now clock.Milli) bool {
+	return eng.Slots > 0 && eng.streams(now) >= float64(eng.Slots) || eng.Memory > 0 && eng.memoryNeed() > eng.Memory
+}
+
 // rendezvousRank combines the hashes of a prompt and an engine by the finalizer of SplitMix64 (G.
 // Steele and others, "Fast splittable pseudorandom number generators", 2014). Hashing the two names
 // together for each engine took 2.5 ms with 1,600 engines.
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -21,6 +21,9 @@
 	// any was measured; streamMsWeight is the weight of a new measurement.
 	defaultStreamMs = 2.0
 	streamMsWeight  = 0.05
+	// rejectPause is how long a brittle engine gets no request after it has rejected one: those that
+	// are on their way may be rejected as well.
+	rejectPause = clock.Second
 	// sizeWeight is the weight of a new request in the mean size.
 	sizeWeight = 0.01
 	// runTTL is how long a request without a recorded end is counted: the message that reports the
@@ -82,6 +85,8 @@
 	failures     int
 	ejectedUntil clock.Milli
 	probing      bool
+	// rejectedAt is when it last rejected a request for lack of room.
+	rejectedAt clock.Milli
 }
 
 // Placer is the placer of a pool of engines. The zero value is an empty pool. It is not safe for
@@ -98,6 +103,8 @@
 	streamMs float64
 	// meanSize is the mean size of requests.
 	meanSize float64
+	// brittle is set if engines fall over when they reject many requests.
+	brittle bool
 }
 
 // Sync replaces the list of engines; the state of those that remain is kept. An engine once marked
@@ -119,6 +126,10 @@
 	plc.list, plc.byID = all, byID
 }
 
+// SetBrittle sets whether engines fall over when they reject many requests. They are then sent no more
+// than they run at a time, and nothing for rejectPause after a rejection.
+func (plc *Placer) SetBrittle(brittle bool) { plc.brittle = brittle }
+
 // Len returns the number of engines.
 func (plc *Placer) Len() int { return len(plc.list) }
 
@@ -210,6 +221,8 @@
 	Failed
 	// Neutral: the ending says nothing about the engine's health.
 	Neutral
+	// Rejected: the engine had no room for the request.
+	Rejected
 )
 
 // End records the end of a request, and the longest pause between events of its answer.
@@ -230,7 +243,10 @@
 			plc.pauses.sample(rn.overlapTokens, float64(pause)/eng.slow.current(now))
 		}
 	}
-	if end != Failed {
+	if end == Rejected {
+		eng.rejectedAt = now
+	}
+	if end != Failed && end != Rejected {
 		return
 	}
 	if eng.failures++; eng.failures >= failuresToEject {
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -166,6 +166,16 @@
 	return pl.take(pl.choose(open, ask, now), ask), true
 }
 
+// Begin counts a request as in flight at the given endpoint, whatever its limit; false if it is unknown
+// or leaving.
+func (pl *Pool) Begin(id string) (Endpoint, bool) {
+	pr, ok := pl.byID[id]
+	if !ok || pr.leaving {
+		return Endpoint{}, false
+	}
+	return pl.take(pr, Ask{}), true
+}
+
 // Available reports whether an endpoint is available, apart from probes.
 func (pl *Pool) Available(ask Ask) bool {
 	return len(pl.eligible(ask, true)) > 0 || len(pl.eligible(ask, false)) > 0
