internal/dial: idle instances look whether they reach any endpoint

What was seen: the spec "all of seven instances hang" failed once in a run of all tests: the one instance that is well served 49 of its 50 requests, and 336 of 350 were served at the others, 95 in 100 in 805 ms.

Cause: no requests come between the begin of the partition and the first that are counted, three seconds later. An instance without requests doesn't connect to endpoints, so that none of the seven knew that it was blind: they still coordinated pools and were asked to relay, each of which costs hundreds of milliseconds to find out.

Change: an instance that has connected to no endpoint for a second connects to one; not to brittle or leaving ones. A busy instance does nothing more.

--- a/internal/dial/check.go
+++ b/internal/dial/check.go
@@ -16,6 +16,8 @@
 	checkTimeout = 200 * time.Millisecond
 	// checkValid is how long the result of a check is used again.
 	checkValid = 50 * clock.Milli(1)
+	// idleInterval is how long no endpoint is connected before one is probed.
+	idleInterval = clock.Second
 	// probeInterval is the interval at which blocked paths are probed.
 	probeInterval = 500 * time.Millisecond
 )
@@ -65,7 +67,7 @@
 	seen := map[string]bool{except: true}
 	var addrs []string
 	for _, ep := range dlr.set.Endpoints() {
-		if !seen[ep.Addr] {
+		if !seen[ep.Addr] && (dlr.set.MayProbe == nil || dlr.set.MayProbe(ep)) {
 			seen[ep.Addr] = true
 			addrs = append(addrs, ep.Addr)
 		}
--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -40,6 +40,9 @@
 	// Endpoints returns the known endpoints, Relays the instances that may relay connections.
 	Endpoints func() []proto.Endpoint
 	Relays    func() []reach.Relay
+	// MayProbe reports whether an endpoint may be connected only to see whether it is reached; nil
+	// allows all.
+	MayProbe func(ep proto.Endpoint) bool
 	// OnHealed is called when a path that had been blocked is open again; it may be nil.
 	OnHealed func()
 	Clock    clock.Clock
@@ -81,6 +84,34 @@
 	return dlr.table.Advertised(dlr.set.Clock.Now())
 }
 
+// Watch connects to an endpoint now and then while no request does, until the context ends. Otherwise an
+// instance without requests would not know that it is partitioned, and others would use it as a relay
+// or a coordinator.
+func (dlr *Dialer) Watch(ctx context.Context) {
+	tkr := time.NewTicker(idleInterval.Duration())
+	defer tkr.Stop()
+	for dlr.set.Link != nil {
+		select {
+		case <-tkr.C:
+			dlr.probeIdle()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// probeIdle connects to an endpoint if none was connected lately.
+func (dlr *Dialer) probeIdle() {
+	dlr.mtx.Lock()
+	idle := dlr.table.Idle(dlr.set.Clock.Now()) >= idleInterval
+	dlr.mtx.Unlock()
+	if addrs := dlr.sampleAddrs(""); idle && len(addrs) > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		defer cancel()
+		dlr.probe(ctx, addrs[0])
+	}
+}
+
 // Close ends the probing of blocked paths.
 func (dlr *Dialer) Close() {
 	dlr.mtx.Lock()
--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/reach"
 )
@@ -203,3 +204,17 @@
 		return direct
 	}, 3*probeInterval, probeInterval/5).Should(gomega.BeTrue())
 }
+
+// Guards against an instance that learns that it is partitioned only from its first requests.
+func TestIdleInstanceKnowsItsPartition(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	nwk.origin.SetKnown(2)
+	go nwk.origin.Watch(t.Context())
+	gom.Eventually(nwk.origin.Blind, 3*idleInterval.Duration()).Should(gomega.BeTrue())
+	nwk.healed.Store(true)
+	gom.Eventually(nwk.origin.Blind, (blindTime + idleInterval).Duration()).Should(gomega.BeFalse())
+}
+
+// blindTime covers the time for which an instance is still taken for blind after its partition.
+const blindTime = 4 * clock.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 		},
 		Endpoints: func() []proto.Endpoint { return nod.ctl.View().Endpoints() },
 		Relays:    func() []reach.Relay { return nod.ctl.View().Relays(inc) },
+		MayProbe:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.View().BrittlePools()[ep.Pool] },
 		OnHealed:  func() { nod.pooled.CloseIdleConnections() },
 	})
 	cli := relay.PooledClient(idleConnTimeout, nod.dialer.DialContext, onReply)
@@ -279,6 +280,7 @@
 		nod.ctl.Run(ctx)
 		close(nod.stopped)
 	}()
+	go nod.dialer.Watch(ctx)
 	go nod.callers.Serve()
 	for i, srv := range nod.auxServers {
 		go func() { _ = srv.Serve(nod.auxListeners[i]) }()
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -53,6 +53,8 @@
 	// directly since the last direct connection to any address.
 	severed map[string]struct{}
 	failed  map[string]struct{}
+	// connectedAt is when any address was last connected directly.
+	connectedAt clock.Milli
 	// checkedAt is when a check was last due, blindEndedAt when this instance was last blind.
 	checkedAt    clock.Milli
 	blindEndedAt clock.Milli
@@ -116,6 +118,7 @@
 	case Canceled:
 		return false
 	case Connected:
+		tbl.connectedAt = now
 		_, healed = tbl.severed[addr]
 		if tbl.Blind() {
 			healed = true
@@ -150,6 +153,9 @@
 	return len(tbl.failed) > 0 && len(tbl.failed) >= min(blindAddrs, tbl.known)
 }
 
+// Idle returns how long no address was connected directly.
+func (tbl *Table) Idle(now clock.Milli) clock.Milli { return now - tbl.connectedAt }
+
 // Advertised reports whether other instances are told that this one is blind.
 func (tbl *Table) Advertised(now clock.Milli) bool {
 	return tbl.Blind() || tbl.blindEndedAt > 0 && now-tbl.blindEndedAt < blindHold
