internal/soak, internal/sever: partitions from all endpoints and brittle endpoints

Change: two kinds of trouble, judged as the users' rules word them. A partition is refused, unanswered, reset, hanging or leaves open connections alone, at one instance, half, all but one or all; the daemon gets it from a file (internal/soak/daemon is amvnode with internal/sever around its way to endpoints). Brittle endpoints have bounded room, fall, and get bursts. In half of the runs with short answers most troubles leave instances alone, or they would hardly ever count as well.

The check now asks that the instance was not disturbed while the request was under way; its own test is unchanged.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -269,6 +269,10 @@
 	}
 }
 
+// SetDial replaces the way in which connections to endpoints are opened. It must be called before
+// Start.
+func (nod *Node) SetDial(dlf dial.Func) { nod.dialDirect = dlf }
+
 // Start serves requests until Stop or Kill is called.
 func (nod *Node) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/shell/node.go
+++ b/internal/shell/node.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/dial"
 	"amaranthvalve/internal/early"
 	"amaranthvalve/internal/entry"
 	"amaranthvalve/internal/zlog"
@@ -25,6 +26,8 @@
 	CheckConfig bool   `help:"Check the settings and exit: 0 if they are valid, 1 with all faults if not."`
 
 	signals early.Signals
+	// dial opens connections to endpoints; nil for the usual way.
+	dial dial.Func
 }
 
 const nodeAbout = `The daemon of every entry instance. Example: amvnode --config node.toml
@@ -37,6 +40,11 @@
 	return run("amvnode", nodeAbout, &nodeCmd{signals: sgs}, args, out, err)
 }
 
+// RunNodeThrough is RunNode with another way of connecting to endpoints, for tests.
+func RunNodeThrough(args []string, out, err io.Writer, sgs early.Signals, dlf dial.Func) int {
+	return run("amvnode", nodeAbout, &nodeCmd{signals: sgs, dial: dlf}, args, out, err)
+}
+
 // Run runs the command.
 func (cmd *nodeCmd) Run(con *console) error {
 	if !cmd.CheckConfig {
@@ -49,7 +57,7 @@
 		return err
 	}
 	if set.Dialect() == conf.DialectPlatform {
-		return runRouted(con, cmd.Config, set, platform.Dialect(), cmd.signals)
+		return runRouted(con, cmd.Config, set, platform.Dialect(), cmd.signals, cmd.dial)
 	}
 	log := newLog(con.err, set.LogLevel())
 	zlog.RedirectLibraries(log)
--- a/internal/shell/routed.go
+++ b/internal/shell/routed.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/conf"
+	"amaranthvalve/internal/dial"
 	"amaranthvalve/internal/early"
 	"amaranthvalve/internal/node"
 	"amaranthvalve/internal/proto"
@@ -27,7 +28,7 @@
 
 // runRouted runs an instance that serves a dialect until SIGTERM or SIGINT. It reloads its settings
 // on SIGHUP and when the file has changed.
-func runRouted(con *console, path string, set *conf.Settings, dia *proto.Dialect, sgs early.Signals) error {
+func runRouted(con *console, path string, set *conf.Settings, dia *proto.Dialect, sgs early.Signals, dlf dial.Func) error {
 	lvl, err := zerolog.ParseLevel(set.LogLevel())
 	if err != nil {
 		lvl = zerolog.InfoLevel
@@ -41,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if dlf != nil {
+		nod.SetDial(dlf)
+	}
 	nod.Start()
 	wch := &watcher{path: path, log: log, apply: nod.Apply}
 	wch.record()
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -80,6 +80,8 @@
 	// its process may have ended.
 	steady      bool
 	undisturbed bool
+	// partitioned reports that the instance was partitioned from all endpoints around the attempt.
+	partitioned bool
 	status      int
 	header      http.Header
 	answer      string
@@ -265,6 +267,7 @@
 	att.undisturbed = steady && ins.undisturbed(att.sent)
 	// A long answer takes longer than settleTime, after which a fault does not count any more.
 	att.steady = steady && incarnation == att.incarnation && ins.steady(att.ended) && (att.answerTime == 0 || att.undisturbed)
+	att.partitioned = ins.partitionedSince(att.sent)
 	clr.sr.check(att)
 	return att
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -49,6 +49,8 @@
 	{"rolling shutdown", (*soakRun).rollingShutdown},
 	{"poison request", (*soakRun).sendPoison},
 	{"endpoint declares a rate", (*soakRun).declareRate},
+	{"partition from all endpoints", (*soakRun).partition},
+	{"brittle endpoints", (*soakRun).makeBrittle},
 }
 
 // Runs that draw from at least variedFromKinds kinds may have answers of varied length. In such a
@@ -56,8 +58,19 @@
 const (
 	variedFromKinds = 16
 	anyFaultOneIn   = 4
+	// Runs that draw from at least calmFromKinds kinds and have answers of the usual length draw most
+	// faults from calmFaults; one in calmAnyFaultOneIn is drawn from all kinds.
+	calmFromKinds     = 20
+	calmAnyFaultOneIn = 8
 )
 
+// calmFaults are the kinds of fault during which instances count as steady.
+var calmFaults = []faultKind{
+	{"partition from all endpoints", (*soakRun).partition},
+	{"brittle endpoints", (*soakRun).makeBrittle},
+	{"endpoint", (*soakRun).endpointFaults},
+}
+
 // inject injects overlapping series of faults until the context ends, and waits for the faults to
 // end.
 func (sr *soakRun) inject(ctx context.Context, log func(format string, args ...any)) {
@@ -91,6 +104,9 @@
 	if sr.params.variedAnswers && sr.drawInt(anyFaultOneIn) > 0 {
 		return []faultKind{{"planned shutdown", (*soakRun).plannedShutdown}, {"rolling shutdown", (*soakRun).rollingShutdown}}[sr.drawInt(2)]
 	}
+	if sr.params.calm && sr.drawInt(calmAnyFaultOneIn) > 0 {
+		return calmFaults[sr.drawInt(len(calmFaults))]
+	}
 	return faultKinds[sr.drawInt(sr.faultKinds)]
 }
 
@@ -320,6 +336,7 @@
 		ins.frontProxy.set(stateForward)
 		ins.peerProxy.set(stateForward)
 		ins.signal(syscall.SIGCONT)
+		ins.healPartition()
 		if _, _, stopping := ins.processState(); stopping {
 			ins.awaitEnd(ins.shutdownTimeout+time.Second, ignoreTimeout)
 		}
