--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,8 @@
 	// LossRate is the fraction of messages that links lose.
 	LossRate float64
 	Seed     uint64
+	// ZoneOf returns the data centre of an instance; nil for a single one.
+	ZoneOf func(i int) string
 	// OnStart is called for each instance that starts, to set the bounds of its facts.
 	OnStart func(ins *Instance)
 }
@@ -85,11 +87,18 @@
 
 func (flt *Fleet) start(i int) *Instance {
 	id := ident.Incarnation(fmt.Sprintf("10.0.%d.%d:1#%d", i/250, i%250, flt.boots))
-	ins := &Instance{id: id, list: member.New(id, "dc1", "", flt.now), stableSince: flt.now}
+	ins := &Instance{id: id, list: member.New(id, flt.zone(i), "", flt.now), stableSince: flt.now}
 	flt.set.OnStart(ins)
 	return ins
 }
 
+func (flt *Fleet) zone(i int) string {
+	if flt.set.ZoneOf == nil {
+		return "dc1"
+	}
+	return flt.set.ZoneOf(i)
+}
+
 // Restart replaces the selected instances. The new ones learn the members from an instance that
 // keeps running.
 func (flt *Fleet) Restart(which func(i int) bool) {
@@ -120,8 +129,8 @@
 		flt.byID[flt.insts[i].id] = flt.insts[i]
 	}
 	for _, ins := range flt.insts {
-		for _, oth := range flt.insts {
-			ins.list.Merge([]member.Update{{ID: oth.id, Zone: "dc1", Seq: 1}}, flt.now)
+		for i, oth := range flt.insts {
+			ins.list.Merge([]member.Update{{ID: oth.id, Zone: flt.zone(i), Seq: 1}}, flt.now)
 		}
 	}
 }
