platform, internal/state: lines tell that an endpoint leaves or wants rest

Cause: of the hypotheses on endpoints that leave or want rest none can be followed in the log lines: no line says what an answer told of its endpoint.

No decision differs.

Checked: ./platform, ./internal/state, the archives of mutants.

--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -89,6 +89,12 @@
 	// Brittle is the number of requests that the endpoint can reject within a second for lack of
 	// room; beyond it the endpoint falls over.
 	Brittle Declared
+	// Leaving is set if the endpoint announces that it will end.
+	Leaving bool
+	// Rest is how long the endpoint wants no request from the instance that it has turned away; zero
+	// for none. RestText is what it asked for.
+	Rest     clock.Milli
+	RestText string
 }
 
 // Declared is a number that an endpoint declares, if Is.
--- a/internal/state/notices.go
+++ b/internal/state/notices.go
@@ -93,6 +93,7 @@
 		return
 	}
 	vw := ctl.View()
+	ctl.logNotice(vw, addr, ntc)
 	values := map[gossip.Kind]proto.Declared{gossip.DeclaredRate: ntc.Rate, gossip.DeclaredBrittle: ntc.Brittle}
 	for _, kind := range declaredKinds {
 		if !values[kind].Is && len(vw.declared[kind]) == 0 {
@@ -106,6 +107,25 @@
 	}
 }
 
+// logNotice logs that an endpoint announces its end, unless that is known, and each rest that it asks
+// for.
+func (ctl *Control) logNotice(vw *View, addr string, ntc proto.Notice) {
+	if !ntc.Leaving && ntc.RestText == "" {
+		return
+	}
+	for _, ep := range vw.endpoints {
+		if ep.Addr != addr || ep.ID.Name() != ntc.Endpoint {
+			continue
+		}
+		if ntc.Leaving && !ep.Leaving {
+			ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Msg("endpoint says that it leaves")
+		}
+		if ntc.RestText != "" {
+			ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("asked", ntc.RestText).Int64("rest_ms", int64(ntc.Rest)).Msg("endpoint asks for rest")
+		}
+	}
+}
+
 // recordDeclared spreads a new or changed value of an endpoint to all instances. A success without a
 // value, to a request that was sent after the value was declared, clears it.
 func (ctl *Control) recordDeclared(kind gossip.Kind, vw *View, ep proto.Endpoint, val proto.Declared, success bool, sent clock.Milli) {
