internal/node: failing tests of endpoints that leave or want rest, listed

The bounds are the users'. Instances connect from addresses of their own, so that an endpoint can tell them apart.

--- /dev/null
+++ b/internal/node/notice_test.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/dial"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/platform/fake"
+)
+
+const (
+	// drainTime is the time after an instance has passed on an answer that announces the endpoint's
+	// end, after which it must send the endpoint nothing.
+	drainTime = 2 * time.Second
+	// restTime is the rest that an endpoint asks for. Between restSlack after it has turned an instance
+	// away and the end of that time the instance may send it restAllowed requests.
+	restTime    = 3 * time.Second
+	restSlack   = 500 * time.Millisecond
+	restAllowed = 2
+)
+
+// senderOf returns the address from which an instance of a testbed connects to endpoints.
+func senderOf(node int) string { return fmt.Sprintf("127.0.1.%d", node+1) }
+
+// newSenderTestbed is newTestbed whose instances connect to endpoints from addresses of their own, and
+// accept tokens while the store does not answer.
+func newSenderTestbed(nodes int) *testbed {
+	tbd := newTokenTestbed(0, clock.Minute)
+	for i := range nodes {
+		tbd.startWithLink(func(nod *Node) {
+			dlr := dial.Direct(dial.EndpointSilence)
+			dlr.LocalAddr = &net.TCPAddr{IP: net.ParseIP(senderOf(i))}
+			nod.SetDial(dlr.DialContext)
+		})
+	}
+	tbd.waitJoined()
+	return tbd
+}
+
+// sendMixed sends all kinds of requests to all instances in turn until the context ends.
+func (tbd *testbed) sendMixed(ctx context.Context, perSecond int) {
+	var grp sync.WaitGroup
+	for _, rqt := range partitionRequests {
+		grp.Go(func() { tbd.generateLoad(ctx, rqt, perSecond) })
+	}
+	grp.Wait()
+}
+
+// isRelease reports whether a request releases results, which no caller sent.
+func isRelease(arr fake.Arrival) bool { return arr.Path == "/-/stage-free" }
+
+var _ = ginkgo.Describe("an endpoint that announces its end in its answers", func() {
+	// Guards against requests, prompts and batches that reach an endpoint after it has said that it
+	// leaves, while the store doesn't answer.
+	ginkgo.It("gets no new work from any instance although the store is silent", func() {
+		tbd := newSenderTestbed(4)
+		tbd.store.SetMode(fake.Silent)
+		leaving := []*fake.Endpoint{tbd.engines[0], tbd.plain[0], tbd.stages[0]}
+		for _, ep := range leaving {
+			ep.SetLeaving()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+		defer cancel()
+		began := time.Now()
+		tbd.sendMixed(ctx, 20)
+		for _, ep := range leaving {
+			late := 0
+			for _, arr := range ep.AllArrivals() {
+				if arr.At.Sub(began) > drainTime && !isRelease(arr) {
+					late++
+				}
+			}
+			expect(late).To(gomega.BeZero(), "%s got %d requests", ep.ID(), late)
+		}
+	})
+})
+
+var _ = ginkgo.Describe("an endpoint that asks an instance for rest", func() {
+	// Guards against requests that an endpoint gets from an instance to which it has given a time to come
+	// back.
+	ginkgo.It("gets no more than two requests from it in that time", func() {
+		tbd := newSenderTestbed(4)
+		resting := []*fake.Endpoint{tbd.engines[0], tbd.plain[0], tbd.stages[0]}
+		for _, ep := range resting {
+			ep.SetRest(restTime)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				time.Sleep(200 * time.Millisecond)
+				for _, ep := range resting {
+					ep.ClearFaults()
+					ep.QueueFaults(fake.Shed)
+				}
+			}
+		}()
+		tbd.sendMixed(ctx, 20)
+		for _, ep := range resting {
+			shed := 0
+			for _, arr := range ep.AllArrivals() {
+				if !arr.Shed {
+					continue
+				}
+				shed++
+				count := 0
+				for _, oth := range ep.AllArrivals() {
+					if since := oth.At.Sub(arr.At); oth.From == arr.From && since > restSlack && since < restTime {
+						count++
+					}
+				}
+				expect(count).To(gomega.BeNumerically("<=", restAllowed), "%s, from %s", ep.ID(), arr.From)
+			}
+			expect(shed).To(gomega.BeNumerically(">", 0))
+		}
+	})
+})
