internal/state, internal/front: endpoints that announce their end in answers get no new work

What operators saw: requests reached endpoints 2.6 and 10.8 s after an answer had told the instance which sent them that the endpoint leaves, while the store was silent.

The class: what an answer tells about its endpoint is dropped.

Change: an announced end is a fact that all instances share, and lasts as long as the process is listed. An endpoint that was leaving stays so whatever a later list says. A request is withheld if its endpoint has become known to leave while the connection was opened; relays don't connect to such endpoints, and they are not asked for their storage. What is under way there goes on.

The test that an endpoint stays leaving asked for its end after 30 s; it asks now that it stays for as long as it is listed, also when an older list says otherwise, and that it is forgotten later.

--- a/internal/batch/storage.go
+++ b/internal/batch/storage.go
@@ -65,7 +65,7 @@
 	var grp sync.WaitGroup
 	var held, failures atomic.Int64
 	for _, ep := range list {
-		if pol.hasDeclaredRate(ep.ID) {
+		if ep.Leaving || pol.hasDeclaredRate(ep.ID) {
 			continue
 		}
 		grp.Go(func() {
--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -40,6 +40,8 @@
 	// Endpoints returns the known endpoints, Relays the instances that may relay connections.
 	Endpoints func() []proto.Endpoint
 	Relays    func() []reach.Relay
+	// MayRelay reports whether an endpoint may be connected for another instance; nil allows all.
+	MayRelay func(ep proto.Endpoint) bool
 	// MayProbe reports whether an endpoint may be connected only to see whether it is reached; nil
 	// allows all.
 	MayProbe func(ep proto.Endpoint) bool
--- a/internal/dial/serve.go
+++ b/internal/dial/serve.go
@@ -65,7 +65,7 @@
 		return nil, tunnelReply{Result: reach.Unreachable, Withheld: true}
 	}
 	ep, ok := dlr.endpoint(trq.Endpoint)
-	if !ok || count > maxServed {
+	if !ok || count > maxServed || dlr.set.MayRelay != nil && !dlr.set.MayRelay(ep) {
 		return nil, tunnelReply{Result: reach.Unreachable, Withheld: true}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), boundedBy(trq.Timeout))
--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -29,6 +29,8 @@
 	origin, relay *Dialer
 	endpoint      net.Listener
 	addr          string
+	// withheld is set if the relay must not connect to the endpoint.
+	withheld atomic.Bool
 	// unknown is set if the relay doesn't know the endpoint.
 	unknown atomic.Bool
 	// healed ends the partition of the origin, blocked partitions the relay as well.
@@ -78,6 +80,7 @@
 	nwk.origin = New(set)
 	set.Self, set.Link, set.Direct = relay, there, unlessBlocked
 	set.Relays = func() []reach.Relay { return nil }
+	set.MayRelay = func(proto.Endpoint) bool { return !nwk.withheld.Load() }
 	set.Endpoints = func() []proto.Endpoint {
 		if nwk.unknown.Load() {
 			return nil
@@ -181,6 +184,19 @@
 	gom.Expect(nwk.relay.Served()).To(gomega.BeZero())
 }
 
+// Guards against a relay that connects to an endpoint which must get no requests from it, and against taking
+// its refusal for the end of the endpoint, or of the relay.
+func TestRelayWithholdsConnection(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	nwk.withheld.Store(true)
+	_, err := nwk.origin.DialContext(t.Context(), "tcp", nwk.addr)
+	gom.Expect(err).To(gomega.HaveOccurred())
+	gom.Expect(nwk.relay.Served()).To(gomega.BeZero())
+	nwk.withheld.Store(false)
+	nwk.connect(gom)
+}
+
 // Guards against requests that wait for relays although nobody reaches the endpoint.
 func TestUnreachedEndpointFailsAtOnce(t *testing.T) {
 	gom := gomega.NewWithT(t)
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -172,7 +172,10 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.withInputRelease(cl, tgt)
 	defer stop()
-	rqs.Allowed = func() bool { return fr.tokenValid(cl) && !fr.isQuarantined(cl) }
+	// The endpoint may have announced its end since it was chosen, perhaps by another instance.
+	rqs.Allowed = func() bool {
+		return fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID)
+	}
 	var cgd cancelGuard
 	timer := run.cancelIfSlow(actx, &cgd, cancel)
 	rsp, end, err := fr.set.Relay.Do(actx, tgt.Addr, rqs, proto.SendMeta{
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// Queue queues an event without waiting. Unlike with [Loop.Offer] the event is not dropped if the queue
+// is full, but comes after those that are queued meanwhile.
+func (lp *Loop) Queue(event func(now clock.Milli)) {
+	select {
+	case lp.events <- event:
+	default:
+		lp.Go(func(ctx context.Context) { lp.Do(ctx, event) })
+	}
+}
+
 // Context returns the context that Run was called with.
 func (lp *Loop) Context() context.Context { return lp.ctx }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,6 +163,7 @@
 		},
 		Endpoints: func() []proto.Endpoint { return nod.ctl.View().Endpoints() },
 		Relays:    func() []reach.Relay { return nod.ctl.View().Relays(inc) },
+		MayRelay:  func(ep proto.Endpoint) bool { return !ep.Leaving },
 		MayProbe:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.View().BrittlePools()[ep.Pool] },
 		OnHealed:  func() { nod.pooled.CloseIdleConnections() },
 	})
--- a/internal/node/notice_test.go
+++ b/internal/node/notice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -82,6 +83,52 @@
 	})
 })
 
+var _ = ginkgo.Describe("a request whose endpoint announces its end", func() {
+	// Guards against a request that is sent to an endpoint which was chosen before it was known to leave.
+	ginkgo.It("while the connection is opened is sent to another endpoint", func() {
+		tbd := newTestbed(0)
+		var mtx sync.Mutex
+		dialled, proceed := "", make(chan struct{})
+		nod := tbd.startWithLink(func(nod *Node) {
+			direct := dial.Direct(dial.EndpointSilence)
+			nod.SetDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+				mtx.Lock()
+				first := dialled == "" && (addr == tbd.servers["booking-0"].Addr() || addr == tbd.servers["booking-1"].Addr())
+				if first {
+					dialled = addr
+				}
+				mtx.Unlock()
+				if first {
+					<-proceed
+				}
+				return direct.DialContext(ctx, network, addr)
+			})
+		})
+		tbd.waitJoined()
+		done := make(chan response, 1)
+		go func() { done <- tbd.send(0, request{path: "/booking/x", body: "a booking"}) }()
+		chosen := func() string {
+			mtx.Lock()
+			defer mtx.Unlock()
+			return dialled
+		}
+		eventually(chosen, pollTimeout).ShouldNot(gomega.BeEmpty())
+		for _, ep := range nod.ctl.View().Endpoints() {
+			if ep.Addr == chosen() {
+				nod.ctl.EndpointLeaving(ep.ID, "test")
+				eventually(func() bool { return nod.ctl.View().IsLeaving(ep.ID) }, pollTimeout).Should(gomega.BeTrue())
+			}
+		}
+		close(proceed)
+		var rsp response
+		eventually(done, pollTimeout).Should(gomega.Receive(&rsp))
+		expect(rsp.status).To(equal(http.StatusOK))
+		for _, ep := range tbd.plain {
+			expect(len(ep.Runs()) > 0).To(equal(tbd.servers[ep.ID()].Addr() != chosen()), ep.ID())
+		}
+	})
+})
+
 var _ = ginkgo.Describe("an endpoint that asks an instance for rest", func() {
 	// Guards against requests that an endpoint gets from an instance to which it has given a time to come
 	// back.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -259,7 +259,10 @@
 
 // EndpointLeaving records that an endpoint is leaving, as it announced in an answer, or is gone.
 func (ctl *Control) EndpointLeaving(id ident.Process, why string) {
-	ctl.loop.Offer(func(now clock.Milli) { ctl.endpts.markLeaving(id, why, now) })
+	ctl.loop.Queue(func(now clock.Milli) {
+		ctl.endpts.markLeaving(id, why, now)
+		ctl.facts.recordLeaving(id, now)
+	})
 }
 
 // Suspect reports that another instance did not answer a request, and has it probed.
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -21,7 +21,7 @@
 	// lapsedGrace is how long after an outage of the store entries that expired during it are kept:
 	// endpoints renew them within two seconds, and our own read may come one interval later.
 	lapsedGrace = 2800 * clock.Milli(1)
-	// leavingRetention is how long a leaving endpoint is reported to other instances.
+	// leavingRetention is how long an endpoint is remembered as leaving that is not listed.
 	leavingRetention = 30 * clock.Second
 	// maxFaultLogs bounds the log lines on invalid entries for each read.
 	maxFaultLogs = 8
@@ -34,8 +34,10 @@
 
 // endptsCtl owns the endpoints.
 type endptsCtl struct {
-	ctl     *Control
-	list    []proto.Endpoint
+	ctl  *Control
+	list []proto.Endpoint
+	// leaving has the endpoints that announced their end, or are gone, with the time at which that was
+	// learned.
 	leaving map[ident.Process]clock.Milli
 	// runs has the latest run of each endpoint that was listed recently.
 	runs runs
@@ -170,11 +172,16 @@
 	return ok
 }
 
-// apply replaces the list of endpoints.
+// apply replaces the list of endpoints. An endpoint that was leaving still is: a list may be older than
+// what is known, and processes don't come back.
 func (ect *endptsCtl) apply(list []proto.Endpoint, now clock.Milli) {
 	list = ect.runs.latest(list, ect.list, now)
+	before := map[ident.Process]bool{}
+	for _, ep := range ect.list {
+		before[ep.ID] = ep.Leaving
+	}
 	for i := range list {
-		if _, left := ect.leaving[list[i].ID]; left {
+		if _, left := ect.leaving[list[i].ID]; left || before[list[i].ID] {
 			list[i].Leaving = true
 		}
 	}
@@ -241,7 +248,7 @@
 
 func (ect *endptsCtl) step(now clock.Milli) {
 	for id, at := range ect.leaving {
-		if now-at > leavingRetention {
+		if now-at > leavingRetention && !ect.runs.has(id) {
 			delete(ect.leaving, id)
 		}
 	}
--- a/internal/state/endpts_test.go
+++ b/internal/state/endpts_test.go
@@ -92,16 +92,27 @@
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"new"}))
 }
 
-// Guards against a leaving endpoint that becomes ready again through an outdated list of the store.
+// Guards against a leaving endpoint that becomes ready again through an outdated list of the store, or
+// after a time although its process still runs.
 func TestLeavingStays(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead(list("a"), nil, nil, 0)
+	ect.applyRead(list("a", "b"), nil, nil, 0)
 	ect.markLeaving("a", "test", 100)
-	ect.applyRead(list("a"), nil, nil, 700)
-	gom.Expect(ect.list[0].Leaving).To(gomega.BeTrue())
-	gom.Expect(ect.leavingIDs()).To(gomega.Equal([]string{"a"}))
-	ect.step(100 + leavingRetention + 1)
+	later := 100 + 10*leavingRetention
+	for _, now := range []clock.Milli{700, later} {
+		ect.applyRead(list("a", "b"), nil, nil, now)
+		ect.step(now)
+		gom.Expect(ect.list[0].Leaving).To(gomega.BeTrue())
+		gom.Expect(ect.leavingIDs()).To(gomega.Equal([]string{"a"}))
+	}
+	left := list("a", "b")
+	left[1].Leaving = true
+	ect.applyRead(left, nil, nil, later+10)
+	ect.applyRead(list("a", "b"), nil, nil, later+20)
+	gom.Expect(ect.list[1].Leaving).To(gomega.BeTrue())
+	ect.applyRead(list("b"), nil, nil, later+2*runRetention)
+	ect.step(later + 2*runRetention)
 	gom.Expect(ect.leavingIDs()).To(gomega.BeEmpty())
 }
 
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -17,6 +17,8 @@
 	// batchDelay is how long facts are collected for one message: the crash of an endpoint is seen
 	// by all instances with requests there within the latency between data centres.
 	batchDelay = 5 * time.Millisecond
+	// isLeaving is the value of the fact that an endpoint leaves.
+	isLeaving = "1"
 	// factsTimeout bounds the sending of facts and the recording of a crash.
 	factsTimeout = time.Second
 )
@@ -36,7 +38,7 @@
 func newFacts(ctl *Control) factsCtl {
 	fcl := factsCtl{ctl: ctl}
 	fcl.spread.Bound(gossip.CrashedUnder, poison.Bounds(func() *poison.List { return ctl.facts.suspects }))
-	for _, kind := range declaredKinds {
+	for _, kind := range append([]gossip.Kind{gossip.Leaving}, declaredKinds...) {
 		fcl.spread.Bound(kind, noticeBounds)
 	}
 	return fcl
@@ -72,7 +74,7 @@
 	fcl.scheduleFlush()
 }
 
-// refresh derives the declared values and suspects that requests use from the facts.
+// refresh derives the declared values, leaving endpoints and suspects that requests use from the facts.
 func (fcl *factsCtl) refresh(now clock.Milli) {
 	values := map[gossip.Kind]declaredBy{}
 	for _, kind := range declaredKinds {
@@ -80,6 +82,9 @@
 		fcl.ctl.noticesChanged = fcl.ctl.noticesChanged || !maps.Equal(values[kind], fcl.declared[kind])
 	}
 	fcl.declared = values
+	for _, fct := range fcl.spread.All(gossip.Leaving, now) {
+		fcl.ctl.endpts.markLeaving(ident.Process(fct.Key), "reported by another instance", now)
+	}
 	before := fcl.suspects
 	fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
 	fcl.stored.wanted = gossip.Digest(fcl.quarantineFacts(now))
@@ -130,6 +135,13 @@
 	})
 }
 
+// recordLeaving adds the fact that an endpoint leaves.
+func (fcl *factsCtl) recordLeaving(id ident.Process, now clock.Milli) {
+	if fct, ok := fcl.spread.Set(gossip.Leaving, string(id), isLeaving, now); ok {
+		fcl.addLocal([]gossip.Fact{fct}, now)
+	}
+}
+
 // recordCrash adds a fact on the crash of an endpoint, or withdraws one with [poison.Cleared].
 func (fcl *factsCtl) recordCrash(key, value string, now clock.Milli) {
 	if fct, ok := fcl.spread.Set(gossip.CrashedUnder, key, value, now); ok {
--- a/internal/state/notices.go
+++ b/internal/state/notices.go
@@ -93,6 +93,7 @@
 		return
 	}
 	vw := ctl.View()
+	ctl.recordLeaving(vw, addr, ntc)
 	ctl.logNotice(vw, addr, ntc)
 	values := map[gossip.Kind]proto.Declared{gossip.DeclaredRate: ntc.Rate, gossip.DeclaredBrittle: ntc.Brittle}
 	for _, kind := range declaredKinds {
@@ -107,20 +108,25 @@
 	}
 }
 
-// logNotice logs that an endpoint announces its end, unless that is known, and each rest that it asks
-// for.
-func (ctl *Control) logNotice(vw *View, addr string, ntc proto.Notice) {
-	if !ntc.Leaving && ntc.RestText == "" {
+// recordLeaving records that an endpoint announces its end.
+func (ctl *Control) recordLeaving(vw *View, addr string, ntc proto.Notice) {
+	if !ntc.Leaving {
 		return
 	}
 	for _, ep := range vw.endpoints {
-		if ep.Addr != addr || ep.ID.Name() != ntc.Endpoint {
-			continue
-		}
-		if ntc.Leaving && !ep.Leaving {
-			ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Msg("endpoint says that it leaves")
+		if ep.Addr == addr && ep.ID.Name() == ntc.Endpoint && !ep.Leaving {
+			ctl.EndpointLeaving(ep.ID, "announced in an answer")
 		}
-		if ntc.RestText != "" {
+	}
+}
+
+// logNotice logs each rest that an endpoint asks for.
+func (ctl *Control) logNotice(vw *View, addr string, ntc proto.Notice) {
+	if ntc.RestText == "" {
+		return
+	}
+	for _, ep := range vw.endpoints {
+		if ep.Addr == addr && ep.ID.Name() == ntc.Endpoint {
 			ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("asked", ntc.RestText).Int64("rest_ms", int64(ntc.Rest)).Msg("endpoint asks for rest")
 		}
 	}
--- a/internal/state/notices_test.go
+++ b/internal/state/notices_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 )
 
@@ -55,3 +58,22 @@
 	}
 	gom.Expect(renewals).To(gomega.BeNumerically("<=", int(span/(10*clock.Minute))+1))
 }
+
+// Guards against the announced end of an endpoint that stays with the instance which received the answer,
+// and against one that is taken for the end of another process.
+func TestAnnouncedEndIsShared(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	here, there := started(t, proto.Store{}), started(t, proto.Store{})
+	for _, ctl := range []*Control{here, there} {
+		gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(1))
+	}
+	here.RecordNotice("e1", proto.Notice{Endpoint: "another", Leaving: true}, clock.Clock{}.Now())
+	gom.Consistently(func() bool { return here.View().IsLeaving("e1") }, 100*time.Millisecond).Should(gomega.BeFalse())
+	here.RecordNotice("e1", proto.Notice{Endpoint: "e1", Leaving: true}, clock.Clock{}.Now())
+	gom.Eventually(func() bool { return here.View().IsLeaving("e1") }, soon).Should(gomega.BeTrue())
+	var facts []gossip.Fact
+	gom.Expect(here.loop.Do(t.Context(), func(now clock.Milli) { facts = here.facts.spread.All(gossip.Leaving, now) })).To(gomega.BeTrue())
+	gom.Expect(facts).To(gomega.HaveLen(1))
+	there.loop.Offer(func(now clock.Milli) { there.facts.receive(peer.Message{Facts: facts}, false, now) })
+	gom.Eventually(func() bool { return there.View().IsLeaving("e1") }, soon).Should(gomega.BeTrue())
+}
--- a/internal/state/runs.go
+++ b/internal/state/runs.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// has reports whether a process is the latest run of its endpoint, listed lately.
+func (rns *runs) has(proc ident.Process) bool { return rns.byName[proc.Name()].proc == proc }
+
 func find(list []proto.Endpoint, proc ident.Process) (proto.Endpoint, bool) {
 	for _, ep := range list {
 		if ep.ID == proc {
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -25,6 +25,8 @@
 	// DeclaredBrittle: the number of rejections within a second that an endpoint survives; the key is
 	// the endpoint.
 	DeclaredBrittle // brittle
+	// Leaving: an endpoint has announced its end, or is gone; the key is the endpoint.
+	Leaving // leaving
 )
 
 // Fact is the wire form of a fact.
--- a/pkg/gossip/kind_string.go
+++ b/pkg/gossip/kind_string.go
@@ -11,11 +11,12 @@
 	_ = x[CrashedUnder-1]
 	_ = x[DeclaredRate-2]
 	_ = x[DeclaredBrittle-3]
+	_ = x[Leaving-4]
 }
 
-const _Kind_name = "ended_undernamed_ratebrittle"
+const _Kind_name = "ended_undernamed_ratebrittleleaving"
 
-var _Kind_index = [...]uint8{0, 11, 21, 28}
+var _Kind_index = [...]uint8{0, 11, 21, 28, 35}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
