internal/front, internal/relay, pkg/ending: lines and metrics tell how answers were framed and ended

Of the hypotheses on answers that reach callers as complete though they were broken off, the logs couldn't distinguish two: no line told whether an answer had a length, chunks or neither, nor whether its stream ended inside an event. Each body that isn't certainly complete has a line 'body of answer ended' now, in place of 'stream cut off by endpoint', and endpoint_answers_total counts all by framing and end. What callers get is the same as before.

--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -54,7 +54,7 @@
 // nothing, since the endpoint may have failed before it began. Neither does a response that is
 // delimited by the end of its connection: a crash of the endpoint ends it in the same way.
 func (fr *Front) clearSuspicion(cl *call, rsp *relay.Response) {
-	if rsp.Framed && rsp.Status < http.StatusInternalServerError && len(fr.crashesUnder(cl)) > 0 {
+	if rsp.Framing.ProvesEnd() && rsp.Status < http.StatusInternalServerError && len(fr.crashesUnder(cl)) > 0 {
 		fr.set.Control.RecordCompletion(cl.fingerprint())
 	}
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -312,11 +312,13 @@
 	took := fr.set.Clock.Since(began)
 	switch {
 	case err != nil:
+		run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
 		return run.bodyFailed(ctx, tgt, took)
 	case len(body) > maxBufferedBody:
 		run.release(tgt, route.Success, took)
-		return run.forwardLarge(rsp, body)
+		return run.forwardLarge(tgt, rsp, body)
 	}
+	run.bodyEnded(tgt, rsp, ending.Whole, 0)
 	fr.clearSuspicion(cl, rsp)
 	run.release(tgt, statusOutcome(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.headSent {
@@ -335,6 +337,18 @@
 	return outcm.OK(), false
 }
 
+// bodyEnded counts how the body of an answer ended, and logs it unless it is certainly complete. tail is
+// the number of bytes after the last whole event of a stream.
+func (run *finalRun) bodyEnded(tgt coord.Placement, rsp *relay.Response, end ending.BodyEnd, tail int) {
+	fr, cl := run.fr, run.cl
+	fr.set.Meter.CountAnswer(rsp.Framing, end)
+	if end == ending.Whole && rsp.Framing.ProvesEnd() {
+		return
+	}
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Stringer("framing", rsp.Framing).Stringer("end", end).
+		Str("after", run.lastEvent).Int("tail_bytes", tail).Msg("body of answer ended")
+}
+
 // bodyFailed ends an attempt whose response body broke off.
 func (run *finalRun) bodyFailed(ctx context.Context, tgt coord.Placement, took clock.Milli) (outcm.Result, bool) {
 	end := ending.Broken(ctx)
@@ -346,16 +360,18 @@
 }
 
 // forwardLarge forwards a response that is too long to be buffered.
-func (run *finalRun) forwardLarge(rsp *relay.Response, body []byte) (outcm.Result, bool) {
+func (run *finalRun) forwardLarge(tgt coord.Placement, rsp *relay.Response, body []byte) (outcm.Result, bool) {
 	out := run.cl.out
 	out.writeHead(rsp, int(rsp.Length))
 	for {
 		if out.write(body) != nil {
+			run.bodyEnded(tgt, rsp, ending.Unread, 0)
 			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
 		}
 		n, err := rsp.Body.Read(body[:cap(body)])
 		body = body[:n]
 		if errors.Is(err, io.EOF) {
+			run.bodyEnded(tgt, rsp, ending.Whole, 0)
 			run.fr.clearSuspicion(run.cl, rsp)
 			if out.write(body) != nil {
 				return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
@@ -363,6 +379,7 @@
 			return outcm.OK(), false
 		}
 		if err != nil {
+			run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
 			return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the response body was cut off"), false
 		}
 	}
@@ -394,6 +411,7 @@
 		now := fr.set.Clock.Now()
 		cl.maxPause, last = max(cl.maxPause, now-last), now
 		if errors.Is(err, io.EOF) {
+			run.bodyEnded(tgt, rsp, streamEnd(evs.Tail()), evs.Tail())
 			fr.clearSuspicion(cl, rsp)
 			run.release(tgt, route.Success, fr.set.Clock.Since(began))
 			return outcm.OK(), false
@@ -402,6 +420,7 @@
 			break
 		}
 		if cl.out.write(event) != nil {
+			run.bodyEnded(tgt, rsp, ending.Unread, 0)
 			run.release(tgt, route.Cancelled, 0)
 			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
 		}
@@ -409,10 +428,18 @@
 			run.lastEvent = name
 		}
 	}
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("after", run.lastEvent).Msg("stream cut off by endpoint")
+	run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
 	res, again := run.bodyFailed(ctx, tgt, fr.set.Clock.Since(began))
 	if again {
 		fr.set.Meter.CountRetry(retry.Resumed)
 	}
 	return res, again
 }
+
+// streamEnd returns how a stream ended that was read to its end, by the bytes after its last event.
+func streamEnd(tail int) ending.BodyEnd {
+	if tail > 0 {
+		return ending.InsideEvent
+	}
+	return ending.Whole
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/reach"
 	"amaranthvalve/pkg/retry"
@@ -35,6 +36,7 @@
 	wastedMs    *prometheus.CounterVec
 	events      *prometheus.CounterVec
 	dials       *prometheus.CounterVec
+	answers     *prometheus.CounterVec
 	gauges      *prometheus.GaugeVec
 
 	mtx     sync.Mutex
@@ -91,6 +93,7 @@
 	mtr.engineMs = mtr.counter("stage_engine_ms_total", "Endpoint time spent, milliseconds.", "service", "stage")
 	mtr.wastedMs = mtr.counter("stage_wasted_ms_total", "Endpoint time spent on attempts whose result nobody used, milliseconds.", "service", "stage")
 	mtr.dials = mtr.counter("endpoint_dials_total", "Connections opened to endpoints, by path and result.", "path", "result")
+	mtr.answers = mtr.counter("endpoint_answers_total", "Answers of endpoints to final calls, by the framing and the end of their bodies.", "framing", "end")
 	mtr.events = mtr.counter("events_total", "Notable events by kind.", "kind")
 	mtr.requestTime = mtr.histogram("request_seconds", "Time from a request's arrival to its answer.", "service")
 	mtr.stageTime = mtr.histogram("stage_seconds", "Time of a stage's successful attempt, waiting included.", "service", "stage")
@@ -126,6 +129,11 @@
 			mtr.dials.WithLabelValues(path.String(), res.String())
 		}
 	}
+	for _, frm := range ending.Framings() {
+		for _, end := range ending.BodyEnds() {
+			mtr.answers.WithLabelValues(frm.String(), end.String())
+		}
+	}
 	for _, kind := range events {
 		mtr.events.WithLabelValues(kind)
 	}
@@ -184,5 +192,10 @@
 	mtr.dials.WithLabelValues(path.String(), res.String()).Inc()
 }
 
+// CountAnswer counts an answer of an endpoint to a final call.
+func (mtr *Meter) CountAnswer(frm ending.Framing, end ending.BodyEnd) {
+	mtr.answers.WithLabelValues(frm.String(), end.String()).Inc()
+}
+
 // SetGauge sets a gauge by name.
 func (mtr *Meter) SetGauge(name string, val float64) { mtr.gauges.WithLabelValues(name).Set(val) }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -15,6 +15,8 @@
 	rdr io.Reader
 	buf []byte
 	err error
+	// tail is the number of bytes after the last whole event at the end of the stream.
+	tail int
 }
 
 // NewEventReader returns a reader of the events of a stream.
@@ -37,10 +39,13 @@
 	}
 }
 
+// Tail returns the number of bytes that followed the last whole event at the end of the stream.
+func (evr *EventReader) Tail() int { return evr.tail }
+
 func (evr *EventReader) rest() ([]byte, error) {
 	if evr.err == io.EOF && len(evr.buf) > 0 {
 		rest := evr.buf
-		evr.buf = nil
+		evr.buf, evr.tail = nil, len(rest)
 		return rest, nil
 	}
 	return nil, evr.err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,13 +69,12 @@
 
 // Response is an endpoint's answer. Body must be closed.
 type Response struct {
-	Status int
-	Header http.Header
-	Reply  proto.ReplyMeta
-	Body   io.ReadCloser
-	Length int64
-	// Framed is set if the body has a length or is chunked; otherwise it ends with its connection.
-	Framed bool
+	Status  int
+	Header  http.Header
+	Reply   proto.ReplyMeta
+	Body    io.ReadCloser
+	Length  int64
+	Framing ending.Framing
 }
 
 // hopHeaders are the hop-by-hop headers.
@@ -98,7 +97,7 @@
 	}
 	rsp := &Response{
 		Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Body: res.Body, Length: res.ContentLength,
-		Framed: res.ContentLength >= 0 || len(res.TransferEncoding) > 0,
+		Framing: ending.FramingOf(res),
 	}
 	end := rel.classify(rqs.ID, rsp)
 	if end != ending.Answered && end != ending.Refused {
