--- /dev/null
+++ b/internal/node/framing_test.go
@@ -0,0 +1,363 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/sever"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/platform/fake"
+)
+
+// claim is what an answer claims of itself to a caller that reads it to the end.
+type claim string
+
+// The claims.
+const (
+	// proven: a length or an empty chunk marks the end of the body.
+	proven claim = "proven"
+	// closed: the body has neither, and the connection was closed after it.
+	closed claim = "closed"
+	// broken: the body ended before its mark, or the connection was reset.
+	broken claim = "broken"
+	// failed: a failure of the instance, framed.
+	failed claim = "failed"
+)
+
+// seen is an answer as its caller sees it.
+type seen struct {
+	claim claim
+	body  string
+}
+
+// whole is the body of a whole answer to a request.
+func whole(path, id string, answer seen) bool {
+	if strings.HasPrefix(path, "/stream") {
+		return answer.body == "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\n"
+	}
+	return strings.HasPrefix(answer.body, "answer of ") && strings.HasSuffix(answer.body, " to "+id)
+}
+
+// rawConn is a caller's connection.
+type rawConn struct {
+	con net.Conn
+	rdr *bufio.Reader
+}
+
+func dialRaw(addr string) *rawConn {
+	con, err := net.Dial("tcp", addr)
+	expect(err).NotTo(anything())
+	_ = con.SetDeadline(time.Now().Add(10 * time.Second))
+	return &rawConn{con: con, rdr: bufio.NewReader(con)}
+}
+
+// requestText returns a request as it is sent.
+func requestText(version, path, id, body string) string {
+	return fmt.Sprintf("POST %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n%s: 1000\r\n%s: %s%s\r\nContent-Length: %d\r\n\r\n%s",
+		path, version, host, fake.HeaderRequestID, id, fake.HeaderDeadline, fake.HeaderAuthorize, fake.Bearer, key, len(body), body)
+}
+
+// read reads one answer, by the rules of RFC 9112, section 6.3.
+func (rcn *rawConn) read() seen {
+	head := &bytes.Buffer{}
+	res, err := http.ReadResponse(bufio.NewReader(io.TeeReader(rcn.headReader(head), io.Discard)), nil)
+	if err != nil {
+		return seen{claim: broken}
+	}
+	res.Body = nil
+	chunked := strings.EqualFold(headerOf(head.String(), "Transfer-Encoding"), "chunked")
+	length, lengthErr := strconv.Atoi(headerOf(head.String(), "Content-Length"))
+	ans := seen{claim: proven}
+	switch {
+	case chunked:
+		ans.body, err = readChunks(rcn.rdr)
+	case lengthErr == nil:
+		text := make([]byte, length)
+		n := 0
+		n, err = io.ReadFull(rcn.rdr, text)
+		ans.body = string(text[:n])
+	default:
+		var text []byte
+		text, err = io.ReadAll(rcn.rdr)
+		ans.claim, ans.body = closed, string(text)
+	}
+	if err != nil {
+		ans.claim = broken
+	}
+	if res.StatusCode != http.StatusOK && ans.claim == proven {
+		ans.claim = failed
+	}
+	return ans
+}
+
+// headReader copies the head of an answer to buf and returns a reader of it.
+func (rcn *rawConn) headReader(buf *bytes.Buffer) io.Reader {
+	for {
+		line, err := rcn.rdr.ReadString('\n')
+		buf.WriteString(line)
+		if err != nil || line == "\r\n" {
+			return bytes.NewReader(buf.Bytes())
+		}
+	}
+}
+
+// headerOf returns the value of a header, empty if there is none.
+func headerOf(head, name string) string {
+	for line := range strings.SplitSeq(head, "\r\n") {
+		if key, val, _ := strings.Cut(line, ":"); strings.EqualFold(key, name) {
+			return strings.TrimSpace(val)
+		}
+	}
+	return ""
+}
+
+// readChunks reads a chunked body with its trailers.
+func readChunks(rdr *bufio.Reader) (string, error) {
+	body := ""
+	for {
+		line, err := rdr.ReadString('\n')
+		if err != nil {
+			return body, unexpected(err)
+		}
+		size, err := strconv.ParseInt(strings.TrimSpace(line), 16, 32)
+		if err != nil {
+			return body, err
+		}
+		if size == 0 {
+			for line != "\r\n" {
+				if line, err = rdr.ReadString('\n'); err != nil {
+					return body, unexpected(err)
+				}
+			}
+			return body, nil
+		}
+		part := make([]byte, size+2)
+		if _, err := io.ReadFull(rdr, part); err != nil {
+			return body, unexpected(err)
+		}
+		body += string(part[:size])
+	}
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// endsProven reports whether the whole answer arrives, with its end marked.
+func endsProven(shp fake.Shape) bool {
+	return shp.Framing != fake.CloseDelimited && (shp.Cut == fake.Uncut || shp.Cut == fake.AfterEvents && shp.Framing == fake.ByLength)
+}
+
+// endsClosed reports whether the answer ends in the way of a complete one that has no framing.
+func endsClosed(shp fake.Shape, stream bool) bool {
+	return shp.Framing == fake.CloseDelimited && shp.Cut != fake.InHead && (shp.Cut != fake.InsideEvent || !stream) &&
+		(shp.Close == fake.Closes || shp.Close == fake.HalfCloses)
+}
+
+// expected returns what the caller of a route must see of an answer with a shape, if another endpoint
+// answers in full, chunked. Bodies are whole where the claim isn't closed or broken.
+func expected(path string, shp fake.Shape, old bool) claim {
+	stream := strings.HasPrefix(path, "/stream")
+	again := strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/log")
+	unframed := shp.Framing == fake.CloseDelimited || old && stream
+	switch {
+	case endsProven(shp) && unframed, endsClosed(shp, stream):
+		return closed
+	case endsProven(shp):
+		return proven
+	case again && shp.Close == fake.GoesSilent:
+		// Whether the other endpoint is asked in time depends on the deadline.
+		return ""
+	case again && stream && shp.Cut != fake.InHead && unframed, again && stream && old:
+		return closed
+	case again:
+		return proven
+	case !stream || shp.Cut == fake.InHead:
+		return failed
+	}
+	return broken
+}
+
+// framingShapes returns all combinations of framing, cut and close, and some more.
+func framingShapes() []fake.Shape {
+	var list []fake.Shape
+	for _, frm := range []fake.Framing{fake.ByLength, fake.Chunked, fake.CloseDelimited} {
+		for _, cut := range []fake.Cut{fake.Uncut, fake.InHead, fake.AfterHead, fake.InsideEvent, fake.BetweenEvents, fake.AfterEvents} {
+			for _, cls := range []fake.Close{fake.Closes, fake.HalfCloses, fake.Resets, fake.GoesSilent} {
+				list = append(list, fake.Shape{Framing: frm, Cut: cut, Close: cls})
+			}
+		}
+	}
+	return append(list,
+		fake.Shape{Framing: fake.CloseDelimited, Old: true},
+		fake.Shape{Framing: fake.CloseDelimited, Old: true, Cut: fake.InsideEvent},
+		fake.Shape{Framing: fake.ByLength, Old: true},
+		fake.Shape{Framing: fake.Chunked, Trailers: true},
+		fake.Shape{Framing: fake.Chunked, Behind: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"},
+		fake.Shape{Framing: fake.ByLength, Behind: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"},
+		fake.Shape{Framing: fake.CloseDelimited, Early: true, Close: fake.HalfCloses},
+		fake.Shape{Framing: fake.CloseDelimited, Early: true, Close: fake.HalfCloses, Cut: fake.InsideEvent},
+	)
+}
+
+// framingPaths are paths of all kinds of routes with a final call.
+var framingPaths = []string{"/stream/x", "/stream-once/x", "/log/x", "/booking/x"}
+
+// newFramingTestbed starts two instances, the first of which reaches endpoints only through the second
+// if relayed is set, and returns the shapes of the answers of all endpoints. Retries are not limited.
+func newFramingTestbed(relayed bool) (*testbed, *fake.Shapes) {
+	tbd := setUp(&testbed{
+		shutdownTimeout: 8 * clock.Second, tokenMaxViewAge: 2 * clock.Second, moreSettings: "retry_share = 1\nretry_reserve = 10000\n",
+		cleanup: func(work func()) { ginkgo.DeferCleanup(work) },
+	}, 0)
+	prts := tbd.startPartitioned(2)
+	shs := &fake.Shapes{}
+	for _, ep := range append(tbd.engines, tbd.plain...) {
+		ep.UseShapes(shs)
+	}
+	if relayed {
+		prts[0].Set(sever.Refuses, sever.Open)
+	}
+	return tbd, shs
+}
+
+// playShape sends a request whose answer gets a shape, and returns what is wrong with what its caller
+// sees, empty if nothing is.
+func (tbd *testbed) playShape(shs *fake.Shapes, version, path, id string, shp fake.Shape) string {
+	shs.Set(id, shp)
+	cal := dialRaw(tbd.nodes[0].set.CallerAddr())
+	defer func() { _ = cal.con.Close() }()
+	_, _ = io.WriteString(cal.con, requestText(version, path, id, "body of "+id))
+	ans, want := cal.read(), expected(path, shp, version == "1.0")
+	isWhole, stream := whole(path, id, ans), strings.HasPrefix(path, "/stream")
+	switch {
+	case ans.claim == proven && !isWhole,
+		ans.claim == closed && !isWhole && !endsClosed(shp, stream),
+		want == closed && !isWhole && (shp.Cut == fake.Uncut || shp.Cut == fake.AfterEvents),
+		stream && ans.claim != failed && ans.body != "" && !strings.HasSuffix(ans.body, "\n\n"),
+		want != "" && ans.claim != want:
+		return fmt.Sprintf("HTTP/%s %s, %+v: got %s %q, want %s", version, path, shp, ans.claim, ans.body, want)
+	}
+	return ""
+}
+
+// parallelShapes is the number of requests that are sent at a time.
+const parallelShapes = 10
+
+// playShapes plays all shapes on all routes and returns what is wrong.
+func (tbd *testbed) playShapes(shs *fake.Shapes, version string) string {
+	var wrong []string
+	var mtx sync.Mutex
+	var grp sync.WaitGroup
+	slots := make(chan struct{}, parallelShapes)
+	for _, path := range framingPaths {
+		for i, shp := range framingShapes() {
+			slots <- struct{}{}
+			grp.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				what := tbd.playShape(shs, version, path, fmt.Sprintf("%s-%s-%d", version, path[1:4], i), shp)
+				mtx.Lock()
+				defer mtx.Unlock()
+				if what != "" {
+					wrong = append(wrong, what)
+				}
+				<-slots
+			})
+		}
+	}
+	grp.Wait()
+	return strings.Join(wrong, "\n")
+}
+
+var _ = ginkgo.Describe("the framing of an answer", func() {
+	// Guards against answers that an endpoint broke off and that reach callers as complete.
+	ginkgo.It("claims no more than that of the endpoint", func() {
+		tbd, shs := newFramingTestbed(false)
+		expect(tbd.playShapes(shs, "1.1")).To(gomega.BeEmpty())
+	})
+
+	// Guards against answers that an endpoint broke off and that look complete behind a relay.
+	ginkgo.It("claims no more than that of the endpoint behind a relay", func() {
+		tbd, shs := newFramingTestbed(true)
+		expect(tbd.playShapes(shs, "1.1")).To(gomega.BeEmpty())
+	})
+
+	// Guards against streams that were broken off and look complete to callers which know no chunks.
+	ginkgo.It("claims no more than that of the endpoint in HTTP 1.0", func() {
+		tbd, shs := newFramingTestbed(false)
+		expect(tbd.playShapes(shs, "1.0")).To(gomega.BeEmpty())
+	})
+
+	// Guards against a reset that destroys the end of an answer because its caller has sent another
+	// request, and against answering that one on a connection that has ended.
+	ginkgo.It("ends a connection in order although another request waits there", func() {
+		tbd, shs := newFramingTestbed(false)
+		for _, path := range framingPaths {
+			id := "p" + path[1:4]
+			shs.Set(id, fake.Shape{Framing: fake.CloseDelimited})
+			cal := dialRaw(tbd.nodes[0].set.CallerAddr())
+			_, _ = io.WriteString(cal.con, requestText("1.1", path, id, "body")+requestText("1.1", path, id+"-2", "body")+strings.Repeat("x", 9000))
+			ans := cal.read()
+			expect(ans.claim).To(equal(closed), path)
+			expect(whole(path, id, ans)).To(gomega.BeTrue(), "%s: %q", path, ans.body)
+			_ = cal.con.Close()
+			cal = dialRaw(tbd.nodes[0].set.CallerAddr())
+			_, _ = io.WriteString(cal.con, requestText("1.1", path, id+"-3", "body")+requestText("1.1", path, id+"-4", "body"))
+			for _, name := range []string{id + "-3", id + "-4"} {
+				ans := cal.read()
+				expect(ans.claim).To(equal(proven), path)
+				expect(whole(path, name, ans)).To(gomega.BeTrue(), "%s: %q", path, ans.body)
+			}
+			_ = cal.con.Close()
+		}
+	})
+
+	// Guards against an answer without framing that the instance itself ends early and that looks
+	// complete: at its deadline, at the end of a planned stop, when its caller doesn't read.
+	ginkgo.It("breaks off where the instance ends an answer early", func() {
+		tbd := newShutdownTestbed(1, clock.Second, func(work func()) { ginkgo.DeferCleanup(work) })
+		shs := &fake.Shapes{}
+		for _, ep := range tbd.engines {
+			ep.UseShapes(shs)
+		}
+		for _, version := range []string{"1.1", "1.0"} {
+			shs.Set("d"+version, fake.Shape{Framing: fake.CloseDelimited, Cut: fake.BetweenEvents, Close: fake.GoesSilent})
+			cal := dialRaw(tbd.nodes[0].set.CallerAddr())
+			_, _ = io.WriteString(cal.con, requestText(version, "/stream-once/x", "d"+version, "body"))
+			expect(cal.read().claim).To(equal(broken), "deadline, "+version)
+			_ = cal.con.Close()
+		}
+		var grp sync.WaitGroup
+		for _, version := range []string{"1.1", "1.0"} {
+			shs.Set("s"+version, fake.Shape{Framing: fake.CloseDelimited, Cut: fake.BetweenEvents, Close: fake.GoesSilent})
+			cal := dialRaw(tbd.nodes[0].set.CallerAddr())
+			_, _ = io.WriteString(cal.con, requestText(version, "/stream-once/x", "s"+version, "body"))
+			first, err := cal.rdr.Peek(20)
+			expect(err).NotTo(anything())
+			expect(string(first)).To(gomega.ContainSubstring(" 200 "))
+			grp.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				expect(cal.read().claim).To(equal(broken), "planned stop, "+version)
+				_ = cal.con.Close()
+			})
+		}
+		tbd.nodes[0].Stop(context.Background())
+		grp.Wait()
+	})
+})
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -30,13 +30,19 @@
 
 // newPartitionTestbed is newTestbed with a partition for each instance.
 func newPartitionTestbed(nodes int) (*testbed, []*sever.Partition) {
-	tbd, prts := newTestbed(0), make([]*sever.Partition, nodes)
+	tbd := newTestbed(0)
+	return tbd, tbd.startPartitioned(nodes)
+}
+
+// startPartitioned starts instances, each with a partition.
+func (tbd *testbed) startPartitioned(nodes int) []*sever.Partition {
+	prts := make([]*sever.Partition, nodes)
 	for i := range prts {
 		prts[i] = &sever.Partition{}
 		tbd.startWithLink(func(nod *Node) { nod.SetDial(dial.Func(prts[i].Through(sever.Func(nod.dialDirect)))) })
 	}
 	tbd.waitJoined()
-	return tbd, prts
+	return prts
 }
 
 // partitionRequests are requests of all kinds: to plain endpoints and model engines, with and without stages.
--- a/internal/node/testbed_test.go
+++ b/internal/node/testbed_test.go
@@ -66,6 +66,8 @@
 	keys    []string
 	// settings is the text of the settings file of the instance that was started last.
 	settings string
+	// moreSettings is added to the settings of the instances.
+	moreSettings string
 	// shutdownTimeout and tokenMaxViewAge are settings of the instances.
 	shutdownTimeout clock.Milli
 	tokenMaxViewAge clock.Milli
@@ -198,7 +200,8 @@
 keep_ms = 100
 tokens_for_ms = %d
 stop_ms = %d
-`, freePort(), freePort(), freePort(), freePort(), srv.Addr(), tbd.tokenMaxViewAge, tbd.shutdownTimeout)
+%s
+`, freePort(), freePort(), freePort(), freePort(), srv.Addr(), tbd.tokenMaxViewAge, tbd.shutdownTimeout, tbd.moreSettings)
 	tbd.settings = text
 	set, fts := conf.Parse([]byte(text))
 	expect(set).NotTo(gomega.BeNil(), "%v", fts)
