internal/dial: a reset that a relay's write has met stays a reset

A caller behind a relay could get a broken answer without framing as complete: the endpoint reset its connection while the request was still being sent. The kernel reports a reset once. The relay's write took it, its read then saw the end of the data, and the tunnel was closed in order.

The copy to the endpoint records that a write failed, and the tunnel is closed in order only if none has. Ruled out: the closing of the connection by the other direction alone; with every error of the read taken for a reset the new test still failed.

Before: the test fails (an answer of 20 is complete); after: passes 5 of 5, under the race detector too.

--- a/internal/dial/serve.go
+++ b/internal/dial/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,16 +95,18 @@
 }
 
 // splice copies between a tunnel and the connection of an endpoint until both directions have ended.
-// A broken connection breaks the tunnel, so that the caller can tell a complete answer from a cut one;
-// a tunnel that was closed closes the connection, by which the endpoint learns that its caller is gone.
+// Anything but the end of the endpoint's data breaks the tunnel, so that the caller can tell a complete
+// answer from a cut one; a tunnel that was closed closes the connection, by which the endpoint learns that
+// its caller is gone.
 func splice(tnl *peer.Tunnel, con net.Conn) {
 	var grp sync.WaitGroup
+	snd := &sender{con: con}
 	grp.Go(func() {
-		_, _ = io.CopyBuffer(onlyWriter{con}, tnl, make([]byte, copyBytes))
+		_, _ = io.CopyBuffer(snd, tnl, make([]byte, copyBytes))
 		_ = con.Close()
 	})
 	_, err := io.CopyBuffer(onlyWriter{tnl}, con, make([]byte, copyBytes))
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	if err != nil || snd.stop() {
 		tnl.Reset()
 	} else {
 		_ = tnl.Close()
@@ -111,6 +114,32 @@
 	grp.Wait()
 }
 
+// sender writes to a connection. A reset is reported once: after a write that failed with it, reads end as if
+// the connection had been closed in order.
+type sender struct {
+	con    net.Conn
+	mtx    sync.Mutex
+	failed bool
+}
+
+func (snd *sender) Write(buf []byte) (int, error) {
+	snd.mtx.Lock()
+	defer snd.mtx.Unlock()
+	n, err := snd.con.Write(buf)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		snd.failed = true
+	}
+	return n, err
+}
+
+// stop ends all writes and reports whether one has failed before.
+func (snd *sender) stop() bool {
+	_ = snd.con.SetWriteDeadline(time.Now())
+	snd.mtx.Lock()
+	defer snd.mtx.Unlock()
+	return snd.failed
+}
+
 // onlyWriter hides the other methods of a writer, by which io.CopyBuffer would choose a buffer of its
 // own.
 type onlyWriter struct{ io.Writer }
--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -156,6 +156,31 @@
 	gom.Expect(errors.Is(err, io.EOF)).To(gomega.BeFalse())
 }
 
+// Guards against an answer that looks complete since its connection was reset while the request was still
+// being sent.
+func TestTunnelTellsResetWhileSending(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	nwk := newNetwork(t)
+	for range 20 {
+		con, end := nwk.connect(gom)
+		_, _ = end.Write([]byte("a part"))
+		_, err := io.ReadFull(con, make([]byte, 6))
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		go func() {
+			part := make([]byte, 64<<10)
+			for err := error(nil); err == nil; {
+				_, err = con.Write(part)
+			}
+		}()
+		_, _ = io.ReadFull(end, make([]byte, 64<<10))
+		_ = end.SetLinger(0)
+		_ = end.Close()
+		_, err = io.Copy(io.Discard, con)
+		gom.Expect(err).To(gomega.HaveOccurred())
+		_ = con.Close()
+	}
+}
+
 // Guards against an endpoint that works on for a caller that is gone, and against relayed connections
 // that are never freed.
 func TestTunnelPassesOnTheClose(t *testing.T) {
