internal/relay: an answer without framing is whole only if its request was written

Its end counts now only if the request was written completely. An answer that an endpoint gives before it has read the body, and that it ends in order, is still whole (TestEarlyAnswerIsWhole).

--- /dev/null
+++ b/internal/relay/body_test.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/dial"
+	"amaranthvalve/internal/proto"
+	"amaranthvalve/pkg/ending"
+	"amaranthvalve/platform"
+)
+
+// answerEarly answers the head of each request without framing, reads some of its body and ends the
+// connection.
+func answerEarly(lsn net.Listener, end func(con *net.TCPConn)) {
+	for {
+		con, err := lsn.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			req, err := http.ReadRequest(bufio.NewReaderSize(con, 16))
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("Amaranthvalve-Request-Id")
+			_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nAmaranthvalve-Request-Id: %s\r\nAmaranthvalve-Response-Signature: s\r\n\r\na part", id)
+			end(con.(*net.TCPConn))
+		}()
+	}
+}
+
+// Guards against an answer that looks complete since its connection was reset while the request was still
+// being sent.
+func TestResetWhileSendingIsNoEnd(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = lsn.Close() }()
+	go answerEarly(lsn, func(con *net.TCPConn) {
+		time.Sleep(10 * time.Millisecond)
+		_ = con.SetLinger(0)
+		_ = con.Close()
+	})
+	rel := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil)
+	for i := range 30 {
+		id := fmt.Sprint(i)
+		hdr := http.Header{"Amaranthvalve-Request-Id": {id}}
+		rqs := Request{ID: id, Method: "POST", Host: "x", Target: "/", Header: hdr, Body: make([]byte, 16<<20)}
+		rsp, end, _ := rel.Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
+		if end != ending.Answered {
+			continue
+		}
+		_, err := io.ReadAll(rsp.Body)
+		gom.Expect(err).To(gomega.HaveOccurred())
+		_ = rsp.Body.Close()
+	}
+}
+
+// Guards against breaking off an answer that an endpoint gave before it had read the request's body.
+func TestEarlyAnswerIsWhole(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = lsn.Close() }()
+	go answerEarly(lsn, func(con *net.TCPConn) {
+		_ = con.CloseWrite()
+		_, _ = io.Copy(io.Discard, con)
+	})
+	rel := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil)
+	hdr := http.Header{"Amaranthvalve-Request-Id": {"one"}}
+	rqs := Request{ID: "one", Method: "POST", Host: "x", Target: "/", Header: hdr, Body: make([]byte, 10<<10)}
+	rsp, end, err := rel.Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(end).To(gomega.Equal(ending.Answered))
+	text, err := io.ReadAll(rsp.Body)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(string(text)).To(gomega.Equal("a part"))
+	_ = rsp.Body.Close()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,7 +87,8 @@
 // comes with its response. The error, if any, is that of the connection.
 func (rel *Relay) Do(ctx context.Context, addr string, rqs Request, snd proto.SendMeta) (*Response, ending.Ending, error) {
 	var connected atomic.Bool
-	req, err := rel.request(ctx, addr, rqs, snd, &connected)
+	wrt := &written{done: make(chan struct{})}
+	req, err := rel.request(ctx, addr, rqs, snd, &connected, wrt)
 	if err != nil {
 		return nil, ending.NothingSent, err
 	}
@@ -96,9 +97,9 @@
 		return nil, endingOf(ctx, err, connected.Load()), err
 	}
 	rsp := &Response{
-		Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Body: res.Body, Length: res.ContentLength,
-		Framing: ending.FramingOf(res),
+		Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Length: res.ContentLength, Framing: ending.FramingOf(res),
 	}
+	rsp.Body = guardEnd(res.Body, rsp.Framing, wrt)
 	end := rel.classify(rqs.ID, rsp)
 	if end != ending.Answered && end != ending.Refused {
 		_ = res.Body.Close()
@@ -137,7 +138,7 @@
 	return ending.Answered
 }
 
-func (rel *Relay) request(ctx context.Context, addr string, rqs Request, snd proto.SendMeta, connected *atomic.Bool) (*http.Request, error) {
+func (rel *Relay) request(ctx context.Context, addr string, rqs Request, snd proto.SendMeta, connected *atomic.Bool, wrt *written) (*http.Request, error) {
 	path, query, hasQuery := strings.Cut(rqs.Target, "?")
 	req := &http.Request{
 		Method: rqs.Method, Host: rqs.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -156,7 +157,7 @@
 	if len(rqs.Body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(rqs.Body)), int64(len(rqs.Body))
 	}
-	return req.WithContext(withTrace(withAllowed(ctx, rqs.Allowed), connected, rqs.OnWritten)), nil
+	return req.WithContext(withTrace(withAllowed(ctx, rqs.Allowed), connected, wrt, rqs.OnWritten)), nil
 }
 
 // dropHop removes the hop-by-hop headers, including those that the Connection header lists.
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -7,14 +7,15 @@
 )
 
 // withTrace records when a connection is established: a request with a connection may have been
-// written, whatever error is returned. written is called when all of the request has been written;
-// it may be nil.
-func withTrace(ctx context.Context, connected *atomic.Bool, written func()) context.Context {
+// written, whatever error is returned. wrt gets the end of the writing; onWritten is called when all of the
+// request has been written, it may be nil.
+func withTrace(ctx context.Context, connected *atomic.Bool, wrt *written, onWritten func()) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err == nil && written != nil {
-				written()
+			wrt.end(info.Err)
+			if info.Err == nil && onWritten != nil {
+				onWritten()
 			}
 		},
 	})
