internal/front: endpoints whose answers end without framing are probed for a crash

A request that makes endpoints crash was not quarantined where their answers had neither length nor chunks: the crash ended each like a complete one, so that no crash was recorded and the request reached endpoint after endpoint. Same class: an ending that proves nothing was taken for a proof. After such an end the endpoint is probed as after a broken connection, off the caller's way.

--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -51,10 +51,14 @@
 }
 
 // judgeEnd clears a request that an endpoint has run to completion of the suspicion that it makes endpoints
-// crash. A failure status proves nothing, since the endpoint may have failed before it began. Neither does
-// the end of a response that has no framing: a crash ends it in the same way.
-func (fr *Front) judgeEnd(cl *call, rsp *relay.Response) {
-	if rsp.Framing.ProvesEnd() && rsp.Status < http.StatusInternalServerError && len(fr.crashesUnder(cl)) > 0 {
+// crash. A failure status proves nothing, since the endpoint may have failed before it began. The end of a
+// response that has no framing doesn't either: a crash ends it in the same way, so that the endpoint is
+// probed.
+func (fr *Front) judgeEnd(cl *call, tgt coord.Placement, rsp *relay.Response) {
+	switch {
+	case !rsp.Framing.ProvesEnd():
+		fr.checkCrash(cl, tgt)
+	case rsp.Status < http.StatusInternalServerError && len(fr.crashesUnder(cl)) > 0:
 		fr.set.Control.RecordCompletion(cl.fingerprint())
 	}
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -320,7 +320,7 @@
 		return run.forwardLarge(tgt, rsp, body)
 	}
 	run.bodyEnded(tgt, rsp, ending.Whole, 0)
-	fr.judgeEnd(cl, rsp)
+	fr.judgeEnd(cl, tgt, rsp)
 	run.release(tgt, statusOutcome(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.headSent {
 		run.fallback = &bufferedResponse{rsp: rsp, body: body}
@@ -373,7 +373,7 @@
 		body = body[:n]
 		if errors.Is(err, io.EOF) {
 			run.bodyEnded(tgt, rsp, ending.Whole, 0)
-			run.fr.judgeEnd(run.cl, rsp)
+			run.fr.judgeEnd(run.cl, tgt, rsp)
 			if out.write(body) != nil {
 				return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
 			}
@@ -445,7 +445,7 @@
 func (run *finalRun) streamEnded(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
 	run.bodyEnded(tgt, rsp, ending.Whole, 0)
-	fr.judgeEnd(cl, rsp)
+	fr.judgeEnd(cl, tgt, rsp)
 	run.release(tgt, route.Success, fr.set.Clock.Since(began))
 	if rsp.Framing.ProvesEnd() || !cl.out.provesEnd() {
 		return outcm.OK(), false
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -40,6 +40,8 @@
 	arrivals []time.Time
 	nextID   int
 	sent     int
+	// shapes are the shapes of the engines' answers, nil for the usual ones.
+	shapes *fake.Shapes
 	// done is set at the end of the test.
 	done bool
 }
@@ -88,6 +90,7 @@
 // arm makes an engine crash on requests with crashBody. restartDelay after the crash its entry is
 // removed and a new engine is added.
 func (crt *crashTest) arm(ep *fake.Endpoint, srv *stand.Server) {
+	ep.UseShapes(crt.shapes)
 	ep.CrashOn(crashBody, func() {
 		crt.mtx.Lock()
 		crt.arrivals = append(crt.arrivals, time.Now())
@@ -140,6 +143,17 @@
 		expect(tbd.send(0, request{path: "/stream-once/plan", body: "another plan"}).status).To(equal(http.StatusOK))
 	})
 
+	// Guards against crashes that are not noticed since they end answers without framing in order.
+	ginkgo.It("is refused where the engines' crashes end their answers like complete ones", func() {
+		tbd := newTestbed(2)
+		shs := &fake.Shapes{}
+		shs.SetOthers(fake.Shape{Framing: fake.CloseDelimited, Cut: fake.BetweenEvents})
+		crt := tbd.crashEngines(4)
+		crt.shapes = shs
+		crt.rearm()
+		eventually(func() string { return crt.sendRepeatedly(time.Millisecond)[0].body }, pollTimeout).Should(gomega.ContainSubstring(`"quarantined"`))
+	})
+
 	// Guards against a refusal that makes its caller retry in vain, and against one that does not
 	// name the crashes it is based on.
 	ginkgo.It("is then refused at once with the crashed endpoints and without a retry-after delay", func() {
