internal/soak, platform/fake: endpoints whose answers have all shapes

The 21st kind of fault gives an endpoint's answers drawn framings, cuts and ends. Judged is what callers see against what the endpoint did: an answer without framing stays so, one that was broken off doesn't look complete, no stream ends inside an event.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -85,7 +85,9 @@
 	status      int
 	header      http.Header
 	answer      string
-	err         error
+	// closeDelimited reports that the answer ended with its connection.
+	closeDelimited bool
+	err            error
 }
 
 // caller fetches addresses and sends requests until the run is over.
@@ -287,5 +289,6 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	text, err := io.ReadAll(res.Body)
+	att.closeDelimited = res.ContentLength < 0 && len(res.TransferEncoding) == 0
 	att.status, att.header, att.answer, att.err = res.StatusCode, res.Header, string(text), err
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -51,6 +51,7 @@
 	{"endpoint declares a rate", (*soakRun).declareRate},
 	{"partition from all endpoints", (*soakRun).partition},
 	{"brittle endpoints", (*soakRun).makeBrittle},
+	{"answers of all shapes", (*soakRun).shapeAnswers},
 }
 
 // Runs that draw from at least variedFromKinds kinds may have answers of varied length. In such a
