--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -65,6 +65,8 @@
 	// hold that took.
 	lastAnswer clock.Milli
 	storeDelay clock.Milli
+	// ignored is the offset of the documents that were last ignored.
+	ignored int64
 }
 
 // watch reads the documents and then waits for newer ones, in the store itself or through another
@@ -230,6 +232,7 @@
 // in force come from a late answer and are ignored: callers must not see documents go back.
 func (dct *docsCtl) apply(doc proto.Document, sent, now clock.Milli, from string) {
 	if doc.Offset < dct.offset {
+		dct.logIgnored(doc, from)
 		return
 	}
 	if doc.Offset == dct.offset {
@@ -251,6 +254,15 @@
 	dct.ctl.dirty = true
 }
 
+// logIgnored logs documents that are not put into force, once for each offset.
+func (dct *docsCtl) logIgnored(doc proto.Document, from string) {
+	if doc.Offset == dct.ignored {
+		return
+	}
+	dct.ignored = doc.Offset
+	dct.ctl.set.Log.Warn().Int64("offset", doc.Offset).Int64("offset_in_force", dct.offset).Str("from", from).Msg("documents ignored")
+}
+
 // attachState adds the state of this instance to an outgoing message: leaving endpoints, uptime of
 // the store, digest of the facts, and offset and age of the documents.
 func (ctl *Control) attachState(msg *peer.Message) {
