--- a/internal/node/testbed_test.go
+++ b/internal/node/testbed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -175,6 +176,7 @@
 		<-req.Context().Done()
 		return
 	}
+	maps.Copy(wrt.Header(), rec.Header())
 	wrt.WriteHeader(rec.Code)
 	_, _ = wrt.Write(rec.Body.Bytes())
 }
