internal/state, platform: documents are ordered by version, and places in the store by era and offset

A document that the store had acknowledged was not in force: after the store had come back from a copy, offsets were given out again, and instances took the documents at them for older ones, or for the one in force, which they confirmed. The class: a position in one history is compared with a position in another.

Two orders that were one are apart now. Which document is newer is told by its version alone, also between instances, which name it beside the offset; instances of earlier builds go on by offsets. Where in the store something stands is told by era and offset, and compared within an era only. An instance keeps what it has when the copy has less. The store confirms documents again once it has those that were in force when it came back, or after the two seconds in which operators and endpoints write again what was lost; an instance that starts can't tell when the era began, so the copy confirms nothing there until another instance does, or for those two seconds. Entries of endpoints that are only missing from the copy are kept as after an outage, instances look their entries up again, spread over a second.

Ruled out: nobody reads the new documents (the readers' calls went on); followers are left behind (the readers had no line either). Weighed: to confirm at once, which would accept a key whose removal is gone with the copy; to confirm only what an operator has written again, which would refuse all keys where nothing was lost.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -63,11 +63,12 @@
 	EventForeignAnswer = "foreign_answer_dropped"
 	EventEntrySkipped  = "endpoint_entry_skipped"
 	EventFactEvicted   = "fact_evicted"
+	EventStoreRestored = "store_came_back_from_copy"
 )
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored,
 }
 
 // Names of the gauges.
--- a/internal/node/era_test.go
+++ b/internal/node/era_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
 
@@ -61,7 +62,7 @@
 
 // newEraTestbed starts instances with five versions of the document, of which the copy has three.
 func newEraTestbed(nodes int) *testbed {
-	tbd := newTestbed(nodes)
+	tbd := newTokenTestbed(nodes, 5*clock.Second)
 	path := ""
 	for i := range 5 {
 		path = tbd.publishWith(key, revokedKey)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -114,8 +114,8 @@
 	// Demand is the sender's request rate per second by workspace.
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
 	Body   []byte             `cbor:"8,keyasint,omitempty"`
-	// Known is set if the sender has documents; Applied is their offset, and Age the time since
-	// they were known to be the newest.
+	// Known is set if the sender has documents; Applied is their offset, Version their version, zero from
+	// senders that order documents by offset, and Age the time since they were known to be the newest.
 	Known   bool        `cbor:"9,keyasint,omitempty"`
 	Applied int64       `cbor:"10,keyasint,omitempty"`
 	Age     clock.Milli `cbor:"11,keyasint,omitempty"`
@@ -125,6 +125,8 @@
 	// sender.
 	Facts  []gossip.Fact `cbor:"13,keyasint,omitempty"`
 	Digest uint64        `cbor:"14,keyasint,omitempty"`
+	// Version orders documents across the store's eras.
+	Version int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Link is an instance's transport to all other instances. It is opened by [Listen].
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -164,9 +164,11 @@
 	Failure Failure
 }
 
-// Document is the operators' document. Offset orders documents, below 0 if there is none; End is the
-// end of the store's log when it was read, the offset to watch from.
+// Document is the operators' document. Its version orders documents; Era and Offset are its place in the
+// store, Offset is below 0 if there is none. End is the end of the store's log when it was read, the offset
+// to watch from. Offsets compare within an era only.
 type Document struct {
+	Era    int64
 	Offset int64
 	End    int64
 	Text   []byte
@@ -220,10 +222,14 @@
 
 // Store is the client of the store.
 type Store struct {
-	// Document returns the document in force. Watch waits for records from an offset on, for at most
-	// the given time, and reports whether there are any.
+	// Document returns the store's document. Watch waits for records from an offset of an era on, for at
+	// most the given time, and reports whether there are any, or the era has ended.
 	Document func(ctx context.Context) (Document, error)
-	Watch    func(ctx context.Context, from int64, wait clock.Milli) (bool, error)
+	Watch    func(ctx context.Context, era, from int64, wait clock.Milli) (bool, error)
+	// Era returns the highest era of the store's answers so far. It rises each time the store has come
+	// back from a copy, without what was written since the copy was made. Nil stands for a store that
+	// never does.
+	Era func() int64
 	// Endpoints lists the endpoints' entries, and an error for each entry that can't be used.
 	// Instances lists the instances' entries, oldest first, together with the record that the
 	// instances share, nil for none.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -92,7 +92,9 @@
 	// storeContacted fires once the store has been asked for documents, membersLoaded once the
 	// instance entries have been read or another instance has sent its whole state.
 	storeContacted *signal
-	membersLoaded  *signal
+	// restored receives a value when the store has come back from a copy.
+	restored      chan struct{}
+	membersLoaded *signal
 	// unlisted are the members whose entries were missing from the store at the last lookup.
 	unlisted map[ident.Incarnation]bool
 	// announced is set once this instance's entry has been written.
@@ -101,7 +103,7 @@
 
 // New returns a control state whose loop is not running yet; see [Control.Run].
 func New(set Setup) *Control {
-	ctl := &Control{set: set, loop: loop.New(set.Clock, func() { set.Meter.CountEvent(meter.EventDropped) }), storeContacted: newSignal(), membersLoaded: newSignal()}
+	ctl := &Control{set: set, loop: loop.New(set.Clock, func() { set.Meter.CountEvent(meter.EventDropped) }), storeContacted: newSignal(), membersLoaded: newSignal(), restored: make(chan struct{}, 1)}
 	now := set.Clock.Now()
 	ctl.startedAt = now
 	ctl.list = member.New(set.Self, set.Zone, set.Caller, now)
@@ -111,7 +113,7 @@
 		Now: set.Clock.Now, Attach: ctl.attachState, OnMessage: ctl.receive,
 	}
 	ctl.docs.ctl, ctl.docs.offset = ctl, -1
-	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never}
+	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace}
 	ctl.facts = newFacts(ctl)
 	ctl.view.Store(&View{offset: -1})
 	changed := make(chan struct{})
@@ -178,7 +180,7 @@
 func (ctl *Control) publish(now clock.Milli) {
 	old := ctl.view.Load()
 	vw := &View{
-		plan: ctl.docs.plan, offset: ctl.docs.offset, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), digest: old.digest, pastLists: old.pastLists,
+		plan: ctl.docs.plan, offset: ctl.docs.offset, era: ctl.docs.doc.Era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), digest: old.digest, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
--- a/internal/state/discover.go
+++ b/internal/state/discover.go
@@ -11,6 +11,7 @@
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/retry"
 )
 
 const (
@@ -52,14 +53,28 @@
 		if turn == 0 {
 			ctl.loop.Go(ctl.announce)
 		}
-		pause(ctx, lookupIntervals[min(turn, len(lookupIntervals)-1)])
-		for err == nil && turn >= len(lookupIntervals)-1 && ctl.IsFollower() && ctx.Err() == nil {
+		restored := ctl.pauseUntilRestored(ctx, lookupIntervals[min(turn, len(lookupIntervals)-1)])
+		for !restored && err == nil && turn >= len(lookupIntervals)-1 && ctl.IsFollower() && ctx.Err() == nil {
 			// Readers look up instances for all; gossip spreads the new ones.
-			pause(ctx, lookupIntervals[len(lookupIntervals)-1])
+			restored = ctl.pauseUntilRestored(ctx, lookupIntervals[len(lookupIntervals)-1])
 		}
 	}
 }
 
+// pauseUntilRestored waits for a span, or until the store has come back from a copy, which may lack entries
+// of instances. It reports whether that was the case.
+func (ctl *Control) pauseUntilRestored(ctx context.Context, span time.Duration) bool {
+	tmr := time.NewTimer(span)
+	defer tmr.Stop()
+	select {
+	case <-ctl.restored:
+		return pause(ctx, retry.Jittered(settleTime/2).Duration())
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // isFirstStart waits, for membersWait at most, until the store has answered the first read of the
 // documents or failed to: these are needed before the instance entries, and both reads would share
 // the bandwidth. It reports whether there are no documents. The system then starts for the first
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"amaranthvalve/internal/loop"
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
@@ -43,6 +45,9 @@
 	readerRetryPause = 100 * time.Millisecond
 	// maxRetryDoublings is the number of failures after which the pause is longest.
 	maxRetryDoublings = 3
+	// maxConfirmedAge is how long ago documents may have been confirmed that count as confirmed: those of
+	// which that isn't known have an age of decades.
+	maxConfirmedAge = clock.Day
 	// stateTimeout bounds the request for another instance's state.
 	stateTimeout = time.Second
 )
@@ -53,6 +58,7 @@
 	plan   *plan.Plan
 	doc    proto.Document
 	offset int64
+	eras   eras
 	// asOf is the latest instant at which the documents were known to be the newest.
 	asOf     clock.Milli
 	fetching bool
@@ -65,19 +71,19 @@
 	// hold that took.
 	lastAnswer clock.Milli
 	storeDelay clock.Milli
-	// ignored is the offset of the documents that were last ignored.
-	ignored int64
+	// ignored are the documents that were last ignored.
+	ignored proto.Document
 }
 
 // watch reads the documents and then waits for newer ones, in the store itself or through another
 // instance that reads it.
 func (dct *docsCtl) watch(ctx context.Context) {
-	from, fails, unanswered, waited := int64(-1), 0, 0, false
+	from, fails, unanswered, waited := unread, 0, 0, false
 	for ctx.Err() == nil {
 		who, src := dct.ctl.source(dct.ctl.set.Clock.Now())
 		if src == fromOther && unanswered < maxUnanswered {
 			// When the store is read directly again, that begins with a full read.
-			from = -1
+			from = unread
 			switch err := dct.followOnce(ctx, who, false); {
 			case err == nil:
 				fails, unanswered = 0, 0
@@ -86,7 +92,7 @@
 			}
 			continue
 		}
-		if src == fromStoreRarely && from < 0 && dct.followAny(ctx) {
+		if src == fromStoreRarely && from == unread && dct.followAny(ctx) {
 			continue
 		}
 		next, err := dct.read(ctx, from)
@@ -95,7 +101,7 @@
 		if err != nil {
 			// The next read is a full one: whatever happened to the log meanwhile, it returns the
 			// newest record of a key.
-			from = -1
+			from = unread
 			pause(ctx, retryPause(fails))
 			fails++
 			continue
@@ -149,23 +155,29 @@
 	return err
 }
 
-// read waits for a change if from is known, and reads the newest documents. It returns the offset
+// place is a place in the store's log.
+type place struct{ era, offset int64 }
+
+// unread is the place to watch from before the first read.
+var unread = place{offset: -1}
+
+// read waits for a change if from is known, and reads the newest documents. It returns the place
 // from which to watch.
-func (dct *docsCtl) read(ctx context.Context, from int64) (int64, error) {
+func (dct *docsCtl) read(ctx context.Context, from place) (place, error) {
 	store, clk := dct.ctl.set.Store, dct.ctl.set.Clock
 	sent := clk.Now()
-	if from >= 0 {
+	if from != unread {
 		hold := dct.ctl.capped(watchHold, watchHoldShare)
 		wctx, cancel := context.WithTimeout(ctx, hold.Duration()+readTimeout)
-		changed, err := store.Watch(wctx, from, hold)
+		changed, err := store.Watch(wctx, from.era, from.offset, hold)
 		cancel()
 		if err != nil {
-			return 0, err
+			return unread, err
 		}
 		if !changed {
 			took := clk.Since(sent)
-			dct.ctl.loop.Do(ctx, func(clock.Milli) {
-				dct.confirm(sent)
+			dct.ctl.loop.Do(ctx, func(now clock.Milli) {
+				dct.confirmByStore(sent, now)
 				dct.storeDelay = min(max(took-hold, 0), maxStoreDelay)
 			})
 			return from, nil
@@ -176,15 +188,15 @@
 	sent = clk.Now()
 	doc, err := store.Document(rctx)
 	if err != nil {
-		return 0, err
+		return unread, err
 	}
 	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
 		// Set together with the documents: a view that has them must also show that the store
 		// answered.
 		dct.lastAnswer = now
-		dct.apply(doc, sent, now, "store")
+		dct.applyRead(doc, sent, now)
 	})
-	return doc.End, nil
+	return place{doc.Era, doc.End}, nil
 }
 
 // capped returns a span, or the given part of the time for which tokens are accepted if that is
@@ -228,39 +240,120 @@
 // confirm records that the documents were still the newest when a read was sent.
 func (dct *docsCtl) confirm(sent clock.Milli) { dct.asOf = max(dct.asOf, sent) }
 
-// apply puts documents into force that were the newest at the instant sent. Older ones than those
-// in force come from a late answer and are ignored: callers must not see documents go back.
-func (dct *docsCtl) apply(doc proto.Document, sent, now clock.Milli, from string) {
-	if doc.Offset < dct.offset {
-		dct.logIgnored(doc, from)
+// version returns the version of the documents in force, noVersion for none.
+func (dct *docsCtl) version() int64 { return versionOf(dct.plan) }
+
+// noVersion is the version where there are no documents.
+const noVersion = -1
+
+func versionOf(pln *plan.Plan) int64 {
+	if pln == nil {
+		return noVersion
+	}
+	return pln.Version()
+}
+
+// applyRead puts the store's documents into force if they are newer. They confirm those in force unless the
+// store may lack newer ones, see [eras].
+func (dct *docsCtl) applyRead(doc proto.Document, sent, now clock.Milli) {
+	if dct.eras.isOver(doc.Era) {
+		// A late answer, from before the store came back.
+		dct.put(doc, sent, now, fromStoreText)
+		return
+	}
+	dct.enterEra(doc.Era, now)
+	late := doc.Era == dct.doc.Era && doc.Offset < dct.offset
+	if version, ok := dct.put(doc, sent, now, fromStoreText); ok && !late {
+		dct.eras.reached(version)
+		dct.confirmByStore(sent, now)
+	}
+}
+
+// enterEra records the era of an answer of the store.
+func (dct *docsCtl) enterEra(era int64, now clock.Milli) {
+	confirmed := int64(0)
+	if now-dct.asOf < maxConfirmedAge {
+		confirmed = dct.version()
+	}
+	known := dct.eras.known
+	if !dct.eras.enter(era, confirmed, now) {
+		return
+	}
+	dct.ctl.endpts.missingSince = now
+	if !known {
 		return
 	}
-	if doc.Offset == dct.offset {
+	dct.ctl.set.Meter.CountEvent(meter.EventStoreRestored)
+	dct.ctl.set.Log.Warn().Int64("era", era).Int64("version", dct.version()).Int64("view_age_ms", int64(now-dct.asOf)).Msg("the store came back from a copy")
+	select {
+	case dct.ctl.restored <- struct{}{}:
+	default:
+	}
+}
+
+// confirmByStore records that the store had no newer documents when a read was sent.
+func (dct *docsCtl) confirmByStore(sent, now clock.Milli) {
+	if dct.eras.settled(now) {
 		dct.confirm(sent)
+	}
+}
+
+// confirmByPeer records that documents of this version were the newest at an instant, as another instance
+// knows.
+func (dct *docsCtl) confirmByPeer(version int64, asOf, now clock.Milli) {
+	if version != dct.version() {
 		return
 	}
+	if now-asOf < maxConfirmedAge {
+		dct.eras.confirmed(version)
+	}
+	dct.confirm(asOf)
+}
+
+// fromStoreText names the store as the source of documents in log lines.
+const fromStoreText = "store"
+
+// put puts documents into force that are newer than those in force: of a higher version, or of the same one
+// further on in the same era. Older ones come from a late answer, or from a store that came back from a
+// copy: callers must not see documents go back. It returns the version, false if the documents are invalid.
+func (dct *docsCtl) put(doc proto.Document, sent, now clock.Milli, from string) (int64, bool) {
+	switch {
+	case doc.Offset < 0:
+		return 0, true
+	case dct.plan != nil && bytes.Equal(doc.Text, dct.doc.Text):
+		if doc.Era > dct.doc.Era || doc.Era == dct.doc.Era && doc.Offset > dct.offset {
+			// They have been written again.
+			dct.doc.Era, dct.offset = doc.Era, doc.Offset
+		}
+		return dct.version(), true
+	case doc.Offset == dct.ignored.Offset && doc.Era == dct.ignored.Era && dct.ignored.Text != nil:
+		return 0, true
+	}
 	pln, faults := dct.ctl.set.Dialect.Compile(doc.Text)
 	for _, fault := range faults {
 		dct.ctl.set.Log.Error().Err(fault).Int64("offset", doc.Offset).Msg("invalid part of the documents ignored")
 	}
 	if pln == nil {
-		return
+		return 0, false
 	}
-	dct.ctl.set.Log.Info().Int64("version", pln.Version()).Int64("offset", doc.Offset).Int64("offset_before", dct.offset).
+	further := doc.Era == dct.doc.Era && doc.Offset > dct.offset
+	if dct.plan != nil && (pln.Version() < dct.version() || pln.Version() == dct.version() && !further) {
+		dct.logIgnored(doc, pln.Version(), from)
+		return pln.Version(), true
+	}
+	dct.ctl.set.Log.Info().Int64("version", pln.Version()).Int64("era", doc.Era).Int64("offset", doc.Offset).Int64("offset_before", dct.offset).
 		Int64("age_ms", int64(now-sent)).Str("from", from).Int("routes", len(pln.Routes())).Int("faults", len(faults)).
 		Msg("documents in force")
 	dct.plan, dct.doc, dct.offset = pln, doc, doc.Offset
-	dct.confirm(sent)
 	dct.ctl.dirty = true
+	return pln.Version(), true
 }
 
-// logIgnored logs documents that are not put into force, once for each offset.
-func (dct *docsCtl) logIgnored(doc proto.Document, from string) {
-	if doc.Offset == dct.ignored {
-		return
-	}
-	dct.ignored = doc.Offset
-	dct.ctl.set.Log.Warn().Int64("offset", doc.Offset).Int64("offset_in_force", dct.offset).Str("from", from).Msg("documents ignored")
+// logIgnored logs documents that are not put into force, once.
+func (dct *docsCtl) logIgnored(doc proto.Document, version int64, from string) {
+	dct.ignored = doc
+	dct.ctl.set.Log.Warn().Int64("version", version).Int64("version_in_force", dct.version()).Int64("era", doc.Era).Int64("offset", doc.Offset).
+		Int64("offset_in_force", dct.offset).Str("from", from).Msg("older documents ignored")
 }
 
 // attachState adds the state of this instance to an outgoing message: leaving endpoints, uptime of
@@ -270,7 +363,7 @@
 	msg.StoreUptime = ctl.endpts.uptime(ctl.set.Clock.Now())
 	msg.Digest = ctl.facts.spread.Digest()
 	if ctl.docs.plan != nil {
-		msg.Known, msg.Applied, msg.Age = true, ctl.docs.offset, ctl.set.Clock.Since(ctl.docs.asOf)
+		msg.Known, msg.Applied, msg.Version, msg.Age = true, ctl.docs.offset, ctl.docs.version(), ctl.set.Clock.Since(ctl.docs.asOf)
 	}
 }
 
@@ -286,11 +379,27 @@
 	}
 	switch {
 	case !msg.Known:
-	case msg.Applied > ctl.docs.offset:
+	case ctl.docs.isOlder(msg.Version, msg.Applied):
 		ctl.docs.fetchSnapshot(msg.From)
-	case msg.Applied == ctl.docs.offset && sent > 0:
-		ctl.docs.confirm(sent - msg.Age)
+	case sent > 0 && ctl.docs.isSame(msg.Version, msg.Applied):
+		ctl.docs.confirmByPeer(ctl.docs.version(), sent-msg.Age, now)
+	}
+}
+
+// isOlder reports whether the documents in force are older than those of another instance, isSame whether they
+// are the same. Instances of earlier builds name no version, only the offset.
+func (dct *docsCtl) isOlder(version, offset int64) bool {
+	if version == 0 {
+		return offset > dct.offset
 	}
+	return version > dct.version()
+}
+
+func (dct *docsCtl) isSame(version, offset int64) bool {
+	if version == 0 {
+		return offset == dct.offset
+	}
+	return version == dct.version()
 }
 
 // snapshot is the state that an instance sends to another one with older documents or none.
@@ -301,6 +410,7 @@
 	Endpoints []proto.Endpoint `cbor:"4,keyasint"`
 	// Members are all members that the sender knows.
 	Members []member.Update `cbor:"5,keyasint,omitempty"`
+	Era     int64           `cbor:"6,keyasint,omitempty"`
 }
 
 // fetchSnapshot fetches the state of another instance.
@@ -320,7 +430,9 @@
 			if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &snp) != nil {
 				return
 			}
-			dct.apply(proto.Document{Offset: snp.Offset, Text: snp.Text}, sent-snp.Age, now, string(from))
+			if version, ok := dct.put(proto.Document{Era: snp.Era, Offset: snp.Offset, Text: snp.Text}, sent-snp.Age, now, string(from)); ok {
+				dct.confirmByPeer(version, sent-snp.Age, now)
+			}
 			dct.ctl.endpts.applySnapshot(snp.Endpoints)
 			dct.ctl.list.Merge(snp.Members, now)
 			dct.ctl.membersLoaded.fire()
@@ -367,7 +479,7 @@
 	}
 	body, err := cbor.Marshal(snapshot{
 		Offset: ctl.docs.offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(),
+		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era,
 	})
 	if err != nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -45,6 +45,8 @@
 	upSince clock.Milli
 	// otherUpSince is the same for another instance, as last reported by one.
 	otherUpSince clock.Milli
+	// missingSince is when the store came back from a copy, which may lack entries.
+	missingSince clock.Milli
 	down         bool
 	loaded       bool
 	faults       map[string]bool
@@ -121,6 +123,9 @@
 
 func (ect *endptsCtl) applyRead(list []proto.Endpoint, faults []error, err error, now clock.Milli) {
 	ect.ctl.docs.fromReader = endpointList{}
+	if ect.ctl.set.Store.Era != nil {
+		ect.ctl.docs.enterEra(ect.ctl.set.Store.Era(), now)
+	}
 	if err != nil {
 		if !ect.down {
 			// Uptimes reported earlier say nothing about an outage that begins now.
@@ -136,7 +141,7 @@
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
 	ect.down, ect.loaded = false, true
 	ect.logFaults(faults)
-	if now-min(ect.upSince, ect.otherUpSince) < lapsedGrace {
+	if now-min(ect.upSince, ect.otherUpSince) < lapsedGrace || now-ect.missingSince < lapsedGrace {
 		list = ect.withLapsed(list)
 	}
 	ect.apply(list, now)
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -40,7 +40,9 @@
 
 // update is a reader's answer.
 type update struct {
-	Offset int64 `cbor:"1,keyasint"`
+	Offset  int64 `cbor:"1,keyasint"`
+	Version int64 `cbor:"11,keyasint,omitempty"`
+	Era     int64 `cbor:"12,keyasint,omitempty"`
 	// Text is set if the follower's documents are older.
 	Text []byte `cbor:"2,keyasint,omitempty"`
 	// Age is how old the reader's view was when it answered, Held how long it had held the request.
@@ -65,6 +67,8 @@
 type updateRequest struct {
 	Offset int64  `cbor:"1,keyasint"`
 	Digest uint64 `cbor:"2,keyasint"`
+	// Version orders documents; followers of earlier builds name none.
+	Version int64 `cbor:"4,keyasint,omitempty"`
 	// Patient is set if the follower has no other source. Such a request is held as usual even
 	// while the store does not answer the reader, so that the follower learns within that time that
 	// the store is back.
@@ -100,9 +104,11 @@
 	ctl.loop.Do(ctx, func(now clock.Milli) {
 		switch {
 		case upd.Text != nil:
-			dct.apply(proto.Document{Offset: upd.Offset, Text: upd.Text}, asOf, now, string(who))
-		case upd.Offset == dct.offset:
-			dct.confirm(asOf)
+			if version, ok := dct.put(proto.Document{Era: upd.Era, Offset: upd.Offset, Text: upd.Text}, asOf, now, string(who)); ok {
+				dct.confirmByPeer(version, asOf, now)
+			}
+		case dct.isSame(upd.Version, upd.Offset):
+			dct.confirmByPeer(dct.version(), asOf, now)
 		}
 		if upd.Listed && !dct.fromReader.apply(upd) {
 			ctl.set.Log.Info().Str("reader", string(who)).Int("changes", len(upd.Endpoints)+len(upd.Gone)).Msg("endpoint changes relative to another list dropped")
@@ -117,7 +123,7 @@
 }
 
 func (dct *docsCtl) updateRequest() updateRequest {
-	return updateRequest{Offset: dct.offset, Digest: dct.fromReader.Digest}
+	return updateRequest{Offset: dct.offset, Version: dct.version(), Digest: dct.fromReader.Digest}
 }
 
 // ServeFollower answers a follower; it is registered with the link.
@@ -133,14 +139,14 @@
 		// A reader that gets no answers from the store reports that at once, so that the follower
 		// turns to another source.
 		silent := !req.Patient && vw.storeSilence(ctl.set.Clock.Now()) > maxStoreSilence
-		return silent || vw.offset > req.Offset || vw.hasUpdate(req)
+		return silent || vw.hasNewer(req) || vw.hasUpdate(req)
 	})
 	now := ctl.set.Clock.Now()
 	if vw.answeredAt == 0 && vw.plan == nil {
 		return ans
 	}
-	upd := update{Offset: vw.offset, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
-	if vw.offset > req.Offset {
+	upd := update{Offset: vw.offset, Version: max(versionOf(vw.plan), 0), Era: vw.era, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
+	if vw.hasNewer(req) {
 		upd.Text = vw.text
 	}
 	if vw.hasUpdate(req) {
@@ -152,6 +158,14 @@
 	return ans
 }
 
+// hasNewer reports whether the view has newer documents than a follower.
+func (vw *View) hasNewer(req updateRequest) bool {
+	if req.Version == 0 {
+		return vw.offset > req.Offset
+	}
+	return versionOf(vw.plan) > req.Version
+}
+
 // hasUpdate reports whether the view has another list of endpoints than a follower last received. A
 // reader that has just started has no list yet, which does not mean that there are no endpoints:
 // sent an empty list, a follower that had read the endpoints itself lost all of them and refused
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -73,7 +73,7 @@
 	gom := gomega.NewWithT(t)
 	rdr := reader(list("a", "b"))
 	fol := newEndpts()
-	fol.ctl.docs.offset = 7
+	fol.ctl.docs.plan, fol.ctl.docs.offset = &plan.Plan{}, 7
 	var upd update
 	upd.fillEndpoints(rdr.View(), 0)
 	gom.Expect(fol.ctl.docs.fromReader.apply(upd)).To(gomega.BeTrue())
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -30,7 +30,7 @@
 		sto.Document = func(context.Context) (proto.Document, error) { return proto.Document{Offset: 1, End: 2}, nil }
 	}
 	if sto.Watch == nil {
-		sto.Watch = func(ctx context.Context, _ int64, _ clock.Milli) (bool, error) {
+		sto.Watch = func(ctx context.Context, _, _ int64, _ clock.Milli) (bool, error) {
 			<-ctx.Done()
 			return false, ctx.Err()
 		}
@@ -198,7 +198,7 @@
 func TestPatientFollowerLearnsOfStoreReturn(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	var down atomic.Bool
-	ctl := started(t, proto.Store{Watch: func(context.Context, int64, clock.Milli) (bool, error) {
+	ctl := started(t, proto.Store{Watch: func(context.Context, int64, int64, clock.Milli) (bool, error) {
 		if down.Load() {
 			return false, errors.New("down")
 		}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -15,6 +15,7 @@
 type View struct {
 	plan      *plan.Plan
 	offset    int64
+	era       int64
 	asOf      clock.Milli
 	endpoints []proto.Endpoint
 	// digest identifies the list of endpoints; pastLists has earlier lists.
@@ -48,7 +49,7 @@
 // Plan returns the plan in force, nil while none is known.
 func (vw *View) Plan() *plan.Plan { return vw.plan }
 
-// Offset returns the offset of the documents, which orders them.
+// Offset returns the offset of the documents in the store.
 func (vw *View) Offset() int64 { return vw.offset }
 
 // Age returns how long ago the documents were known to be the newest.
