internal/soak, platform/fake: a store that comes back from a copy

The 22nd kind of fault: a copy is made, a version that takes a key away is published, the store goes away and comes back from the copy; what operators and endpoints wrote is written again within 1.9 s, now and then after an instance has been killed. The checks on versions, keys, leaving endpoints and cut answers stay as they are.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -52,6 +52,7 @@
 	{"partition from all endpoints", (*soakRun).partition},
 	{"brittle endpoints", (*soakRun).makeBrittle},
 	{"answers of all shapes", (*soakRun).shapeAnswers},
+	{"store from a copy", (*soakRun).restoreStore},
 }
 
 // Runs that draw from at least variedFromKinds kinds may have answers of varied length. In such a
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,6 +99,8 @@
 
 // soakRun is one run: its deployment, faults, requests and violations.
 type soakRun struct {
+	// restoring is set while the store is about to come back from a copy.
+	restoring  atomic.Bool
 	seed       uint64
 	faultKinds int
 	params     runParams
