--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -323,7 +323,7 @@
 	case dct.plan != nil && bytes.Equal(doc.Text, dct.doc.Text):
 		if doc.Era > dct.doc.Era || doc.Era == dct.doc.Era && doc.Offset > dct.offset {
 			// They have been written again.
-			dct.doc.Era, dct.offset = doc.Era, doc.Offset
+			dct.doc.Era, dct.doc.Offset, dct.offset = doc.Era, doc.Offset, doc.Offset
 		}
 		return dct.version(), true
 	case doc.Offset == dct.ignored.Offset && doc.Era == dct.ignored.Era && dct.ignored.Text != nil:
