internal/node: the spec of partitioned instances has no race of its own

Its links read the list of instances while the next one was added to it, which the race detector reported in some runs. They read an address that is stored before now; what is checked is the same.

--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -233,15 +233,17 @@
 	// that all other instances refuse.
 	ginkgo.It("is refused by an instance that starts later and by one that was partitioned off", func() {
 		var partitioned atomic.Bool
+		var cutOff atomic.Value
 		tbd := newTestbed(0)
 		for range 3 {
 			tbd.startWithLink(func(nod *Node) {
 				last := len(tbd.nodes) == 2
 				nod.link.Partitioned = func(addr string) bool {
-					return partitioned.Load() && (last || addr == tbd.nodes[2].link.Addr())
+					return partitioned.Load() && (last || addr == cutOff.Load())
 				}
 			})
 		}
+		cutOff.Store(tbd.nodes[2].link.Addr())
 		tbd.waitJoined()
 		crt := tbd.crashEngines(4)
 		// The facts in the store must not reach the instance that is partitioned off.
