internal/state: an old confirmation doesn't prove that a copy is complete

The cause: every confirmation of the last 24 hours counted as one from right before the store went away; again a proof that is none.

Own documents count as the newest before the return only while they are not outdated (staleAfter, 2.5 s), and what another instance knows only if it was confirmed after this one noticed the era. Otherwise the two seconds of settleTime are waited for.

Before: TestOldConfirmationProvesNothing fails (the copy confirms at once); after: it passes, and the model at 8, 66 and 195 instances has instances that are partitioned off through the change. The price: after an outage of the store of more than 2.5 s keys wait for up to two seconds more.

--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -45,9 +45,6 @@
 	readerRetryPause = 100 * time.Millisecond
 	// maxRetryDoublings is the number of failures after which the pause is longest.
 	maxRetryDoublings = 3
-	// maxConfirmedAge is how long ago documents may have been confirmed that count as confirmed: those of
-	// which that isn't known have an age of decades.
-	maxConfirmedAge = clock.Day
 	// stateTimeout bounds the request for another instance's state.
 	stateTimeout = time.Second
 )
@@ -271,12 +268,12 @@
 
 // enterEra records the era of an answer of the store.
 func (dct *docsCtl) enterEra(era int64, now clock.Milli) {
-	confirmed := int64(0)
-	if now-dct.asOf < maxConfirmedAge {
-		confirmed = dct.version()
+	floor := int64(unknownFloor)
+	if dct.plan != nil && now-dct.asOf <= staleAfter {
+		floor = dct.version()
 	}
 	known := dct.eras.known
-	if !dct.eras.enter(era, confirmed, now) {
+	if !dct.eras.enter(era, floor, now) {
 		return
 	}
 	dct.ctl.endpts.missingSince = now
@@ -300,13 +297,11 @@
 
 // confirmByPeer records that documents of this version were the newest at an instant, as another instance
 // knows.
-func (dct *docsCtl) confirmByPeer(version int64, asOf, now clock.Milli) {
+func (dct *docsCtl) confirmByPeer(version int64, asOf clock.Milli) {
 	if version != dct.version() {
 		return
 	}
-	if now-asOf < maxConfirmedAge {
-		dct.eras.confirmed(version)
-	}
+	dct.eras.confirmed(version, asOf)
 	dct.confirm(asOf)
 }
 
@@ -382,7 +377,7 @@
 	case ctl.docs.isOlder(msg.Version, msg.Applied):
 		ctl.docs.fetchSnapshot(msg.From)
 	case sent > 0 && ctl.docs.isSame(msg.Version, msg.Applied):
-		ctl.docs.confirmByPeer(ctl.docs.version(), sent-msg.Age, now)
+		ctl.docs.confirmByPeer(ctl.docs.version(), sent-msg.Age)
 	}
 }
 
@@ -431,7 +426,7 @@
 				return
 			}
 			if version, ok := dct.put(proto.Document{Era: snp.Era, Offset: snp.Offset, Text: snp.Text}, sent-snp.Age, now, string(from)); ok {
-				dct.confirmByPeer(version, sent-snp.Age, now)
+				dct.confirmByPeer(version, sent-snp.Age)
 			}
 			dct.ctl.endpts.applySnapshot(snp.Endpoints)
 			dct.ctl.list.Merge(snp.Members, now)
--- a/internal/state/eras_test.go
+++ b/internal/state/eras_test.go
@@ -66,14 +66,30 @@
 	dct.applyRead(numbered(3, 3, 10), now+10, now+10)
 	gom.Expect(dct.version()).To(gomega.BeEquivalentTo(10))
 	gom.Expect(dct.asOf).To(gomega.BeZero())
-	dct.confirmByPeer(10, 100, now+20)
+	dct.confirmByPeer(10, 100)
 	dct.applyRead(numbered(3, 3, 10), now+30, now+30)
 	gom.Expect(dct.asOf).To(gomega.BeEquivalentTo(100), "the other instance has it from the copy, too")
-	dct.confirmByPeer(10, now+20, now+40)
+	dct.confirmByPeer(10, now+20)
 	dct.applyRead(numbered(3, 3, 10), now+50, now+50)
 	gom.Expect(dct.asOf).To(gomega.Equal(now + 50))
 }
 
+// Guards against a copy that counts as complete because it has documents that were confirmed long before the
+// store went away, here or at an instance that was partitioned off since.
+func TestOldConfirmationProvesNothing(t *testing.T) {
+	const now = 10 * clock.Day
+	gom := gomega.NewWithT(t)
+	dct := newDocs()
+	dct.applyRead(numbered(0, 5, 20), now-clock.Minute, now-clock.Minute)
+	dct.applyRead(numbered(1, 5, 20), now, now)
+	gom.Expect(dct.asOf).To(gomega.Equal(now - clock.Minute))
+	dct = newDocs()
+	dct.applyRead(numbered(1, 5, 20), now, now)
+	dct.confirmByPeer(20, now-clock.Minute)
+	dct.applyRead(numbered(1, 5, 20), now+20, now+20)
+	gom.Expect(dct.asOf).To(gomega.Equal(now - clock.Minute))
+}
+
 // Guards against documents that go back, and against a store whose newest documents are not taken.
 func TestDocumentsAcrossEras(t *testing.T) {
 	rapid.Check(t, func(rpd *rapid.T) {
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -105,10 +105,10 @@
 		switch {
 		case upd.Text != nil:
 			if version, ok := dct.put(proto.Document{Era: upd.Era, Offset: upd.Offset, Text: upd.Text}, asOf, now, string(who)); ok {
-				dct.confirmByPeer(version, asOf, now)
+				dct.confirmByPeer(version, asOf)
 			}
 		case dct.isSame(upd.Version, upd.Offset):
-			dct.confirmByPeer(dct.version(), asOf, now)
+			dct.confirmByPeer(dct.version(), asOf)
 		}
 		if upd.Listed && !dct.fromReader.apply(upd) {
 			ctl.set.Log.Info().Str("reader", string(who)).Int("changes", len(upd.Endpoints)+len(upd.Gone)).Msg("endpoint changes relative to another list dropped")
--- a/internal/state/model_test.go
+++ b/internal/state/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -45,6 +46,8 @@
 	started   clock.Milli
 	nextRead  clock.Milli
 	nextProbe clock.Milli
+	// cutUntil is when the instance is no longer partitioned off from the store and the others.
+	cutUntil clock.Milli
 }
 
 // model is a deployment in fake time.
@@ -71,15 +74,20 @@
 // step lets instances read and probe that are due.
 func (mdl *model) step() {
 	mdl.now += modelStep
+	readers := mdl.readers()
 	for i, nod := range mdl.nodes {
+		if mdl.now < nod.cutUntil {
+			continue
+		}
 		changed := nod.dct.doc.Offset != int64(len(mdl.sto.log)-1) || nod.dct.doc.Era != mdl.sto.era
 		// Readers hold a read until the documents change; an instance that has just started reads once.
-		if (i < modelReaders || nod.dct.plan == nil) && !mdl.sto.away && (changed || mdl.now >= nod.nextRead) {
+		reads := slices.Contains(readers, nod)
+		if (reads || nod.dct.plan == nil) && !mdl.sto.away && (changed || mdl.now >= nod.nextRead) {
 			nod.nextRead = mdl.now + modelPoll
 			nod.dct.applyRead(mdl.sto.document(), mdl.now, mdl.now)
 		}
-		if i >= modelReaders && nod.dct.plan != nil {
-			nod.hear(mdl.nodes[i%modelReaders], mdl.now)
+		if !reads && nod.dct.plan != nil && len(readers) > 0 {
+			nod.hear(readers[i%len(readers)], mdl.now)
 		}
 		if mdl.now >= nod.nextProbe {
 			nod.nextProbe = mdl.now + modelProbe
@@ -90,15 +98,26 @@
 	}
 }
 
+// readers returns the first instances that aren't partitioned off.
+func (mdl *model) readers() []*modelNode {
+	var list []*modelNode
+	for _, nod := range mdl.nodes {
+		if mdl.now >= nod.cutUntil && len(list) < modelReaders {
+			list = append(list, nod)
+		}
+	}
+	return list
+}
+
 // hear takes over what another instance knows.
 func (nod *modelNode) hear(oth *modelNode, now clock.Milli) {
-	if oth == nod || oth.dct.plan == nil {
+	if oth == nod || oth.dct.plan == nil || now < oth.cutUntil || now < nod.cutUntil {
 		return
 	}
 	asOf := oth.dct.asOf - modelLatency
 	version, ok := nod.dct.put(oth.dct.doc, asOf, now, "peer")
 	if ok {
-		nod.dct.confirmByPeer(version, asOf, now)
+		nod.dct.confirmByPeer(version, asOf)
 	}
 }
 
@@ -115,7 +134,7 @@
 				return fmt.Sprintf("instance %d accepts the keys of %d, %d ms after %d was acknowledged", i, version, mdl.now-at, later)
 			}
 		}
-		steady := min(mdl.now-quietSince, mdl.now-nod.started) > 3*clock.Second
+		steady := min(mdl.now-quietSince, mdl.now-nod.started, mdl.now-nod.cutUntil) > 3*clock.Second
 		if at, ok := mdl.ackedAt[mdl.version]; steady && ok && mdl.now-at > inForceBound && (version < mdl.version || age > staleAfter) {
 			return fmt.Sprintf("instance %d has version %d, %d ms old, %d ms after %d was acknowledged", i, version, age, mdl.now-at, mdl.version)
 		}
@@ -124,7 +143,8 @@
 }
 
 // Guards against documents that go back, keys that outlive their removal and documents that don't come into
-// force after the store's return from a copy, at all sizes, with restarts of one, some and all instances.
+// force after the store's return from a copy, at all sizes, with restarts of one, some and all instances, and
+// some that are partitioned off meanwhile.
 func TestEraModel(t *testing.T) {
 	for _, size := range []int{8, 66, 195} {
 		for seed := range uint64(12) {
@@ -162,6 +182,12 @@
 			return broken
 		}
 		mdl.sto.saved = append([]int64(nil), mdl.sto.log...)
+		// Some are partitioned off through the change, until about the return.
+		for _, nod := range mdl.nodes {
+			if mdl.rng.IntN(4) == 0 {
+				nod.cutUntil = mdl.now + clock.Milli(2000+mdl.rng.IntN(6000))
+			}
+		}
 		for range 1 + mdl.rng.IntN(3) {
 			mdl.publish()
 			if broken := run(clock.Milli(100 + mdl.rng.IntN(1500))); broken != "" {
