--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -164,14 +164,21 @@
 	Failure Failure
 }
 
-// Document is the operators' document. Its version orders documents; Era and Offset are its place in the
-// store, Offset is below 0 if there is none. End is the end of the store's log when it was read, the offset
-// to watch from. Offsets compare within an era only.
-type Document struct {
+// Position is a position in the store's log. Offsets compare within an era only.
+type Position struct {
 	Era    int64
 	Offset int64
-	End    int64
-	Text   []byte
+}
+
+// Before reports whether the position is of the same era as another one, and before it.
+func (pos Position) Before(oth Position) bool { return pos.Era == oth.Era && pos.Offset < oth.Offset }
+
+// Document is the operators' document. Its version orders documents. Offset is below 0 if there is none; End
+// is the end of the store's log when it was read, the offset to watch from.
+type Document struct {
+	Position
+	End  int64
+	Text []byte
 }
 
 // Dialect implements the protocols of callers, endpoints and the store.
@@ -222,10 +229,10 @@
 
 // Store is the client of the store.
 type Store struct {
-	// Document returns the store's document. Watch waits for records from an offset of an era on, for at
-	// most the given time, and reports whether there are any, or the era has ended.
+	// Document returns the store's document. Watch waits for records from a position on, for at most the
+	// given time, and reports whether there are any, or the era has ended.
 	Document func(ctx context.Context) (Document, error)
-	Watch    func(ctx context.Context, era, from int64, wait clock.Milli) (bool, error)
+	Watch    func(ctx context.Context, from Position, wait clock.Milli) (bool, error)
 	// Era returns the highest era of the store's answers so far. It rises each time the store has come
 	// back from a copy, without what was written since the copy was made. Nil stands for a store that
 	// never does.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -112,10 +112,10 @@
 		Self: set.Self, List: ctl.list, Link: set.Link, Offer: ctl.loop.Offer, Go: ctl.loop.Go,
 		Now: set.Clock.Now, Attach: ctl.attachState, OnMessage: ctl.receive,
 	}
-	ctl.docs.ctl, ctl.docs.offset = ctl, -1
+	ctl.docs.ctl, ctl.docs.doc.Position, ctl.docs.ignored = ctl, unread, unread
 	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace}
 	ctl.facts = newFacts(ctl)
-	ctl.view.Store(&View{offset: -1})
+	ctl.view.Store(&View{position: proto.Position{Offset: -1}})
 	changed := make(chan struct{})
 	ctl.viewChanged.Store(&changed)
 	return ctl
@@ -161,7 +161,7 @@
 	if ctl.set.Relayed != nil {
 		load += ctl.set.Relayed()
 	}
-	ctl.list.SetSelf(ctl.docs.offset, int(load), ctl.leaving, now)
+	ctl.list.SetSelf(ctl.docs.doc.Offset, int(load), ctl.leaving, now)
 	ctl.list.SetStale(ctl.docs.plan == nil || now-ctl.docs.asOf > staleAfter)
 	if ctl.set.Blind != nil {
 		ctl.list.SetBlind(ctl.set.Blind())
@@ -180,7 +180,7 @@
 func (ctl *Control) publish(now clock.Milli) {
 	old := ctl.view.Load()
 	vw := &View{
-		plan: ctl.docs.plan, offset: ctl.docs.offset, era: ctl.docs.doc.Era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), digest: old.digest, pastLists: old.pastLists,
+		plan: ctl.docs.plan, position: ctl.docs.doc.Position, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), digest: old.digest, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
@@ -256,7 +256,7 @@
 		ctl.set.Log.Info().Int("before", len(old.members)).Int("members", len(vw.members)).Msg("members changed")
 	}
 	ctl.set.Meter.SetGauge(meter.GaugeMembers, float64(len(vw.members)))
-	ctl.set.Meter.SetGauge(meter.GaugeApplied, float64(vw.offset))
+	ctl.set.Meter.SetGauge(meter.GaugeApplied, float64(vw.Offset()))
 }
 
 // EndpointLeaving records that an endpoint is leaving, as it announced in an answer, or is gone.
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -8,15 +8,11 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"amaranthvalve/internal/loop"
 	"amaranthvalve/internal/meter"
-	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
-	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/retry"
 )
@@ -51,11 +47,10 @@
 
 // docsCtl owns the documents in force.
 type docsCtl struct {
-	ctl    *Control
-	plan   *plan.Plan
-	doc    proto.Document
-	offset int64
-	eras   eras
+	ctl  *Control
+	plan *plan.Plan
+	doc  proto.Document
+	eras eras
 	// asOf is the latest instant at which the documents were known to be the newest.
 	asOf     clock.Milli
 	fetching bool
@@ -68,8 +63,8 @@
 	// hold that took.
 	lastAnswer clock.Milli
 	storeDelay clock.Milli
-	// ignored are the documents that were last ignored.
-	ignored proto.Document
+	// ignored is the position of the older documents that were last ignored.
+	ignored proto.Position
 }
 
 // watch reads the documents and then waits for newer ones, in the store itself or through another
@@ -152,21 +147,18 @@
 	return err
 }
 
-// place is a place in the store's log.
-type place struct{ era, offset int64 }
-
-// unread is the place to watch from before the first read.
-var unread = place{offset: -1}
+// unread is the position to watch from before the first read.
+var unread = proto.Position{Offset: -1}
 
-// read waits for a change if from is known, and reads the newest documents. It returns the place
+// read waits for a change if from is known, and reads the newest documents. It returns the position
 // from which to watch.
-func (dct *docsCtl) read(ctx context.Context, from place) (place, error) {
+func (dct *docsCtl) read(ctx context.Context, from proto.Position) (proto.Position, error) {
 	store, clk := dct.ctl.set.Store, dct.ctl.set.Clock
 	sent := clk.Now()
 	if from != unread {
 		hold := dct.ctl.capped(watchHold, watchHoldShare)
 		wctx, cancel := context.WithTimeout(ctx, hold.Duration()+readTimeout)
-		changed, err := store.Watch(wctx, from.era, from.offset, hold)
+		changed, err := store.Watch(wctx, from, hold)
 		cancel()
 		if err != nil {
 			return unread, err
@@ -193,7 +185,7 @@
 		dct.lastAnswer = now
 		dct.applyRead(doc, sent, now)
 	})
-	return place{doc.Era, doc.End}, nil
+	return proto.Position{Era: doc.Era, Offset: doc.End}, nil
 }
 
 // capped returns a span, or the given part of the time for which tokens are accepted if that is
@@ -253,16 +245,24 @@
 // applyRead puts the store's documents into force if they are newer. They confirm those in force unless the
 // store may lack newer ones, see [eras].
 func (dct *docsCtl) applyRead(doc proto.Document, sent, now clock.Milli) {
-	if dct.eras.isOver(doc.Era) {
-		// A late answer, from before the store came back.
-		dct.put(doc, sent, now, fromStoreText)
+	late := dct.eras.isOver(doc.Era) || doc.Before(dct.doc.Position)
+	if !dct.eras.isOver(doc.Era) {
+		dct.enterEra(doc.Era, now)
+	}
+	res := dct.put(doc, sent, now, "store")
+	if late || res == invalid {
 		return
 	}
-	dct.enterEra(doc.Era, now)
-	late := doc.Era == dct.doc.Era && doc.Offset < dct.offset
-	if version, ok := dct.put(doc, sent, now, fromStoreText); ok && !late {
-		dct.eras.reached(version)
-		dct.confirmByStore(sent, now)
+	if res == inForce {
+		dct.eras.reached(dct.version())
+	}
+	dct.confirmByStore(sent, now)
+}
+
+// applyPeer puts the documents of another instance into force if they are newer.
+func (dct *docsCtl) applyPeer(doc proto.Document, asOf, now clock.Milli, from string) {
+	if dct.put(doc, asOf, now, from) == inForce {
+		dct.confirmByPeer(asOf)
 	}
 }
 
@@ -295,189 +295,63 @@
 	}
 }
 
-// confirmByPeer records that documents of this version were the newest at an instant, as another instance
+// confirmByPeer records that the documents in force were the newest at an instant, as another instance
 // knows.
-func (dct *docsCtl) confirmByPeer(version int64, asOf clock.Milli) {
-	if version != dct.version() {
-		return
-	}
-	dct.eras.confirmed(version, asOf)
+func (dct *docsCtl) confirmByPeer(asOf clock.Milli) {
+	dct.eras.confirmed(dct.version(), asOf)
 	dct.confirm(asOf)
 }
 
-// fromStoreText names the store as the source of documents in log lines.
-const fromStoreText = "store"
+// putResult is what became of documents that were put into force.
+type putResult int
+
+const (
+	// inForce: they are in force.
+	inForce putResult = iota
+	// older: they are older than those in force, or none.
+	older
+	// invalid: they can't be compiled.
+	invalid
+)
 
 // put puts documents into force that are newer than those in force: of a higher version, or of the same one
-// further on in the same era. Older ones come from a late answer, or from a store that came back from a
-// copy: callers must not see documents go back. It returns the version, false if the documents are invalid.
-func (dct *docsCtl) put(doc proto.Document, sent, now clock.Milli, from string) (int64, bool) {
+// at a later position of the same era. Older ones come from a late answer, or from a store that came back
+// from a copy: callers must not see documents go back.
+func (dct *docsCtl) put(doc proto.Document, sent, now clock.Milli, from string) putResult {
 	switch {
 	case doc.Offset < 0:
-		return 0, true
+		return older
 	case dct.plan != nil && bytes.Equal(doc.Text, dct.doc.Text):
-		if doc.Era > dct.doc.Era || doc.Era == dct.doc.Era && doc.Offset > dct.offset {
+		if doc.Era > dct.doc.Era || dct.doc.Before(doc.Position) {
 			// They have been written again.
-			dct.doc.Era, dct.doc.Offset, dct.offset = doc.Era, doc.Offset, doc.Offset
+			dct.doc.Position = doc.Position
 		}
-		return dct.version(), true
-	case doc.Offset == dct.ignored.Offset && doc.Era == dct.ignored.Era && dct.ignored.Text != nil:
-		return 0, true
+		return inForce
+	case doc.Position == dct.ignored:
+		return older
 	}
 	pln, faults := dct.ctl.set.Dialect.Compile(doc.Text)
 	for _, fault := range faults {
 		dct.ctl.set.Log.Error().Err(fault).Int64("offset", doc.Offset).Msg("invalid part of the documents ignored")
 	}
 	if pln == nil {
-		return 0, false
+		return invalid
 	}
-	further := doc.Era == dct.doc.Era && doc.Offset > dct.offset
-	if dct.plan != nil && (pln.Version() < dct.version() || pln.Version() == dct.version() && !further) {
+	if dct.plan != nil && (pln.Version() < dct.version() || pln.Version() == dct.version() && !dct.doc.Before(doc.Position)) {
 		dct.logIgnored(doc, pln.Version(), from)
-		return pln.Version(), true
+		return older
 	}
-	dct.ctl.set.Log.Info().Int64("version", pln.Version()).Int64("era", doc.Era).Int64("offset", doc.Offset).Int64("offset_before", dct.offset).
+	dct.ctl.set.Log.Info().Int64("version", pln.Version()).Int64("era", doc.Era).Int64("offset", doc.Offset).Int64("offset_before", dct.doc.Offset).
 		Int64("age_ms", int64(now-sent)).Str("from", from).Int("routes", len(pln.Routes())).Int("faults", len(faults)).
 		Msg("documents in force")
-	dct.plan, dct.doc, dct.offset = pln, doc, doc.Offset
+	dct.plan, dct.doc = pln, doc
 	dct.ctl.dirty = true
-	return pln.Version(), true
+	return inForce
 }
 
 // logIgnored logs documents that are not put into force, once.
 func (dct *docsCtl) logIgnored(doc proto.Document, version int64, from string) {
-	dct.ignored = doc
+	dct.ignored = doc.Position
 	dct.ctl.set.Log.Warn().Int64("version", version).Int64("version_in_force", dct.version()).Int64("era", doc.Era).Int64("offset", doc.Offset).
-		Int64("offset_in_force", dct.offset).Str("from", from).Msg("older documents ignored")
-}
-
-// attachState adds the state of this instance to an outgoing message: leaving endpoints, uptime of
-// the store, digest of the facts, and offset and age of the documents.
-func (ctl *Control) attachState(msg *peer.Message) {
-	msg.Leaving = ctl.endpts.leavingIDs()
-	msg.StoreUptime = ctl.endpts.uptime(ctl.set.Clock.Now())
-	msg.Digest = ctl.facts.spread.Digest()
-	if ctl.docs.plan != nil {
-		msg.Known, msg.Applied, msg.Version, msg.Age = true, ctl.docs.offset, ctl.docs.version(), ctl.set.Clock.Since(ctl.docs.asOf)
-	}
-}
-
-// receive applies what a message carries: leaving endpoints, facts, and documents that are as new
-// as ours or newer. Ages are used only from answers, since only their time in transit is bounded.
-func (ctl *Control) receive(msg peer.Message, sent, now clock.Milli) {
-	for _, id := range msg.Leaving {
-		ctl.endpts.markLeaving(ident.Process(id), "reported by another instance", now)
-	}
-	ctl.facts.receive(msg, sent > 0, now)
-	if sent > 0 {
-		ctl.endpts.recordOtherUptime(msg.StoreUptime, sent)
-	}
-	switch {
-	case !msg.Known:
-	case ctl.docs.isOlder(msg.Version, msg.Applied):
-		ctl.docs.fetchSnapshot(msg.From)
-	case sent > 0 && ctl.docs.isSame(msg.Version, msg.Applied):
-		ctl.docs.confirmByPeer(ctl.docs.version(), sent-msg.Age)
-	}
-}
-
-// isOlder reports whether the documents in force are older than those of another instance, isSame whether they
-// are the same. Instances of earlier builds name no version, only the offset.
-func (dct *docsCtl) isOlder(version, offset int64) bool {
-	if version == 0 {
-		return offset > dct.offset
-	}
-	return version > dct.version()
-}
-
-func (dct *docsCtl) isSame(version, offset int64) bool {
-	if version == 0 {
-		return offset == dct.offset
-	}
-	return version == dct.version()
-}
-
-// snapshot is the state that an instance sends to another one with older documents or none.
-type snapshot struct {
-	Offset    int64            `cbor:"1,keyasint"`
-	Text      []byte           `cbor:"2,keyasint"`
-	Age       clock.Milli      `cbor:"3,keyasint"`
-	Endpoints []proto.Endpoint `cbor:"4,keyasint"`
-	// Members are all members that the sender knows.
-	Members []member.Update `cbor:"5,keyasint,omitempty"`
-	Era     int64           `cbor:"6,keyasint,omitempty"`
-}
-
-// fetchSnapshot fetches the state of another instance.
-func (dct *docsCtl) fetchSnapshot(from ident.Incarnation) {
-	if dct.fetching || dct.ctl.set.Link == nil {
-		return
-	}
-	dct.fetching = true
-	dct.ctl.loop.Go(func(ctx context.Context) {
-		actx, cancel := context.WithTimeout(ctx, stateTimeout)
-		defer cancel()
-		sent := dct.ctl.set.Clock.Now()
-		ans, err := dct.ctl.set.Link.Call(actx, from.Addr(), peer.Message{Kind: peer.GetState, From: dct.ctl.set.Self, To: from})
-		dct.ctl.loop.Do(ctx, func(now clock.Milli) {
-			dct.fetching = false
-			var snp snapshot
-			if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &snp) != nil {
-				return
-			}
-			if version, ok := dct.put(proto.Document{Era: snp.Era, Offset: snp.Offset, Text: snp.Text}, sent-snp.Age, now, string(from)); ok {
-				dct.confirmByPeer(version, sent-snp.Age)
-			}
-			dct.ctl.endpts.applySnapshot(snp.Endpoints)
-			dct.ctl.list.Merge(snp.Members, now)
-			dct.ctl.membersLoaded.fire()
-		})
-	})
-}
-
-// Handle answers a message of another instance; it is registered with the link.
-func (ctl *Control) Handle(ctx context.Context, msg peer.Message) peer.Message {
-	if msg.Kind == peer.IndirectProbe {
-		return ctl.group.ProbeIndirect(ctx, msg)
-	}
-	ans, ok := loop.Get(ctx, ctl.loop, func(now clock.Milli) peer.Message { return ctl.answer(msg, now) })
-	if !ok {
-		return ctl.nack()
-	}
-	return ans
-}
-
-// answer answers a message on the control loop.
-func (ctl *Control) answer(msg peer.Message, now clock.Milli) peer.Message {
-	ctl.group.Receive(msg, 0, now)
-	switch msg.Kind {
-	case peer.PushFacts:
-		return peer.Message{Kind: peer.OK, From: ctl.set.Self}
-	case peer.Probe:
-		ans := ctl.group.Message(peer.OK, msg.From)
-		ans.Facts = ctl.facts.spread.Delta(msg.Digest, now)
-		return ans
-	case peer.GetState:
-		return ctl.answerSnapshot(now)
-	case peer.EntryMissing:
-		ctl.announceAgain()
-		return ctl.group.Message(peer.OK, msg.From)
-	}
-	return ctl.nack()
-}
-
-func (ctl *Control) nack() peer.Message { return peer.Message{Kind: peer.Nack, From: ctl.set.Self} }
-
-func (ctl *Control) answerSnapshot(now clock.Milli) peer.Message {
-	if ctl.docs.plan == nil {
-		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
-	}
-	body, err := cbor.Marshal(snapshot{
-		Offset: ctl.docs.offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era,
-	})
-	if err != nil {
-		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
-	}
-	return peer.Message{Kind: peer.OK, From: ctl.set.Self, Body: body}
+		Int64("offset_in_force", dct.doc.Offset).Str("from", from).Msg("older documents ignored")
 }
--- a/internal/state/endpts_test.go
+++ b/internal/state/endpts_test.go
@@ -122,11 +122,11 @@
 	ect := newEndpts()
 	dct := &ect.ctl.docs
 	ect.ctl.set.Dialect = &proto.Dialect{Compile: compileNothing}
-	dct.applyRead(proto.Document{Offset: 7, Text: []byte("new")}, 100, 120)
-	dct.applyRead(proto.Document{Offset: 5, Text: []byte("old")}, 200, 220)
-	gom.Expect(dct.offset).To(gomega.Equal(int64(7)))
+	dct.applyRead(proto.Document{Position: proto.Position{Offset: 7}, Text: []byte("new")}, 100, 120)
+	dct.applyRead(proto.Document{Position: proto.Position{Offset: 5}, Text: []byte("old")}, 200, 220)
+	gom.Expect(dct.doc.Offset).To(gomega.Equal(int64(7)))
 	gom.Expect(dct.asOf).To(gomega.Equal(clock.Milli(100)), "an older document confirms nothing")
-	dct.applyRead(proto.Document{Offset: 7, Text: []byte("new")}, 300, 320)
+	dct.applyRead(proto.Document{Position: proto.Position{Offset: 7}, Text: []byte("new")}, 300, 320)
 	gom.Expect(dct.asOf).To(gomega.Equal(clock.Milli(300)))
 }
 
--- a/internal/state/eras_test.go
+++ b/internal/state/eras_test.go
@@ -22,7 +22,7 @@
 }
 
 func numbered(era, offset, version int64) proto.Document {
-	return proto.Document{Era: era, Offset: offset, Text: []byte(strconv.FormatInt(version, 10))}
+	return proto.Document{Position: proto.Position{Era: era, Offset: offset}, Text: []byte(strconv.FormatInt(version, 10))}
 }
 
 func newDocs() *docsCtl {
@@ -45,9 +45,11 @@
 	dct.applyRead(numbered(0, 6, 21), now+50, now+200)
 	gom.Expect(dct.version()).To(gomega.BeEquivalentTo(21), "a late answer of the era before")
 	gom.Expect(dct.asOf).To(gomega.Equal(now))
-	dct.applyRead(numbered(1, 3, 20), now+300, now+300)
+	dct.applyRead(numbered(1, 3, 20), now+250, now+250)
+	gom.Expect(dct.asOf).To(gomega.Equal(now), "the store lacks what the late answer had")
+	dct.applyRead(numbered(1, 4, 21), now+300, now+300)
 	gom.Expect(dct.asOf).To(gomega.Equal(now+300), "the store has what was in force when it came back")
-	dct.applyRead(numbered(1, 4, 23), now+400, now+400)
+	dct.applyRead(numbered(1, 5, 23), now+400, now+400)
 	gom.Expect(dct.version()).To(gomega.BeEquivalentTo(23))
 	dct.applyRead(numbered(2, 1, 9), now+500, now+500)
 	dct.confirmByStore(now+500+settleTime-1, now+500+settleTime-1)
@@ -66,10 +68,10 @@
 	dct.applyRead(numbered(3, 3, 10), now+10, now+10)
 	gom.Expect(dct.version()).To(gomega.BeEquivalentTo(10))
 	gom.Expect(dct.asOf).To(gomega.BeZero())
-	dct.confirmByPeer(10, 100)
+	dct.confirmByPeer(100)
 	dct.applyRead(numbered(3, 3, 10), now+30, now+30)
 	gom.Expect(dct.asOf).To(gomega.BeEquivalentTo(100), "the other instance has it from the copy, too")
-	dct.confirmByPeer(10, now+20)
+	dct.confirmByPeer(now + 20)
 	dct.applyRead(numbered(3, 3, 10), now+50, now+50)
 	gom.Expect(dct.asOf).To(gomega.Equal(now + 50))
 }
@@ -85,7 +87,7 @@
 	gom.Expect(dct.asOf).To(gomega.Equal(now - clock.Minute))
 	dct = newDocs()
 	dct.applyRead(numbered(1, 5, 20), now, now)
-	dct.confirmByPeer(20, now-clock.Minute)
+	dct.confirmByPeer(now - clock.Minute)
 	dct.applyRead(numbered(1, 5, 20), now+20, now+20)
 	gom.Expect(dct.asOf).To(gomega.Equal(now - clock.Minute))
 }
@@ -116,7 +118,7 @@
 					dct.applyRead(doc, now-500, now)
 				}
 			default:
-				doc := proto.Document{Era: era, Offset: -1}
+				doc := proto.Document{Position: proto.Position{Era: era, Offset: -1}}
 				if len(log) > 0 {
 					doc = numbered(era, int64(len(log)-1), log[len(log)-1])
 				}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -104,11 +104,9 @@
 	ctl.loop.Do(ctx, func(now clock.Milli) {
 		switch {
 		case upd.Text != nil:
-			if version, ok := dct.put(proto.Document{Era: upd.Era, Offset: upd.Offset, Text: upd.Text}, asOf, now, string(who)); ok {
-				dct.confirmByPeer(version, asOf)
-			}
+			dct.applyPeer(proto.Document{Position: proto.Position{Era: upd.Era, Offset: upd.Offset}, Text: upd.Text}, asOf, now, string(who))
 		case dct.isSame(upd.Version, upd.Offset):
-			dct.confirmByPeer(dct.version(), asOf)
+			dct.confirmByPeer(asOf)
 		}
 		if upd.Listed && !dct.fromReader.apply(upd) {
 			ctl.set.Log.Info().Str("reader", string(who)).Int("changes", len(upd.Endpoints)+len(upd.Gone)).Msg("endpoint changes relative to another list dropped")
@@ -123,7 +121,7 @@
 }
 
 func (dct *docsCtl) updateRequest() updateRequest {
-	return updateRequest{Offset: dct.offset, Version: dct.version(), Digest: dct.fromReader.Digest}
+	return updateRequest{Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest}
 }
 
 // ServeFollower answers a follower; it is registered with the link.
@@ -145,7 +143,7 @@
 	if vw.answeredAt == 0 && vw.plan == nil {
 		return ans
 	}
-	upd := update{Offset: vw.offset, Version: max(versionOf(vw.plan), 0), Era: vw.era, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
+	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
 	if vw.hasNewer(req) {
 		upd.Text = vw.text
 	}
@@ -161,7 +159,7 @@
 // hasNewer reports whether the view has newer documents than a follower.
 func (vw *View) hasNewer(req updateRequest) bool {
 	if req.Version == 0 {
-		return vw.offset > req.Offset
+		return vw.position.Offset > req.Offset
 	}
 	return versionOf(vw.plan) > req.Version
 }
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -21,7 +21,7 @@
 // reader returns a control state whose view has a plan and has had these lists of endpoints.
 func reader(lists ...[]proto.Endpoint) *Control {
 	ctl := newEndpts().ctl
-	ctl.docs.plan, ctl.docs.offset = &plan.Plan{}, 7
+	ctl.docs.plan, ctl.docs.doc.Offset = &plan.Plan{}, 7
 	ctl.docs.lastAnswer = ctl.set.Clock.Now()
 	for _, lst := range lists {
 		ctl.endpts.list, ctl.dirty = lst, true
@@ -73,7 +73,7 @@
 	gom := gomega.NewWithT(t)
 	rdr := reader(list("a", "b"))
 	fol := newEndpts()
-	fol.ctl.docs.plan, fol.ctl.docs.offset = &plan.Plan{}, 7
+	fol.ctl.docs.plan, fol.ctl.docs.doc.Offset = &plan.Plan{}, 7
 	var upd update
 	upd.fillEndpoints(rdr.View(), 0)
 	gom.Expect(fol.ctl.docs.fromReader.apply(upd)).To(gomega.BeTrue())
--- a/internal/state/model_test.go
+++ b/internal/state/model_test.go
@@ -34,7 +34,7 @@
 
 func (sto *modelStore) document() proto.Document {
 	if len(sto.log) == 0 {
-		return proto.Document{Era: sto.era, Offset: -1}
+		return proto.Document{Position: proto.Position{Era: sto.era, Offset: -1}}
 	}
 	return numbered(sto.era, int64(len(sto.log)-1), sto.log[len(sto.log)-1])
 }
@@ -79,7 +79,7 @@
 		if mdl.now < nod.cutUntil {
 			continue
 		}
-		changed := nod.dct.doc.Offset != int64(len(mdl.sto.log)-1) || nod.dct.doc.Era != mdl.sto.era
+		changed := nod.dct.doc.Position != mdl.sto.document().Position
 		// Readers hold a read until the documents change; an instance that has just started reads once.
 		reads := slices.Contains(readers, nod)
 		if (reads || nod.dct.plan == nil) && !mdl.sto.away && (changed || mdl.now >= nod.nextRead) {
@@ -115,10 +115,7 @@
 		return
 	}
 	asOf := oth.dct.asOf - modelLatency
-	version, ok := nod.dct.put(oth.dct.doc, asOf, now, "peer")
-	if ok {
-		nod.dct.confirmByPeer(version, asOf)
-	}
+	nod.dct.applyPeer(oth.dct.doc, asOf, now, "peer")
 }
 
 // check returns which guarantee is broken, empty for none.
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -27,10 +27,12 @@
 // storeOf returns a store with one document that answers all other calls by the given functions.
 func storeOf(sto proto.Store) proto.Store {
 	if sto.Document == nil {
-		sto.Document = func(context.Context) (proto.Document, error) { return proto.Document{Offset: 1, End: 2}, nil }
+		sto.Document = func(context.Context) (proto.Document, error) {
+			return proto.Document{Position: proto.Position{Offset: 1}, End: 2}, nil
+		}
 	}
 	if sto.Watch == nil {
-		sto.Watch = func(ctx context.Context, _, _ int64, _ clock.Milli) (bool, error) {
+		sto.Watch = func(ctx context.Context, _ proto.Position, _ clock.Milli) (bool, error) {
 			<-ctx.Done()
 			return false, ctx.Err()
 		}
@@ -198,7 +200,7 @@
 func TestPatientFollowerLearnsOfStoreReturn(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	var down atomic.Bool
-	ctl := started(t, proto.Store{Watch: func(context.Context, int64, int64, clock.Milli) (bool, error) {
+	ctl := started(t, proto.Store{Watch: func(context.Context, proto.Position, clock.Milli) (bool, error) {
 		if down.Load() {
 			return false, errors.New("down")
 		}
@@ -208,7 +210,7 @@
 		if down.Load() {
 			return proto.Document{}, errors.New("down")
 		}
-		return proto.Document{Offset: 1, End: 2}, nil
+		return proto.Document{Position: proto.Position{Offset: 1}, End: 2}, nil
 	}})
 	ask := func(patient bool) (update, time.Duration) {
 		vw := ctl.View()
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -14,8 +14,7 @@
 // View is the control state as seen by requests. It is immutable.
 type View struct {
 	plan      *plan.Plan
-	offset    int64
-	era       int64
+	position  proto.Position
 	asOf      clock.Milli
 	endpoints []proto.Endpoint
 	// digest identifies the list of endpoints; pastLists has earlier lists.
@@ -43,14 +42,14 @@
 
 // ViewOf returns a view with a plan and endpoints only, for decisions made without a control loop.
 func ViewOf(pln *plan.Plan, endpoints ...proto.Endpoint) *View {
-	return &View{plan: pln, endpoints: endpoints, endpointsKnown: true, offset: -1}
+	return &View{plan: pln, endpoints: endpoints, endpointsKnown: true, position: proto.Position{Offset: -1}}
 }
 
 // Plan returns the plan in force, nil while none is known.
 func (vw *View) Plan() *plan.Plan { return vw.plan }
 
 // Offset returns the offset of the documents in the store.
-func (vw *View) Offset() int64 { return vw.offset }
+func (vw *View) Offset() int64 { return vw.position.Offset }
 
 // Age returns how long ago the documents were known to be the newest.
 func (vw *View) Age(now clock.Milli) clock.Milli { return now - vw.asOf }
