internal/state: followers write their entries again after the store's return from a copy

Entries of instances that only follow a reader stayed out of the store after its return from a copy: they read nothing there themselves, and reminders begin with the second lookup, five seconds apart, sixteen each. Instances that start meanwhile don't find them. A reader tells its followers the store's era with each update now, and each instance writes its entry again within one to two seconds, one write each.

The spec on documents that are not taken back has a planned stop in the gap, too.

--- a/internal/node/era_test.go
+++ b/internal/node/era_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -93,19 +94,25 @@
 	})
 
 	// Guards against documents that come back older, and against a revoked key that is served again, also
-	// by instances that start while the store has only the copy.
+	// by instances that start while the store has only the copy, beside the planned stop of another one.
 	ginkgo.It("takes back no document that was in force", func() {
-		tbd := newEraTestbed(2)
+		tbd := newEraTestbed(3)
 		path := tbd.publishWith(key)
 		for i := range tbd.nodes {
 			eventually(func() error { return tbd.inForce(i, path) }, pollTimeout).Should(gomega.Succeed())
 		}
 		tbd.store.Restore()
+		stopped := make(chan struct{})
+		go func() {
+			tbd.nodes[0].Stop(context.Background())
+			close(stopped)
+		}()
 		tbd.start()
-		expect(tbd.neverServed(3*time.Second, 0, 1, 2)).To(gomega.Succeed())
-		for i := range tbd.nodes {
+		expect(tbd.neverServed(3*time.Second, 1, 2, 3)).To(gomega.Succeed())
+		for i := 1; i < 4; i++ {
 			expect(tbd.inForce(i, path)).To(gomega.Succeed())
 		}
+		eventually(stopped, 2*pollTimeout).Should(gomega.BeClosed())
 	})
 
 	// Guards against requests that nobody serves because all instances start while the store has only the
@@ -128,6 +135,24 @@
 		}
 	})
 
+	// Guards against instances, also followers, and quarantines that are missing from the store for good.
+	ginkgo.It("has the entries and the shared record of the instances again", func() {
+		tbd := newTokenTestbed(0, 5*clock.Second)
+		tbd.store.Copy()
+		for range 4 {
+			tbd.start()
+		}
+		tbd.waitJoined()
+		crt := tbd.crashEngines(4)
+		for crt.arrivalCount() < 3 {
+			tbd.send(0, request{path: "/stream-once/plan", body: crashBody})
+		}
+		eventually(tbd.store.Instances, pollTimeout).Should(gomega.HaveLen(5))
+		tbd.store.Restore()()
+		expect(len(tbd.store.Instances())).To(gomega.BeZero())
+		eventually(tbd.store.Instances, pollTimeout).Should(gomega.HaveLen(5))
+	})
+
 	// Guards against endpoints that are lost with the copy until they are listed again.
 	ginkgo.It("loses no endpoint that is only missing from the copy", func() {
 		tbd := newEraTestbed(2)
--- a/internal/state/discover.go
+++ b/internal/state/discover.go
@@ -61,14 +61,18 @@
 	}
 }
 
-// pauseUntilRestored waits for a span, or until the store has come back from a copy, which may lack entries
-// of instances. It reports whether that was the case.
+// pauseUntilRestored waits for a span, or until the store has come back from a copy. The copy may lack this
+// instance's entry, which is written again. It reports whether the entries should be read.
 func (ctl *Control) pauseUntilRestored(ctx context.Context, span time.Duration) bool {
 	tmr := time.NewTimer(span)
 	defer tmr.Stop()
 	select {
 	case <-ctl.restored:
-		return pause(ctx, retry.Jittered(settleTime/2).Duration())
+		if !pause(ctx, retry.Jittered(settleTime/2).Duration()) {
+			return false
+		}
+		ctl.announceAgain()
+		return !ctl.IsFollower()
 	case <-tmr.C:
 	case <-ctx.Done():
 	}
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -266,7 +266,7 @@
 	}
 }
 
-// enterEra records the era of an answer of the store.
+// enterEra records the store's era, from an answer of the store or of a reader.
 func (dct *docsCtl) enterEra(era int64, now clock.Milli) {
 	floor := int64(unknownFloor)
 	if dct.plan != nil && now-dct.asOf <= staleAfter {
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -43,6 +43,8 @@
 	Offset  int64 `cbor:"1,keyasint"`
 	Version int64 `cbor:"11,keyasint,omitempty"`
 	Era     int64 `cbor:"12,keyasint,omitempty"`
+	// StoreEra is the store's era as the reader knows it.
+	StoreEra int64 `cbor:"13,keyasint,omitempty"`
 	// Text is set if the follower's documents are older.
 	Text []byte `cbor:"2,keyasint,omitempty"`
 	// Age is how old the reader's view was when it answered, Held how long it had held the request.
@@ -102,6 +104,7 @@
 	// The reader answered no earlier than it had held the request.
 	asOf := sent + upd.Held - upd.Age
 	ctl.loop.Do(ctx, func(now clock.Milli) {
+		dct.enterEra(upd.StoreEra, now)
 		switch {
 		case upd.Text != nil:
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: upd.Era, Offset: upd.Offset}, Text: upd.Text}, asOf, now, string(who))
@@ -143,7 +146,7 @@
 	if vw.answeredAt == 0 && vw.plan == nil {
 		return ans
 	}
-	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
+	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, StoreEra: vw.storeEra, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
 	if vw.hasNewer(req) {
 		upd.Text = vw.text
 	}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -15,6 +15,7 @@
 type View struct {
 	plan      *plan.Plan
 	position  proto.Position
+	storeEra  int64
 	asOf      clock.Milli
 	endpoints []proto.Endpoint
 	// digest identifies the list of endpoints; pastLists has earlier lists.
