internal/front: a large answer that is broken off is no success

An answer of more than 1 MiB counted as a success, and its slot was free, as soon as its first part had been read. If its endpoint crashed under it, nothing was recorded: the request was not suspected, the endpoint had served well. The outcome is recorded when the body has ended, and a broken one has its endpoint probed.

Before: 'is suspected after a crash that breaks off a large answer' times out; after: it passes. The price: the slot of a large answer is taken until its caller has read it.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -316,8 +316,7 @@
 		run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
 		return run.bodyFailed(ctx, tgt, took)
 	case len(body) > maxBufferedBody:
-		run.release(tgt, route.Success, took)
-		return run.forwardLarge(tgt, rsp, body)
+		return run.forwardLarge(ctx, tgt, rsp, body, began), false
 	}
 	run.bodyEnded(tgt, rsp, ending.Whole, 0)
 	fr.judgeEnd(cl, tgt, rsp)
@@ -352,38 +351,47 @@
 
 // bodyFailed ends an attempt whose response body broke off.
 func (run *finalRun) bodyFailed(ctx context.Context, tgt coord.Placement, took clock.Milli) (outcm.Result, bool) {
+	return run.afterFailure(ctx, run.releaseBroken(ctx, tgt, took))
+}
+
+// releaseBroken frees the slot of an attempt whose response body broke off, and returns its ending.
+func (run *finalRun) releaseBroken(ctx context.Context, tgt coord.Placement, took clock.Milli) ending.Ending {
 	end := ending.Broken(ctx)
 	run.release(tgt, end.RouteOutcome(false), took)
 	if end == ending.Cut {
 		run.fr.checkCrash(run.cl, tgt)
 	}
-	return run.afterFailure(ctx, end)
+	return end
 }
 
-// forwardLarge forwards a response that is too long to be buffered.
-func (run *finalRun) forwardLarge(tgt coord.Placement, rsp *relay.Response, body []byte) (outcm.Result, bool) {
-	out := run.cl.out
+// forwardLarge forwards a response that is too long to be buffered, of which the first part has been read.
+func (run *finalRun) forwardLarge(ctx context.Context, tgt coord.Placement, rsp *relay.Response, part []byte, began clock.Milli) outcm.Result {
+	fr, out := run.fr, run.cl.out
 	out.writeHead(rsp, int(rsp.Length))
+	var err error
 	for {
-		if out.write(body) != nil {
+		if out.write(part) != nil {
 			run.bodyEnded(tgt, rsp, ending.Unread, 0)
-			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
-		}
-		n, err := rsp.Body.Read(body[:cap(body)])
-		body = body[:n]
-		if errors.Is(err, io.EOF) {
-			run.bodyEnded(tgt, rsp, ending.Whole, 0)
-			run.fr.judgeEnd(run.cl, tgt, rsp)
-			if out.write(body) != nil {
-				return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
-			}
-			return outcm.OK(), false
+			run.release(tgt, route.Cancelled, 0)
+			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected")
 		}
 		if err != nil {
-			run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
-			return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the response body was cut off"), false
+			break
 		}
+		var n int
+		n, err = rsp.Body.Read(part[:cap(part)])
+		part = part[:n]
+	}
+	took := fr.set.Clock.Since(began)
+	if errors.Is(err, io.EOF) {
+		run.bodyEnded(tgt, rsp, ending.Whole, 0)
+		fr.judgeEnd(run.cl, tgt, rsp)
+		run.release(tgt, statusOutcome(rsp.Status), took)
+		return outcm.OK()
 	}
+	run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
+	run.releaseBroken(ctx, tgt, took)
+	return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the response body was cut off")
 }
 
 func statusOutcome(status int) route.Outcome {
--- a/internal/node/framing_test.go
+++ b/internal/node/framing_test.go
@@ -51,6 +51,9 @@
 	return strings.HasPrefix(answer.body, "answer of ") && strings.HasSuffix(answer.body, " to "+id)
 }
 
+// largeBody is more than what an instance reads of a body before it passes it on, and its half is, too.
+const largeBody = 3 << 20
+
 // rawConn is a caller's connection.
 type rawConn struct {
 	con net.Conn
@@ -175,6 +178,9 @@
 		return closed
 	case endsProven(shp):
 		return proven
+	case shp.Padding > 0 && shp.Cut != fake.InHead && shp.Cut != fake.AfterHead:
+		// The head has been passed on.
+		return broken
 	case again && shp.Close == fake.GoesSilent:
 		// Whether the other endpoint is asked in time depends on the deadline.
 		return ""
@@ -306,6 +312,35 @@
 		expect(tbd.playShapes(shs, "1.1")).To(gomega.BeEmpty())
 	})
 
+	// Guards against answers that are too large to be read before they are passed on, and look complete though
+	// they were broken off.
+	ginkgo.It("claims no more than that of the endpoint of a large body", func() {
+		for _, relayed := range []bool{false, true} {
+			tbd, shs := newFramingTestbed(relayed)
+			for i, shp := range framingShapes() {
+				shp.Padding = largeBody
+				for _, path := range []string{"/log/x", "/booking/x"} {
+					expect(tbd.playShape(shs, "1.1", path, fmt.Sprintf("l%s-%d", path[1:4], i), shp)).To(gomega.BeEmpty(), "relayed: %v", relayed)
+				}
+			}
+		}
+	})
+
+	// Guards against an answer without framing that looks complete when its relay dies or stops.
+	ginkgo.It("breaks off with the relay of the endpoint's answer", func() {
+		for _, end := range []func(nod *Node){(*Node).Kill, func(nod *Node) { nod.Stop(context.Background()) }} {
+			tbd, shs := newFramingTestbed(true)
+			shs.Set("relay", fake.Shape{Framing: fake.CloseDelimited, Cut: fake.BetweenEvents, Close: fake.GoesSilent})
+			cal := dialRaw(tbd.nodes[0].set.CallerAddr())
+			_, _ = io.WriteString(cal.con, requestText("1.1", "/stream-once/x", "relay", "body"))
+			_, err := cal.rdr.Peek(20)
+			expect(err).NotTo(anything())
+			go end(tbd.nodes[1])
+			expect(cal.read().claim).To(equal(broken))
+			_ = cal.con.Close()
+		}
+	})
+
 	// Guards against streams that were broken off and look complete to callers which know no chunks.
 	ginkgo.It("claims no more than that of the endpoint in HTTP 1.0", func() {
 		tbd, shs := newFramingTestbed(false)
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -154,6 +154,20 @@
 		eventually(func() string { return crt.sendRepeatedly(time.Millisecond)[0].body }, pollTimeout).Should(gomega.ContainSubstring(`"quarantined"`))
 	})
 
+	// Guards against a crash that is not noticed since it breaks off an answer that is being passed on.
+	ginkgo.It("is suspected after a crash that breaks off a large answer", func() {
+		tbd := newTestbed(2)
+		shs := &fake.Shapes{}
+		shs.SetOthers(fake.Shape{Framing: fake.ByLength, Cut: fake.InsideEvent, Padding: largeBody})
+		for _, ep := range tbd.plain {
+			srv := tbd.servers[ep.ID()]
+			ep.UseShapes(shs)
+			ep.CrashOn(crashBody, srv.Close)
+		}
+		expect(tbd.send(0, request{path: "/booking/x", body: crashBody}).err).To(anything())
+		eventually(func() bool { return tbd.nodes[0].ctl.View().Suspects().Empty() }, pollTimeout).Should(gomega.BeFalse())
+	})
+
 	// Guards against a refusal that makes its caller retry in vain, and against one that does not
 	// name the crashes it is based on.
 	ginkgo.It("is then refused at once with the crashed endpoints and without a retry-after delay", func() {
