--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"mime"
 	"net/http"
 	"time"
 
@@ -15,7 +12,6 @@
 	"amaranthvalve/pkg/ending"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/place"
-	"amaranthvalve/pkg/retry"
 	"amaranthvalve/pkg/route"
 )
 
@@ -33,9 +29,6 @@
 	// results take a few more to transfer. Inputs that were held until the first event took the
 	// result storage that other items waited for.
 	fetchGrace = 60 * time.Millisecond
-	// maxBufferedBody bounds a response that is read completely before it is forwarded, in
-	// bytes.
-	maxBufferedBody = 1 << 20
 )
 
 // final sends the request to an endpoint, and to another one where nothing ran or the route
@@ -298,175 +291,3 @@
 	}
 	return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the endpoint's connection was cut; the request may have run")
 }
-
-// forward sends an endpoint's response on to the caller.
-func (run *finalRun) forward(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
-	fr, cl := run.fr, run.cl
-	if cl.route.Streams() && rsp.Status == http.StatusOK && isEventStream(rsp.Header) {
-		// The engine has fetched the inputs. Without them a broken stream can't be resumed at
-		// another endpoint, but result storage limits the throughput of the stages: inputs that
-		// were held until the stream's end kept other requests waiting.
-		fr.releaseResults(cl, allStages)
-		return run.forwardStream(ctx, tgt, rsp, began)
-	}
-	body, err := io.ReadAll(io.LimitReader(rsp.Body, maxBufferedBody+1))
-	took := fr.set.Clock.Since(began)
-	switch {
-	case err != nil:
-		run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
-		return run.bodyFailed(ctx, tgt, took)
-	case len(body) > maxBufferedBody:
-		return run.forwardLarge(ctx, tgt, rsp, body, began), false
-	}
-	run.bodyEnded(tgt, rsp, ending.Whole, 0)
-	fr.judgeEnd(cl, tgt, rsp)
-	run.release(tgt, statusOutcome(rsp.Status), took)
-	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.headSent {
-		run.fallback = &bufferedResponse{rsp: rsp, body: body}
-		if res, again := run.afterFailure(ctx, ending.Cut); again {
-			return res, true
-		}
-	}
-	if cl.out.headSent {
-		// The endpoint that was to resume the stream answered with something else.
-		return outcm.New(outcm.Unknown, outcm.StreamCut, "the stream could not be resumed"), false
-	}
-	if cl.out.writeBuffered(rsp, body) != nil {
-		return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
-	}
-	return outcm.OK(), false
-}
-
-// bodyEnded counts how the body of an answer ended, and logs it unless it is certainly complete. tail is
-// the number of bytes after the last whole event of a stream.
-func (run *finalRun) bodyEnded(tgt coord.Placement, rsp *relay.Response, end ending.BodyEnd, tail int) {
-	fr, cl := run.fr, run.cl
-	fr.set.Meter.CountAnswer(rsp.Framing, end)
-	if end == ending.Whole && rsp.Framing.ProvesEnd() {
-		return
-	}
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Stringer("framing", rsp.Framing).Stringer("end", end).
-		Str("after", run.lastEvent).Int("tail_bytes", tail).Msg("body of answer ended")
-}
-
-// bodyFailed ends an attempt whose response body broke off.
-func (run *finalRun) bodyFailed(ctx context.Context, tgt coord.Placement, took clock.Milli) (outcm.Result, bool) {
-	return run.afterFailure(ctx, run.releaseBroken(ctx, tgt, took))
-}
-
-// releaseBroken frees the slot of an attempt whose response body broke off, and returns its ending.
-func (run *finalRun) releaseBroken(ctx context.Context, tgt coord.Placement, took clock.Milli) ending.Ending {
-	end := ending.Broken(ctx)
-	run.release(tgt, end.RouteOutcome(false), took)
-	if end == ending.Cut {
-		run.fr.checkCrash(run.cl, tgt)
-	}
-	return end
-}
-
-// forwardLarge forwards a response that is too long to be buffered, of which the first part has been read.
-func (run *finalRun) forwardLarge(ctx context.Context, tgt coord.Placement, rsp *relay.Response, part []byte, began clock.Milli) outcm.Result {
-	fr, out := run.fr, run.cl.out
-	out.writeHead(rsp, int(rsp.Length))
-	var err error
-	for {
-		if out.write(part) != nil {
-			run.bodyEnded(tgt, rsp, ending.Unread, 0)
-			run.release(tgt, route.Cancelled, 0)
-			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected")
-		}
-		if err != nil {
-			break
-		}
-		var n int
-		n, err = rsp.Body.Read(part[:cap(part)])
-		part = part[:n]
-	}
-	took := fr.set.Clock.Since(began)
-	if errors.Is(err, io.EOF) {
-		run.bodyEnded(tgt, rsp, ending.Whole, 0)
-		fr.judgeEnd(run.cl, tgt, rsp)
-		run.release(tgt, statusOutcome(rsp.Status), took)
-		return outcm.OK()
-	}
-	run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
-	run.releaseBroken(ctx, tgt, took)
-	return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the response body was cut off")
-}
-
-func statusOutcome(status int) route.Outcome {
-	if status >= http.StatusInternalServerError {
-		return route.Failure
-	}
-	return route.Success
-}
-
-// forwardStream forwards the events of a stream as they arrive. A stream that broke off is resumed
-// at another endpoint after the last complete event, if the route allows that; the caller keeps the
-// header of the first response.
-func (run *finalRun) forwardStream(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
-	fr, cl := run.fr, run.cl
-	if !cl.out.headSent {
-		cl.out.writeHead(rsp, -1)
-		if cl.out.ctl.Flush() != nil {
-			run.release(tgt, route.Cancelled, 0)
-			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
-		}
-	}
-	evs := relay.NewEventReader(rsp.Body)
-	last := fr.set.Clock.Now()
-	var err error
-	for {
-		var event []byte
-		event, err = evs.Next()
-		now := fr.set.Clock.Now()
-		cl.maxPause, last = max(cl.maxPause, now-last), now
-		if errors.Is(err, io.EOF) {
-			return run.streamEnded(ctx, tgt, rsp, began)
-		}
-		if err != nil {
-			break
-		}
-		if cl.out.write(event) != nil {
-			run.bodyEnded(tgt, rsp, ending.Unread, 0)
-			run.release(tgt, route.Cancelled, 0)
-			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
-		}
-		if name, ok := fr.set.Dialect.EventName(event); ok {
-			run.lastEvent = name
-		}
-	}
-	end := ending.BrokenOff
-	if errors.Is(err, relay.ErrInsideEvent) {
-		end = ending.InsideEvent
-	}
-	run.bodyEnded(tgt, rsp, end, evs.Tail())
-	res, again := run.bodyFailed(ctx, tgt, fr.set.Clock.Since(began))
-	if again {
-		fr.set.Meter.CountRetry(retry.Resumed)
-	}
-	return res, again
-}
-
-// streamEnded ends an attempt whose stream was read to its end. If that end proves nothing, but the
-// caller would take the end of its response for a proof, the stream is resumed like a broken one.
-func (run *finalRun) streamEnded(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
-	fr, cl := run.fr, run.cl
-	run.bodyEnded(tgt, rsp, ending.Whole, 0)
-	fr.judgeEnd(cl, tgt, rsp)
-	run.release(tgt, route.Success, fr.set.Clock.Since(began))
-	if rsp.Framing.ProvesEnd() || !cl.out.provesEnd() {
-		return outcm.OK(), false
-	}
-	res, again := run.afterFailure(ctx, ending.Cut)
-	if again {
-		fr.set.Meter.CountRetry(retry.Resumed)
-	}
-	return res, again
-}
-
-// isEventStream reports whether a response consists of events; one that names no type does.
-func isEventStream(hdr http.Header) bool {
-	kind, _, err := mime.ParseMediaType(hdr.Get("Content-Type"))
-	return err != nil || kind == "text/event-stream"
-}
--- a/internal/node/framing_test.go
+++ b/internal/node/framing_test.go
@@ -194,17 +194,22 @@
 	return broken
 }
 
-// framingShapes returns all combinations of framing, cut and close, but for one cut only where the endpoint
-// goes silent, and some more.
-func framingShapes() []fake.Shape {
+// allCuts are the points at which an answer ends.
+var allCuts = []fake.Cut{fake.Uncut, fake.InHead, fake.AfterHead, fake.InsideEvent, fake.BetweenEvents, fake.AfterEvents}
+
+// framingShapes returns all combinations of framing, cut and close, but for silence, which takes time and is
+// played at the given cuts, and some more.
+func framingShapes(silentAt ...fake.Cut) []fake.Shape {
 	var list []fake.Shape
 	for _, frm := range []fake.Framing{fake.ByLength, fake.Chunked, fake.CloseDelimited} {
-		for _, cut := range []fake.Cut{fake.Uncut, fake.InHead, fake.AfterHead, fake.InsideEvent, fake.BetweenEvents, fake.AfterEvents} {
+		for _, cut := range allCuts {
 			for _, cls := range []fake.Close{fake.Closes, fake.HalfCloses, fake.Resets} {
 				list = append(list, fake.Shape{Framing: frm, Cut: cut, Close: cls})
 			}
 		}
-		list = append(list, fake.Shape{Framing: frm, Cut: fake.BetweenEvents, Close: fake.GoesSilent})
+		for _, cut := range silentAt {
+			list = append(list, fake.Shape{Framing: frm, Cut: cut, Close: fake.GoesSilent})
+		}
 	}
 	return append(list,
 		fake.Shape{Framing: fake.CloseDelimited, Old: true},
@@ -264,7 +269,7 @@
 
 // playShapes plays all shapes on all routes and returns what is wrong. Endpoints that go silent are played
 // side by side, after the others, whose retries need a free slot.
-func (tbd *testbed) playShapes(shs *fake.Shapes, version string) string {
+func (tbd *testbed) playShapes(shs *fake.Shapes, version string, shapes []fake.Shape) string {
 	var wrong []string
 	var mtx sync.Mutex
 	var grp sync.WaitGroup
@@ -280,7 +285,7 @@
 	}
 	for _, silent := range []bool{false, true} {
 		for _, path := range framingPaths {
-			for i, shp := range framingShapes() {
+			for i, shp := range shapes {
 				switch {
 				case silent != (shp.Close == fake.GoesSilent):
 				case !silent:
@@ -303,13 +308,13 @@
 	// Guards against answers that an endpoint broke off and that reach callers as complete.
 	ginkgo.It("claims no more than that of the endpoint", func() {
 		tbd, shs := newFramingTestbed(false)
-		expect(tbd.playShapes(shs, "1.1")).To(gomega.BeEmpty())
+		expect(tbd.playShapes(shs, "1.1", framingShapes(allCuts...))).To(gomega.BeEmpty())
 	})
 
 	// Guards against answers that an endpoint broke off and that look complete behind a relay.
 	ginkgo.It("claims no more than that of the endpoint behind a relay", func() {
 		tbd, shs := newFramingTestbed(true)
-		expect(tbd.playShapes(shs, "1.1")).To(gomega.BeEmpty())
+		expect(tbd.playShapes(shs, "1.1", framingShapes(fake.BetweenEvents))).To(gomega.BeEmpty())
 	})
 
 	// Guards against answers that are too large to be read before they are passed on, and look complete though
@@ -317,7 +322,7 @@
 	ginkgo.It("claims no more than that of the endpoint of a large body", func() {
 		for _, relayed := range []bool{false, true} {
 			tbd, shs := newFramingTestbed(relayed)
-			for i, shp := range framingShapes() {
+			for i, shp := range framingShapes(fake.BetweenEvents) {
 				shp.Padding = largeBody
 				for _, path := range []string{"/log/x", "/booking/x"} {
 					expect(tbd.playShape(shs, "1.1", path, fmt.Sprintf("l%s-%d", path[1:4], i), shp)).To(gomega.BeEmpty(), "relayed: %v", relayed)
@@ -344,7 +349,7 @@
 	// Guards against streams that were broken off and look complete to callers which know no chunks.
 	ginkgo.It("claims no more than that of the endpoint in HTTP 1.0", func() {
 		tbd, shs := newFramingTestbed(false)
-		expect(tbd.playShapes(shs, "1.0")).To(gomega.BeEmpty())
+		expect(tbd.playShapes(shs, "1.0", framingShapes(fake.BetweenEvents))).To(gomega.BeEmpty())
 	})
 
 	// Guards against a reset that destroys the end of an answer because its caller has sent another
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -15,6 +15,7 @@
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/ending"
 	"amaranthvalve/platform"
+	"amaranthvalve/platform/fake"
 )
 
 // answerEarly answers the head of each request without framing, reads some of its body and ends the
@@ -30,8 +31,8 @@
 			if err != nil {
 				return
 			}
-			id := req.Header.Get("Amaranthvalve-Request-Id")
-			_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nAmaranthvalve-Request-Id: %s\r\nAmaranthvalve-Response-Signature: s\r\n\r\na part", id)
+			id := req.Header.Get(fake.HeaderRequestID)
+			_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n\r\na part", fake.HeaderRequestID, id, fake.HeaderSignature)
 			end(con.(*net.TCPConn))
 		}()
 	}
@@ -52,7 +53,7 @@
 	rel := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil)
 	for i := range 30 {
 		id := fmt.Sprint(i)
-		hdr := http.Header{"Amaranthvalve-Request-Id": {id}}
+		hdr := http.Header{fake.HeaderRequestID: {id}}
 		rqs := Request{ID: id, Method: "POST", Host: "x", Target: "/", Header: hdr, Body: make([]byte, 16<<20)}
 		rsp, end, _ := rel.Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
 		if end != ending.Answered {
@@ -75,7 +76,7 @@
 		_, _ = io.Copy(io.Discard, con)
 	})
 	rel := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil)
-	hdr := http.Header{"Amaranthvalve-Request-Id": {"one"}}
+	hdr := http.Header{fake.HeaderRequestID: {"one"}}
 	rqs := Request{ID: "one", Method: "POST", Host: "x", Target: "/", Header: hdr, Body: make([]byte, 10<<10)}
 	rsp, end, err := rel.Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
 	gom.Expect(err).NotTo(gomega.HaveOccurred())
