internal/state, internal/coord, internal/batch, pkg/gather: endpoints that ask for rest get none of an instance's requests

Cause: nothing read an endpoint's Retry-After, and who chooses or batches isn't where the answer comes in. The class: what an answer tells about its endpoint is dropped.

An instance remembers rests until their end and holds back final calls, placements, batches, releases and queries meanwhile; a relay is told of a rest that was asked for through it, and tells those for which it relays. Requests whose whole pool rests for longer than they can wait are refused at once with the first end.

--- a/internal/batch/batcher.go
+++ b/internal/batch/batcher.go
@@ -42,6 +42,9 @@
 	// RateShare returns the fraction of the declared rates of a pool's endpoints that this instance
 	// may use; nil selects all of it.
 	RateShare func(pool string) float64
+	// Rests returns the endpoints that this instance must send nothing, with the time until when; nil
+	// for none.
+	Rests func() map[ident.Process]clock.Milli
 }
 
 // Batcher batches the items of all pools that this instance coordinates.
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -166,6 +166,7 @@
 func (pol *pool) dispatch() {
 	now := pol.set.Clock.Now()
 	share := pol.holdRateLimited(now)
+	pol.holdResting()
 	for {
 		bat, ok := pol.sched.Next(now)
 		if !ok {
@@ -388,6 +389,11 @@
 
 func (pol *pool) sendReleases(addr string) {
 	pol.mtx.Lock()
+	if left := pol.restLeft(addr); left > 0 {
+		pol.set.After(left, func() { pol.sendReleases(addr) })
+		pol.mtx.Unlock()
+		return
+	}
 	list := pol.pendingReleases[addr]
 	delete(pol.pendingReleases, addr)
 	pol.countRelease(addr)
--- a/internal/batch/storage.go
+++ b/internal/batch/storage.go
@@ -60,12 +60,13 @@
 func (pol *pool) pollStorageOnce() (others int64, failed int) {
 	pol.mtx.Lock()
 	list := pol.endpoints
+	rests := pol.rests()
 	pol.mtx.Unlock()
 	slots := make(chan struct{}, storagePollParallel)
 	var grp sync.WaitGroup
 	var held, failures atomic.Int64
 	for _, ep := range list {
-		if ep.Leaving || pol.hasDeclaredRate(ep.ID) {
+		if _, resting := rests[ident.Process(ep.ID)]; resting || ep.Leaving || pol.hasDeclaredRate(ep.ID) {
 			continue
 		}
 		grp.Go(func() {
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -60,6 +60,8 @@
 	// CachedParts queries the prompt parts in the cache of a model engine; nil if engines can't be
 	// queried.
 	CachedParts func(ctx context.Context, ep proto.Endpoint) ([]place.Part, error)
+	// Origins returns the instances for which this one relays connections to an endpoint; nil for none.
+	Origins func(id ident.Process) []ident.Incarnation
 	// After runs work after a delay; nil selects the runtime's timers.
 	After func(span clock.Milli, work func())
 }
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -79,6 +79,7 @@
 
 // Place chooses the endpoint of a final call and counts the request there.
 func (crd *Coordinator) Place(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
+	ask.Avoid = crd.withResting(ask.Avoid)
 	if pol, ok := vw.Plan().Pool(pool); ok && pol.Engine() == nil {
 		return crd.placePlain(ctx, vw, pool, ticket, ask)
 	}
@@ -120,6 +121,7 @@
 // Predict returns the model engine that a request will probably go to, and its time to prefill the
 // prompt; false if there is none.
 func (crd *Coordinator) Predict(ctx context.Context, vw *state.View, pool string, ask place.Ask) (eng place.Engine, read clock.Milli, ok bool) {
+	ask.Avoid = crd.withResting(ask.Avoid)
 	if inc := crd.promptCoordinator(vw, pool); inc != crd.set.Control.Self() {
 		if prp, ok := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); ok && prp.ID != "" {
 			if eng, ok := crd.set.Pools.Find(pool, prp.ID); ok {
--- a/internal/coord/tenures.go
+++ b/internal/coord/tenures.go
@@ -64,7 +64,7 @@
 	var mtx sync.Mutex
 	queried, failed, parts := 0, 0, 0
 	for _, ep := range vw.Endpoints() {
-		if _, rated := vw.Rate(ep.ID); rated || ep.Pool != pool || ep.Leaving || queried >= maxCacheQueries {
+		if _, rated := vw.Rate(ep.ID); rated || ep.Pool != pool || ep.Leaving || crd.set.Control.Resting(ep.ID) || queried >= maxCacheQueries {
 			continue
 		}
 		queried++
--- a/internal/dial/serve.go
+++ b/internal/dial/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,9 +32,42 @@
 	copyBytes = 16 << 10
 )
 
-// serving counts the connections that this instance relays.
+// serving counts the connections that this instance relays, also by endpoint and origin.
 type serving struct {
 	count atomic.Int64
+
+	mtx     sync.Mutex
+	origins map[ident.Process]map[ident.Incarnation]int
+}
+
+// add counts a connection to an endpoint for an instance; the returned function ends it.
+func (srv *serving) add(id ident.Process, origin ident.Incarnation) (end func()) {
+	srv.mtx.Lock()
+	defer srv.mtx.Unlock()
+	if srv.origins == nil {
+		srv.origins = map[ident.Process]map[ident.Incarnation]int{}
+	}
+	if srv.origins[id] == nil {
+		srv.origins[id] = map[ident.Incarnation]int{}
+	}
+	srv.origins[id][origin]++
+	return func() {
+		srv.mtx.Lock()
+		defer srv.mtx.Unlock()
+		if srv.origins[id][origin]--; srv.origins[id][origin] == 0 {
+			delete(srv.origins[id], origin)
+		}
+		if len(srv.origins[id]) == 0 {
+			delete(srv.origins, id)
+		}
+	}
+}
+
+// Origins returns the instances for which this one relays connections to an endpoint.
+func (dlr *Dialer) Origins(id ident.Process) []ident.Incarnation {
+	dlr.serving.mtx.Lock()
+	defer dlr.serving.mtx.Unlock()
+	return slices.Collect(maps.Keys(dlr.serving.origins[id]))
 }
 
 // Served returns the number of connections that this instance relays.
@@ -41,10 +76,11 @@
 // ServeTunnel relays a connection to an endpoint for another instance; it is registered with the link.
 func (dlr *Dialer) ServeTunnel(msg peer.Message, tnl *peer.Tunnel) {
 	defer dlr.serving.count.Add(-1)
-	con, reply := dlr.connectFor(msg, dlr.serving.count.Add(1))
+	con, id, reply := dlr.connectFor(msg, dlr.serving.count.Add(1))
 	ans := peer.Message{Kind: peer.Nack, From: dlr.set.Self}
 	if con != nil {
 		ans.Kind = peer.OK
+		defer dlr.serving.add(id, msg.From)()
 	}
 	body, err := cbor.Marshal(reply)
 	ans.Body = body
@@ -58,24 +94,24 @@
 	splice(tnl, con)
 }
 
-// connectFor opens the connection that another instance asks for. count is the number of connections
-// relayed here with this one.
-func (dlr *Dialer) connectFor(msg peer.Message, count int64) (net.Conn, tunnelReply) {
+// connectFor opens the connection to an endpoint that another instance asks for. count is the number of
+// connections relayed here with this one.
+func (dlr *Dialer) connectFor(msg peer.Message, count int64) (net.Conn, ident.Process, tunnelReply) {
 	var trq tunnelRequest
 	if cbor.Unmarshal(msg.Body, &trq) != nil {
-		return nil, tunnelReply{Result: reach.Unreachable, Withheld: true}
+		return nil, "", tunnelReply{Result: reach.Unreachable, Withheld: true}
 	}
 	ep, ok := dlr.endpoint(trq.Endpoint)
 	if !ok || count > maxServed || dlr.set.MayRelay != nil && !dlr.set.MayRelay(ep) {
-		return nil, tunnelReply{Result: reach.Unreachable, Withheld: true}
+		return nil, ep.ID, tunnelReply{Result: reach.Unreachable, Withheld: true}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), boundedBy(trq.Timeout))
 	defer cancel()
 	con, err := dlr.direct(ctx, "tcp", ep.Addr)
 	if err != nil {
-		return nil, tunnelReply{Result: ResultOf(err), Blind: !dlr.reachesOthers(ep.Addr)}
+		return nil, ep.ID, tunnelReply{Result: ResultOf(err), Blind: !dlr.reachesOthers(ep.Addr)}
 	}
-	return con, tunnelReply{}
+	return con, ep.ID, tunnelReply{}
 }
 
 // boundedBy returns a caller's timeout within the one for connections.
--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -188,12 +188,15 @@
 	nwk := newNetwork(t)
 	con, end := nwk.connect(gom)
 	gom.Expect(nwk.relay.Served()).To(gomega.BeEquivalentTo(1))
+	gom.Expect(nwk.relay.Origins("one")).To(gomega.ConsistOf(nwk.origin.set.Self))
+	gom.Expect(nwk.relay.Origins("other")).To(gomega.BeEmpty())
 	_ = con.Close()
 	_ = end.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
 	_, err := end.Read(make([]byte, 1))
 	gom.Expect(errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)).To(gomega.BeTrue(), "%v", err)
 	_ = end.Close()
 	gom.Eventually(nwk.relay.Served, time.Second).Should(gomega.BeZero())
+	gom.Expect(nwk.relay.Origins("one")).To(gomega.BeEmpty())
 }
 
 // Guards against a relay that connects to addresses which are no endpoints, and against asking again
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -93,6 +93,9 @@
 	body []byte
 }
 
+// slotWait returns how long a request waits for a slot at a full pool.
+func (cl *call) slotWait() clock.Milli { return max(cl.due-cl.arrived, 0) / slotWaitDivisor }
+
 // findPlacement places the attempt at an endpoint; at a full pool it polls for a free slot for a
 // bounded time.
 func (run *finalRun) findPlacement(ctx context.Context) (coord.Placement, outcm.Result) {
@@ -101,13 +104,16 @@
 		run.nextPlacement = nil
 		return *next, outcm.Result{}
 	}
-	until := fr.set.Clock.Now() + max(cl.due-cl.arrived, 0)/slotWaitDivisor
+	until := fr.set.Clock.Now() + cl.slotWait()
 	for {
 		ask := cl.placeAsk(run.avoid)
 		ask.Zone, ask.Bytes = cl.inputZone()
 		if tgt, ok := fr.coord.Place(ctx, fr.set.Control.View(), cl.pool.Name(), cl.ticket(), ask); ok {
 			return tgt, outcm.Result{}
 		}
+		if end, all := fr.coord.RestEnd(cl.pool.Name()); all && end > until {
+			return coord.Placement{}, fr.refuseResting(end)
+		}
 		if len(run.avoid) > 0 || ctx.Err() != nil || fr.set.Clock.Now() >= until {
 			return coord.Placement{}, outcm.Refuse(outcm.QueueFull, fr.retryAfter(minRetryAfter), "all endpoints are full")
 		}
@@ -118,6 +124,12 @@
 	}
 }
 
+// refuseResting returns the refusal for a pool whose endpoints have all asked this instance for rest, the
+// first of them until end.
+func (fr *Front) refuseResting(end clock.Milli) outcm.Result {
+	return outcm.Refuse(outcm.QueueFull, max(end-fr.set.Clock.Now(), minRetryAfter), "all endpoints have asked this instance for rest")
+}
+
 // release frees the slot of an attempt and records how the attempt ended.
 func (run *finalRun) release(tgt coord.Placement, out route.Outcome, took clock.Milli) {
 	fr, cl := run.fr, run.cl
@@ -166,9 +178,11 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.withInputRelease(cl, tgt)
 	defer stop()
-	// The endpoint may have announced its end since it was chosen, perhaps by another instance.
+	// The endpoint may have announced its end or asked for rest since it was chosen, perhaps by another
+	// instance.
 	rqs.Allowed = func() bool {
-		return fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID)
+		return fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
+			!fr.set.Control.Resting(tgt.ID)
 	}
 	var cgd cancelGuard
 	timer := run.cancelIfSlow(actx, &cgd, cancel)
@@ -279,9 +293,12 @@
 func (run *finalRun) failureResult(end ending.Ending) outcm.Result {
 	fr, cl := run.fr, run.cl
 	passed := fr.set.Clock.Now() >= cl.deadline
+	rested, all := fr.coord.RestEnd(cl.pool.Name())
 	switch {
 	case run.mayHaveRun == 0 && passed:
 		return outcm.Refuse(outcm.DeadlinePassed, minRetryAfter, "no endpoint accepted the request before its deadline")
+	case run.mayHaveRun == 0 && all:
+		return fr.refuseResting(rested)
 	case run.mayHaveRun == 0:
 		return outcm.Refuse(outcm.NoEndpoint, fr.retryAfter(minRetryAfter), "the endpoints tried did not run the request: "+end.String())
 	case passed:
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -92,6 +92,9 @@
 		return outcm.Refuse(outcm.NoEndpoint, retry.Jittered(staleRetryAfter), "the pool has no usable endpoint")
 	}
 	cl.pool = pol
+	if end, all := fr.coord.RestEnd(name); all && end > fr.set.Clock.Now()+fr.firstByteEstimate(cl)+cl.slotWait() {
+		return fr.refuseResting(end)
+	}
 	if len(cl.ask.Items) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Items), 0)) > coord.MaxItems {
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "pieces for more stages than the route has, or too many pieces of a stage")
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -64,11 +64,12 @@
 	EventEntrySkipped  = "endpoint_entry_skipped"
 	EventFactEvicted   = "fact_evicted"
 	EventStoreRestored = "store_came_back_from_copy"
+	EventRest          = "endpoint_rest"
 )
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest,
 }
 
 // Names of the gauges.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,6 +123,8 @@
 			return nod.coord.HandlePermit(msg)
 		case peer.TakeSlot:
 			return nod.coord.HandleSlot(msg)
+		case peer.NoteRest:
+			return nod.coord.HandleRest(msg)
 		case peer.CheckEndpoint:
 			return nod.dialer.HandleCheck(ctx, msg)
 		}
@@ -153,8 +155,8 @@
 	}
 	inc := ident.NewIncarnation(self)
 	nod.log = nod.log.With().Str("instance", string(inc)).Logger()
-	onReply := func(req *http.Request, res *http.Response, ago time.Duration) {
-		nod.ctl.RecordNotice(req.URL.Host, dia.Notice(req, res), nod.clk.Now()-clock.FromDuration(ago))
+	onReply := func(xch relay.Exchange) {
+		nod.ctl.RecordNotice(xch.Request.URL.Host, dia.Notice(xch.Request, xch.Response), nod.clk.Now()-clock.FromDuration(xch.Ago), xch.Relay)
 	}
 	nod.dialer = dial.New(dial.Setup{
 		Self: inc, Zone: nod.set.Zone(), Link: nod.link, Clock: nod.clk, Meter: nod.mtr, Log: nod.log,
@@ -163,7 +165,7 @@
 		},
 		Endpoints: func() []proto.Endpoint { return nod.ctl.View().Endpoints() },
 		Relays:    func() []reach.Relay { return nod.ctl.View().Relays(inc) },
-		MayRelay:  func(ep proto.Endpoint) bool { return !ep.Leaving },
+		MayRelay:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.Resting(ep.ID) },
 		MayProbe:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.View().BrittlePools()[ep.Pool] },
 		OnHealed:  func() { nod.pooled.CloseIdleConnections() },
 	})
@@ -176,6 +178,7 @@
 		ProcessEnded:    nod.dialer.ProcessEnded,
 		RateShare:       func(pool string) float64 { return nod.coord.RateShare(pool) },
 		OnInputsFetched: func(sets []batch.ResultSet) { nod.coord.ReleaseAll(sets) },
+		Rests:           func() map[ident.Process]clock.Milli { return nod.ctl.Rests() },
 	})
 	pls := pools.New(pools.Setup{Clock: nod.clk, Zone: nod.set.Zone(), RetryShare: share, RetryReserve: reserve})
 	nod.pools = pls
@@ -184,6 +187,9 @@
 		Clock: nod.clk, Store: dia.Store(nod.set.StoreAddr(), relay.PooledClient(idleConnTimeout, dial.Direct(dial.StoreSilence).DialContext, nil)), Meter: nod.mtr, Log: nod.log,
 		Dialect: dia, Link: nod.link, TokenMaxViewAge: nod.set.TokenMaxViewAge(),
 		Blind: nod.dialer.Blind, Relayed: nod.dialer.Served,
+		OnRest: func(id ident.Process, span clock.Milli, relay ident.Incarnation) {
+			nod.coord.SpreadRest(id, span, relay)
+		},
 		OnChange: func(vw *state.View) {
 			nod.dialer.SetKnown(len(vw.Endpoints()))
 			btr.Sync(vw.Plan(), vw.Endpoints(), vw.Rates(), vw.BrittlePools())
@@ -193,7 +199,7 @@
 			}
 		},
 	})
-	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli)})
+	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli), Origins: nod.dialer.Origins})
 	nod.front = front.New(front.Setup{
 		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, nod.dialer.DialContext, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
 		Meter: nod.mtr, Log: nod.log, ProcessEnded: nod.dialer.ProcessEnded,
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -98,6 +98,8 @@
 	CheckEndpoint
 	// TakeSlot requests a slot of a brittle plain endpoint for a request.
 	TakeSlot
+	// NoteRest tells a relay that an endpoint has asked it for rest, in an answer to the sender.
+	NoteRest
 )
 
 // Message is a request or a response.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -55,6 +55,9 @@
 	// Relayed returns the number of connections that this instance relays for others, which counts as
 	// load; nil for none.
 	Relayed func() int64
+	// OnRest is called for each answer by which an endpoint asks for rest, with the instance that
+	// relayed the request, empty for none; it may be nil.
+	OnRest func(id ident.Process, span clock.Milli, relay ident.Incarnation)
 	// OnChange is called on the control loop with each new view whose plan, endpoints or values
 	// declared by endpoints differ from those of the view before.
 	OnChange func(vw *View)
@@ -74,6 +77,7 @@
 	docs      docsCtl
 	endpts    endptsCtl
 	facts     factsCtl
+	rests     rests
 	leaving   bool
 	dirty     bool
 	// noticesChanged is set if values declared by endpoints changed since the last view.
--- a/internal/state/notices.go
+++ b/internal/state/notices.go
@@ -86,15 +86,15 @@
 	return pools
 }
 
-// RecordNotice records what an answer from an address says of its endpoint; sent is when the request
-// was sent.
-func (ctl *Control) RecordNotice(addr string, ntc proto.Notice, sent clock.Milli) {
+// RecordNotice records what an answer from an address says of its endpoint. sent is when the request was
+// sent, relay the instance that relayed it, empty for none.
+func (ctl *Control) RecordNotice(addr string, ntc proto.Notice, sent clock.Milli, relay ident.Incarnation) {
 	if ntc.Endpoint == "" {
 		return
 	}
 	vw := ctl.View()
 	ctl.recordLeaving(vw, addr, ntc)
-	ctl.logNotice(vw, addr, ntc)
+	ctl.recordRest(vw, addr, ntc, relay)
 	values := map[gossip.Kind]proto.Declared{gossip.DeclaredRate: ntc.Rate, gossip.DeclaredBrittle: ntc.Brittle}
 	for _, kind := range declaredKinds {
 		if !values[kind].Is && len(vw.declared[kind]) == 0 {
@@ -120,18 +120,6 @@
 	}
 }
 
-// logNotice logs each rest that an endpoint asks for.
-func (ctl *Control) logNotice(vw *View, addr string, ntc proto.Notice) {
-	if ntc.RestText == "" {
-		return
-	}
-	for _, ep := range vw.endpoints {
-		if ep.Addr == addr && ep.ID.Name() == ntc.Endpoint {
-			ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("asked", ntc.RestText).Int64("rest_ms", int64(ntc.Rest)).Msg("endpoint asks for rest")
-		}
-	}
-}
-
 // recordDeclared spreads a new or changed value of an endpoint to all instances. A success without a
 // value, to a request that was sent after the value was declared, clears it.
 func (ctl *Control) recordDeclared(kind gossip.Kind, vw *View, ep proto.Endpoint, val proto.Declared, success bool, sent clock.Milli) {
--- a/internal/state/notices_test.go
+++ b/internal/state/notices_test.go
@@ -22,9 +22,9 @@
 		return []proto.Endpoint{{ID: "ended", Addr: "a", Pool: "p"}, {ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}, nil, nil
 	}})
 	gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(3))
-	ctl.RecordNotice("a", proto.Notice{Rate: proto.Declared{Value: 3, Is: true}}, clock.Clock{}.Now())
-	ctl.RecordNotice("b", proto.Notice{Endpoint: "there", Rate: proto.Declared{Value: 4, Is: true}}, clock.Clock{}.Now())
-	ctl.RecordNotice("a", proto.Notice{Endpoint: "there", Rate: proto.Declared{Value: 2, Is: true}}, clock.Clock{}.Now())
+	ctl.RecordNotice("a", proto.Notice{Rate: proto.Declared{Value: 3, Is: true}}, clock.Clock{}.Now(), "")
+	ctl.RecordNotice("b", proto.Notice{Endpoint: "there", Rate: proto.Declared{Value: 4, Is: true}}, clock.Clock{}.Now(), "")
+	ctl.RecordNotice("a", proto.Notice{Endpoint: "there", Rate: proto.Declared{Value: 2, Is: true}}, clock.Clock{}.Now(), "")
 	gom.Eventually(func() float64 {
 		rate, _ := ctl.View().Rate("there")
 		return rate
@@ -46,7 +46,7 @@
 	renewals, digest := 0, uint64(0)
 	const span = 2 * clock.Hour
 	for range int(span / clock.Minute) {
-		ctl.RecordNotice("e1", proto.Notice{Endpoint: "e1", Rate: proto.Declared{Value: 2, Is: true}}, clk.Now())
+		ctl.RecordNotice("e1", proto.Notice{Endpoint: "e1", Rate: proto.Declared{Value: 2, Is: true}}, clk.Now(), "")
 		gom.Expect(ctl.loop.Do(t.Context(), func(clock.Milli) {
 			if now := ctl.facts.spread.Digest(); now != digest {
 				renewals, digest = renewals+1, now
@@ -67,9 +67,9 @@
 	for _, ctl := range []*Control{here, there} {
 		gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(1))
 	}
-	here.RecordNotice("e1", proto.Notice{Endpoint: "another", Leaving: true}, clock.Clock{}.Now())
+	here.RecordNotice("e1", proto.Notice{Endpoint: "another", Leaving: true}, clock.Clock{}.Now(), "")
 	gom.Consistently(func() bool { return here.View().IsLeaving("e1") }, 100*time.Millisecond).Should(gomega.BeFalse())
-	here.RecordNotice("e1", proto.Notice{Endpoint: "e1", Leaving: true}, clock.Clock{}.Now())
+	here.RecordNotice("e1", proto.Notice{Endpoint: "e1", Leaving: true}, clock.Clock{}.Now(), "")
 	gom.Eventually(func() bool { return here.View().IsLeaving("e1") }, soon).Should(gomega.BeTrue())
 	var facts []gossip.Fact
 	gom.Expect(here.loop.Do(t.Context(), func(now clock.Milli) { facts = here.facts.spread.All(gossip.Leaving, now) })).To(gomega.BeTrue())
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -54,11 +54,15 @@
 
 // startedAt is like started, with another clock.
 func startedAt(t *testing.T, sto proto.Store, clk clock.Clock) *Control {
+	return startedWith(t, sto, Setup{Clock: clk})
+}
+
+// startedWith is like started, with a setup that is completed.
+func startedWith(t *testing.T, sto proto.Store, set Setup) *Control {
 	pln, _ := plan.Compile(plan.Draft{})
 	dia := &proto.Dialect{Compile: func([]byte) (*plan.Plan, []error) { return pln, nil }}
-	ctl := New(Setup{
-		Self: ident.NewIncarnation("10.0.0.1:1"), Meter: meter.New(), Log: zerolog.Nop(), Dialect: dia, Store: storeOf(sto), Clock: clk,
-	})
+	set.Self, set.Meter, set.Log, set.Dialect, set.Store = ident.NewIncarnation("10.0.0.1:1"), meter.New(), zerolog.Nop(), dia, storeOf(sto)
+	ctl := New(set)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	for _, oth := range sch.endpoints {
-		if oth.Zone == itm.Zone && !oth.Leaving && now >= oth.blockedUntil && oth.slowness(now) <= slowThreshold {
+		if oth.Zone == itm.Zone && !oth.Leaving && now >= max(oth.blockedUntil, oth.restUntil) && oth.slowness(now) <= slowThreshold {
 			return true
 		}
 	}
@@ -67,7 +67,7 @@
 	var free []*endpoint
 	soonest := clock.Milli(-1)
 	for _, ep := range sch.endpoints {
-		if ep.Leaving || now < ep.blockedUntil || now < ep.fullUntil || now < ep.pausedUntil {
+		if ep.isHeld(now) || now < ep.fullUntil {
 			continue
 		}
 		done := sch.untilFree(ep, now) + clock.Milli(ep.slowness(now)*float64(sch.spec.Time(1)))
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -157,11 +157,18 @@
 	blockedUntil clock.Milli
 	// pausedUntil is when the endpoint may be sent batches again.
 	pausedUntil clock.Milli
+	// restUntil is when the endpoint may be sent batches again after it asked for rest.
+	restUntil clock.Milli
 	// fullUntil is when the endpoint may be sent batches again after it refused an item for lack of
 	// result storage.
 	fullUntil clock.Milli
 }
 
+// isHeld reports whether the endpoint must not be sent batches now.
+func (ep *endpoint) isHeld(now clock.Milli) bool {
+	return ep.Leaving || now < max(ep.blockedUntil, ep.pausedUntil, ep.restUntil)
+}
+
 // slowness returns the ratio of measured to planned time of the endpoint's batches, decayed towards
 // 1.
 func (ep *endpoint) slowness(now clock.Milli) float64 {
@@ -256,6 +263,13 @@
 	}
 }
 
+// Rest sends no batches to an endpoint until the given time, or a later one of an earlier call.
+func (sch *Scheduler) Rest(id string, until clock.Milli) {
+	if ep, ok := sch.byID[id]; ok {
+		ep.restUntil = max(ep.restUntil, until)
+	}
+}
+
 // Add queues an item. An exclusive item makes its whole job exclusive.
 func (sch *Scheduler) Add(itm Item) {
 	sch.waiting = append(sch.waiting, itm)
@@ -304,7 +318,7 @@
 func (sch *Scheduler) Wait(now clock.Milli) clock.Milli {
 	rate, soonest := sch.effectiveSlots(now)
 	if rate == 0 {
-		return maxEject
+		return max(maxEject, sch.restLeft(now))
 	}
 	sch.throughput.observe(0, len(sch.waiting) >= sch.spec.MaxItems, now)
 	interval := max(sch.plannedInterval(rate), sch.throughput.interval())
@@ -329,7 +343,7 @@
 func (sch *Scheduler) effectiveSlots(now clock.Milli) (rate float64, soonest clock.Milli) {
 	soonest = -1
 	for _, ep := range sch.endpoints {
-		if ep.Leaving || now < ep.blockedUntil || now < ep.pausedUntil {
+		if ep.isHeld(now) {
 			continue
 		}
 		rate += float64(max(sch.spec.Slots, 1)) / ep.slowness(now)
@@ -340,6 +354,18 @@
 	return rate, soonest
 }
 
+// restLeft returns the time until the first rest ends if all usable endpoints asked for rest, otherwise
+// zero.
+func (sch *Scheduler) restLeft(now clock.Milli) clock.Milli {
+	first := clock.Milli(-1)
+	for _, ep := range sch.endpoints {
+		if left := max(ep.restUntil-now, 0); !ep.Leaving && (first < 0 || left < first) {
+			first = left
+		}
+	}
+	return max(first, 0)
+}
+
 // expectedFill returns the expected size of a batch while enough items wait: less than the limit
 // where result storage is short.
 func (sch *Scheduler) expectedFill() float64 {
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -393,3 +393,35 @@
 	gom.Expect(sch.HeldBytes("m@2")).To(gomega.Equal(int64(10)))
 	gom.Expect(sch.Usable()).To(gomega.Equal(1))
 }
+
+// Guards against batches for an endpoint that has asked for rest, against a rest that is cut short by a
+// later one, and against items that wait for an endpoint that rests.
+func TestRestingEndpointGetsNoBatch(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	sch := newScheduler(2)
+	sch.Rest("m0", 3000)
+	sch.Rest("m0", 2000)
+	sch.Rest("unknown", 2000)
+	sch.Add(Item{ID: 1, Job: 1, Due: 9000, Expires: 100000, Zone: "z0", LocalUntil: 8000})
+	bat, ok := sch.Next(2500)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(bat.Endpoint.ID).To(gomega.Equal("m1"))
+	add(sch, 2, 1, 9000)
+	_, ok = sch.Next(2999)
+	gom.Expect(ok).To(gomega.BeFalse())
+	bat, _ = sch.Next(3000)
+	gom.Expect(bat.Endpoint.ID).To(gomega.Equal("m0"))
+}
+
+// Guards against requests that are let in although all endpoints rest for longer than they have time.
+func TestWaitIncludesRest(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	sch := newScheduler(3)
+	sch.Leave("m2")
+	sch.Rest("m0", 60000)
+	gom.Expect(sch.Wait(1000)).To(gomega.BeZero())
+	sch.Rest("m1", 50000)
+	gom.Expect(sch.Wait(1000)).To(gomega.Equal(clock.Milli(49000)))
+	gom.Expect(sch.Wait(49900)).To(gomega.Equal(maxEject))
+	gom.Expect(sch.Wait(50000)).To(gomega.BeZero())
+}
