internal/state, pkg/member, pkg/reach: instances that reach endpoints again relay at once

Cause: an instance that reaches endpoints again counts as blind for three seconds more, so that names don't change hands with each of its failures. Relays are chosen from the instances that aren't blind. When all had been partitioned and the first of them was well again, nobody used it for these three seconds.

The class: one value that says two things, who owns names and who can relay.

Change: an instance declares that it is recovering; it relays and owns nothing yet. A member without the new field is what it was.

--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -79,8 +79,9 @@
 	dlr.table.SetKnown(addrs)
 }
 
-// Blind reports whether other instances should take this one for partitioned from all endpoints.
-func (dlr *Dialer) Blind() bool {
+// Blind reports whether other instances should take this one for partitioned from all endpoints, and whether
+// it may relay connections all the same since it reaches endpoints again.
+func (dlr *Dialer) Blind() (blind, recovering bool) {
 	dlr.mtx.Lock()
 	defer dlr.mtx.Unlock()
 	return dlr.table.Advertised(dlr.set.Clock.Now())
--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -246,6 +246,28 @@
 		eventually(func() int { return tbd.sendAll(3, 1).cutServed }, pollTimeout).Should(equal(3 * len(partitionRequests)))
 	})
 
+	// Guards against instances that serve nothing for seconds although the first of them all reaches endpoints
+	// again.
+	ginkgo.It("is served through the first instance that reaches endpoints again", func() {
+		tbd, prts := newPartitionTestbed(3)
+		for _, prt := range prts {
+			prt.Set(sever.Refuses, sever.Refuses)
+		}
+		for until := time.Now().Add(settleTime); time.Now().Before(until); {
+			tbd.sendAll(3, 1)
+		}
+		prts[0].Set(sever.Open, sever.Open)
+		served := func() bool {
+			for _, rqt := range partitionRequests[:4] {
+				if tbd.send(1, rqt).status != http.StatusOK || tbd.send(2, rqt).status != http.StatusOK {
+					return false
+				}
+			}
+			return true
+		}
+		eventually(served, settleTime/2).Should(gomega.BeTrue())
+	})
+
 	// Guards against connections that stay relayed after the partition has healed, and against one that
 	// comes and goes every second.
 	ginkgo.It("returns to direct connections when the partition heals", func() {
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -50,8 +50,9 @@
 	// TokenMaxViewAge is the maximum age of a view by which tokens are accepted; zero means no
 	// bound.
 	TokenMaxViewAge clock.Milli
-	// Blind reports whether this instance reaches no endpoint itself; nil for never.
-	Blind func() bool
+	// Blind reports whether this instance reaches no endpoint itself, or, recovering, did so a moment ago;
+	// nil for never.
+	Blind func() (blind, recovering bool)
 	// Relayed returns the number of connections that this instance relays for others, which counts as
 	// load; nil for none.
 	Relayed func() int64
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -63,7 +63,7 @@
 func (vw *View) Relays(self ident.Incarnation) []reach.Relay {
 	var list []reach.Relay
 	for _, mbr := range vw.members {
-		if mbr.ID() != self && mbr.Status() == member.Alive && !mbr.Blind() {
+		if mbr.ID() != self && mbr.Status() == member.Alive && mbr.ReachesEndpoints() {
 			list = append(list, reach.Relay{ID: mbr.ID(), Zone: mbr.Zone(), Load: mbr.Load(), Capacity: mbr.Capacity()})
 		}
 	}
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -85,6 +85,9 @@
 	// Blind reports that the member reaches no endpoint itself; it owns names only if all members are
 	// blind.
 	Blind bool `cbor:"12,keyasint,omitempty"`
+	// Recovering reports that a blind member reaches endpoints again: it may relay connections, though it
+	// doesn't own names yet.
+	Recovering bool `cbor:"13,keyasint,omitempty"`
 	// Ended reports that the member is proved to have ended and is not merely unresponsive.
 	Ended bool `cbor:"11,keyasint,omitempty"`
 }
@@ -122,9 +125,12 @@
 // Stale reports whether the member declared that its documents may be out of date.
 func (mbr Member) Stale() bool { return mbr.update.Stale }
 
-// Blind reports whether the member declared that it reaches no endpoint itself.
+// Blind reports whether the member declared that it reaches no endpoint itself, or did so a moment ago.
 func (mbr Member) Blind() bool { return mbr.update.Blind }
 
+// ReachesEndpoints reports whether the member reaches endpoints itself, as far as it has declared.
+func (mbr Member) ReachesEndpoints() bool { return !mbr.update.Blind || mbr.update.Recovering }
+
 // Capacity returns the member's capacity in cores.
 func (mbr Member) Capacity() float64 { return mbr.capacity() }
 
@@ -218,14 +224,14 @@
 	}
 }
 
-// SetBlind sets whether the instance itself reaches no endpoint. The change is spread at once: the
-// others go on sending it orders until they know.
-func (lst *List) SetBlind(blind bool) {
+// SetBlind sets whether the instance itself reaches no endpoint, or, recovering, did so a moment ago. The
+// change is spread at once: the others go on sending it orders until they know.
+func (lst *List) SetBlind(blind, recovering bool) {
 	me := lst.members[lst.self]
-	if me.update.Blind == blind {
+	if me.update.Blind == blind && me.update.Recovering == recovering {
 		return
 	}
-	me.update.Blind = blind
+	me.update.Blind, me.update.Recovering = blind, recovering
 	me.update.Beat++
 	lst.changes++
 	lst.extraProbes = ExtraProbes
@@ -302,8 +308,8 @@
 		cur.update.Beat, cur.update.Load, cur.update.Stale = item.Beat, item.Load, item.Stale
 		cur.update.Capacity = item.Capacity
 		cur.lastSeen = now
-		if cur.update.Blind != item.Blind {
-			cur.update.Blind, cur.sends = item.Blind, 0
+		if cur.update.Blind != item.Blind || cur.update.Recovering != item.Recovering {
+			cur.update.Blind, cur.update.Recovering, cur.sends = item.Blind, item.Recovering, 0
 			lst.changes++
 			lst.extraProbes = ExtraProbes
 		}
--- a/pkg/member/owner_test.go
+++ b/pkg/member/owner_test.go
@@ -50,7 +50,7 @@
 	}
 	first := lists["a#1"].Owners("pool")[0]
 	for _, blind := range []bool{true, false} {
-		lists[first].SetBlind(blind)
+		lists[first].SetBlind(blind, false)
 		for _, who := range ids {
 			if who != first {
 				lists[who].Merge(lists[first].Updates(who), 10)
@@ -63,7 +63,7 @@
 		}
 	}
 	for _, who := range ids {
-		lists[who].SetBlind(true)
+		lists[who].SetBlind(true, false)
 		lists[first].Merge(lists[who].Updates(first), 20)
 	}
 	gom.Expect(lists[first].Owners("pool")[0]).To(gomega.Equal(first))
--- a/pkg/reach/size_test.go
+++ b/pkg/reach/size_test.go
@@ -161,7 +161,7 @@
 func (sys *system) candidates(dlr *dialer) []reach.Relay {
 	var list []reach.Relay
 	for _, mbr := range dlr.List().All() {
-		if mbr.ID() != dlr.ID() && mbr.Status() == member.Alive && !mbr.Blind() {
+		if mbr.ID() != dlr.ID() && mbr.Status() == member.Alive && mbr.ReachesEndpoints() {
 			list = append(list, reach.Relay{ID: mbr.ID(), Zone: mbr.Zone(), Load: mbr.Load(), Capacity: 1})
 		}
 	}
--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -156,9 +156,14 @@
 // Idle returns how long no address was connected directly.
 func (tbl *Table) Idle(now clock.Milli) clock.Milli { return now - tbl.connectedAt }
 
-// Advertised reports whether other instances are told that this one is blind.
-func (tbl *Table) Advertised(now clock.Milli) bool {
-	return tbl.Blind() || tbl.blindEndedAt > 0 && now-tbl.blindEndedAt < blindHold
+// Advertised reports whether other instances are told that this one is blind, and whether they are told
+// that it is recovering: it may relay connections again.
+func (tbl *Table) Advertised(now clock.Milli) (blind, recovering bool) {
+	if tbl.Blind() {
+		return true, false
+	}
+	held := tbl.blindEndedAt > 0 && now-tbl.blindEndedAt < blindHold
+	return held, held
 }
 
 // CheckDue reports whether other addresses should be connected now to tell whether this instance is
--- a/pkg/reach/table_test.go
+++ b/pkg/reach/table_test.go
@@ -41,8 +41,10 @@
 	gom.Expect(tbl.Strategy(addr(11), 201)).To(gomega.Equal(RelayFirst))
 	gom.Expect(tbl.RecordDirect(addr(5), Connected, 300)).To(gomega.BeTrue())
 	gom.Expect(tbl.Blind()).To(gomega.BeFalse())
-	gom.Expect(tbl.Advertised(300 + blindHold - 1)).To(gomega.BeTrue())
-	gom.Expect(tbl.Advertised(300 + blindHold)).To(gomega.BeFalse())
+	for now, told := range map[clock.Milli]bool{300 + blindHold - 1: true, 300 + blindHold: false} {
+		blind, recovering := tbl.Advertised(now)
+		gom.Expect([]bool{blind, recovering}).To(gomega.Equal([]bool{told, told}))
+	}
 }
 
 // Guards against relaying connections to an endpoint that is down: each attempt would cost two.
