internal/coord: nobody but the coordinator places prompts at brittle engines

Cause, read from the log of such a run: an instance that had waited 30 ms for the coordinator's answer placed the prompt by its own records, with a part of the slots that the coordinator goes on granting to others. Four requests that met the same pause of the coordinator counted as four without an answer, so that the next instance was asked for two seconds; it placed prompts as well, whether it was the coordinator or not. Three instances filled the same slots. Placements whose answer was lost kept their slots at the coordinator for half a minute.

Change: engines keep these rules. Only the coordinator places, one slot of each engine while it is new; who is not refuses, and the one before is asked again; half a second without any coordinator, then one slot of each; late placements are ended, by a report and once more; requests under way at the same time count as one timeout.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -85,10 +85,12 @@
 	tenures  tenures
 	// permits records until when the coordinators of plain pools have no permits.
 	permits permits
-	// slotWaits records what is known of the coordinators of brittle plain pools.
+	// slotWaits records what is known of the coordinators of brittle pools.
 	slotWaits slotWaits
+	// placeTries counts the placement requests for brittle engines.
+	placeTries atomic.Int64
 	// placeTimeouts counts consecutive placement requests without an answer.
-	placeTimeouts map[ident.Incarnation]int
+	placeTimeouts map[ident.Incarnation]timeouts
 }
 
 // New returns a coordinator that takes every other instance for responsive.
@@ -96,7 +98,7 @@
 	if set.After == nil {
 		set.After = func(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
 	}
-	crd := &Coordinator{set: set, joined: make(chan struct{}), unresponsiveUntil: map[ident.Incarnation]clock.Milli{}, placeTimeouts: map[ident.Incarnation]int{}, waitEstimates: map[string]waitEstimate{}}
+	crd := &Coordinator{set: set, joined: make(chan struct{}), unresponsiveUntil: map[ident.Incarnation]clock.Milli{}, placeTimeouts: map[ident.Incarnation]timeouts{}, waitEstimates: map[string]waitEstimate{}}
 	if set.Link == nil {
 		close(crd.joined)
 	} else {
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -13,13 +15,14 @@
 	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/place"
 )
 
 // The coordinator of a pool of model engines places the prompts of all instances. It gets a
 // placement request before a prompt is sent, and a report of its first event and of its end. If it
 // does not answer in time, an instance places the prompt by its own records, which it always keeps
-// of its own requests.
+// of its own requests. At brittle engines only the coordinator places prompts, by the rules of slots.
 
 const (
 	// placeTimeout bounds a placement request: a few round trips between data centres, and short
@@ -85,24 +88,60 @@
 	}
 	inc := crd.promptCoordinator(vw, pool)
 	if inc == crd.set.Control.Self() {
+		var mine bool
+		if ask.Share, mine = crd.engineShare(vw, pool); !mine {
+			return Placement{}, false
+		}
 		return crd.pick(pool, ticket, ask, crd.rateShareIn(vw, pool))
 	}
-	prp, answered := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+	brittle := crd.set.Pools.HasBrittleEngines(pool)
+	if brittle {
+		// Placements whose answer is lost are ended one by one.
+		ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
+	}
+	prp, answered := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
 	if prp.ID != "" {
 		if tgt, ok := crd.set.Pools.Assign(pool, prp.ID, prp.From, ticket, ask); ok {
+			crd.slotWaits.answered(pool, true, crd.set.Clock.Now())
 			return Placement{Target: tgt, promptCoordinator: inc}, true
 		}
 	}
-	if crd.set.Pools.HasBrittleEngines(pool) {
-		if answered {
-			// The coordinator knows the requests of all instances.
-			return Placement{}, false
-		}
-		ask.Share = 1 / float64(max(len(vw.Members()), 1))
+	if !brittle {
+		return crd.pick(pool, ticket, ask, 0)
+	}
+	if !answered || prp.ID != "" {
+		crd.endLate(inc, pool, ticket)
 	}
+	if ctx.Err() != nil {
+		return Placement{}, false
+	}
+	now := crd.set.Clock.Now()
+	if lostSince := crd.slotWaits.answered(pool, answered, now); answered || now-lostSince < slotFallbackAfter {
+		// Coordinators know the requests of all instances.
+		return Placement{}, false
+	}
+	ask.Share = limit.OneSlot
 	return crd.pick(pool, ticket, ask, 0)
 }
 
+// engineShare returns the part of the slots of a pool's engines that this instance may use as their
+// coordinator, zero for all of them; false if the engines are brittle and it is not the coordinator.
+func (crd *Coordinator) engineShare(vw *state.View, pool string) (share float64, mine bool) {
+	if !crd.set.Pools.HasBrittleEngines(pool) {
+		return 0, true
+	}
+	share = crd.shareIn(vw, pool, limit.SlotShare)
+	return share, share > 0
+}
+
+// endLate ends a placement whose answer came too late, and once more: the report may have overtaken the
+// request.
+func (crd *Coordinator) endLate(inc ident.Incarnation, pool, ticket string) {
+	rpt := report{Pool: pool, Ticket: ticket, Ended: true, End: place.Neutral}
+	crd.reports.add(crd, inc, rpt)
+	crd.set.After(slotGrace, func() { crd.reports.add(crd, inc, rpt) })
+}
+
 // pick places a request by the records of this instance; share is the fraction of the engines'
 // declared rates that it may use.
 func (crd *Coordinator) pick(pool, ticket string, ask place.Ask, share float64) (Placement, bool) {
@@ -123,7 +162,7 @@
 func (crd *Coordinator) Predict(ctx context.Context, vw *state.View, pool string, ask place.Ask) (eng place.Engine, read clock.Milli, ok bool) {
 	ask.Avoid = crd.withResting(ask.Avoid)
 	if inc := crd.promptCoordinator(vw, pool); inc != crd.set.Control.Self() {
-		if prp, ok := crd.requestPlace(ctx, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); ok && prp.ID != "" {
+		if prp, ok := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); ok && prp.ID != "" {
 			if eng, ok := crd.set.Pools.Find(pool, prp.ID); ok {
 				return eng, prp.Read, true
 			}
@@ -151,15 +190,19 @@
 
 // requestPlace requests a placement from the coordinator; the reply has no ID if there is none. It
 // returns false if the coordinator did not answer.
-func (crd *Coordinator) requestPlace(ctx context.Context, inc ident.Incarnation, prq placeRequest) (placeReply, bool) {
+func (crd *Coordinator) requestPlace(ctx context.Context, vw *state.View, inc ident.Incarnation, prq placeRequest) (placeReply, bool) {
 	body, err := cbor.Marshal(prq)
 	if err != nil {
 		return placeReply{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
+	sent := crd.set.Clock.Now()
 	ans, err := crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.PlacePrompt, From: crd.set.Control.Self(), To: inc, Body: body})
-	crd.notePlaceReply(inc, err == nil)
+	crd.notePlaceReply(inc, sent, err == nil)
+	if err == nil && ans.Kind != peer.OK {
+		crd.retryBefore(vw, prq.Pool, inc)
+	}
 	if err != nil || ans.Kind != peer.OK {
 		crd.set.Log.Info().AnErr("error", err).Str("request", prq.Ticket).Str("pool", prq.Pool).Str("placer", string(inc)).Msg("no placement from the coordinator, placing locally")
 		return placeReply{}, false
@@ -171,16 +214,25 @@
 	return prp, true
 }
 
-// notePlaceReply records whether an instance answered a placement request.
-func (crd *Coordinator) notePlaceReply(inc ident.Incarnation, answered bool) {
+// timeouts counts consecutive requests without an answer, the last of which was sent before until.
+type timeouts struct {
+	count int
+	until clock.Milli
+}
+
+// notePlaceReply records whether an instance answered a placement request. Of requests that were under way
+// at the same time one counts: they say no more than one.
+func (crd *Coordinator) notePlaceReply(inc ident.Incarnation, sent clock.Milli, answered bool) {
 	crd.mtx.Lock()
-	if answered {
-		delete(crd.placeTimeouts, inc)
-	} else {
-		crd.placeTimeouts[inc]++
+	tmo := crd.placeTimeouts[inc]
+	switch {
+	case answered:
+		tmo = timeouts{}
+	case sent >= tmo.until:
+		tmo = timeouts{count: tmo.count + 1, until: crd.set.Clock.Now()}
 	}
-	lost := crd.placeTimeouts[inc] >= maxPlaceTimeouts
-	if lost {
+	lost := tmo.count >= maxPlaceTimeouts
+	if crd.placeTimeouts[inc] = tmo; answered || lost {
 		delete(crd.placeTimeouts, inc)
 	}
 	crd.mtx.Unlock()
@@ -190,29 +242,57 @@
 	}
 }
 
+// retryBefore retries the coordinators that rank before an instance which takes one of them for the
+// coordinator.
+func (crd *Coordinator) retryBefore(vw *state.View, pool string, inc ident.Incarnation) {
+	list := vw.Coordinators(pool)
+	crd.mtx.Lock()
+	defer crd.mtx.Unlock()
+	for _, oth := range list[:max(slices.Index(list, inc), 0)] {
+		delete(crd.unresponsiveUntil, oth)
+	}
+}
+
 // HandlePlace handles a placement request of another instance; it is registered with the link.
 func (crd *Coordinator) HandlePlace(msg peer.Message) peer.Message {
+	return crd.handlePlace(crd.set.Control.View(), msg)
+}
+
+func (crd *Coordinator) handlePlace(vw *state.View, msg peer.Message) peer.Message {
 	ans := peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
 	var prq placeRequest
 	if cbor.Unmarshal(msg.Body, &prq) != nil {
 		return ans
 	}
-	if vw := crd.set.Control.View(); vw.Plan() != nil {
+	prp, ok := crd.answerPlace(vw, prq)
+	if !ok {
+		return ans
+	}
+	if body, err := cbor.Marshal(prp); err == nil {
+		ans.Kind, ans.Body = peer.OK, body
+	}
+	return ans
+}
+
+// answerPlace answers the placement request of another instance; false if this one must not place prompts
+// at the pool's engines, which are brittle.
+func (crd *Coordinator) answerPlace(vw *state.View, prq placeRequest) (prp placeReply, ok bool) {
+	if vw.Plan() != nil {
 		crd.promptCoordinator(vw, prq.Pool)
 	}
-	var prp placeReply
-	share := crd.RateShare(prq.Pool)
 	if prq.Predict {
-		if plc, ok := crd.set.Pools.Predict(prq.Pool, prq.Ask, share); ok {
+		if plc, found := crd.set.Pools.Predict(prq.Pool, prq.Ask, crd.rateShareIn(vw, prq.Pool)); found {
 			prp = placeReply{ID: plc.Engine.ID, Read: plc.Read}
 		}
-	} else if plc, ok := crd.pick(prq.Pool, prq.Ticket, prq.Ask, share); ok {
-		prp = placeReply{ID: string(plc.ID), From: plc.FetchFrom}
+		return prp, true
 	}
-	if body, err := cbor.Marshal(prp); err == nil {
-		ans.Kind, ans.Body = peer.OK, body
+	if prq.Ask.Share, ok = crd.engineShare(vw, prq.Pool); !ok {
+		return placeReply{}, false
 	}
-	return ans
+	if plc, found := crd.pick(prq.Pool, prq.Ticket, prq.Ask, crd.rateShareIn(vw, prq.Pool)); found {
+		prp = placeReply{ID: string(plc.ID), From: plc.FetchFrom}
+	}
+	return prp, true
 }
 
 // FirstEvent records the first event of a request and the time that it took.
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -120,7 +120,7 @@
 	if crd.set.Link == nil || inc == crd.set.Control.Self() || crd.slotWaits.blocked(srq.Pool, now) {
 		return "", ""
 	}
-	id, ok := crd.requestSlot(ctx, inc, srq)
+	id, ok := crd.requestSlot(ctx, vw, inc, srq)
 	lostSince := crd.slotWaits.answered(srq.Pool, ok, now)
 	switch {
 	case id != "":
@@ -136,15 +136,19 @@
 
 // requestSlot requests a slot from a coordinator. It returns an empty ID if there is none, and false if
 // the coordinator did not answer.
-func (crd *Coordinator) requestSlot(ctx context.Context, inc ident.Incarnation, srq slotRequest) (string, bool) {
+func (crd *Coordinator) requestSlot(ctx context.Context, vw *state.View, inc ident.Incarnation, srq slotRequest) (string, bool) {
 	body, err := cbor.Marshal(srq)
 	if err != nil {
 		return "", false
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
+	sent := crd.set.Clock.Now()
 	ans, err := crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.TakeSlot, From: crd.set.Control.Self(), To: inc, Body: body})
-	crd.notePlaceReply(inc, err == nil)
+	crd.notePlaceReply(inc, sent, err == nil)
+	if err == nil && ans.Kind != peer.OK {
+		crd.retryBefore(vw, srq.Pool, inc)
+	}
 	if err != nil || ans.Kind != peer.OK {
 		return "", false
 	}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -46,6 +46,16 @@
 	return &View{plan: pln, endpoints: endpoints, endpointsKnown: true, position: proto.Position{Offset: -1}}
 }
 
+// WithBrittlePool returns a copy of the view in which the endpoints of a pool are brittle and the pool has
+// these coordinators, the first of them for long, for decisions made without a control loop.
+func (vw *View) WithBrittlePool(pool string, coordinators ...ident.Incarnation) *View {
+	cpy := *vw
+	cpy.brittlePools = map[string]bool{pool: true}
+	cpy.coordinators = map[string][]ident.Incarnation{pool: coordinators}
+	cpy.coordinatorSince = map[string]clock.Milli{pool: 0}
+	return &cpy
+}
+
 // Plan returns the plan in force, nil while none is known.
 func (vw *View) Plan() *plan.Plan { return vw.plan }
 
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -241,7 +241,7 @@
 
 // exceeds reports whether a part of an engine's slots is in use, zero for none.
 func (eng *engine) exceeds(share float64, now clock.Milli) bool {
-	return share > 0 && eng.streams(now) >= max(1, share*float64(eng.Slots))
+	return share > 0 && share < 1 && eng.streams(now) >= max(1, share*float64(eng.Slots))
 }
 
 // isFull reports whether all slots or all memory of an engine is in use.
