internal/state: a starting instance serves once it knows which requests are quarantined

Cause: which requests are quarantined stands in the store beside the entries of instances. These are read after the documents, and an instance served once it knew documents and endpoints. Ruled out: a record that was never written or was written anew (the instance asked first refuses in each failed run).

Change: the view serves once the first lookup has ended, with an answer or without; requests wait for that for a second after the start at most, as for documents and endpoints.

--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -185,7 +185,7 @@
 func (ctl *Control) publish(now clock.Milli) {
 	old := ctl.view.Load()
 	vw := &View{
-		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), digest: old.digest, pastLists: old.pastLists,
+		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
--- a/internal/state/discover.go
+++ b/internal/state/discover.go
@@ -167,6 +167,9 @@
 			}
 		}
 	}
+	if !ctl.facts.known {
+		ctl.facts.known, ctl.dirty = true, true
+	}
 	if read {
 		ctl.endReplaced(list, now)
 		ctl.withdrawEnded(list)
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -33,6 +33,8 @@
 	declared     map[gossip.Kind]declaredBy
 	evicted      int
 	stored       storedState
+	// known is set once the facts in the store have been read, or could not be.
+	known bool
 }
 
 func newFacts(ctl *Control) factsCtl {
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -16,9 +16,11 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/poison"
 )
 
 // soon is well beyond the time that an instance may take here.
@@ -198,6 +200,32 @@
 	gom.Eventually(func() bool { return ask().Listed }, soon).Should(gomega.BeTrue())
 }
 
+// Guards against a starting instance that admits a quarantined request, since it knows documents and
+// endpoints before it has read which requests are quarantined.
+func TestRequestsWaitForQuarantines(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var mark poison.Fingerprint
+	mark[0] = 1
+	var facts []gossip.Fact
+	for i := range 3 {
+		facts = append(facts, gossip.Fact{Kind: gossip.CrashedUnder, Key: poison.Key(mark, ident.Process(fmt.Sprint("e", i))), Value: "a:1", Version: 1})
+	}
+	kept, _ := cbor.Marshal(storedFacts{At: clock.Clock{}.Now(), Facts: facts})
+	read := make(chan struct{})
+	ctl := started(t, proto.Store{
+		Document: func(context.Context) (proto.Document, error) {
+			return proto.Document{Position: proto.Position{Offset: 1}, End: 2}, nil
+		},
+		Instances: func(context.Context) ([]proto.Instance, []byte, error) {
+			<-read
+			return nil, kept, nil
+		},
+	})
+	gom.Eventually(func() bool { return ctl.View().Plan() != nil && ctl.View().endpointsKnown }, soon).Should(gomega.BeTrue())
+	time.AfterFunc(100*time.Millisecond, func() { close(read) })
+	gom.Expect(ctl.WaitServable(context.Background()).Suspects().Quarantined(mark, clock.Clock{}.Now())).NotTo(gomega.BeZero())
+}
+
 // Guards against patient followers that are refused at once while the store is down. Each refusal
 // kept them from asking that reader again for three seconds, and so they kept outdated documents
 // that long after the store was back. Their requests are held instead.
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -23,6 +23,8 @@
 	pastLists []endpointList
 	// endpointsKnown is set if endpoints were read, or received from another instance.
 	endpointsKnown bool
+	// factsKnown is set once the facts in the store have been read, or could not be.
+	factsKnown bool
 	members        []member.Member
 	coordinators   map[string][]ident.Incarnation
 	// coordinatorSince has the pools that this instance coordinates, with the time since when.
@@ -43,7 +45,7 @@
 
 // ViewOf returns a view with a plan and endpoints only, for decisions made without a control loop.
 func ViewOf(pln *plan.Plan, endpoints ...proto.Endpoint) *View {
-	return &View{plan: pln, endpoints: endpoints, endpointsKnown: true, position: proto.Position{Offset: -1}}
+	return &View{plan: pln, endpoints: endpoints, endpointsKnown: true, factsKnown: true, position: proto.Position{Offset: -1}}
 }
 
 // WithBrittlePool returns a copy of the view in which the endpoints of a pool are brittle and the pool has
@@ -109,8 +111,8 @@
 func (vw *View) Leaving() bool { return vw.leaving }
 
 // servable reports whether requests can be served by the view: an instance that has just started
-// knows the documents before the endpoints.
-func (vw *View) servable() bool { return vw.plan != nil && vw.endpointsKnown }
+// knows the documents before the endpoints, and both before the requests that are quarantined.
+func (vw *View) servable() bool { return vw.plan != nil && vw.endpointsKnown && vw.factsKnown }
 
 // storeSilence returns how long the store has not answered, beyond its usual delay.
 func (vw *View) storeSilence(now clock.Milli) clock.Milli {
