internal/coord: placements that were refused aren't reported as ended

An instance that asked another one than the coordinator sent two reports for each refusal, and its log said that it places the prompt itself, which it doesn't at brittle engines.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -45,8 +45,8 @@
 	releaseTimeout = time.Second
 )
 
-// errOrderRefused is returned when a coordinator answers an order with Nack.
-var errOrderRefused = errors.New("the coordinator refused the order")
+// errRefused is returned when an instance answers with Nack.
+var errRefused = errors.New("refused")
 
 // Setup holds the dependencies of [Coordinator].
 type Setup struct {
@@ -165,7 +165,7 @@
 		return batch.OrderResult{}, err
 	}
 	if ans.Kind != peer.OK {
-		return batch.OrderResult{}, errOrderRefused
+		return batch.OrderResult{}, errRefused
 	}
 	var orr batch.OrderResult
 	return orr, cbor.Unmarshal(ans.Body, &orr)
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -99,7 +100,7 @@
 		// Placements whose answer is lost are ended one by one.
 		ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
 	}
-	prp, answered := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+	prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
 	if prp.ID != "" {
 		if tgt, ok := crd.set.Pools.Assign(pool, prp.ID, prp.From, ticket, ask); ok {
 			crd.slotWaits.answered(pool, true, crd.set.Clock.Now())
@@ -109,14 +110,14 @@
 	if !brittle {
 		return crd.pick(pool, ticket, ask, 0)
 	}
-	if !answered || prp.ID != "" {
+	if prp.ID != "" || err != nil && !errors.Is(err, errRefused) {
 		crd.endLate(inc, pool, ticket)
 	}
 	if ctx.Err() != nil {
 		return Placement{}, false
 	}
 	now := crd.set.Clock.Now()
-	if lostSince := crd.slotWaits.answered(pool, answered, now); answered || now-lostSince < slotFallbackAfter {
+	if lostSince := crd.slotWaits.answered(pool, err == nil, now); err == nil || now-lostSince < slotFallbackAfter {
 		// Coordinators know the requests of all instances.
 		return Placement{}, false
 	}
@@ -162,7 +163,7 @@
 func (crd *Coordinator) Predict(ctx context.Context, vw *state.View, pool string, ask place.Ask) (eng place.Engine, read clock.Milli, ok bool) {
 	ask.Avoid = crd.withResting(ask.Avoid)
 	if inc := crd.promptCoordinator(vw, pool); inc != crd.set.Control.Self() {
-		if prp, ok := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); ok && prp.ID != "" {
+		if prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); err == nil && prp.ID != "" {
 			if eng, ok := crd.set.Pools.Find(pool, prp.ID); ok {
 				return eng, prp.Read, true
 			}
@@ -188,12 +189,12 @@
 	return inc
 }
 
-// requestPlace requests a placement from the coordinator; the reply has no ID if there is none. It
-// returns false if the coordinator did not answer.
-func (crd *Coordinator) requestPlace(ctx context.Context, vw *state.View, inc ident.Incarnation, prq placeRequest) (placeReply, bool) {
+// requestPlace requests a placement from the coordinator; the reply has no ID if there is none. The error
+// is errRefused if the instance isn't the coordinator.
+func (crd *Coordinator) requestPlace(ctx context.Context, vw *state.View, inc ident.Incarnation, prq placeRequest) (prp placeReply, err error) {
 	body, err := cbor.Marshal(prq)
 	if err != nil {
-		return placeReply{}, false
+		return placeReply{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
@@ -202,16 +203,16 @@
 	crd.notePlaceReply(inc, sent, err == nil)
 	if err == nil && ans.Kind != peer.OK {
 		crd.retryBefore(vw, prq.Pool, inc)
+		err = errRefused
 	}
-	if err != nil || ans.Kind != peer.OK {
-		crd.set.Log.Info().AnErr("error", err).Str("request", prq.Ticket).Str("pool", prq.Pool).Str("placer", string(inc)).Msg("no placement from the coordinator, placing locally")
-		return placeReply{}, false
+	if err != nil {
+		crd.set.Log.Info().Err(err).Str("request", prq.Ticket).Str("pool", prq.Pool).Str("placer", string(inc)).Msg("no placement from the coordinator")
+		return placeReply{}, err
 	}
-	var prp placeReply
 	if cbor.Unmarshal(ans.Body, &prp) != nil {
-		return placeReply{}, false
+		return placeReply{}, errRefused
 	}
-	return prp, true
+	return prp, nil
 }
 
 // timeouts counts consecutive requests without an answer, the last of which was sent before until.
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -24,9 +24,9 @@
 	// endpointsKnown is set if endpoints were read, or received from another instance.
 	endpointsKnown bool
 	// factsKnown is set once the facts in the store have been read, or could not be.
-	factsKnown bool
-	members        []member.Member
-	coordinators   map[string][]ident.Incarnation
+	factsKnown   bool
+	members      []member.Member
+	coordinators map[string][]ident.Incarnation
 	// coordinatorSince has the pools that this instance coordinates, with the time since when.
 	coordinatorSince map[string]clock.Milli
 	// answeredAt is when the store last answered, storeDelay how much longer than the requested hold
