pkg/reach: endpoints that are down for all are no sign of a partition

The batches, releases and queries to them fail, and with no other connection in between four failed addresses make an instance blind. 22 of 86 instances were blind for moments within four seconds, none with a path that a relay could take (severed 0), and each told the others for three seconds: the pool's coordinators changed hands, 86 takeovers in place of 3, and lost what they knew.

Change: an address that a relay which reaches others doesn't reach either counts neither as a failure nor among those known, for three seconds; others are told of blindness that has lasted 0.1 s.

The specs of partitions pass; two mutants fail the new tests.

--- a/pkg/reach/table.go
+++ b/pkg/reach/table.go
@@ -12,6 +12,11 @@
 	// reached by an instance that is blind. Few endpoints are down at once; if fewer are known, it is
 	// all of them.
 	blindAddrs = 4
+	// blindAfter is how long an instance must be blind before others are told: several endpoints that end
+	// at once look like that until the next connection.
+	blindAfter = 100 * clock.Milli(1)
+	// downCounts is how long an address that no instance reached says nothing about this one.
+	downCounts = 3 * clock.Second
 	// downFor is how long an address that no instance reached isn't connected through relays.
 	downFor = clock.Second
 	// checkInterval is the minimum time between two checks whether this instance is blind.
@@ -50,13 +55,17 @@
 	known  int
 	byAddr map[string]*entry
 	// severed has the addresses that relays reach and this instance doesn't, failed those that failed
-	// directly since the last direct connection to any address.
+	// directly since the last direct connection to any address, without those that are down.
 	severed map[string]struct{}
 	failed  map[string]struct{}
+	// down has the addresses that no instance reached, with when that was last seen.
+	down map[string]clock.Milli
 	// connectedAt is when any address was last connected directly.
 	connectedAt clock.Milli
-	// checkedAt is when a check was last due, blindEndedAt when this instance was last blind.
+	// checkedAt is when a check was last due, blindSince when this instance became blind, blindEndedAt
+	// when it was last blind for longer than a moment.
 	checkedAt    clock.Milli
+	blindSince   clock.Milli
 	blindEndedAt clock.Milli
 	probed       int
 }
@@ -70,7 +79,7 @@
 		return ent
 	}
 	if tbl.byAddr == nil {
-		tbl.byAddr, tbl.severed, tbl.failed = map[string]*entry{}, map[string]struct{}{}, map[string]struct{}{}
+		tbl.byAddr, tbl.severed, tbl.failed, tbl.down = map[string]*entry{}, map[string]struct{}{}, map[string]struct{}{}, map[string]clock.Milli{}
 	}
 	ent = &entry{}
 	tbl.byAddr[addr] = ent
@@ -108,6 +117,7 @@
 	delete(tbl.byAddr, addr)
 	delete(tbl.severed, addr)
 	delete(tbl.failed, addr)
+	delete(tbl.down, addr)
 }
 
 // RecordDirect records the result of a direct connection. It reports whether a path that had been
@@ -122,9 +132,12 @@
 		_, healed = tbl.severed[addr]
 		if tbl.Blind() {
 			healed = true
-			tbl.blindEndedAt = now
+			if now-tbl.blindSince >= blindAfter {
+				tbl.blindEndedAt = now
+			}
 		}
 		clear(tbl.failed)
+		delete(tbl.down, addr)
 		ent.downUntil = 0
 		if healed {
 			// What blocked one path blocked the others; those that still are blocked fail again.
@@ -132,7 +145,14 @@
 		}
 		return healed
 	}
-	tbl.failed[addr] = struct{}{}
+	maps.DeleteFunc(tbl.down, func(_ string, at clock.Milli) bool { return now-at > downCounts })
+	if _, down := tbl.down[addr]; down {
+		return false
+	}
+	blind := tbl.Blind()
+	if tbl.failed[addr] = struct{}{}; !blind {
+		tbl.blindSince = now
+	}
 	return false
 }
 
@@ -142,15 +162,18 @@
 	ent := tbl.entry(addr)
 	if connected {
 		tbl.severed[addr], ent.downUntil = struct{}{}, 0
+		delete(tbl.down, addr)
 		return
 	}
 	delete(tbl.severed, addr)
+	delete(tbl.failed, addr)
+	tbl.down[addr] = now
 	ent.downUntil = now + downFor
 }
 
 // Blind reports whether this instance reaches no endpoint directly.
 func (tbl *Table) Blind() bool {
-	return len(tbl.failed) > 0 && len(tbl.failed) >= min(blindAddrs, tbl.known)
+	return len(tbl.failed) > 0 && len(tbl.failed) >= min(blindAddrs, tbl.known-len(tbl.down))
 }
 
 // Idle returns how long no address was connected directly.
@@ -160,7 +183,7 @@
 // that it is recovering: it may relay connections again.
 func (tbl *Table) Advertised(now clock.Milli) (blind, recovering bool) {
 	if tbl.Blind() {
-		return true, false
+		return now-tbl.blindSince >= blindAfter || now-tbl.blindEndedAt < blindHold && tbl.blindEndedAt > 0, false
 	}
 	held := tbl.blindEndedAt > 0 && now-tbl.blindEndedAt < blindHold
 	return held, held
--- a/pkg/reach/table_test.go
+++ b/pkg/reach/table_test.go
@@ -47,6 +47,45 @@
 	}
 }
 
+// Guards against taking an instance for partitioned since many endpoints have ended at once: no other
+// instance reaches them either. Its roles change hands then.
+func TestManyDownAddressesAreNoPartition(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var tbl Table
+	tbl.SetKnown(12)
+	for now := clock.Milli(1000); now < 6000; now += 300 {
+		for i := range 2 * blindAddrs {
+			tbl.RecordDirect(addr(i), Refused, now)
+		}
+		gom.Expect(tbl.Blind()).To(gomega.Equal(now == 1000), "until others were asked")
+		for i := range 2 * blindAddrs {
+			tbl.RecordRelayed(addr(i), false, now+5)
+		}
+		gom.Expect(tbl.Blind()).To(gomega.BeFalse())
+		blind, _ := tbl.Advertised(now + 10)
+		gom.Expect(blind).To(gomega.BeFalse())
+	}
+	for i := range blindAddrs {
+		tbl.RecordDirect(addr(8+i), Unanswered, 6000)
+	}
+	gom.Expect(tbl.Blind()).To(gomega.BeTrue())
+	blind, _ := tbl.Advertised(6000 + blindAfter)
+	gom.Expect(blind).To(gomega.BeTrue())
+}
+
+// Guards against telling others of a moment in which several endpoints have ended and none was connected.
+func TestMomentIsNotAdvertised(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var tbl Table
+	tbl.SetKnown(12)
+	for i := range blindAddrs {
+		tbl.RecordDirect(addr(i), Refused, 1000)
+	}
+	gom.Expect(tbl.RecordDirect(addr(9), Connected, 1002)).To(gomega.BeTrue())
+	blind, _ := tbl.Advertised(1003)
+	gom.Expect(blind).To(gomega.BeFalse())
+}
+
 // Guards against relaying connections to an endpoint that is down: each attempt would cost two.
 func TestDownAddressIsNotRelayed(t *testing.T) {
 	gom := gomega.NewWithT(t)
