internal/coord: placements whose answer was lost are ended at all engines

Then the engines became brittle, full ones get nothing, and no answer came that would have said that they aren't brittle any more.

Before, the new test fails (nothing is placed for 5 s); after, it passes.

--- a/internal/coord/brittle_test.go
+++ b/internal/coord/brittle_test.go
@@ -24,6 +24,7 @@
 // brittleEngines are three instances and a pool of two brittle engines.
 type brittleEngines struct {
 	crds []*Coordinator
+	plss []*pools.Pools
 	ids  []ident.Incarnation
 	// silent is set while the first instance answers nothing.
 	silent chan struct{}
@@ -56,6 +57,7 @@
 		gom.Expect(err).NotTo(gomega.HaveOccurred())
 		pls := pools.New(pools.Setup{})
 		pls.Sync(bre.base.WithBrittlePool("models"))
+		bre.plss = append(bre.plss, pls)
 		bre.ids = append(bre.ids, ident.NewIncarnation(lnk.Addr()))
 		crd := New(Setup{
 			Control: state.New(state.Setup{Self: bre.ids[i], Meter: meter.New(), Log: zerolog.Nop()}), Pools: pls, Link: lnk, Log: zerolog.Nop(),
@@ -135,6 +137,25 @@
 	}
 }
 
+// Guards against engines that count as full for half a minute once they are brittle, since placements before
+// that had no answer.
+func TestLatePlacementsAreEndedBeforeEnginesAreBrittle(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bre := newBrittleEngines(t, 1)
+	for _, pls := range bre.plss {
+		pls.Sync(bre.base)
+	}
+	bre.silent <- struct{}{}
+	gom.Expect(bre.place(1, maxPlaceTimeouts-1, 0)).To(gomega.Equal(maxPlaceTimeouts - 1))
+	<-bre.silent
+	for _, pls := range bre.plss {
+		pls.Sync(bre.base.WithBrittlePool("models"))
+	}
+	for range 2 {
+		gom.Eventually(func() int { return bre.place(1, 1, 0) }, 5*time.Second).Should(gomega.Equal(1))
+	}
+}
+
 // Guards against seconds without placements after the coordinator has been late a few times: the next one
 // isn't the coordinator, and says so.
 func TestCoordinatorIsTriedAgainWhenTheNextOneRefuses(t *testing.T) {
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -87,7 +87,7 @@
 	permits permits
 	// slotWaits records what is known of the coordinators of brittle pools.
 	slotWaits slotWaits
-	// placeTries counts the placement requests for brittle engines.
+	// placeTries counts the placement requests.
 	placeTries atomic.Int64
 	// placeTimeouts counts consecutive placement requests without an answer.
 	placeTimeouts map[ident.Incarnation]timeouts
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -95,11 +95,8 @@
 		}
 		return crd.pick(pool, ticket, ask, crd.rateShareIn(vw, pool))
 	}
-	brittle := crd.set.Pools.HasBrittleEngines(pool)
-	if brittle {
-		// Placements whose answer is lost are ended one by one.
-		ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
-	}
+	// Placements whose answer is lost are ended one by one.
+	ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
 	prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
 	if prp.ID != "" {
 		if tgt, ok := crd.set.Pools.Assign(pool, prp.ID, prp.From, ticket, ask); ok {
@@ -107,12 +104,12 @@
 			return Placement{Target: tgt, promptCoordinator: inc}, true
 		}
 	}
-	if !brittle {
-		return crd.pick(pool, ticket, ask, 0)
-	}
 	if prp.ID != "" || err != nil && !errors.Is(err, errRefused) {
 		crd.endLate(inc, pool, ticket)
 	}
+	if !crd.set.Pools.HasBrittleEngines(pool) {
+		return crd.pick(pool, ticket, ask, 0)
+	}
 	if ctx.Err() != nil {
 		return Placement{}, false
 	}
