--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -144,9 +144,7 @@
 	eventually(func() int {
 		items := 0
 		for _, ep := range sdt.stages {
-			for _, bat := range ep.Batches() {
-				items += len(bat)
-			}
+			items += ep.ItemsArrived()
 		}
 		return items
 	}, pollTimeout).Should(equal(2))
