internal/peer: a reset through a relay delivers what came before it

Cause: the relay passes the reset on as the reset of its stream, and that discards what the receiver hasn't read. Shown by a test: of 200,000 bytes that had arrived at the relay 50 ms before the reset none was read. Ruled out: the direct path, where the kernel keeps what has been received.

Change: the stream's reset takes effect after what was written before it (RESET_STREAM_AT; an instance of an older build that doesn't know it goes on as before).

--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -181,6 +181,27 @@
 	}
 }
 
+// Guards against an answer that is broken off although the endpoint has sent all of it before it reset the
+// connection: what the relay has read reaches the caller's instance first.
+func TestTunnelDeliversWhatCameBeforeReset(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	for range 5 {
+		nwk := newNetwork(t)
+		con, accepted := nwk.connect(gom)
+		const size = 200_000
+		_, err := accepted.Write(make([]byte, size))
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(50 * time.Millisecond)
+		_ = accepted.SetLinger(0)
+		_ = accepted.Close()
+		time.Sleep(50 * time.Millisecond)
+		got, err := io.ReadAll(con)
+		gom.Expect(got).To(gomega.HaveLen(size))
+		gom.Expect(err).To(gomega.HaveOccurred())
+		_ = con.Close()
+	}
+}
+
 // Guards against an endpoint that works on for a caller that is gone, and against relayed connections
 // that are never freed.
 func TestTunnelPassesOnTheClose(t *testing.T) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -257,6 +257,8 @@
 		MaxIdleTimeout:       idleTimeout,
 		HandshakeIdleTimeout: 2 * time.Second,
 		MaxIncomingStreams:   maxStreams,
+
+		EnableStreamResetPartialDelivery: true,
 	}
 }
 
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -200,9 +200,11 @@
 // CloseWrite ends the outgoing direction, after what was written.
 func (tnl *Tunnel) CloseWrite() error { return tnl.str.Close() }
 
-// Reset closes both directions so that the peer doesn't take what it has received for complete.
+// Reset closes both directions, after what was written, so that the peer doesn't take what it has received
+// for complete.
 func (tnl *Tunnel) Reset() {
 	tnl.str.CancelRead(0)
+	tnl.str.SetReliableBoundary()
 	tnl.str.CancelWrite(0)
 	tnl.done()
 }
