internal/soak: requests count against partitions only while some instance could relay

The check leaves out requests during whose begin or end no instance could relay: all partitioned, in a planned shutdown or just started after one. Its bounds are as they were.

--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -89,18 +89,36 @@
 	return att.steady && (shutdownAt.IsZero() || shutdownAt.After(att.ended))
 }
 
-// allPartitioned reports whether all instances were partitioned at the given time, or since settleTime
-// before it: no instance could relay for another one.
-func (sr *soakRun) allPartitioned(at time.Time) bool {
-	cut := map[*instance]bool{}
+// noneRelays reports whether no instance could relay for another one at the given time: each was
+// partitioned, or since settleTime before it, or in a planned shutdown.
+func (sr *soakRun) noneRelays(at time.Time) bool {
+	out := map[*instance]bool{}
 	for _, prd := range sr.partitions {
 		if !at.Before(prd.from) && at.Sub(prd.until) < settleTime {
 			for _, ins := range prd.insts {
-				cut[ins] = true
+				out[ins] = true
 			}
 		}
 	}
-	return len(cut) == len(sr.insts)
+	for _, ins := range sr.insts {
+		if ins.shuttingDown(at) {
+			out[ins] = true
+		}
+	}
+	return len(out) == len(sr.insts)
+}
+
+// shuttingDown reports whether the instance was in a planned shutdown at the given time, or started lately
+// after one.
+func (ins *instance) shuttingDown(at time.Time) bool {
+	ins.mtx.Lock()
+	defer ins.mtx.Unlock()
+	for _, begin := range ins.shutdowns {
+		if !at.Before(begin) && at.Sub(begin) < ins.shutdownTimeout+settleTime {
+			return true
+		}
+	}
+	return false
 }
 
 // checkPartitions checks that partitioned instances serve their callers nearly as often as the others.
@@ -108,7 +126,7 @@
 	for _, prd := range sr.partitions {
 		var cut, cutServed, others, othersServed int
 		for _, att := range sr.order {
-			if !att.inTouch() || att.version > 0 || att.sent.Before(prd.from.Add(settleTime)) || att.ended.After(prd.until) || sr.allPartitioned(att.sent) {
+			if !att.inTouch() || att.version > 0 || att.sent.Before(prd.from.Add(settleTime)) || att.ended.After(prd.until) || sr.noneRelays(att.sent) || sr.noneRelays(att.ended) {
 				continue
 			}
 			all, done := &others, &othersServed
