--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -92,6 +92,35 @@
 		expect(checkRests(resting...)).To(gomega.BeNumerically(">", 0))
 	})
 
+	// Guards against a rest that isn't read since the request's deadline has passed with the answer.
+	ginkgo.It("is kept if it is asked for at the deadline of a request", func() {
+		tbd := newSenderTestbed(2)
+		resting := []*fake.Endpoint{tbd.engines[0], tbd.plain[0]}
+		for _, ep := range resting {
+			ep.SetRest(restTime)
+			for range 1000 {
+				ep.QueueFaults(fake.Expires)
+			}
+		}
+		var grp sync.WaitGroup
+		defer grp.Wait()
+		for began := time.Now(); time.Since(began) < restLoad; time.Sleep(25 * time.Millisecond) {
+			for node := range tbd.nodes {
+				for _, path := range []string{"/booking/x", "/stream-once/x"} {
+					grp.Go(func() {
+						req, err := fake.Request(http.MethodPost, tbd.nodes[node].set.CallerAddr(), path, host, fmt.Sprint(time.Now().UnixNano()), "300", key, "a request", nil)
+						expect(err).NotTo(anything())
+						if res, err := client.Do(req); err == nil {
+							_ = res.Body.Close()
+						}
+					})
+				}
+			}
+		}
+		grp.Wait()
+		expect(checkRests(resting...)).To(gomega.BeNumerically(">", 0))
+	})
+
 	// Guards against calls whose connection was still being opened when the endpoint asked for rest.
 	ginkgo.It("is kept by requests that wait for a connection", func() {
 		tbd := newTokenTestbed(0, 60000)
