--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -144,6 +144,23 @@
 		expect(checkRests(resting...)).To(gomega.BeNumerically(">", 0))
 	})
 
+	// Guards against rests that are asked for in answers to queries and releases.
+	ginkgo.It("is kept if it is asked for in the answer to any call", func() {
+		tbd := newSenderTestbed(3)
+		for _, ep := range tbd.engines {
+			ep.SetRest(restTime)
+			ep.SetShedding("/-/kv-list")
+		}
+		tbd.stages[0].SetRest(restTime)
+		tbd.stages[0].SetShedding("/-/stage-free")
+		tbd.stages[1].SetRest(restTime)
+		tbd.stages[1].SetShedding("/-/report")
+		ctx, cancel := context.WithTimeout(context.Background(), restLoad)
+		defer cancel()
+		tbd.sendMixed(ctx, 40)
+		expect(checkRests(append(tbd.engines, tbd.stages...)...)).To(gomega.BeNumerically(">", 0))
+	})
+
 	// Guards against a pool whose endpoints all rest, and get requests since there are no others.
 	ginkgo.It("is kept if the whole pool rests", func() {
 		tbd := newSenderTestbed(3)
