internal/state, internal/meter: rests that no known endpoint has asked for leave a line and a count

An answer that asks for rest was dropped without a line if its request had named no endpoint, or one that isn't listed at the address, so that logs couldn't tell a rest that wasn't kept from one that was never noticed.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -65,11 +65,12 @@
 	EventFactEvicted   = "fact_evicted"
 	EventStoreRestored = "store_came_back_from_copy"
 	EventRest          = "endpoint_rest"
+	EventRestOfNone    = "endpoint_rest_of_none"
 )
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone,
 }
 
 // Names of the gauges.
--- a/internal/state/notices.go
+++ b/internal/state/notices.go
@@ -89,12 +89,12 @@
 // RecordNotice records what an answer from an address says of its endpoint. sent is when the request was
 // sent, relay the instance that relayed it, empty for none.
 func (ctl *Control) RecordNotice(addr string, ntc proto.Notice, sent clock.Milli, relay ident.Incarnation) {
+	vw := ctl.View()
+	ctl.recordRest(vw, addr, ntc, relay)
 	if ntc.Endpoint == "" {
 		return
 	}
-	vw := ctl.View()
 	ctl.recordLeaving(vw, addr, ntc)
-	ctl.recordRest(vw, addr, ntc, relay)
 	values := map[gossip.Kind]proto.Declared{gossip.DeclaredRate: ntc.Rate, gossip.DeclaredBrittle: ntc.Brittle}
 	for _, kind := range declaredKinds {
 		if !values[kind].Is && len(vw.declared[kind]) == 0 {
--- a/internal/state/rests.go
+++ b/internal/state/rests.go
@@ -81,10 +81,12 @@
 	if ntc.RestText == "" {
 		return
 	}
+	known := false
 	for _, ep := range vw.endpoints {
 		if ep.Addr != addr || ep.ID.Name() != ntc.Endpoint {
 			continue
 		}
+		known = true
 		ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("asked", ntc.RestText).Int64("rest_ms", int64(ntc.Rest)).Str("relay", string(relay)).Msg("endpoint asks for rest")
 		if ntc.Rest == 0 {
 			continue
@@ -94,4 +96,8 @@
 			ctl.set.OnRest(ep.ID, ntc.Rest, relay)
 		}
 	}
+	if !known {
+		ctl.set.Meter.CountEvent(meter.EventRestOfNone)
+		ctl.set.Log.Info().Str("addr", addr).Str("named", ntc.Endpoint).Str("asked", ntc.RestText).Str("relay", string(relay)).Msg("rest asked for by an endpoint that isn't known")
+	}
 }
