internal/state, internal/proto, platform: a rest counts whatever request it answers

What operators would see: an endpoint that asks for rest in the answer to a release goes on getting calls from that instance.

Cause: a release names no endpoint, only the address that holds the results, and a notice without a name was nobody's. Ruled out: the answers to batches and queries, which name theirs (the same spec; a query for free storage and one for caches that ask for rest are kept). The class is that of: what an answer tells about its endpoint is dropped. A notice now tells whether its request named nobody; a rest then counts for the process listed at the address. An answer by another process (421) still counts for none.

--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -81,6 +81,9 @@
 	// address would have said so. It is empty if the request named none, or if another process
 	// answered: the notice is nobody's then.
 	Endpoint string
+	// Unnamed is set if the request named no endpoint. What the answer says concerns whichever listens at
+	// the address.
+	Unnamed bool
 	// Success is set if the endpoint answered with a success.
 	Success bool
 	// Rate is the rate limit that the endpoint declares, in requests per second from all instances
--- a/internal/state/rests.go
+++ b/internal/state/rests.go
@@ -83,7 +83,7 @@
 	}
 	known := false
 	for _, ep := range vw.endpoints {
-		if ep.Addr != addr || ep.ID.Name() != ntc.Endpoint {
+		if ep.Addr != addr || !ntc.Unnamed && ep.ID.Name() != ntc.Endpoint {
 			continue
 		}
 		known = true
--- a/internal/state/rests_test.go
+++ b/internal/state/rests_test.go
@@ -67,4 +67,8 @@
 	gom.Expect(ctl.Resting("other")).To(gomega.BeFalse())
 	gom.Expect(ctl.RestUntil("there")).To(gomega.BeNumerically("~", now+60000, 1000))
 	gom.Expect(told).To(gomega.Receive(gomega.Equal("there 60000 r#1")))
+	ctl.RecordNotice("b", proto.Notice{Rest: 60000, RestText: "60"}, now, "")
+	gom.Expect(ctl.Resting("other")).To(gomega.BeFalse(), "another process answered")
+	ctl.RecordNotice("b", proto.Notice{Unnamed: true, Rest: 60000, RestText: "60"}, now, "")
+	gom.Expect(ctl.Resting("other")).To(gomega.BeTrue(), "the request named no endpoint")
 }
