internal/front: an attempt waits for its endpoint's answer until just after the deadline

What operators would see: an endpoint asks for rest when it refuses requests whose deadline has passed in its queue, and goes on getting requests.

Cause: the call to the endpoint ended at the same moment as the endpoint refused it, so that the answer was never read. The class is that of: what an answer tells about its endpoint is dropped. Ruled out: that the rest is read and not obeyed (no line "endpoint asks for rest" for these).

An attempt now waits 100 ms beyond the deadline for the answer. The caller of a route whose timeout passes in an endpoint's queue learns by it that nothing ran, and may come back. A hung endpoint's caller is answered that much later than its deadline; a planned stop admits requests accordingly.

--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -29,7 +29,7 @@
 	if !is {
 		return nxt(ctx, cl)
 	}
-	taken := cl.deadline <= end
+	taken := cl.deadline+answerGrace <= end
 	now := fr.set.Clock.Now()
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("route", cl.route.Name()).Int64("deadline_ms", int64(cl.deadline-now)).
 		Int64("left_ms", int64(end-now)).Bool("taken", taken).Msg("request during planned shutdown")
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -22,6 +22,9 @@
 	// slotWaitDivisor divides the target latency into the longest wait for a slot at a full
 	// pool: beyond it, an immediate refusal is worth more to the caller than a late one.
 	slotWaitDivisor = 8
+	// answerGrace is how much longer than its deadline an attempt waits for the endpoint's answer. An
+	// endpoint refuses a request whose deadline passes in its queue, and may ask for rest with it.
+	answerGrace = 100 * clock.Milli(1)
 	// slotPollInterval is the interval at which a full pool is polled for a free slot.
 	slotPollInterval = 5 * time.Millisecond
 	// fetchGrace is the time that an engine has to fetch a request's inputs after the request
@@ -172,7 +175,7 @@
 	cl.endpoint = string(tgt.ID)
 	run.rejected = false
 	run.avoid = append(run.avoid, string(tgt.ID))
-	actx, cancel := context.WithCancel(ctx)
+	actx, cancel := context.WithDeadline(cl.http.Context(), fr.set.Clock.Deadline(cl.deadline+answerGrace))
 	defer cancel()
 	defer fr.pools.Watch(cl.pool.Name(), tgt.ID, cancel)()
 	began := fr.set.Clock.Now()
