--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -36,6 +36,9 @@
 	ItemKey string
 	// LastEvent is the ID of the last stream event that the caller has received.
 	LastEvent string
+	// Resumes is the ID of the attempt that brought the first event of the stream which this one resumes;
+	// empty for none.
+	Resumes string
 }
 
 // SendMeta is the metadata that the system adds to a request to an endpoint.
@@ -114,6 +117,9 @@
 	Zone    string
 	Places  int
 	Leaving bool
+	// Build is the build of the endpoint's software, empty if it is unknown. Builds compare for equality
+	// only.
+	Build string
 }
 
 // Instance is an instance's entry in the store.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -185,7 +185,7 @@
 func (ctl *Control) publish(now clock.Milli) {
 	old := ctl.view.Load()
 	vw := &View{
-		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, pastLists: old.pastLists,
+		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, builds: old.builds, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
@@ -205,10 +205,10 @@
 		}
 	}
 	if ctl.dirty {
-		vw.digest = digest(vw.endpoints)
+		vw.digest, vw.builds = digest(vw.endpoints), digestBuilds(vw.endpoints)
 	}
-	if vw.digest != old.digest {
-		vw.pastLists = appendPast(old.pastLists, endpointList{Digest: old.digest, List: old.endpoints})
+	if vw.digest != old.digest || vw.builds != old.builds {
+		vw.pastLists = appendPast(old.pastLists, endpointList{Digest: old.digest, Builds: old.builds, List: old.endpoints})
 	}
 	ctl.stepped = false
 	ctl.logChanges(old, vw, now)
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -221,7 +221,7 @@
 		old, ok := before[ep.ID]
 		delete(before, ep.ID)
 		if !ok || old.Leaving != ep.Leaving {
-			ect.ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("addr", ep.Addr).
+			ect.ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("addr", ep.Addr).Str("build", ep.Build).
 				Bool("new", !ok).Bool("started_again", !ok && names[ep.ID.Name()]).Bool("leaving", ep.Leaving).Msg("endpoint changed")
 		}
 	}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -75,6 +75,8 @@
 	// while the store does not answer the reader, so that the follower learns within that time that
 	// the store is back.
 	Patient bool `cbor:"3,keyasint,omitempty"`
+	// Builds identifies the builds of the list last received; zero from followers that know none.
+	Builds uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // follow requests the next update from a reader, and applies it.
@@ -124,7 +126,7 @@
 }
 
 func (dct *docsCtl) updateRequest() updateRequest {
-	return updateRequest{Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest}
+	return updateRequest{Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest, Builds: dct.fromReader.Builds}
 }
 
 // ServeFollower answers a follower; it is registered with the link.
@@ -151,7 +153,7 @@
 		upd.Text = vw.text
 	}
 	if vw.hasUpdate(req) {
-		upd.fillEndpoints(vw, req.Digest)
+		upd.fillEndpoints(vw, req)
 	}
 	if body, err := cbor.Marshal(upd); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
@@ -172,7 +174,7 @@
 // sent an empty list, a follower that had read the endpoints itself lost all of them and refused
 // requests.
 func (vw *View) hasUpdate(req updateRequest) bool {
-	return vw.endpointsKnown && vw.digest != req.Digest
+	return vw.endpointsKnown && (vw.digest != req.Digest || req.Builds != 0 && vw.builds != req.Builds)
 }
 
 // waitFor waits up to a span for a view that satisfies a condition, and returns the latest view.
--- a/internal/state/lists.go
+++ b/internal/state/lists.go
@@ -19,6 +19,9 @@
 // endpointList is a list of endpoints with the digest that identifies it.
 type endpointList struct {
 	Digest uint64
+	// Builds identifies the builds of the endpoints. Instances of earlier versions know no builds, and
+	// compute the same Digest.
+	Builds uint64
 	List   []proto.Endpoint
 }
 
@@ -34,16 +37,30 @@
 	return sum.Sum64()
 }
 
+// digestBuilds identifies the builds of a list of endpoints.
+func digestBuilds(list []proto.Endpoint) uint64 {
+	sum := xxhash.New()
+	for _, ep := range list {
+		for _, text := range []string{string(ep.ID), ep.Build} {
+			_, _ = sum.WriteString(text)
+			_, _ = sum.WriteString("\x00")
+		}
+	}
+	return sum.Sum64()
+}
+
 // appendPast adds the list of a replaced view to the earlier lists.
 func appendPast(past []endpointList, last endpointList) []endpointList {
 	past = append(slices.Clone(past), last)
 	return past[max(0, len(past)-maxPastLists):]
 }
 
-// fillEndpoints sets an update's endpoints for a follower whose list has the given digest.
-func (upd *update) fillEndpoints(vw *View, has uint64) {
+// fillEndpoints sets an update's endpoints for a follower.
+func (upd *update) fillEndpoints(vw *View, req updateRequest) {
 	upd.Listed, upd.Digest, upd.Endpoints = true, vw.digest, vw.endpoints
-	at := slices.IndexFunc(vw.pastLists, func(lst endpointList) bool { return lst.Digest == has })
+	at := slices.IndexFunc(vw.pastLists, func(lst endpointList) bool {
+		return lst.Digest == req.Digest && (req.Builds == 0 || lst.Builds == req.Builds)
+	})
 	if at < 0 {
 		return
 	}
@@ -79,7 +96,7 @@
 		*lst = endpointList{}
 		return false
 	}
-	lst.Digest, lst.List = upd.Digest, list
+	lst.Digest, lst.Builds, lst.List = upd.Digest, digestBuilds(list), list
 	return true
 }
 
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -31,7 +31,7 @@
 }
 
 // Guards against followers whose list of endpoints differs from their reader's. Lists change at
-// random, and a follower asks at random, at times after more changes than the reader keeps; where
+// random, builds too, and a follower asks at random, at times after more changes than the reader keeps; where
 // the reader still has the follower's list, it sends the changes alone.
 func TestFollowerReceivesChanges(t *testing.T) {
 	rapid.Check(t, func(rpd *rapid.T) {
@@ -43,7 +43,7 @@
 		for range rapid.IntRange(1, 60).Draw(rpd, "steps") {
 			var eps []proto.Endpoint
 			for _, id := range slices.Sorted(slices.Values(ids.Draw(rpd, "ids"))) {
-				eps = append(eps, proto.Endpoint{ID: ident.Process(fmt.Sprintf("e%02d", id)), Addr: "a", Leaving: rapid.Bool().Draw(rpd, "leaving")})
+				eps = append(eps, proto.Endpoint{ID: ident.Process(fmt.Sprintf("e%02d", id)), Addr: "a", Leaving: rapid.Bool().Draw(rpd, "leaving"), Build: rapid.SampledFrom([]string{"v1", "v2"}).Draw(rpd, "build")})
 			}
 			ctl.endpts.list, ctl.dirty = eps, true
 			ctl.publish(0)
@@ -52,15 +52,16 @@
 				continue
 			}
 			vw := ctl.View()
-			if fol.Digest != vw.digest {
+			if fol.Digest != vw.digest || fol.Builds != vw.builds {
 				var upd update
-				upd.fillEndpoints(vw, fol.Digest)
+				upd.fillEndpoints(vw, updateRequest{Digest: fol.Digest, Builds: fol.Builds})
 				gom.Expect(upd.Changed || fol.Digest == 0 || since >= maxPastLists).To(gomega.BeTrue())
 				gom.Expect(fol.apply(upd)).To(gomega.BeTrue())
 				since = 0
 			}
 			gom.Expect(fol.Digest).To(gomega.Equal(vw.digest))
 			gom.Expect(len(fol.List)).To(gomega.Equal(len(vw.endpoints)))
+			gom.Expect(slices.Equal(fol.List, vw.endpoints)).To(gomega.BeTrue())
 			gom.Expect(digest(fol.List)).To(gomega.Equal(vw.digest))
 		}
 	})
@@ -75,7 +76,7 @@
 	fol := newEndpts()
 	fol.ctl.docs.plan, fol.ctl.docs.doc.Offset = &plan.Plan{}, 7
 	var upd update
-	upd.fillEndpoints(rdr.View(), 0)
+	upd.fillEndpoints(rdr.View(), updateRequest{})
 	gom.Expect(fol.ctl.docs.fromReader.apply(upd)).To(gomega.BeTrue())
 	fol.apply(slices.Clone(fol.ctl.docs.fromReader.List), 0)
 	fol.markLeaving("a", "it said so", 0)
@@ -98,7 +99,7 @@
 	rdr := reader(list("a", "b"))
 	fol := newEndpts()
 	var upd update
-	upd.fillEndpoints(rdr.View(), 0)
+	upd.fillEndpoints(rdr.View(), updateRequest{})
 	gom.Expect(fol.ctl.docs.fromReader.apply(upd)).To(gomega.BeTrue())
 	gom.Expect(fol.ctl.docs.updateRequest().Digest).To(gomega.Equal(rdr.View().digest))
 	fol.applyRead(list("a"), nil, nil, 10*clock.Second)
@@ -114,14 +115,14 @@
 	rdr := reader(list("a", "b", "c"))
 	fol := newEndpts()
 	var whole update
-	whole.fillEndpoints(rdr.View(), 0)
+	whole.fillEndpoints(rdr.View(), updateRequest{})
 	gom.Expect(fol.ctl.docs.fromReader.apply(whole)).To(gomega.BeTrue())
 	sent := fol.ctl.docs.updateRequest()
 
 	rdr.endpts.list, rdr.dirty = list("a", "b", "c", "d"), true
 	rdr.publish(0)
 	var change update
-	change.fillEndpoints(rdr.View(), sent.Digest)
+	change.fillEndpoints(rdr.View(), sent)
 	gom.Expect(change.Changed).To(gomega.BeTrue())
 	fol.applyRead(list("a", "b", "c"), nil, nil, 10*clock.Second)
 	gom.Expect(fol.ctl.docs.fromReader.apply(change)).To(gomega.BeFalse())
@@ -129,7 +130,7 @@
 
 	gom.Expect(fol.ctl.docs.updateRequest().Digest).To(gomega.BeZero())
 	var next update
-	next.fillEndpoints(rdr.View(), 0)
+	next.fillEndpoints(rdr.View(), updateRequest{})
 	gom.Expect(fol.ctl.docs.fromReader.apply(next)).To(gomega.BeTrue())
 	gom.Expect(fol.ctl.docs.fromReader.List).To(gomega.HaveLen(4))
 }
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -18,8 +18,9 @@
 	storeEra  int64
 	asOf      clock.Milli
 	endpoints []proto.Endpoint
-	// digest identifies the list of endpoints; pastLists has earlier lists.
+	// digest identifies the list of endpoints, builds their builds; pastLists has earlier lists.
 	digest    uint64
+	builds    uint64
 	pastLists []endpointList
 	// endpointsKnown is set if endpoints were read, or received from another instance.
 	endpointsKnown bool
