pkg/sticky, internal/coord, internal/front: a stream goes on only at the build that began it

Cause: the build was read and dropped, and a stream that was broken off, or taken up by its caller, went to any endpoint but the last one. The class: endpoints of a pool are taken as interchangeable for work that has already begun.

A stream is bound, right before its first event is sent to the caller, to the pool and the build of the endpoint. Within an answer it is resumed there or broken off. The instance reports the binding at once to the pool's coordinator, in the message with the first event's report; the coordinator sends copies to the next two in its ranking, twenty milliseconds together. Whoever gets a request that resumes a stream asks these three, then up to sixteen others; when the ranking changes, instances send new holders what they began, and the first remaining holder all that it knows. What nobody knows, or what is known in two ways, isn't resumed: 503, not run, without Retry-After (build_unknown, build_gone). Keys contain the workspace. A caller that names no attempt is known by its request, and goes on only while all endpoints are of one build.

Ruled out: that builds were known and lost (nothing knew them). Weighed: notes to all instances (cost grows with instances times streams), the store (a write a stream), holders by the stream's id (a message a stream for each in place of batches). It costs the same with one build as with several: what begins while there is one would be unknown when the next one comes.

--- /dev/null
+++ b/internal/coord/bindings_test.go
@@ -0,0 +1,133 @@
+package coord
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/pools"
+	"amaranthvalve/internal/state"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/sticky"
+)
+
+// bindingPeers are coordinators that are linked to each other.
+type bindingPeers struct {
+	crds    []*Coordinator
+	ids     []ident.Incarnation
+	ranking atomic.Pointer[[]ident.Incarnation]
+}
+
+func newBindingPeers(t *testing.T, count int) *bindingPeers {
+	gom := gomega.NewWithT(t)
+	bps := &bindingPeers{crds: make([]*Coordinator, count)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range count {
+		server, client, err := peer.EphemeralTLS()
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		lnk, err := peer.Listen("127.0.0.1:0", server, client, func(_ context.Context, msg peer.Message) peer.Message {
+			switch msg.Kind {
+			case peer.NoteBindings:
+				return bps.crds[i].HandleBindings(msg)
+			case peer.FindBinding:
+				return bps.crds[i].HandleFind(msg)
+			}
+			return bps.crds[i].HandleReports(msg)
+		})
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		bps.ids = append(bps.ids, ident.NewIncarnation(lnk.Addr()))
+		ctl := state.New(state.Setup{Self: bps.ids[i], Meter: meter.New(), Log: zerolog.Nop()})
+		bps.crds[i] = New(Setup{Control: ctl, Pools: pools.New(pools.Setup{}), Link: lnk, Log: zerolog.Nop(), Ranking: func(string) []ident.Incarnation { return *bps.ranking.Load() }})
+		go lnk.Serve(ctx)
+	}
+	return bps
+}
+
+// soon bounds the waits of tests.
+const soon = 5 * time.Second
+
+// rank sets the order in which instances coordinate all pools, and returns a view of it.
+func (bps *bindingPeers) rank(list ...ident.Incarnation) *state.View {
+	bps.ranking.Store(&list)
+	pln, _ := plan.Compile(plan.Draft{})
+	return state.ViewOf(pln).WithBrittlePool("engines", list...)
+}
+
+// found returns the build of a stream as an instance knows it, without asking others.
+func (bps *bindingPeers) found(i int, key sticky.Key) func() string {
+	return func() string {
+		return bps.crds[i].bindings.find(bindingQuery{Pools: []string{"engines"}, Key: key}, bps.crds[i].set.Clock.Now()).Build
+	}
+}
+
+// Guards against streams that can't be resumed since the instances that knew their build have ended.
+func TestNewHoldersGetBindings(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bps := newBindingPeers(t, 5)
+	began, elsewhere := sticky.KeyOf("began at the coordinator"), sticky.KeyOf("began at another instance")
+	before := bps.rank(bps.ids...)
+	bps.crds[0].BindStream(before, "engines", "v1", began)
+	bps.crds[4].BindStream(before, "engines", "v1.1", elsewhere)
+	for _, i := range []int{1, 2} {
+		gom.Eventually(bps.found(i, began), soon).Should(gomega.Equal("v1"), "holder %d", i)
+	}
+	gom.Eventually(bps.found(0, elsewhere), soon).Should(gomega.Equal("v1.1"))
+	gom.Expect(bps.found(3, began)()).To(gomega.BeEmpty())
+	for _, crd := range bps.crds {
+		crd.handOver()
+	}
+	// The first coordinator has ended.
+	bps.rank(bps.ids[1:]...)
+	for _, crd := range bps.crds[1:] {
+		crd.handOver()
+	}
+	gom.Eventually(bps.found(3, began), soon).Should(gomega.Equal("v1"))
+	gom.Eventually(bps.found(3, elsewhere), soon).Should(gomega.Equal("v1.1"))
+	gom.Expect(bps.found(4, began)()).To(gomega.BeEmpty())
+}
+
+// Guards against a binding that is lost with the coordinator to which it was reported.
+func TestBindingsGoToOtherHolders(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bps := newBindingPeers(t, 3)
+	key := sticky.KeyOf("a stream")
+	gone := ident.NewIncarnation("127.0.0.1:9")
+	vw := bps.rank(gone, bps.ids[1], bps.ids[2])
+	bps.crds[0].BindStream(vw, "engines", "v1", key)
+	for _, i := range []int{1, 2} {
+		gom.Eventually(bps.found(i, key), 3*time.Second).Should(gomega.Equal("v1"), "holder %d", i)
+	}
+}
+
+// Guards against a stream that is resumed at one of two builds by which instances know it.
+func TestContradictionsBindToNone(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	one, two := Bound{Pool: "engines", Build: "v1", Known: true}, Bound{Pool: "engines", Build: "v2", Known: true}
+	other, none := Bound{Pool: "others", Build: "v1", Known: true}, Bound{Known: true}
+	for _, tst := range []struct{ left, right, want Bound }{
+		{Bound{}, Bound{}, Bound{}},
+		{one, Bound{}, one},
+		{Bound{}, one, one},
+		{one, one, one},
+		{one, two, none},
+		{one, other, none},
+		{one, none, none},
+		{none, one, none},
+	} {
+		gom.Expect(tst.left.merge(tst.right)).To(gomega.Equal(tst.want), "%v and %v", tst.left, tst.right)
+	}
+	var bds bindings
+	key := sticky.KeyOf("a stream")
+	bds.add("engines", []sticky.Binding{{Key: key, Build: "v1"}}, false, 0)
+	bds.add("others", []sticky.Binding{{Key: key, Build: "v1"}}, false, 0)
+	gom.Expect(bds.find(bindingQuery{Pools: []string{"engines"}, Key: key}, 0)).To(gomega.Equal(one))
+	gom.Expect(bds.find(bindingQuery{Pools: []string{"engines", "others"}, Key: key}, 0)).To(gomega.Equal(none))
+}
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -62,6 +62,9 @@
 	CachedParts func(ctx context.Context, ep proto.Endpoint) ([]place.Part, error)
 	// Origins returns the instances for which this one relays connections to an endpoint; nil for none.
 	Origins func(id ident.Process) []ident.Incarnation
+	// Ranking returns the instances in the order in which they coordinate a pool; nil selects that of the
+	// current view.
+	Ranking func(pool string) []ident.Incarnation
 	// After runs work after a delay; nil selects the runtime's timers.
 	After func(span clock.Milli, work func())
 }
@@ -82,6 +85,8 @@
 	orders   atomic.Int64
 	arrivals arrivals
 	reports  reports
+	// bindings records at which builds streams began.
+	bindings bindings
 	tenures  tenures
 	// permits records until when the coordinators of plain pools have no permits.
 	permits permits
@@ -98,6 +103,9 @@
 	if set.After == nil {
 		set.After = func(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
 	}
+	if set.Ranking == nil {
+		set.Ranking = func(pool string) []ident.Incarnation { return set.Control.View().Coordinators(pool) }
+	}
 	crd := &Coordinator{set: set, joined: make(chan struct{}), unresponsiveUntil: map[ident.Incarnation]clock.Milli{}, placeTimeouts: map[ident.Incarnation]timeouts{}, waitEstimates: map[string]waitEstimate{}}
 	if set.Link == nil {
 		close(crd.joined)
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/place"
+	"amaranthvalve/pkg/sticky"
 )
 
 // The coordinator of a pool of model engines places the prompts of all instances. It gets a
@@ -68,6 +69,8 @@
 	// set if it had no room for the request.
 	Slot     ident.Process `cbor:"6,keyasint,omitempty"`
 	Rejected bool          `cbor:"7,keyasint,omitempty"`
+	// Bindings are those of streams that began; the other fields but Pool are unset then.
+	Bindings []sticky.Binding `cbor:"8,keyasint,omitempty"`
 	// repeated is set once the report is sent again.
 	repeated bool
 }
@@ -85,6 +88,7 @@
 func (crd *Coordinator) Place(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
 	ask.Avoid = crd.withResting(ask.Avoid)
 	if pol, ok := vw.Plan().Pool(pool); ok && pol.Engine() == nil {
+		ask.Avoid = slices.Concat(ask.Avoid, crd.set.Pools.OtherBuilds(pool, ask.Build))
 		return crd.placePlain(ctx, vw, pool, ticket, ask)
 	}
 	inc := crd.promptCoordinator(vw, pool)
@@ -149,7 +153,7 @@
 		if at := strings.LastIndexByte(ticket, '/'); at >= 0 {
 			request = ticket[:at]
 		}
-		crd.set.Log.Info().Str("request", request).Str("pool", pool).Str("endpoint", string(tgt.ID)).Int("tokens", ask.Prompt.InTokens).Int("held_tokens", why.CachedTokens).
+		crd.set.Log.Info().Str("request", request).Str("pool", pool).Str("endpoint", string(tgt.ID)).Str("build", tgt.Build).Int("tokens", ask.Prompt.InTokens).Int("held_tokens", why.CachedTokens).
 			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Int("ejected", why.Ejected).Msg("engine chosen")
 	}
 	return Placement{Target: tgt}, ok
@@ -319,6 +323,11 @@
 		return peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
 	}
 	for _, rpt := range list {
+		if len(rpt.Bindings) > 0 {
+			crd.bindings.add(rpt.Pool, rpt.Bindings, false, crd.set.Clock.Now())
+			crd.copyBindings(rpt.Pool, rpt.Bindings)
+			continue
+		}
 		if rpt.Slot != "" {
 			crd.set.Pools.ReleaseSlot(rpt.Slot, rpt.Ticket, rpt.Rejected)
 			continue
@@ -358,6 +367,9 @@
 	list := rps.byCoordinator[inc]
 	delete(rps.byCoordinator, inc)
 	rps.mtx.Unlock()
+	if len(list) == 0 {
+		return
+	}
 	body, err := cbor.Marshal(list)
 	if err != nil {
 		return
@@ -370,10 +382,14 @@
 }
 
 // repeatReleases adds the releases of slots to the next message to a coordinator, each once: a slot
-// that is not released is unused until its request must have ended. Other reports that are lost are
-// not repeated, since a coordinator drops requests without a report after a while.
+// that is not released is unused until its request must have ended. Bindings are sent to the other holders.
+// Other reports that are lost are not repeated, since a coordinator drops requests without a report after a
+// while.
 func (rps *reports) repeatReleases(crd *Coordinator, inc ident.Incarnation, list []report) {
 	for _, rpt := range list {
+		if len(rpt.Bindings) > 0 {
+			crd.copyBindings(rpt.Pool, rpt.Bindings)
+		}
 		if rpt.Slot != "" && !rpt.repeated {
 			rpt.repeated = true
 			rps.add(crd, inc, rpt)
--- a/internal/coord/rests.go
+++ b/internal/coord/rests.go
@@ -94,14 +94,14 @@
 }
 
 // RestEnd reports whether all endpoints of a pool have asked this instance for rest, and when the first
-// of these rests ends.
-func (crd *Coordinator) RestEnd(pool string) (end clock.Milli, all bool) {
+// of these rests ends. With a build, its endpoints alone count.
+func (crd *Coordinator) RestEnd(pool, build string) (end clock.Milli, all bool) {
 	rests := crd.set.Control.Rests()
 	if len(rests) == 0 {
 		return 0, false
 	}
 	for _, ep := range crd.set.Control.View().Endpoints() {
-		if ep.Pool != pool || ep.Leaving {
+		if ep.Pool != pool || ep.Leaving || build != "" && ep.Build != build {
 			continue
 		}
 		until, resting := rests[ep.ID]
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -84,6 +84,8 @@
 	nextPlacement *coord.Placement
 	// lastEvent is the ID of the last stream event that the caller has received.
 	lastEvent string
+	// bound is set once the stream's build has been recorded.
+	bound bool
 	// prev is the result of the previous attempt; fallback is a complete failure response of an
 	// endpoint, which is forwarded if no other endpoint does better.
 	prev     outcm.Result
@@ -114,7 +116,7 @@
 		if tgt, ok := fr.coord.Place(ctx, fr.set.Control.View(), cl.pool.Name(), cl.ticket(), ask); ok {
 			return tgt, outcm.Result{}
 		}
-		if end, all := fr.coord.RestEnd(cl.pool.Name()); all && end > until {
+		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until {
 			return coord.Placement{}, fr.refuseResting(end)
 		}
 		if len(run.avoid) > 0 || ctx.Err() != nil || fr.set.Clock.Now() >= until {
@@ -185,7 +187,7 @@
 	// instance.
 	rqs.Allowed = func() bool {
 		return fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
-			!fr.set.Control.Resting(tgt.ID)
+			!fr.set.Control.Resting(tgt.ID) && cl.bound.allows(fr.set.Control.View().Build(tgt.ID))
 	}
 	var cgd cancelGuard
 	timer := run.cancelIfSlow(actx, &cgd, cancel)
@@ -284,6 +286,9 @@
 		return refuseUnconfirmed(), false
 	case !fr.tokenValid(cl) || fr.isQuarantined(cl) || cl.trial && run.mayHaveRun > 0:
 		return res, false
+	case !cl.bound.resumable() || cl.bound.is && !fr.pools.HasBuild(cl.pool.Name(), cl.bound.build):
+		// What follows of the stream would be of another build.
+		return res, false
 	case end.Sent() && !run.repeatPaid && !fr.pools.TakeRetry(cl.pool.Name(), fr.set.Control.View()):
 		return res, false
 	}
@@ -296,7 +301,7 @@
 func (run *finalRun) failureResult(end ending.Ending) outcm.Result {
 	fr, cl := run.fr, run.cl
 	passed := fr.set.Clock.Now() >= cl.deadline
-	rested, all := fr.coord.RestEnd(cl.pool.Name())
+	rested, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build)
 	switch {
 	case run.mayHaveRun == 0 && passed:
 		return outcm.Refuse(outcm.DeadlinePassed, minRetryAfter, "no endpoint accepted the request before its deadline")
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -148,6 +148,7 @@
 		if err != nil {
 			break
 		}
+		run.bind(tgt)
 		if cl.out.write(event) != nil {
 			run.bodyEnded(tgt, rsp, ending.Unread, 0)
 			run.release(tgt, route.Cancelled, 0)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,7 +56,7 @@
 // New returns a front with its filters linked in order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, coord: set.Coordinator}
-	fr.head = chain.Link(fr.final, fr.match, fr.drain, fr.identify, fr.quarantine, fr.admit, fr.stages)
+	fr.head = chain.Link(fr.final, fr.match, fr.drain, fr.identify, fr.quarantine, fr.resume, fr.admit, fr.stages)
 	return fr
 }
 
@@ -80,6 +80,9 @@
 	rank     int
 	// sinceFirst is the time since the caller first sent this request.
 	sinceFirst clock.Milli
+	// bound is set once events of the stream have been sent to the caller, by this attempt or by an earlier
+	// one: the stream may go on only at this build of this pool.
+	bound binding
 	// engine is the model engine that the request will probably be placed at.
 	engine place.Engine
 	inputs []string
--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -51,10 +51,6 @@
 	}
 	cl.route = rte
 	fr.setDeadlines(cl)
-	if ask.LastEvent != "" || ask.Resumes != "" {
-		fr.set.Log.Info().Str("request", ask.ID).Str("route", rte.Name()).Bool("resumable", rte.Resumable()).Str("after", ask.LastEvent).
-			Str("resumes", ask.Resumes).Int64("left_ms", int64(cl.deadline-cl.arrived)).Msg("stream is to be resumed")
-	}
 	if res := fr.readBody(cl, pln.Limits()); res.Outcome() != outcm.Pending {
 		return res
 	}
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -50,7 +51,7 @@
 
 // placeAsk returns what the placement of the final call depends on.
 func (cl *call) placeAsk(avoid []string) place.Ask {
-	ask := place.Ask{Salt: cl.ask.ID, Avoid: avoid, MaxGap: cl.route.MaxEventGap()}
+	ask := place.Ask{Salt: cl.ask.ID, Avoid: avoid, MaxGap: cl.route.MaxEventGap(), Build: cl.bound.build}
 	if cl.ask.Prompt != nil {
 		ask.Prompt = *cl.ask.Prompt
 	}
@@ -86,13 +87,13 @@
 // admitted as long as they meet their deadline. The target latency of a retry counts from the
 // caller's first attempt, so that it goes before requests that came later.
 func (fr *Front) admit(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
-	name := cl.route.Target(rand.Float64())
+	name := cmp.Or(cl.bound.pool, cl.route.Target(rand.Float64()))
 	pol, ok := cl.view.Plan().Pool(name)
 	if !ok || !fr.pools.Usable(name) {
 		return outcm.Refuse(outcm.NoEndpoint, retry.Jittered(staleRetryAfter), "the pool has no usable endpoint")
 	}
 	cl.pool = pol
-	if end, all := fr.coord.RestEnd(name); all && end > fr.set.Clock.Now()+fr.firstByteEstimate(cl)+cl.slotWait() {
+	if end, all := fr.coord.RestEnd(name, cl.bound.build); all && end > fr.set.Clock.Now()+fr.firstByteEstimate(cl)+cl.slotWait() {
 		return fr.refuseResting(end)
 	}
 	if len(cl.ask.Items) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Items), 0)) > coord.MaxItems {
--- a/internal/node/build_test.go
+++ b/internal/node/build_test.go
@@ -4,16 +4,20 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/dial"
 	"amaranthvalve/internal/stand"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
@@ -36,22 +40,24 @@
 func (tbd *testbed) useBuilds(builds ...string) {
 	old := tbd.engines
 	tbd.engines = nil
+	var names []string
 	for i, build := range builds {
-		tbd.engines = append(tbd.engines, tbd.addBuild(fmt.Sprintf("engine-%s-%d", build, i), build))
+		names = append(names, fmt.Sprintf("engine-%s-%d", build, i))
+		tbd.engines = append(tbd.engines, tbd.addBuild(names[i], build))
 	}
 	for _, ep := range old {
 		tbd.store.RemoveEndpoint(ep.ID())
 	}
 	for _, nod := range tbd.nodes {
-		eventually(func() int {
-			count := 0
+		eventually(func() []string {
+			var ids []string
 			for _, ep := range nod.ctl.View().Endpoints() {
 				if ep.Pool == "engines" && !ep.Leaving {
-					count++
+					ids = append(ids, string(ep.ID))
 				}
 			}
-			return count
-		}, pollTimeout).Should(equal(len(builds)))
+			return ids
+		}, pollTimeout).Should(gomega.ConsistOf(names))
 	}
 }
 
@@ -62,8 +68,9 @@
 	last   string
 	events strings.Builder
 	whole  bool
-	// resumed counts the tries that were to resume the stream, goesOn those of them that brought an event.
-	resumed, goesOn int
+	// resumed is set once a try that was to resume the stream got an answer, goesOn once one has resumed it.
+	resumed, goesOn bool
+	refusals        []string
 }
 
 // try sends a request for a stream, or for what follows the events so far. It returns the status, zero for
@@ -71,7 +78,6 @@
 func (stm *stream) try(ctx context.Context, addr, path, id string, more map[string]string) int {
 	headers := map[string]string{}
 	if stm.first != "" {
-		stm.resumed++
 		headers = map[string]string{fake.HeaderLastEvent: stm.last, fake.HeaderResumes: stm.first}
 	}
 	for name, val := range more {
@@ -85,7 +91,12 @@
 		return 0
 	}
 	defer func() { _ = res.Body.Close() }()
+	if stm.first != "" {
+		stm.resumed = true
+	}
 	if res.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(res.Body)
+		stm.refusals = append(stm.refusals, string(text))
 		return res.StatusCode
 	}
 	scn, event, begun := bufio.NewScanner(res.Body), "", stm.first != ""
@@ -98,14 +109,17 @@
 			stm.first = id
 		}
 		if begun {
-			stm.goesOn++
-			begun = false
+			stm.goesOn, begun = true, false
 		}
 		stm.last, _, _ = strings.Cut(strings.TrimPrefix(event, "id: "), "\n")
 		stm.events.WriteString(event)
 		event = ""
 	}
 	stm.whole = scn.Err() == nil
+	if stm.whole && begun {
+		// Only the end was missing.
+		stm.goesOn = true
+	}
 	return res.StatusCode
 }
 
@@ -125,12 +139,13 @@
 	// begun counts the new streams of whose first tries that began, resumed and goesOn those that callers
 	// take up again, and those of them that go on.
 	fresh, begun, resumed, goesOn int
+	refusals                      []string
 }
 
 // String describes the streams.
 func (sts *streams) String() string {
-	return fmt.Sprintf("%d of %d new streams begin, %d of %d resumed ones go on, %d hold events of several builds: %v",
-		sts.begun, sts.fresh, sts.goesOn, sts.resumed, len(sts.mixed), sts.mixed)
+	return fmt.Sprintf("%d of %d new streams begin, %d of %d resumed ones go on, %d hold events of several builds: %v; %v",
+		sts.begun, sts.fresh, sts.goesOn, sts.resumed, len(sts.mixed), sts.mixed, sts.refusals)
 }
 
 // maxTries is how often callers try a stream.
@@ -164,7 +179,13 @@
 	}
 	sts.mtx.Lock()
 	defer sts.mtx.Unlock()
-	sts.resumed, sts.goesOn = sts.resumed+stm.resumed, sts.goesOn+stm.goesOn
+	if stm.resumed {
+		sts.resumed++
+	}
+	if stm.goesOn {
+		sts.goesOn++
+	}
+	sts.refusals = append(sts.refusals, stm.refusals...)
 	if builds := stm.builds(); len(builds) > 1 {
 		sts.mixed = append(sts.mixed, fmt.Sprint(name, " ", builds))
 	}
@@ -237,5 +258,165 @@
 	})
 })
 
+// begin begins a stream at an instance and disconnects after its first event. It returns the build of that.
+func (tbd *testbed) begin(node int, id string) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req, err := fake.Request(http.MethodPost, tbd.nodes[node].set.CallerAddr(), "/stream/x", host, id, deadline, key, "a stream", nil)
+	expect(err).NotTo(anything())
+	res, err := client.Do(req.WithContext(ctx))
+	expect(err).NotTo(anything())
+	defer func() { _ = res.Body.Close() }()
+	text, event := make([]byte, 256), ""
+	for !strings.Contains(event, "\n\n") {
+		n, err := res.Body.Read(text)
+		expect(err).NotTo(anything())
+		event += string(text[:n])
+	}
+	return fake.Builds(event)[0]
+}
+
+// resume sends a request that resumes a stream after its first event.
+func (tbd *testbed) resume(node int, id string, headers ...string) response {
+	more := map[string]string{fake.HeaderLastEvent: "1"}
+	for i := 0; i < len(headers); i += 2 {
+		more[headers[i]] = headers[i+1]
+	}
+	return tbd.send(node, request{path: "/stream/x", id: id, body: "a stream", header: more})
+}
+
+// hasRun reports whether any engine has run a request.
+func (tbd *testbed) hasRun(id string) bool {
+	return slices.ContainsFunc(runs(tbd.engines), func(run fake.Run) bool { return run.ID == id })
+}
+
+var _ = ginkgo.Describe("a request that resumes a stream", func() {
+	const otherKey = "key-of-shiretoko"
+	newBuilds := func(builds ...string) *testbed {
+		tbd := newTestbed(2)
+		tbd.publish(func(doc *fake.Document) { doc.Others = map[string]string{"shiretoko": otherKey} })
+		tbd.useBuilds(builds...)
+		for _, ep := range tbd.engines {
+			ep.Duration = 20 * time.Millisecond
+		}
+		return tbd
+	}
+	refused := func(tbd *testbed, rsp response, id, reason string) {
+		expect(rsp.status).To(equal(http.StatusServiceUnavailable))
+		expect(rsp.body).To(gomega.ContainSubstring(reason))
+		expect(rsp.header.Get("Retry-After")).To(gomega.BeEmpty())
+		expect(tbd.hasRun(id)).To(gomega.BeFalse())
+	}
+
+	// Guards against a stream that goes on although nothing proves at which build it began.
+	ginkgo.It("is refused and not run if it names an attempt that began no stream", func() {
+		tbd := newBuilds("v1", "v1.1")
+		for node := range tbd.nodes {
+			id := fmt.Sprint("resumes-", node)
+			refused(tbd, tbd.resume(node, id, fake.HeaderResumes, "never-sent"), id, "build_unknown")
+		}
+	})
+
+	// Guards against a workspace that goes on with, or learns of, the stream of another one.
+	ginkgo.It("is refused if it names an attempt of another workspace", func() {
+		tbd := newBuilds("v1", "v1.1")
+		tbd.begin(0, "theirs")
+		for node := range tbd.nodes {
+			id := fmt.Sprint("foreign-", node)
+			rsp := tbd.resume(node, id, fake.HeaderResumes, "theirs", fake.HeaderAuthorize, fake.Bearer+otherKey)
+			refused(tbd, rsp, id, "build_unknown")
+		}
+		expect(tbd.resume(1, "own", fake.HeaderResumes, "theirs").status).To(equal(http.StatusOK))
+	})
+
+	// Guards against a stream that is begun again in its middle, or waits, when its build has gone.
+	ginkgo.It("is refused at once if no endpoint of its build is left", func() {
+		tbd := newBuilds("v1", "v1")
+		expect(tbd.begin(0, "first")).To(equal("v1"))
+		tbd.useBuilds("v1.1", "v1.1")
+		for node := range tbd.nodes {
+			id, sent := fmt.Sprint("late-", node), time.Now()
+			refused(tbd, tbd.resume(node, id, fake.HeaderResumes, "first"), id, "build_gone")
+			expect(time.Since(sent)).To(gomega.BeNumerically("<", 200*time.Millisecond))
+		}
+	})
+
+	// Guards against an unnamed stream that goes on at another build, and against callers that name none being
+	// refused while there is but one build.
+	ginkgo.It("goes on without naming an attempt only while there is one build", func() {
+		tbd := newBuilds("v1", "v1")
+		expect(tbd.begin(0, "first")).To(equal("v1"))
+		rsp := tbd.resume(1, "second")
+		expect(rsp.status).To(equal(http.StatusOK))
+		expect(fake.Builds(rsp.body)).To(equal([]string{"v1", "v1", "v1"}))
+		tbd.engines = append(tbd.engines, tbd.addBuild("newer", "v1.1"))
+		for node, nod := range tbd.nodes {
+			eventually(func() []string { return nod.pools.OtherBuilds("engines", "v1") }, pollTimeout).Should(gomega.HaveLen(1))
+			id := fmt.Sprint("unnamed-", node)
+			refused(tbd, tbd.resume(node, id), id, "build_unknown")
+			expect(tbd.resume(node, fmt.Sprint("named-", node), fake.HeaderResumes, "first").status).To(equal(http.StatusOK))
+		}
+	})
+
+	// Guards against a request without Last-Event-Id that begins a named stream anew at another build.
+	ginkgo.It("is bound by the attempt that it names also without an event", func() {
+		tbd := newBuilds("v1", "v1.1", "v1.2")
+		build := tbd.begin(0, "first")
+		for i := range 8 {
+			rsp := tbd.send(i%2, request{path: "/stream/x", body: "a stream", header: map[string]string{fake.HeaderResumes: "first"}})
+			expect(rsp.status).To(equal(http.StatusOK))
+			expect(slices.Compact(fake.Builds(rsp.body))).To(equal([]string{build}))
+		}
+	})
+
+	// Guards against attempts that are named in ways that could be read in two ways.
+	ginkgo.It("is a bad request if it names no attempt, itself or two", func() {
+		tbd := newBuilds("v1", "v1.1")
+		tbd.begin(0, "first")
+		for _, headers := range [][]string{
+			{fake.HeaderResumes, " "}, {fake.HeaderResumes, "itself"}, {fake.HeaderResumes, "first", "Amaranthvalve-Resumes", "first"},
+		} {
+			rsp := tbd.resume(0, "itself", headers...)
+			expect(rsp.status).To(equal(http.StatusBadRequest), "%v", headers)
+			expect(rsp.body).To(gomega.ContainSubstring("Resumes"))
+		}
+		expect(tbd.hasRun("itself")).To(gomega.BeFalse())
+		expect(tbd.resume(1, "other-spelling", "Amaranthvalve-Resumes", "first").status).To(equal(http.StatusOK))
+	})
+
+	// Guards against a stream that goes on at a process whose entry has changed its build since it was chosen.
+	ginkgo.It("is withheld from an endpoint whose entry names another build by then", func() {
+		tbd := newTestbed(0)
+		var held atomic.Bool
+		chosen, proceed := make(chan string, 9), make(chan struct{})
+		tbd.startWithLink(func(nod *Node) {
+			direct := dial.Direct(dial.EndpointSilence)
+			nod.SetDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if held.CompareAndSwap(true, false) {
+					chosen <- addr
+					<-proceed
+				}
+				return direct.DialContext(ctx, network, addr)
+			})
+		})
+		tbd.waitJoined()
+		tbd.useBuilds("v1")
+		tbd.engines[0].Duration = 20 * time.Millisecond
+		tbd.begin(0, "first")
+		held.Store(true)
+		done := make(chan response, 1)
+		go func() { done <- tbd.resume(0, "second", fake.HeaderResumes, "first") }()
+		eventually(chosen, pollTimeout).Should(gomega.Receive())
+		ep := tbd.engines[0]
+		tbd.store.PutEndpoint(ep.ID(), fake.EntryOf("engines", tbd.servers[ep.ID()].Addr(), "v2", false))
+		eventually(func() bool { return tbd.nodes[0].pools.HasBuild("engines", "v2") }, pollTimeout).Should(gomega.BeTrue())
+		close(proceed)
+		var rsp response
+		eventually(done, pollTimeout).Should(gomega.Receive(&rsp))
+		expect(rsp.status).To(equal(http.StatusServiceUnavailable))
+		expect(tbd.hasRun("second")).To(gomega.BeFalse())
+	})
+})
+
 // resumedShare times the share of new streams that begin is the least share of the resumed ones that go on.
 const resumedShare = 0.95
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -125,6 +125,10 @@
 			return nod.coord.HandleSlot(msg)
 		case peer.NoteRest:
 			return nod.coord.HandleRest(msg)
+		case peer.NoteBindings:
+			return nod.coord.HandleBindings(msg)
+		case peer.FindBinding:
+			return nod.coord.HandleFind(msg)
 		case peer.CheckEndpoint:
 			return nod.dialer.HandleCheck(ctx, msg)
 		}
@@ -292,6 +296,7 @@
 		close(nod.stopped)
 	}()
 	go nod.dialer.Watch(ctx)
+	go nod.coord.HandOverBindings(ctx)
 	go nod.callers.Serve()
 	for i, srv := range nod.auxServers {
 		go func() { _ = srv.Serve(nod.auxListeners[i]) }()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -100,6 +100,9 @@
 	TakeSlot
 	// NoteRest tells a relay that an endpoint has asked it for rest, in an answer to the sender.
 	NoteRest
+	// NoteBindings carries the builds at which streams began; FindBinding asks for that of one stream.
+	NoteBindings
+	FindBinding
 )
 
 // Message is a request or a response.
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -56,6 +56,8 @@
 	FetchFrom string
 	// Full is set if all slots of a model engine are taken, as far as is known.
 	Full bool
+	// Build is the build of the endpoint's software, empty if it is unknown.
+	Build string
 	// Placement describes the choice of a model engine; empty if another instance made it.
 	Placement place.Placement
 }
@@ -80,8 +82,9 @@
 	engines *place.Placer
 	plain   *route.Pool
 	budget  retry.Budget
-	// ids are the IDs of all endpoints.
-	ids []string
+	// ids are the IDs of all endpoints, builds the builds by ID of those that aren't leaving.
+	ids    []string
+	builds map[string]string
 	// brittle is set if the endpoints fall over when they reject many requests.
 	brittle bool
 	// calls has the calls in flight, which are cancelled if their endpoint restarts.
@@ -139,15 +142,19 @@
 
 func (pst *poolState) sync(list []proto.Endpoint, spc *plan.DraftEngine) {
 	pst.ids = pst.ids[:0]
+	pst.builds = make(map[string]string, len(list))
 	for _, ep := range list {
 		pst.calls.RunListed(ep.ID)
 		pst.ids = append(pst.ids, string(ep.ID))
+		if !ep.Leaving {
+			pst.builds[string(ep.ID)] = ep.Build
+		}
 	}
 	if pst.engines != nil {
 		engines := make([]place.Engine, len(list))
 		for i, ep := range list {
 			engines[i] = place.Engine{
-				ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving, Slots: ep.Places, Memory: spc.Memory, Fetches: spc.Fetches,
+				ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving, Build: ep.Build, Slots: ep.Places, Memory: spc.Memory, Fetches: spc.Fetches,
 			}
 		}
 		pst.engines.Sync(engines)
@@ -182,7 +189,7 @@
 	ask.Avoid = slices.Concat(ask.Avoid, pls.rateLimited(pst, share, now))
 	if pst.plain != nil {
 		ep, ok := pst.plain.Pick(route.Ask{Avoid: ask.Avoid}, now)
-		return Target{ID: ident.Process(ep.ID), Addr: ep.Addr}, ok
+		return pst.target(ep), ok
 	}
 	plc, ok := pst.engines.Pick(ask, now)
 	if !ok {
@@ -219,18 +226,24 @@
 		return Target{}, false
 	}
 	eng, ok := pst.engines.Find(id)
-	if !ok || eng.Leaving {
+	if !ok || eng.Leaving || ask.Build != "" && eng.Build != ask.Build {
+		// Instances of earlier versions know no builds.
 		return Target{}, false
 	}
 	return pst.begin(eng, from, ticket, ask, now), true
 }
 
 func (pst *poolState) begin(eng place.Engine, from, ticket string, ask place.Ask, now clock.Milli) Target {
-	tgt := Target{ID: ident.Process(eng.ID), Addr: eng.Addr, Ticket: ticket, FetchFrom: from, Full: pst.engines.Full(eng.ID, now)}
+	tgt := Target{ID: ident.Process(eng.ID), Addr: eng.Addr, Build: eng.Build, Ticket: ticket, FetchFrom: from, Full: pst.engines.Full(eng.ID, now)}
 	pst.engines.Begin(eng.ID, ticket, ask.Prompt, ask.MaxGap, now)
 	return tgt
 }
 
+// target returns a plain endpoint as a target.
+func (pst *poolState) target(ep route.Endpoint) Target {
+	return Target{ID: ident.Process(ep.ID), Addr: ep.Addr, Build: pst.builds[ep.ID]}
+}
+
 // Find returns the model engine with the given ID.
 func (pls *Pools) Find(pool, id string) (place.Engine, bool) {
 	pls.mtx.Lock()
--- a/internal/pools/rates.go
+++ b/internal/pools/rates.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"amaranthvalve/pkg/clock"
-	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/route"
 )
 
@@ -68,5 +67,5 @@
 	}
 	others := slices.DeleteFunc(slices.Clone(pst.ids), func(other string) bool { return other == id })
 	ep, ok := pst.plain.Pick(route.Ask{Avoid: others}, pls.set.Clock.Now())
-	return Target{ID: ident.Process(ep.ID), Addr: ep.Addr}, ok
+	return pst.target(ep), ok
 }
--- a/internal/pools/slots.go
+++ b/internal/pools/slots.go
@@ -78,5 +78,5 @@
 		return Target{}, false
 	}
 	ep, ok := pst.plain.Begin(id)
-	return Target{ID: ident.Process(ep.ID), Addr: ep.Addr}, ok
+	return pst.target(ep), ok
 }
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -134,3 +134,28 @@
 	gom.Expect(fol.ctl.docs.fromReader.apply(next)).To(gomega.BeTrue())
 	gom.Expect(fol.ctl.docs.fromReader.List).To(gomega.HaveLen(4))
 }
+
+// Guards against followers that take an endpoint for one of the build that its entry named before.
+func TestChangedBuildReachesFollowers(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	first := list("a", "b")
+	rdr := reader(first)
+	fol := newEndpts()
+	fol.ctl.docs.plan, fol.ctl.docs.doc.Offset = &plan.Plan{}, 7
+	var upd update
+	upd.fillEndpoints(rdr.View(), updateRequest{})
+	gom.Expect(fol.ctl.docs.fromReader.apply(upd)).To(gomega.BeTrue())
+	changed := slices.Clone(first)
+	changed[1].Build = "v2"
+	rdr.endpts.list, rdr.dirty = changed, true
+	rdr.publish(0)
+	body, err := cbor.Marshal(fol.ctl.docs.updateRequest())
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	ans := rdr.ServeFollower(context.Background(), peer.Message{Body: body})
+	var got update
+	gom.Expect(cbor.Unmarshal(ans.Body, &got)).To(gomega.Succeed())
+	gom.Expect(got.Listed).To(gomega.BeTrue())
+	gom.Expect(got.Endpoints).To(gomega.HaveLen(1))
+	gom.Expect(fol.ctl.docs.fromReader.apply(got)).To(gomega.BeTrue())
+	gom.Expect(fol.ctl.docs.fromReader.List[1].Build).To(gomega.Equal("v2"))
+}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -93,6 +93,12 @@
 	return !ok || ep.Leaving
 }
 
+// Build returns the build of an endpoint, empty if it is unknown.
+func (vw *View) Build(id ident.Process) string {
+	ep, _ := find(vw.endpoints, id)
+	return ep.Build
+}
+
 // Coordinators returns the instances in the order in which they coordinate a pool: the first one
 // batches its items or places its prompts, and owns the rates of its endpoints; if it is
 // unresponsive, the next one does.
--- a/pkg/outcm/outcm.go
+++ b/pkg/outcm/outcm.go
@@ -63,12 +63,14 @@
 	Hopeless                         // hopeless
 	Crowded                          // crowded
 	Quarantined                      // quarantined
+	BuildUnknown                     // build_unknown
+	BuildGone                        // build_gone
 )
 
 // Reasons returns all reasons, for the counters and for tests that must cover every reason.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(Quarantined)+1)
-	for rs := None; rs <= Quarantined; rs++ {
+	all := make([]Reason, 0, int(BuildGone)+1)
+	for rs := None; rs <= BuildGone; rs++ {
 		all = append(all, rs)
 	}
 	return all
--- a/pkg/outcm/outcm_string.go
+++ b/pkg/outcm/outcm_string.go
@@ -67,11 +67,13 @@
 	_ = x[Hopeless-34]
 	_ = x[Crowded-35]
 	_ = x[Quarantined-36]
+	_ = x[BuildUnknown-37]
+	_ = x[BuildGone-38]
 }
 
-const _Reason_name = "nonerecordedbad_requestunknown_serviceunknown_workspaceunknown_request_kindkey_missingkey_conflictkey_expiredkey_holder_goneticket_elsewherelog_unavailablestale_viewstoppingworkspace_rateworkspace_busyqueue_fulldeadline_too_shortdeadline_passedno_endpointretry_budgetstage_failedstage_refusedconnection_cutstream_cutwrong_attemptcaller_goneanswer_lostbad_resumeinternalno_routebad_tokenheader_too_largebody_too_largehopelesscrowdedquarantined"
+const _Reason_name = "nonerecordedbad_requestunknown_serviceunknown_workspaceunknown_request_kindkey_missingkey_conflictkey_expiredkey_holder_goneticket_elsewherelog_unavailablestale_viewstoppingworkspace_rateworkspace_busyqueue_fulldeadline_too_shortdeadline_passedno_endpointretry_budgetstage_failedstage_refusedconnection_cutstream_cutwrong_attemptcaller_goneanswer_lostbad_resumeinternalno_routebad_tokenheader_too_largebody_too_largehopelesscrowdedquarantinedbuild_unknownbuild_gone"
 
-var _Reason_index = [...]uint16{0, 4, 12, 23, 38, 55, 75, 86, 98, 109, 124, 140, 155, 165, 173, 187, 201, 211, 229, 244, 255, 267, 279, 292, 306, 316, 329, 340, 351, 361, 369, 377, 386, 402, 416, 424, 431, 442}
+var _Reason_index = [...]uint16{0, 4, 12, 23, 38, 55, 75, 86, 98, 109, 124, 140, 155, 165, 173, 187, 201, 211, 229, 244, 255, 267, 279, 292, 306, 316, 329, 340, 351, 361, 369, 377, 386, 402, 416, 424, 431, 442, 455, 465}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -60,8 +60,13 @@
 	// Share is the part of the slots of brittle engines that may be used, of which one always may;
 	// zero for all of them.
 	Share float64 `cbor:"7,keyasint,omitempty"`
+	// Build is the build that engines must have; empty for any.
+	Build string `cbor:"8,keyasint,omitempty"`
 }
 
+// fits reports whether an engine has the build that is asked for.
+func (ask Ask) fits(eng Engine) bool { return ask.Build == "" || eng.Build == ask.Build }
+
 // Placement is the placement of a prompt.
 type Placement struct {
 	Engine Engine
@@ -220,7 +225,7 @@
 	var free, full, ejected []*engine
 	for _, eng := range plc.list {
 		switch {
-		case eng.Leaving || slices.Contains(ask.Avoid, eng.ID):
+		case eng.Leaving || slices.Contains(ask.Avoid, eng.ID) || !ask.fits(eng.Engine):
 		case plc.brittle && (eng.isFull(now) || eng.exceeds(ask.Share, now) || eng.rejectedAt > 0 && now-eng.rejectedAt < rejectPause):
 		case eng.isEjected(now):
 			ejected = append(ejected, eng)
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -38,6 +38,8 @@
 	Addr    string
 	Zone    string
 	Leaving bool
+	// Build is the build of the engine's software, empty if it is unknown.
+	Build string
 	// Slots is the number of concurrent requests, Memory the tokens that these and the prefix
 	// cache share; zero for no bound.
 	Slots  int
