pkg/place: engines fetch cached parts of prompts within their build

A prompt was placed with the address of whichever engine had its prefix cached (Kv-Fetch). With one build nothing changes: the same engines are chosen. With several, a prefix that only another build has cached is read again, which costs reuse while a roll-out lasts; not measured.

--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -91,6 +91,8 @@
 	// that engine.
 	mostCached int
 	cachedAt   *engine
+	// fetchable has the same by build: engines fetch cached parts only from those of their build.
+	fetchable map[string]cachedPrefix
 	// preferred ranks first by rendezvous hashing of the shared parts.
 	preferred *engine
 	// msPerToken is the time to read a token.
@@ -100,6 +102,12 @@
 	now      clock.Milli
 }
 
+// cachedPrefix is the largest number of a prompt's tokens that an engine has cached.
+type cachedPrefix struct {
+	tokens int
+	at     *engine
+}
+
 // Pick chooses an engine for a prompt; it returns false if there is none. It does not reserve a
 // slot: see [Placer.Begin].
 func (plc *Placer) Pick(ask Ask, now clock.Milli) (Placement, bool) {
@@ -140,8 +148,8 @@
 		Engine: eng.Engine, Wait: clock.Milli(eng.queueTime(evl.now)), Read: clock.Milli(plc.readTime(eng, evl.Prompt.InTokens-cached, evl.now)),
 		Streams: int(eng.streams(evl.now)), CachedTokens: cached, Ejected: plc.countEjected(evl.now),
 	}
-	if eng.Fetches && evl.cachedAt != nil && evl.cachedAt != eng && evl.mostCached >= cached+minFetchTokens {
-		plm.FetchAddr = evl.cachedAt.Addr
+	if pfx := evl.fetchable[eng.Build]; eng.Fetches && pfx.at != nil && pfx.at != eng && pfx.tokens >= cached+minFetchTokens {
+		plm.FetchAddr = pfx.at.Addr
 	}
 	return plm
 }
@@ -159,16 +167,22 @@
 		name = ask.Salt
 	}
 	hash := xxhash.Sum64String(name)
+	evl.fetchable = map[string]cachedPrefix{}
 	for _, eng := range open {
-		if cached := eng.cache.prefixTokens(evl.Prompt, eng.Memory); cached > evl.mostCached {
+		cached := eng.cache.prefixTokens(evl.Prompt, eng.Memory)
+		if cached > evl.mostCached {
 			evl.mostCached, evl.cachedAt = cached, eng
 		}
+		if cached > evl.fetchable[eng.Build].tokens {
+			evl.fetchable[eng.Build] = cachedPrefix{tokens: cached, at: eng}
+		}
 		if evl.preferred == nil || rendezvousRank(hash, eng.idHash) > rendezvousRank(hash, evl.preferred.idHash) {
 			evl.preferred = eng
 		}
 	}
 	if evl.cachedAt == nil {
 		evl.mostCached, evl.cachedAt = ask.Prompt.Shared(), evl.preferred
+		evl.fetchable[evl.preferred.Build] = cachedPrefix{tokens: evl.mostCached, at: evl.preferred}
 	}
 	return evl
 }
@@ -193,12 +207,11 @@
 	} else {
 		cost += pauseCost * plc.relativeSize(evl.Prompt) * min(disruptionFactor*eng.disruptions.expect(evl.streamMs, evl.now), 1)
 	}
-	missing := evl.msPerToken * float64(evl.mostCached-cached)
+	fetched := 0
 	if eng.Fetches {
-		cost += fetchFactor * missing
-	} else {
-		cost += rereadFactor * missing
+		fetched = max(evl.fetchable[eng.Build].tokens-cached, 0)
 	}
+	cost += evl.msPerToken * (fetchFactor*float64(fetched) + rereadFactor*float64(evl.mostCached-cached-fetched))
 	if evl.Zone != "" && eng.Zone != evl.Zone {
 		cost += remoteCostPerMB * float64(evl.Bytes) / bytesPerMB
 	}
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -328,3 +328,34 @@
 	gom.Expect(plc.Usable("e@2", 3)).To(gomega.BeTrue())
 	gom.Expect(plc.Full("e@2", 3)).To(gomega.BeFalse())
 }
+
+// Guards against engines that fetch what another build of the software has cached.
+func TestPrefixIsFetchedWithinBuild(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var plc Placer
+	plc.Sync([]Engine{
+		{ID: "old-1", Addr: "a1", Build: "v1", Fetches: true}, {ID: "old-2", Addr: "a2", Build: "v1", Fetches: true},
+		{ID: "new-1", Addr: "a3", Build: "v2", Fetches: true}, {ID: "new-2", Addr: "a4", Build: "v2", Fetches: true},
+	})
+	prm := prompt("s")
+	plc.ReportCached("old-1", prm.Parts[:2])
+	plm, ok := plc.Pick(Ask{Prompt: prm, Build: "v2"}, 0)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(plm.Engine.Build).To(gomega.Equal("v2"))
+	gom.Expect(plm.FetchAddr).To(gomega.BeEmpty())
+	plm, _ = plc.Pick(Ask{Prompt: prm}, 0)
+	gom.Expect(plm.Engine.ID).To(gomega.Equal("old-1"))
+	for i := range 8 {
+		plc.Begin("old-1", fmt.Sprint("load-", i), prompt(fmt.Sprint(i)), 0, 0)
+	}
+	for range 2 {
+		plm, _ = plc.Pick(Ask{Prompt: prm, Avoid: []string{"new-1", "new-2"}}, 0)
+		gom.Expect(plm.Engine.ID).To(gomega.Equal("old-2"))
+		gom.Expect(plm.FetchAddr).To(gomega.Equal("a1"))
+		plm, _ = plc.Pick(Ask{Prompt: prm, Avoid: []string{"old-2"}}, 0)
+		gom.Expect(plm.Engine.Build).To(gomega.Equal("v2"))
+		gom.Expect(plm.FetchAddr).To(gomega.BeEmpty())
+		plc.ReportCached("new-2", prm.Parts[:2])
+		plc.ReportCached("new-1", prm.Parts[:2])
+	}
+}
