--- a/internal/coord/bindings.go
+++ b/internal/coord/bindings.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,15 +22,13 @@
 // in the ranking. When the ranking changes, instances send new holders what these lack.
 
 const (
-	// bindingHolders is the number of instances, first in the ranking of a pool's coordinators, that hold
-	// the bindings of its streams.
-	bindingHolders = 3
 	// copyDelay is how long a coordinator collects bindings for one message with copies.
 	copyDelay = 20 * clock.Milli(1)
+	// reportRepeat is how long a coordinator has to answer a report before the bindings in it are sent to
+	// the other holders as well: it may have ended, and this instance may end next.
+	reportRepeat = 100 * clock.Milli(1)
 	// findTimeout bounds the query for a binding, of the holders and again of others.
 	findTimeout = 50 * time.Millisecond
-	// maxFindOthers bounds the instances that are asked when no holder knows a binding.
-	maxFindOthers = 16
 	// handoverInterval is the interval at which the holders of each pool are compared with earlier ones.
 	handoverInterval = 500 * time.Millisecond
 	// maxMessageBindings bounds the bindings in one message.
@@ -67,14 +66,9 @@
 	return Bound{Known: true}
 }
 
-// poolBindings has the bindings of a pool's streams.
+// poolBindings has the bindings of a pool's streams, and copies that are to be sent to the holders.
 type poolBindings struct {
-	// known has all bindings, own those of streams that this instance began or resumed.
-	known sticky.Table
-	own   sticky.Table
-	// holders are those at the last handover.
-	holders []ident.Incarnation
-	// copies are to be sent to the holders.
+	sticky.Replica
 	copies []sticky.Binding
 }
 
@@ -97,16 +91,16 @@
 	return pbs
 }
 
-func (bds *bindings) add(pool string, list []sticky.Binding, own bool, now clock.Milli) {
+func (bds *bindings) begin(pool string, list []sticky.Binding, now clock.Milli) {
 	bds.mtx.Lock()
 	defer bds.mtx.Unlock()
-	pbs := bds.pool(pool)
-	for _, bnd := range list {
-		pbs.known.Add(bnd, now)
-		if own {
-			pbs.own.Add(bnd, now)
-		}
-	}
+	bds.pool(pool).Begin(list, now)
+}
+
+func (bds *bindings) learn(pool string, list []sticky.Binding, now clock.Milli) {
+	bds.mtx.Lock()
+	defer bds.mtx.Unlock()
+	bds.pool(pool).Learn(list, now)
 }
 
 func (bds *bindings) find(qry bindingQuery, now clock.Milli) Bound {
@@ -114,29 +108,20 @@
 	defer bds.mtx.Unlock()
 	var bnd Bound
 	for _, name := range qry.Pools {
-		pbs, ok := bds.byPool[name]
-		if !ok || !pbs.known.Knows(qry.Key, now) {
-			continue
+		if build, known := bds.pool(name).Find(qry.Key, now); known {
+			bnd = bnd.merge(Bound{Pool: name, Build: build, Known: true})
 		}
-		build, _ := pbs.known.Find(qry.Key, now)
-		bnd = bnd.merge(Bound{Pool: name, Build: build, Known: true})
 	}
 	return bnd
 }
 
-// holders returns the instances that hold the bindings of a pool's streams.
-func (crd *Coordinator) holders(pool string) []ident.Incarnation {
-	list := crd.set.Ranking(pool)
-	return list[:min(len(list), bindingHolders)]
-}
-
 // BindStream records that a stream began at a build, under the names by which it may be resumed.
 func (crd *Coordinator) BindStream(vw *state.View, pool, build string, keys ...sticky.Key) {
 	list := make([]sticky.Binding, len(keys))
 	for i, key := range keys {
 		list[i] = sticky.Binding{Key: key, Build: build}
 	}
-	crd.bindings.add(pool, list, true, crd.set.Clock.Now())
+	crd.bindings.begin(pool, list, crd.set.Clock.Now())
 	if crd.set.Link == nil {
 		return
 	}
@@ -146,7 +131,7 @@
 		go crd.reports.send(crd, inc)
 		return
 	}
-	for _, inc := range crd.holders(pool) {
+	for _, inc := range sticky.Holders(crd.set.Ranking(pool)) {
 		crd.sendBindings(inc, pool, list)
 	}
 }
@@ -168,11 +153,27 @@
 	list := pbs.copies
 	pbs.copies = nil
 	crd.bindings.mtx.Unlock()
-	for _, inc := range crd.holders(pool) {
+	for _, inc := range sticky.Holders(crd.set.Ranking(pool)) {
 		crd.sendBindings(inc, pool, list)
 	}
 }
 
+// copyUnlessAnswered has the bindings in reports to a coordinator sent to the holders, unless the returned
+// function is called within reportRepeat.
+func (crd *Coordinator) copyUnlessAnswered(list []report) (answered func()) {
+	var done atomic.Bool
+	for _, rpt := range list {
+		if len(rpt.Bindings) > 0 {
+			crd.set.After(reportRepeat, func() {
+				if !done.Load() {
+					crd.copyBindings(rpt.Pool, rpt.Bindings)
+				}
+			})
+		}
+	}
+	return func() { done.Store(true) }
+}
+
 // sendBindings sends bindings to another instance. What is lost is unknown there, and streams aren't resumed
 // by it.
 func (crd *Coordinator) sendBindings(inc ident.Incarnation, pool string, list []sticky.Binding) {
@@ -198,14 +199,13 @@
 	if cbor.Unmarshal(msg.Body, &note) != nil {
 		return peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
 	}
-	crd.bindings.add(note.Pool, note.Bindings, false, crd.set.Clock.Now())
+	crd.bindings.learn(note.Pool, note.Bindings, crd.set.Clock.Now())
 	return peer.Message{Kind: peer.OK, From: crd.set.Control.Self()}
 }
 
 // FindStream returns where a stream began that may have begun in one of several pools. The holders are asked,
-// and some other instances if no holder knows it: those that began streams have their own, and holders may
-// have changed.
-func (crd *Coordinator) FindStream(ctx context.Context, vw *state.View, pools []string, key sticky.Key) Bound {
+// and some other instances if no holder knows it.
+func (crd *Coordinator) FindStream(ctx context.Context, pools []string, key sticky.Key) Bound {
 	qry := bindingQuery{Pools: pools, Key: key}
 	now := crd.set.Clock.Now()
 	if bnd := crd.bindings.find(qry, now); bnd.Known || crd.set.Link == nil {
@@ -217,26 +217,20 @@
 	case <-ctx.Done():
 		return Bound{}
 	}
-	vw = crd.set.Control.View()
-	asked := map[ident.Incarnation]bool{crd.set.Control.Self(): true}
-	var first, others []ident.Incarnation
-	for _, pool := range pools {
-		for i, inc := range vw.Coordinators(pool) {
-			switch {
-			case asked[inc]:
-				continue
-			case i < bindingHolders:
-				first = append(first, inc)
-			case len(others) < maxFindOthers:
-				others = append(others, inc)
+	for _, part := range []func([]ident.Incarnation) []ident.Incarnation{sticky.Holders, sticky.Others} {
+		var list []ident.Incarnation
+		for _, pool := range pools {
+			for _, inc := range part(crd.set.Ranking(pool)) {
+				if inc != crd.set.Control.Self() && !slices.Contains(list, inc) {
+					list = append(list, inc)
+				}
 			}
-			asked[inc] = true
+		}
+		if bnd := crd.askBindings(ctx, list, qry); bnd.Known {
+			return bnd
 		}
 	}
-	if bnd := crd.askBindings(ctx, first, qry); bnd.Known {
-		return bnd
-	}
-	return crd.askBindings(ctx, others, qry)
+	return Bound{}
 }
 
 // askBindings asks instances for a binding, and merges their answers.
@@ -292,33 +286,15 @@
 	}
 }
 
-// handOver compares the holders of each pool with those at the last call. New ones get the bindings of the
-// streams that this instance began, and all that it knows if it ranks first among the earlier holders.
+// handOver sends the new holders of each pool what they lack.
 func (crd *Coordinator) handOver() {
 	now := crd.set.Clock.Now()
 	crd.bindings.mtx.Lock()
 	defer crd.bindings.mtx.Unlock()
 	for name, pbs := range crd.bindings.byPool {
-		before, current := pbs.holders, slices.Clone(crd.holders(name))
-		pbs.holders = current
-		list := pbs.own.All(now)
-		if isFirstOf(crd.set.Control.Self(), before, current) {
-			list = pbs.known.All(now)
-		}
-		for _, inc := range current {
-			if !slices.Contains(before, inc) && len(list) > 0 {
-				crd.sendBindings(inc, name, list)
-			}
-		}
-	}
-}
-
-// isFirstOf reports whether an instance is the first of the earlier holders that still is one.
-func isFirstOf(self ident.Incarnation, before, current []ident.Incarnation) bool {
-	for _, inc := range current {
-		if slices.Contains(before, inc) {
-			return inc == self
+		to, list := pbs.HandOver(crd.set.Control.Self(), crd.set.Ranking(name), now)
+		for _, inc := range to {
+			crd.sendBindings(inc, name, list)
 		}
 	}
-	return false
 }
--- a/internal/coord/bindings_test.go
+++ b/internal/coord/bindings_test.go
@@ -103,7 +103,7 @@
 	vw := bps.rank(gone, bps.ids[1], bps.ids[2])
 	bps.crds[0].BindStream(vw, "engines", "v1", key)
 	for _, i := range []int{1, 2} {
-		gom.Eventually(bps.found(i, key), 3*time.Second).Should(gomega.Equal("v1"), "holder %d", i)
+		gom.Eventually(bps.found(i, key), reportTimeout/2).Should(gomega.Equal("v1"), "holder %d", i)
 	}
 }
 
@@ -126,8 +126,8 @@
 	}
 	var bds bindings
 	key := sticky.KeyOf("a stream")
-	bds.add("engines", []sticky.Binding{{Key: key, Build: "v1"}}, false, 0)
-	bds.add("others", []sticky.Binding{{Key: key, Build: "v1"}}, false, 0)
+	bds.learn("engines", []sticky.Binding{{Key: key, Build: "v1"}}, 0)
+	bds.learn("others", []sticky.Binding{{Key: key, Build: "v1"}}, 0)
 	gom.Expect(bds.find(bindingQuery{Pools: []string{"engines"}, Key: key}, 0)).To(gomega.Equal(one))
 	gom.Expect(bds.find(bindingQuery{Pools: []string{"engines", "others"}, Key: key}, 0)).To(gomega.Equal(none))
 }
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -324,7 +324,7 @@
 	}
 	for _, rpt := range list {
 		if len(rpt.Bindings) > 0 {
-			crd.bindings.add(rpt.Pool, rpt.Bindings, false, crd.set.Clock.Now())
+			crd.bindings.learn(rpt.Pool, rpt.Bindings, crd.set.Clock.Now())
 			crd.copyBindings(rpt.Pool, rpt.Bindings)
 			continue
 		}
@@ -376,20 +376,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	if _, err := crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.ReportPlaced, From: crd.set.Control.Self(), Body: body}); err != nil {
+	answered := crd.copyUnlessAnswered(list)
+	if _, err := crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.ReportPlaced, From: crd.set.Control.Self(), Body: body}); err == nil {
+		answered()
+	} else {
 		rps.repeatReleases(crd, inc, list)
 	}
 }
 
 // repeatReleases adds the releases of slots to the next message to a coordinator, each once: a slot
-// that is not released is unused until its request must have ended. Bindings are sent to the other holders.
-// Other reports that are lost are not repeated, since a coordinator drops requests without a report after a
-// while.
+// that is not released is unused until its request must have ended. Other reports that are lost are
+// not repeated, since a coordinator drops requests without a report after a while.
 func (rps *reports) repeatReleases(crd *Coordinator, inc ident.Incarnation, list []report) {
 	for _, rpt := range list {
-		if len(rpt.Bindings) > 0 {
-			crd.copyBindings(rpt.Pool, rpt.Bindings)
-		}
 		if rpt.Slot != "" && !rpt.repeated {
 			rpt.repeated = true
 			rps.add(crd, inc, rpt)
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -31,7 +31,7 @@
 		return nxt(ctx, cl)
 	}
 	began := fr.set.Clock.Now()
-	fnd := fr.coord.FindStream(ctx, cl.view, targetPools(cl), cl.resumedKey())
+	fnd := fr.coord.FindStream(ctx, targetPools(cl), cl.resumedKey())
 	res := fr.bindResumed(cl, fnd)
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("resumes", cl.ask.Resumes).Str("after", cl.ask.LastEvent).Str("pool", fnd.Pool).Str("build", fnd.Build).
 		Bool("known", fnd.Known).Int64("find_ms", int64(fr.set.Clock.Since(began))).Str("refused", res.Reason().String()).Msg("stream is to be resumed")
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -334,8 +334,10 @@
 	gom := gomega.NewWithT(t)
 	var plc Placer
 	plc.Sync([]Engine{
-		{ID: "old-1", Addr: "a1", Build: "v1", Fetches: true}, {ID: "old-2", Addr: "a2", Build: "v1", Fetches: true},
-		{ID: "new-1", Addr: "a3", Build: "v2", Fetches: true}, {ID: "new-2", Addr: "a4", Build: "v2", Fetches: true},
+		{ID: "old-1", Addr: "a1", Build: "v1", Fetches: true},
+		{ID: "old-2", Addr: "a2", Build: "v1", Fetches: true},
+		{ID: "new-1", Addr: "a3", Build: "v2", Fetches: true},
+		{ID: "new-2", Addr: "a4", Build: "v2", Fetches: true},
 	})
 	prm := prompt("s")
 	plc.ReportCached("old-1", prm.Parts[:2])
