--- a/internal/stage/graph_test.go
+++ b/internal/stage/graph_test.go
@@ -109,8 +109,16 @@
 func TestRefusedBesideSlowStage(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	fix := newFixture(t, "call", 500, 1)
-	fix.pool["side"].SetFaults(stand.Faults{Refuse: 100})
+	// The refusal comes once the other call runs: before it is sent, nothing has run.
+	fix.pool["side"].SetFaults(stand.Faults{Freeze: true})
+	go func() {
+		for len(fix.pool["encoders"].Executions()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		fix.pool["side"].SetFaults(stand.Faults{Refuse: 100})
+	}()
 	_, job, res := fix.run()
+	gom.Expect(fix.pool["encoders"].Executions()).To(gomega.HaveLen(1))
 	gom.Expect(res.Outcome()).To(gomega.Equal(outcm.Failed), res.Detail())
 	gom.Expect(job.HasEffect()).To(gomega.BeFalse())
 	gom.Expect(fix.pool["side"].Executions()).To(gomega.BeEmpty())
