--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -80,6 +80,9 @@
 	// its process may have ended.
 	steady      bool
 	undisturbed bool
+	// resumes is the stream that the attempt resumes after an event, nil for none.
+	resumes *stream
+	after   int
 	// partitioned reports that the instance was partitioned from all endpoints around the attempt.
 	partitioned bool
 	status      int
@@ -227,6 +230,9 @@
 			att.deadline = drawBetween(clr.rng, minDeadline, defaultDeadline)
 		}
 	}
+	if knd.route == resumableRoute && clr.sr.hasBuilds() {
+		return clr.runStream(att)
+	}
 	return clr.do(att)
 }
 
@@ -241,6 +247,8 @@
 	att.id, att.path, att.sent = fmt.Sprintf("%s-%d", clr.name, clr.n), "/"+att.route+"/x?n="+strconv.Itoa(clr.n), time.Now()
 	ins, knd := att.ins, att.requestKind
 	switch {
+	case att.resumes != nil:
+		att.path, att.body = att.resumes.first.path, att.resumes.first.body
 	case att.body != "":
 		// The same request again, under another ID.
 		att.path = "/" + att.route + "/x?n=same"
@@ -251,6 +259,9 @@
 	if knd.items != "" {
 		headers[fake.HeaderItems], headers[fake.HeaderItemKey] = knd.items, "pk-"+att.id
 	}
+	if att.resumes != nil {
+		headers[fake.HeaderLastEvent], headers[fake.HeaderResumes] = strconv.Itoa(att.after), att.resumes.first.id
+	}
 	att.incarnation, _, _ = ins.processState()
 	steady := ins.steady(att.sent)
 	clr.sr.mtx.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -240,6 +241,18 @@
 	return fmt.Sprintf("requests sent after the signal of a planned shutdown, by outcome: %v", ends)
 }
 
+// refusals counts the refusals by reason.
+func (sr *soakRun) refusals() map[string]int {
+	reasons := map[string]int{}
+	for _, att := range sr.order {
+		var body struct{ Reason string }
+		if promisesNotRun(att.status) && json.Unmarshal([]byte(att.answer), &body) == nil {
+			reasons[body.Reason]++
+		}
+	}
+	return reasons
+}
+
 // report logs the requests and their outcomes and fails the test for each violation. The logs of
 // a run with violations are copied to AMV_SOAK_LOGS.
 func (sr *soakRun) report(t *testing.T) {
@@ -252,6 +265,7 @@
 		ends[end]++
 	}
 	t.Logf("seed %d: %d requests, by outcome: %v", sr.seed, len(sr.order), ends)
+	t.Logf("seed %d: refusals by reason: %v", sr.seed, sr.refusals())
 	t.Logf("seed %d: %s", sr.seed, sr.shutdownOutcomes())
 	for _, line := range sr.notes {
 		t.Logf("seed %d: %s", sr.seed, line)
