internal/front: what an attempt may be sent to is read before it begins

The check before a request is written runs on the goroutine of its connection, which may outlast the attempt; it read the stream's binding, which a later attempt may set. Read in the diff, not seen; it takes a copy now.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -185,9 +185,10 @@
 	defer stop()
 	// The endpoint may have announced its end or asked for rest since it was chosen, perhaps by another
 	// instance.
+	bound := cl.bound
 	rqs.Allowed = func() bool {
 		return fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
-			!fr.set.Control.Resting(tgt.ID) && cl.bound.allows(fr.set.Control.View().Build(tgt.ID))
+			!fr.set.Control.Resting(tgt.ID) && bound.allows(fr.set.Control.View().Build(tgt.ID))
 	}
 	var cgd cancelGuard
 	timer := run.cancelIfSlow(actx, &cgd, cancel)
