internal/state: a rest doesn't end a millisecond early

What operators would see: an endpoint that asked for three seconds of rest gets three requests from that instance 2.999 s later.

Cause: the instant at which the answer was read, and the span, are rounded down to milliseconds, so that a rest ended up to two early, and all requests that had waited for its end were sent then. Ruled out: that the rest wasn't known, since none came in the 2.5 s before.

A rest ends two milliseconds later.

--- a/internal/state/rests.go
+++ b/internal/state/rests.go
@@ -9,8 +9,12 @@
 	"amaranthvalve/pkg/ident"
 )
 
-// maxRests bounds the number of rests that are remembered.
-const maxRests = 16 << 10
+const (
+	// maxRests bounds the number of rests that are remembered.
+	maxRests = 16 << 10
+	// restRounding makes up for instants and spans that are rounded down to milliseconds.
+	restRounding = 2 * clock.Milli(1)
+)
 
 // rests has the endpoints that asked this instance for rest, with the end of that. It binds this
 // instance alone: an endpoint asks each for itself. The zero value is empty. It is safe for concurrent
@@ -71,7 +75,7 @@
 // Rest records that an endpoint asked this instance for rest.
 func (ctl *Control) Rest(id ident.Process, span clock.Milli) {
 	now := ctl.set.Clock.Now()
-	ctl.rests.set(id, now+span, now)
+	ctl.rests.set(id, now+span+restRounding, now)
 	ctl.set.Meter.CountEvent(meter.EventRest)
 }
 
--- a/internal/state/rests_test.go
+++ b/internal/state/rests_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -44,6 +46,21 @@
 	gom.Expect(rst.all(2)).To(gomega.BeEmpty())
 }
 
+// Guards against requests that reach an endpoint in the last millisecond of the rest that it has asked for.
+func TestRestEndsNotEarly(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl := New(Setup{Meter: meter.New()})
+	const span = 3 * clock.Milli(1)
+	for i := range 100 {
+		id, began := ident.Process(fmt.Sprint(i)), time.Now()
+		ctl.Rest(id, span)
+		for ctl.Resting(id) {
+			time.Sleep(20 * time.Microsecond)
+		}
+		gom.Expect(time.Since(began)).To(gomega.BeNumerically(">=", span.Duration()))
+	}
+}
+
 // Guards against a rest that another process at the same address has asked for, and against relays that
 // are not told.
 func TestRestIsRecordedForItsEndpoint(t *testing.T) {
