--- a/internal/coord/rests.go
+++ b/internal/coord/rests.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 )
@@ -72,7 +73,7 @@
 	if cbor.Unmarshal(msg.Body, &note) != nil || note.Span <= 0 {
 		return peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
 	}
-	note.Span = min(note.Span, maxRest)
+	note.Span = min(note.Span, maxRest-state.RestRounding)
 	crd.set.Control.Rest(note.Endpoint, note.Span)
 	if note.Relayed {
 		crd.tellOrigins(note.Endpoint, note.Span, msg.From)
--- a/internal/state/rests.go
+++ b/internal/state/rests.go
@@ -12,8 +12,8 @@
 const (
 	// maxRests bounds the number of rests that are remembered.
 	maxRests = 16 << 10
-	// restRounding makes up for instants and spans that are rounded down to milliseconds.
-	restRounding = 2 * clock.Milli(1)
+	// RestRounding is how much longer than its span a rest lasts. It makes up for instants and spans that are rounded down to milliseconds.
+	RestRounding = 2 * clock.Milli(1)
 )
 
 // rests has the endpoints that asked this instance for rest, with the end of that. It binds this
@@ -75,7 +75,7 @@
 // Rest records that an endpoint asked this instance for rest.
 func (ctl *Control) Rest(id ident.Process, span clock.Milli) {
 	now := ctl.set.Clock.Now()
-	ctl.rests.set(id, now+span+restRounding, now)
+	ctl.rests.set(id, now+span+RestRounding, now)
 	ctl.set.Meter.CountEvent(meter.EventRest)
 }
 
