--- a/internal/node/budget_test.go
+++ b/internal/node/budget_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +24,37 @@
 	budgetWindow  = 5 * time.Second
 )
 
+// running are the instances of a testbed that run. It is safe for concurrent use.
+type running struct {
+	mtx  sync.Mutex
+	list []*Node
+}
+
+// running returns the instances started so far.
+func (tbd *testbed) running() *running { return &running{list: slices.Clone(tbd.nodes)} }
+
+// addrs returns the addresses for callers.
+func (rng *running) addrs() []string {
+	rng.mtx.Lock()
+	defer rng.mtx.Unlock()
+	var list []string
+	for _, nod := range rng.list {
+		list = append(list, nod.set.CallerAddr())
+	}
+	return list
+}
+
+// replaceFirst starts an instance and, once it is ready, kills the one that has run longest.
+func (rng *running) replaceFirst(tbd *testbed) {
+	nod := tbd.start()
+	eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) }, pollTimeout).Should(gomega.BeTrue())
+	rng.mtx.Lock()
+	first := rng.list[0]
+	rng.list = append(rng.list[1:], nod)
+	rng.mtx.Unlock()
+	first.Kill()
+}
+
 // budgetLoad records the requests that callers send.
 type budgetLoad struct {
 	mtx  sync.Mutex
@@ -29,16 +62,23 @@
 }
 
 // send sends a request to an instance each 10 ms until the context ends, whichever instances there are.
-func (bld *budgetLoad) send(ctx context.Context, tbd *testbed, path string, nodes func() []int) {
+func (bld *budgetLoad) send(ctx context.Context, path string, addrs func() []string) {
 	var grp sync.WaitGroup
 	defer grp.Wait()
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(10 * time.Millisecond)
-		node := nodes()[i%len(nodes())]
+		list := addrs()
 		bld.mtx.Lock()
 		bld.sent = append(bld.sent, time.Now())
 		bld.mtx.Unlock()
-		grp.Go(func() { tbd.sendCtx(ctx, node, request{path: path, id: fmt.Sprint(path, i), body: fmt.Sprint(i)}) })
+		grp.Go(func() {
+			req, err := fake.Request(http.MethodPost, list[i%len(list)], path, host, fmt.Sprint(path, i), deadline, key, fmt.Sprint(i), nil)
+			expect(err).NotTo(anything())
+			if res, err := client.Do(req.WithContext(ctx)); err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				_ = res.Body.Close()
+			}
+		})
 	}
 }
 
@@ -92,28 +132,16 @@
 				}
 			}
 		}
-		var mtx sync.Mutex
-		alive := []int{0, 1, 2}
-		nodes := func() []int {
-			mtx.Lock()
-			defer mtx.Unlock()
-			return slices.Clone(alive)
-		}
+		all := tbd.running()
 		ctx, cancel := context.WithTimeout(context.Background(), budgetWindow)
 		defer cancel()
 		loads := []*budgetLoad{{}, {}}
 		var grp sync.WaitGroup
-		grp.Go(func() { loads[0].send(ctx, tbd, "/stream/x", nodes) })
-		grp.Go(func() { loads[1].send(ctx, tbd, "/log/x", nodes) })
+		grp.Go(func() { loads[0].send(ctx, "/stream/x", all.addrs) })
+		grp.Go(func() { loads[1].send(ctx, "/log/x", all.addrs) })
 		for ctx.Err() == nil {
 			time.Sleep(time.Second)
-			nod := tbd.start()
-			eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) }, pollTimeout).Should(gomega.BeTrue())
-			mtx.Lock()
-			ended := alive[0]
-			alive = append(alive[1:], len(tbd.nodes)-1)
-			mtx.Unlock()
-			tbd.nodes[ended].Kill()
+			all.replaceFirst(tbd)
 		}
 		grp.Wait()
 		for i, pool := range eps {
--- a/internal/node/build_test.go
+++ b/internal/node/build_test.go
@@ -152,18 +152,17 @@
 const maxTries = 4
 
 // run runs one stream to its end, or until its caller gives up. Each try is sent to one of the given
-// instances.
-func (sts *streams) run(ctx context.Context, tbd *testbed, nodes func() []int) {
+// addresses.
+func (sts *streams) run(ctx context.Context, addrs func() []string) {
 	stm := &stream{}
 	sts.mtx.Lock()
 	sts.count++
 	name := fmt.Sprintf("s%d", sts.count)
 	sts.mtx.Unlock()
 	for i := range maxTries {
-		list := nodes()
-		node := list[rand.IntN(len(list))]
+		list := addrs()
 		before := stm.first
-		stm.try(ctx, tbd.nodes[node].set.CallerAddr(), "/stream/x?"+name, fmt.Sprintf("%s-%d", name, i), nil)
+		stm.try(ctx, list[rand.IntN(len(list))], "/stream/x?"+name, fmt.Sprintf("%s-%d", name, i), nil)
 		if i == 0 {
 			sts.mtx.Lock()
 			sts.fresh++
@@ -192,12 +191,12 @@
 }
 
 // load begins streams at an even rate until the context ends, and waits for all of them.
-func (sts *streams) load(ctx context.Context, tbd *testbed, perSecond int, nodes func() []int) {
+func (sts *streams) load(ctx context.Context, perSecond int, addrs func() []string) {
 	var grp sync.WaitGroup
 	defer grp.Wait()
 	for ctx.Err() == nil {
 		time.Sleep(time.Second / time.Duration(perSecond))
-		grp.Go(func() { sts.run(context.Background(), tbd, nodes) })
+		grp.Go(func() { sts.run(context.Background(), addrs) })
 	}
 }
 
@@ -212,9 +211,9 @@
 				ep.QueueFaults(fake.CutsMidway, fake.None)
 			}
 		}
-		sts := &streams{}
+		sts, all := &streams{}, tbd.running()
 		for range 60 {
-			sts.run(context.Background(), tbd, func() []int { return []int{0, 1} })
+			sts.run(context.Background(), all.addrs)
 		}
 		ginkgo.GinkgoLogr.Info(sts.String())
 		expect(sts.mixed).To(gomega.BeEmpty())
@@ -228,27 +227,15 @@
 		for _, ep := range tbd.engines {
 			ep.Duration = 200 * time.Millisecond
 		}
-		var mtx sync.Mutex
-		alive := []int{0, 1, 2, 3}
-		nodes := func() []int {
-			mtx.Lock()
-			defer mtx.Unlock()
-			return slices.Clone(alive)
-		}
+		all := tbd.running()
 		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 		defer cancel()
 		sts := &streams{}
 		var grp sync.WaitGroup
-		grp.Go(func() { sts.load(ctx, tbd, 100, nodes) })
+		grp.Go(func() { sts.load(ctx, 100, all.addrs) })
 		for range 3 {
 			time.Sleep(1500 * time.Millisecond)
-			nod := tbd.start()
-			eventually(func() bool { return nod.ctl.View().Ready(nod.clk.Now()) }, pollTimeout).Should(gomega.BeTrue())
-			mtx.Lock()
-			ended := alive[0]
-			alive = append(alive[1:], len(tbd.nodes)-1)
-			mtx.Unlock()
-			tbd.nodes[ended].Kill()
+			all.replaceFirst(tbd)
 		}
 		grp.Wait()
 		ginkgo.GinkgoLogr.Info(sts.String())
