--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -164,7 +164,7 @@
 		expect(srd.breaksRule()).To(gomega.BeFalse(), "%s", srd)
 		expect(srd.othersServed).To(equal(srd.others), "%s", srd)
 	},
-		ginkgo.Entry("new ones of one instance get no answer, open ones go on", 1, sever.Drops, sever.Open),
+		ginkgo.Entry("new ones of one instance get no answer while open ones go on", 1, sever.Drops, sever.Open),
 		ginkgo.Entry("all of three instances hang", 3, sever.Drops, sever.Drops),
 		ginkgo.Entry("those of six instances are reset, and new ones refused", 6, sever.Refuses, sever.Refuses),
 		ginkgo.Entry("all of seven instances hang", 7, sever.Drops, sever.Drops),
