--- a/internal/node/framing_test.go
+++ b/internal/node/framing_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,8 +71,8 @@
 
 // requestText returns a request as it is sent.
 func requestText(version, path, id, body string) string {
-	return fmt.Sprintf("POST %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n%s: 600\r\n%s: %s%s\r\nContent-Length: %d\r\n\r\n%s",
-		path, version, host, fake.HeaderRequestID, id, fake.HeaderDeadline, fake.HeaderAuthorize, fake.Bearer, key, len(body), body)
+	return fmt.Sprintf("POST %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s%s\r\nContent-Length: %d\r\n\r\n%s",
+		path, version, host, fake.HeaderRequestID, id, fake.HeaderDeadline, rawDeadline, fake.HeaderAuthorize, fake.Bearer, key, len(body), body)
 }
 
 // read reads one answer, by the rules of RFC 9112, section 6.3.
@@ -277,6 +278,8 @@
 }
 
 const (
+	// rawDeadline is the time that callers give their requests, in milliseconds.
+	rawDeadline = 600
 	// parallelSilent is the number of silent endpoints at a time.
 	parallelSilent = 6
 	// slotWait is the time after which a request that found no free slot is sent again.
@@ -407,6 +410,21 @@
 		}
 	})
 
+	// Guards against engines that go on with streams whose deadline has passed. The fastest of several shows it
+	// on a busy machine too.
+	ginkgo.It("of a stream breaks off at its deadline", func() {
+		tbd, shs := newFramingTestbed(false)
+		var tooks []time.Duration
+		for i := range 4 {
+			id := fmt.Sprintf("late-%d", i)
+			shs.Set(id, fake.Shape{Framing: fake.Chunked, Cut: fake.BetweenEvents, Close: fake.GoesSilent})
+			began := time.Now()
+			expect(tbd.askRaw("1.1", "/stream-once/x", id).claim).To(equal(broken))
+			tooks = append(tooks, time.Since(began))
+		}
+		expect(slices.Min(tooks)).To(gomega.BeNumerically("<", (rawDeadline+50)*time.Millisecond))
+	})
+
 	// Guards against an answer without framing that the instance itself ends early and that looks
 	// complete: at its deadline, at the end of a planned stop, when its caller doesn't read.
 	ginkgo.It("breaks off where the instance ends an answer early", func() {
