--- a/internal/node/testbed_test.go
+++ b/internal/node/testbed_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,12 +27,14 @@
 	"amaranthvalve/platform/fake"
 )
 
-// TestRoutes runs the suite of tests with instances that serve routes.
+// TestRoutes runs the suite of tests with instances that serve routes; AMV_SPECS, if set, says which by their
+// labels.
 func TestRoutes(t *testing.T) {
 	zlog.RedirectLibraries(zerolog.Nop())
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
+	suite.LabelFilter = cmp.Or(os.Getenv("AMV_SPECS"), suite.LabelFilter)
 	suite.SkipStrings = append(suite.SkipStrings, known.Specs(os.Getenv("AMV_KNOWN_RED"), "TestRoutes")...)
 	ginkgo.RunSpecs(t, "routes", suite, reporter)
 }
