--- a/internal/node/partition_test.go
+++ b/internal/node/partition_test.go
@@ -195,6 +195,28 @@
 		ginkgo.Entry("all of seven instances hang", 7, sever.Drops, sever.Drops),
 	)
 
+	// Guards against partitioned instances that take each other for proof that endpoints are down, since none
+	// may connect to brittle endpoints only to see whether it reaches them.
+	ginkgo.It("serves first attempts while all endpoints are brittle", func() {
+		tbd, prts := newPartitionTestbed(4)
+		for _, ep := range slices.Concat(tbd.engines, tbd.plain, tbd.stages) {
+			ep.SetBrittle(3, func() {})
+		}
+		eventually(func() bool {
+			tbd.sendAll(0, 1)
+			return !slices.ContainsFunc(tbd.nodes, func(nod *Node) bool { return len(nod.ctl.View().BrittlePools()) < 3 })
+		}, pollTimeout).Should(gomega.BeTrue())
+		for _, prt := range prts[:3] {
+			prt.Set(sever.Refuses, sever.Refuses)
+		}
+		for until := time.Now().Add(settleTime); time.Now().Before(until); {
+			tbd.sendAll(3, 1)
+		}
+		srd := tbd.sendAll(3, 10)
+		ginkgo.GinkgoLogr.Info(srd.String())
+		expect(srd.breaksRule()).To(gomega.BeFalse(), "%s", srd)
+	})
+
 	// Guards against relayed responses that are held back, and against endpoints that go on working for
 	// callers that have disconnected.
 	ginkgo.It("relays events as they come, and the disconnect of the caller", func() {
