internal/dial: two tests wait until a relay has ended what it didn't connect

A relay counts a connection until it has answered that there is none and closed the tunnel; the one who asked may look before. A relay that had connected would give no error, and keep its connection.

--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -230,7 +230,7 @@
 	nwk.unknown.Store(true)
 	_, err = nwk.origin.DialContext(t.Context(), "tcp", nwk.addr)
 	gom.Expect(err).To(gomega.HaveOccurred())
-	gom.Expect(nwk.relay.Served()).To(gomega.BeZero())
+	gom.Eventually(nwk.relay.Served).Should(gomega.BeZero())
 }
 
 // Guards against a relay that connects to an endpoint which must get no requests from it, and against taking
@@ -241,7 +241,7 @@
 	nwk.withheld.Store(true)
 	_, err := nwk.origin.DialContext(t.Context(), "tcp", nwk.addr)
 	gom.Expect(err).To(gomega.HaveOccurred())
-	gom.Expect(nwk.relay.Served()).To(gomega.BeZero())
+	gom.Eventually(nwk.relay.Served).Should(gomega.BeZero())
 	nwk.withheld.Store(false)
 	nwk.connect(gom)
 }
