internal/front, platform: a broken attempt's line names the parts of its prompt and how long its answer was under way

Now the line on a connection that an endpoint closed names the parts but the last one, and how long the answer had been under way; a part that ends engines when its answer begins shows as the one part that all ends have in common while no answer with it is older than a moment. No decision has changed.

--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -9,13 +9,19 @@
 	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/coord"
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/poison"
 )
 
-// maxListedCrashes bounds the endpoints that a refusal names.
-const maxListedCrashes = 4
+const (
+	// maxListedCrashes bounds the endpoints that a refusal names.
+	maxListedCrashes = 4
+	// maxLoggedParts bounds the parts of a prompt in a log line, maxPartName the length of each in bytes.
+	maxLoggedParts = 8
+	maxPartName    = 32
+)
 
 // fingerprint identifies the request by the parts that stay the same when its caller sends it
 // again.
@@ -28,6 +34,7 @@
 // crashed, and not only closed the connection, the request becomes a suspect at all instances.
 func (fr *Front) checkCrash(cl *call, tgt coord.Placement) {
 	fpr, leaving := cl.fingerprint(), fr.set.Control.View().IsLeaving(tgt.ID)
+	answering := cl.answering(fr.set.Clock.Now())
 	go func() {
 		ended := fr.set.ProcessEnded(context.Background(), tgt.Addr)
 		switch counts := ended && !leaving; {
@@ -37,10 +44,28 @@
 			fr.set.Control.CancelTrial(fpr, cl.attemptName())
 		}
 		fr.set.Log.Info().Str("request", cl.ask.ID).Stringer("mark", fpr).Str("workspace", cl.wsp).Str("pool", cl.pool.Name()).
-			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Bool("leaving", leaving).Msg("connection closed by endpoint")
+			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Bool("leaving", leaving).
+			Strs("parts", cl.partNames()).Int64("answering_ms", int64(answering)).Msg("connection closed by endpoint")
 	}()
 }
 
+// answering returns how long the endpoint has been answering the last attempt; -1 if the answer has not begun.
+func (cl *call) answering(now clock.Milli) clock.Milli {
+	if cl.headAt == 0 {
+		return -1
+	}
+	return now - cl.headAt
+}
+
+// partNames returns the parts of the prompt for a log line.
+func (cl *call) partNames() []string {
+	var list []string
+	for _, id := range cl.ask.SharedParts[:min(len(cl.ask.SharedParts), maxLoggedParts)] {
+		list = append(list, id[:min(len(id), maxPartName)])
+	}
+	return list
+}
+
 // crashesUnder returns the crashes of endpoints recorded for a request.
 func (fr *Front) crashesUnder(cl *call) []poison.Crash {
 	sus := fr.set.Control.View().Suspects()
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -176,7 +176,7 @@
 	fr, cl := run.fr, run.cl
 	cl.attempts++
 	cl.endpoint = string(tgt.ID)
-	run.rejected = false
+	cl.headAt, run.rejected = 0, false
 	run.avoid = append(run.avoid, string(tgt.ID))
 	actx, cancel := context.WithDeadline(cl.http.Context(), fr.set.Clock.Deadline(cl.deadline+answerGrace))
 	defer cancel()
@@ -216,7 +216,7 @@
 	if end == ending.Answered {
 		fr.pools.RecordFirstByte(cl.route.Name(), took)
 		fr.coord.FirstEvent(cl.pool.Name(), tgt, took)
-		cl.firstByte = took
+		cl.firstByte, cl.headAt = took, began+took
 		if cl.route.Streams() {
 			// Events after the deadline are of no use, and take the engine's time.
 			defer context.AfterFunc(ctx, cancel)()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -103,8 +103,10 @@
 	endpoint   string
 	stagesTook clock.Milli
 	firstByte  clock.Milli
-	maxPause   clock.Milli
-	viewAge    clock.Milli
+	// headAt is when the answer to the last attempt began, zero if it has not.
+	headAt   clock.Milli
+	maxPause clock.Milli
+	viewAge  clock.Milli
 }
 
 // ServeHTTP serves one request.
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -31,6 +31,8 @@
 	Token string
 	// Prompt describes the prompt for a model engine; nil for plain calls.
 	Prompt *place.Prompt
+	// SharedParts are the IDs of the parts of the prompt but the last one, each once.
+	SharedParts []string
 	// Items is the number of items of each stage, and ItemKey the input of the first stages.
 	Items   []int
 	ItemKey string
