--- /dev/null
+++ b/internal/node/part_test.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/platform/fake"
+)
+
+const (
+	// badPart is a part of prompts under which engines crash, soundPart and rarePart are shared by sound prompts.
+	badPart   = "bad0"
+	soundPart = "5c1e"
+	rarePart  = "91bd"
+	// crashesToLearn is the number of crashes after which, stableTime later, badPart must be known to all
+	// instances; latePrompts is how many prompts with it may reach engines from then on.
+	crashesToLearn = 5
+	stableTime     = 3 * time.Second
+	latePrompts    = 3
+)
+
+// promptTest sends prompts to all instances, no two of them alike.
+type promptTest struct {
+	tbd  *testbed
+	crt  *crashTest
+	next atomic.Int64
+	wgr  sync.WaitGroup
+	stop chan struct{}
+	mtx  sync.Mutex
+	// answers are the responses to sound prompts.
+	answers []promptAnswer
+	refused []response
+}
+
+type promptAnswer struct {
+	at time.Time
+	ok bool
+}
+
+// newPromptTest adds engines, of which each crashes when it begins to answer a prompt with badPart.
+func newPromptTest(tbd *testbed, shp fake.Shape) *promptTest {
+	crt := tbd.crashEngines(6)
+	crt.part, crt.partShape = badPart, shp
+	crt.rearm()
+	pts := &promptTest{tbd: tbd, crt: crt, stop: make(chan struct{})}
+	tbd.cleanup(pts.end)
+	return pts
+}
+
+// send sends a prompt with the given parts and one of its own to the instances in turn.
+func (pts *promptTest) send(parts string) response {
+	n := int(pts.next.Add(1))
+	return pts.tbd.send(n%len(pts.tbd.nodes), request{path: "/stream-once/plan", id: fmt.Sprintf("prompt-%d", n), body: fmt.Sprintf("draft %d", n), header: map[string]string{
+		fake.HeaderTokens: "30,4", fake.HeaderPrefix: fmt.Sprintf("%s,%x:10", parts, 1<<20+n),
+	}})
+}
+
+// repeat calls one function at intervals, each time on its own, until the test ends.
+func (pts *promptTest) repeat(interval time.Duration, send func()) {
+	pts.wgr.Go(func() {
+		tick := time.NewTicker(interval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-pts.stop:
+				return
+			case <-tick.C:
+				pts.wgr.Go(send)
+			}
+		}
+	})
+}
+
+func (pts *promptTest) sendSound() {
+	at := time.Now()
+	rsp := pts.send(soundPart + ":10," + rarePart + ":10")
+	pts.mtx.Lock()
+	defer pts.mtx.Unlock()
+	pts.answers = append(pts.answers, promptAnswer{at, rsp.status == http.StatusOK})
+}
+
+func (pts *promptTest) sendBad(parts string) func() {
+	return func() {
+		rsp := pts.send(parts)
+		pts.mtx.Lock()
+		defer pts.mtx.Unlock()
+		if rsp.status == http.StatusServiceUnavailable {
+			pts.refused = append(pts.refused, rsp)
+		}
+	}
+}
+
+// end stops sending and waits for the answers.
+func (pts *promptTest) end() {
+	select {
+	case <-pts.stop:
+	default:
+		close(pts.stop)
+	}
+	pts.wgr.Wait()
+}
+
+// share returns the share of sound prompts that were answered of those sent in a span.
+func (pts *promptTest) share(from, until time.Time) float64 {
+	pts.mtx.Lock()
+	defer pts.mtx.Unlock()
+	sent, ok := 0, 0
+	for _, ans := range pts.answers {
+		if ans.at.Before(from) || !ans.at.Before(until) {
+			continue
+		}
+		sent++
+		if ans.ok {
+			ok++
+		}
+	}
+	expect(sent).To(gomega.BeNumerically(">=", 20))
+	return float64(ok) / float64(sent)
+}
+
+// crashCount returns the number of engines that have crashed.
+func (crt *crashTest) crashCount() int {
+	crt.mtx.Lock()
+	defer crt.mtx.Unlock()
+	return len(crt.crashes)
+}
+
+// arrivalsAfter counts the prompts with badPart that reached engines after a time.
+func (crt *crashTest) arrivalsAfter(at time.Time) int {
+	crt.mtx.Lock()
+	defer crt.mtx.Unlock()
+	count := 0
+	for _, arrived := range crt.arrivals {
+		if arrived.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+var _ = ginkgo.Describe("a part of prompts under which engines end", func() {
+	// Guards against a part that ends engines without bound because no two requests with it are alike, and against
+	// refusing sound requests of the same caller, route and other parts for it.
+	ginkgo.DescribeTable("reaches at most three more engines while sound prompts are served", func(parts string, shp fake.Shape) {
+		tbd := newTestbed(4)
+		pts := newPromptTest(tbd, shp)
+		pts.repeat(25*time.Millisecond, pts.sendSound)
+		time.Sleep(time.Second)
+		began := time.Now()
+		pts.repeat(120*time.Millisecond, pts.sendBad(parts))
+		eventually(pts.crt.crashCount, 4*pollTimeout).Should(gomega.BeNumerically(">=", crashesToLearn), "crashes")
+		time.Sleep(2 * stableTime)
+		known, late := time.Now(), pts.crt.arrivalsAfter(pts.crt.crashes[crashesToLearn-1].Add(stableTime))
+		time.Sleep(stableTime)
+		until := time.Now()
+		pts.end()
+		expect(pts.crt.arrivalsAfter(pts.crt.crashes[crashesToLearn-1].Add(stableTime))).To(gomega.BeNumerically("<=", latePrompts), "%d of them in the first seconds", late)
+		expect(pts.share(known, until)).To(gomega.BeNumerically(">=", pts.share(began.Add(-time.Second), began)/2))
+		expect(pts.refused).NotTo(gomega.BeEmpty())
+		expect(pts.refused[len(pts.refused)-1].body).To(gomega.And(gomega.ContainSubstring(`"quarantined"`), gomega.ContainSubstring(badPart)))
+	},
+		ginkgo.Entry("behind a shared part and ending answers in their heads", soundPart+":10,"+badPart+":10", fake.Shape{Framing: fake.Chunked, Cut: fake.InHead}),
+		ginkgo.Entry("as the first part and ending unframed answers between events", badPart+":10,"+rarePart+":10", fake.Shape{Framing: fake.CloseDelimited, Cut: fake.BetweenEvents}),
+		ginkgo.Entry("among shared parts and ending unframed answers inside an event", soundPart+":10,"+badPart+":10,"+rarePart+":10", fake.Shape{Framing: fake.CloseDelimited, Cut: fake.InsideEvent}),
+	)
+
+	// Guards against successors that admit a part again after all instances have ended at the same time.
+	ginkgo.It("is refused after all instances have ended at once", func() {
+		tbd := newTestbed(3)
+		pts := newPromptTest(tbd, fake.Shape{Framing: fake.Chunked, Cut: fake.AfterHead})
+		for range 100 {
+			if pts.crt.crashCount() >= crashesToLearn {
+				break
+			}
+			pts.send(soundPart + ":10," + badPart + ":10")
+		}
+		time.Sleep(stableTime)
+		for _, nod := range tbd.nodes {
+			nod.Kill()
+		}
+		tbd.nodes = nil
+		for range 3 {
+			tbd.start()
+		}
+		ended := pts.crt.arrivalsAfter(time.Time{})
+		for range 2 * len(tbd.nodes) {
+			expect(pts.send(soundPart + ":10," + badPart + ":10").body).To(gomega.ContainSubstring(`"quarantined"`))
+			expect(pts.send(soundPart + ":10," + rarePart + ":10").status).To(equal(http.StatusOK))
+		}
+		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(ended))
+	})
+})
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -40,6 +40,12 @@
 	arrivals []time.Time
 	nextID   int
 	sent     int
+	// crashes are the times at which engines crashed.
+	crashes []time.Time
+	// part is a part of prompts that makes engines crash too, empty for none; partShape is the shape of their
+	// answers to such prompts.
+	part      string
+	partShape fake.Shape
 	// shapes are the shapes of the engines' answers, nil for the usual ones.
 	shapes *fake.Shapes
 	// done is set at the end of the test.
@@ -87,19 +93,31 @@
 	}
 }
 
-// arm makes an engine crash on requests with crashBody. restartDelay after the crash its entry is
-// removed and a new engine is added.
+// arm makes an engine crash on requests with crashBody, or with the part. restartDelay after the crash its
+// entry is removed and a new engine is added.
 func (crt *crashTest) arm(ep *fake.Endpoint, srv *stand.Server) {
 	ep.UseShapes(crt.shapes)
-	ep.CrashOn(crashBody, func() {
+	var once sync.Once
+	crash := func() {
 		crt.mtx.Lock()
 		crt.arrivals = append(crt.arrivals, time.Now())
 		crt.mtx.Unlock()
-		srv.Close()
-		time.AfterFunc(restartDelay, func() {
-			crt.tbd.store.RemoveEndpoint(ep.ID())
-			crt.add()
-		})
+		once.Do(func() { crt.end(ep, srv) })
+	}
+	ep.CrashOn(crashBody, crash)
+	if crt.part != "" {
+		ep.CrashOnPart(crt.part, crt.partShape, crash)
+	}
+}
+
+func (crt *crashTest) end(ep *fake.Endpoint, srv *stand.Server) {
+	crt.mtx.Lock()
+	crt.crashes = append(crt.crashes, time.Now())
+	crt.mtx.Unlock()
+	srv.Close()
+	time.AfterFunc(restartDelay, func() {
+		crt.tbd.store.RemoveEndpoint(ep.ID())
+		crt.add()
 	})
 }
 
