pkg/poison, internal/state, internal/front: parts of prompts that crash endpoints are found and refused

What callers saw: engines of one pool ended one after the other, each when it began to answer a prompt with one part; answers of others were cut off beside it. After five such ends 15 and 16 more prompts with the part reached engines.

Cause: what is blamed for a crash was the whole request. Crashes were seen, shared and stored as they should be. The class: a cause is looked for in one unit only, while another one, that many requests share, carries it.

Change: a crash accuses each part but the last of the prompts in flight, at the pool where it happened, as facts of the kind that requests have. Answers that begin after a crash clear a part at all instances; one in the 30 s before makes it doubtful. Of what is left those parts are convicted that explain crashes which no better part explains (3 at 3 moments, or 5); the verdict is a function of the facts alone. Every way to an endpoint asks, for all pass the check of quarantines before a request is written. The crashes that a convicted part explains count against no request. Facts on convicted parts are in the store with the others. The pool is chosen before the quarantine is asked, since verdicts are by pool. An unframed answer clears a part only if its endpoint still runs afterwards.

Ruled out: refusing by caller or first part (sound requests share both); counting each part without the answers (the most common part has most crashes); trials that each instance grants itself.

Two specs on trials wait until the coordinator may grant them.

--- a/internal/dial/crash.go
+++ b/internal/dial/crash.go
@@ -24,30 +24,38 @@
 	witnessTimeout = 300 * time.Millisecond
 )
 
-// ProcessEnded reports whether the process at an address has ended: connections to it are refused,
+// ProcessEnded reports whether the process at an address has ended; false if that is unknown.
+func (dlr *Dialer) ProcessEnded(ctx context.Context, addr string) bool {
+	return dlr.CheckProcess(ctx, addr) == reach.Ended
+}
+
+// CheckProcess finds out whether the process at an address has ended: connections to it are refused,
 // here and at another instance, and that one reaches other endpoints. A partition may refuse
 // connections too; one instance can't tell.
-func (dlr *Dialer) ProcessEnded(ctx context.Context, addr string) bool {
+func (dlr *Dialer) CheckProcess(ctx context.Context, addr string) reach.Process {
 	own := dlr.observe(ctx, addr)
 	if own == reach.Connected {
-		return false
+		return reach.Running
 	}
 	ep, known := dlr.endpointAt(addr)
 	witnesses := dlr.chooseRelays(ep.Zone)
 	if !known || len(witnesses) == 0 {
-		return own == reach.Refused && dlr.reachesOthers(addr)
+		if own == reach.Refused && dlr.reachesOthers(addr) {
+			return reach.Ended
+		}
+		return reach.Unknown
 	}
 	for _, wit := range witnesses {
 		reply, ok := dlr.askWitness(ctx, wit, ep)
 		switch {
 		case !ok || !reply.proves():
 		case reply.Result == reach.Connected:
-			return false
+			return reach.Running
 		case reply.Result == reach.Refused:
-			return true
+			return reach.Ended
 		}
 	}
-	return false
+	return reach.Unknown
 }
 
 // observe dials an address until its state is clear: refused, connected or unanswered.
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -9,10 +9,11 @@
 	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/coord"
 	"amaranthvalve/internal/relay"
+	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
-	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/poison"
+	"amaranthvalve/pkg/reach"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// maxLoggedParts bounds the parts of a prompt in a log line, maxPartName the length of each in bytes.
 	maxLoggedParts = 8
 	maxPartName    = 32
+	// maxSuspectParts bounds the parts of one prompt that a crash accuses.
+	maxSuspectParts = 64
 )
 
 // fingerprint identifies the request by the parts that stay the same when its caller sends it
@@ -30,22 +33,43 @@
 	return cl.fprint
 }
 
-// checkCrash probes an endpoint that has closed the connection of an attempt. If the endpoint has
-// crashed, and not only closed the connection, the request becomes a suspect at all instances.
-func (fr *Front) checkCrash(cl *call, tgt coord.Placement) {
+// parts returns the fingerprints of the parts of the prompt that other requests may share.
+func (cl *call) parts() []poison.Fingerprint {
+	if len(cl.ask.SharedParts) == 0 || cl.pool == nil {
+		return nil
+	}
+	cl.partsOnce.Do(func() {
+		for _, id := range cl.ask.SharedParts[:min(len(cl.ask.SharedParts), maxSuspectParts)] {
+			cl.partPrints = append(cl.partPrints, poison.PartOf(cl.pool.Name(), id))
+		}
+	})
+	return cl.partPrints
+}
+
+// checkCrash probes an endpoint that has closed the connection of an attempt. If the endpoint has crashed, and
+// not only closed the connection, the request and the parts of its prompt become suspects at all instances. An
+// attempt is whole if its answer ended as a complete one without framing does.
+func (fr *Front) checkCrash(cl *call, tgt coord.Placement, whole bool) {
 	fpr, leaving := cl.fingerprint(), fr.set.Control.View().IsLeaving(tgt.ID)
-	answering := cl.answering(fr.set.Clock.Now())
+	parts, began, answering := cl.parts(), cl.headAt, cl.answering(fr.set.Clock.Now())
+	settled := answering >= poison.SettledAnswer
 	go func() {
-		ended := fr.set.ProcessEnded(context.Background(), tgt.Addr)
-		switch counts := ended && !leaving; {
-		case counts && !cl.trial:
+		process := fr.set.CheckProcess(context.Background(), tgt.Addr)
+		counts := process == reach.Ended && !leaving
+		switch {
+		case counts && !cl.trial && settled:
 			fr.set.Control.RecordCrash(fpr, tgt.ID)
-		case !counts && cl.trial:
-			fr.set.Control.CancelTrial(fpr, cl.attemptName())
+		case counts && !cl.trial:
+			fr.set.Control.RecordCrash(fpr, tgt.ID, parts...)
+		case !counts && cl.trial && len(cl.trialOf.Parts) == 0:
+			fr.set.Control.CancelTrial(cl.trialOf)
+		}
+		if settled || whole && process == reach.Running {
+			fr.set.Control.RecordAnswer(parts, began)
 		}
 		fr.set.Log.Info().Str("request", cl.ask.ID).Stringer("mark", fpr).Str("workspace", cl.wsp).Str("pool", cl.pool.Name()).
-			Str("endpoint", string(tgt.ID)).Bool("ended", ended).Bool("leaving", leaving).
-			Strs("parts", cl.partNames()).Int64("answering_ms", int64(answering)).Msg("connection closed by endpoint")
+			Str("endpoint", string(tgt.ID)).Bool("ended", process == reach.Ended).Stringer("process", process).Bool("leaving", leaving).
+			Strs("parts", cl.partNames()).Int64("answering_ms", int64(answering)).Bool("trial", cl.trial).Msg("connection closed by endpoint")
 	}()
 }
 
@@ -61,11 +85,13 @@
 func (cl *call) partNames() []string {
 	var list []string
 	for _, id := range cl.ask.SharedParts[:min(len(cl.ask.SharedParts), maxLoggedParts)] {
-		list = append(list, id[:min(len(id), maxPartName)])
+		list = append(list, partName(id))
 	}
 	return list
 }
 
+func partName(id string) string { return id[:min(len(id), maxPartName)] }
+
 // crashesUnder returns the crashes of endpoints recorded for a request.
 func (fr *Front) crashesUnder(cl *call) []poison.Crash {
 	sus := fr.set.Control.View().Suspects()
@@ -76,53 +102,74 @@
 }
 
 // judgeEnd clears a request that an endpoint has run to completion of the suspicion that it makes endpoints
-// crash. A failure status proves nothing, since the endpoint may have failed before it began. The end of a
-// response that has no framing doesn't either: a crash ends it in the same way, so that the endpoint is
-// probed.
+// crash, and the parts of its prompt. A failure status proves nothing, since the endpoint may have failed before
+// it began. The end of a response that has no framing doesn't either: a crash ends it in the same way, so that
+// the endpoint is probed.
 func (fr *Front) judgeEnd(cl *call, tgt coord.Placement, rsp *relay.Response) {
-	switch {
-	case !rsp.Framing.ProvesEnd():
-		fr.checkCrash(cl, tgt)
-	case rsp.Status < http.StatusInternalServerError && len(fr.crashesUnder(cl)) > 0:
+	whole := rsp.Status >= http.StatusOK && rsp.Status < http.StatusMultipleChoices
+	if !rsp.Framing.ProvesEnd() {
+		fr.checkCrash(cl, tgt, whole)
+		return
+	}
+	if rsp.Status < http.StatusInternalServerError && len(fr.crashesUnder(cl)) > 0 {
 		fr.set.Control.RecordCompletion(cl.fingerprint())
 	}
+	if whole {
+		fr.set.Control.RecordAnswer(cl.parts(), cl.headAt)
+	}
 }
 
-// quarantine refuses requests under which several endpoints have crashed: the next endpoint would
-// crash too, and the other requests there would fail with it. When a quarantine is over, one
-// attempt is admitted for a trial.
+// quarantine refuses requests under which several endpoints have crashed, or with a part in their prompts under
+// which they have: the next endpoint would crash too, and the other requests there would fail with it. When a
+// quarantine is over, one attempt is admitted for a trial.
 func (fr *Front) quarantine(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	sus := fr.set.Control.View().Suspects()
+	if sus.Empty() {
+		return nxt(ctx, cl)
+	}
+	now, trl := fr.set.Clock.Now(), state.Trial{Pool: cl.pool.Name(), Attempt: cl.ask.ID}
+	due := sus.Quarantined(cl.fingerprint(), now) == 0
+	if sus.OnTrial(cl.fingerprint()) {
+		trl.Request = []poison.Fingerprint{cl.fingerprint()}
+	}
+	for _, prt := range sus.Convicted(cl.parts()) {
+		trl.Parts = append(trl.Parts, prt.Fingerprint())
+		due = due && prt.Quarantined(now) == 0
+	}
 	switch {
-	case sus.Empty() || !sus.OnTrial(cl.fingerprint()):
+	case len(trl.Request)+len(trl.Parts) == 0:
 		return nxt(ctx, cl)
-	case fr.isQuarantined(cl) || !fr.set.Control.BeginTrial(cl.fingerprint(), cl.attemptName()):
+	case !due || !fr.set.Control.BeginTrial(trl):
 		return fr.refuseQuarantined(cl)
 	}
-	cl.trial = true
+	cl.trial, cl.trialOf = true, trl
 	res := nxt(ctx, cl)
-	if res.IsRefusal() {
-		fr.set.Control.CancelTrial(cl.fingerprint(), cl.attemptName())
+	if res.IsRefusal() && (cl.attempts == 0 || len(trl.Parts) == 0) {
+		fr.set.Control.CancelTrial(trl)
 	}
 	return res
 }
 
-// attemptName identifies this attempt of the caller where an endpoint's name is expected.
-func (cl *call) attemptName() ident.Process { return ident.Process("attempt " + cl.ask.ID) }
-
 func (fr *Front) isQuarantined(cl *call) bool {
 	sus := fr.set.Control.View().Suspects()
-	return !cl.trial && !sus.Empty() && sus.Quarantined(cl.fingerprint(), fr.set.Clock.Now()) > 0
+	return !cl.trial && !sus.Empty() && (sus.Quarantined(cl.fingerprint(), fr.set.Clock.Now()) > 0 || len(sus.Convicted(cl.parts())) > 0)
 }
 
 // refuseQuarantined returns the refusal of a quarantined request. It carries no retry-after delay:
 // the same request would be refused again.
 func (fr *Front) refuseQuarantined(cl *call) outcm.Result {
 	now := fr.set.Clock.Now()
-	crashes := fr.crashesUnder(cl)
+	cause, crashes := "this request", fr.crashesUnder(cl)
+	sus := fr.set.Control.View().Suspects()
+	for i, fpr := range cl.parts() {
+		if list := sus.Convicted([]poison.Fingerprint{fpr}); len(list) > 0 {
+			cause, crashes = fmt.Sprintf("requests with the part %q in their prompts", partName(cl.ask.SharedParts[i])), list[0].Crashes()
+			break
+		}
+	}
 	var listed []string
 	for _, crash := range crashes[max(len(crashes)-maxListedCrashes, 0):] {
 		listed = append(listed, fmt.Sprintf("%s %.1f s ago, reported by %s", crash.Endpoint, (now-crash.At).Seconds(), crash.By))
 	}
-	return outcm.New(outcm.NotRun, outcm.Quarantined, fmt.Sprintf("%d endpoints crashed under this request: %s", len(crashes), strings.Join(listed, "; ")))
+	return outcm.New(outcm.NotRun, outcm.Quarantined, fmt.Sprintf("%d endpoints crashed under %s: %s", len(crashes), cause, strings.Join(listed, "; ")))
 }
--- a/internal/front/doc.go
+++ b/internal/front/doc.go
@@ -6,7 +6,10 @@
 //	match       finds the route by host and path; enforces the size limits
 //	drain       refuses, during a planned shutdown, what may outlast it
 //	identify    finds the workspace by its token, unless the route is open
-//	quarantine  refuses requests under which several endpoints have crashed
+//	resume      finds the build that began the stream which the request resumes
+//	target      chooses the pool of the final call
+//	quarantine  refuses requests under which several endpoints have crashed, or with a part in
+//	            their prompts under which they have
 //	admit       refuses at once what can't be answered in time
 //	stages      runs the stages whose results the final call takes, as their dependencies allow
 //	final       sends the request to an endpoint, and to another one where that is allowed
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -226,7 +226,7 @@
 	run.rejected = end == ending.Refused && isRejection(rsp)
 	run.release(tgt, end.RouteOutcome(slow), took)
 	if end == ending.Cut {
-		fr.checkCrash(cl, tgt)
+		fr.checkCrash(cl, tgt, false)
 	}
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
 		Str("ending", end.String()).AnErr("error", err).Bool("outlasted", slow).Int64("took_ms", int64(took)).Msg("attempt failed")
@@ -290,7 +290,7 @@
 		return fr.refuseQuarantined(cl), false
 	case !fr.tokenValid(cl) && run.mayHaveRun == 0:
 		return refuseUnconfirmed(), false
-	case !fr.tokenValid(cl) || fr.isQuarantined(cl) || cl.trial && run.mayHaveRun > 0:
+	case !fr.tokenValid(cl) || fr.isQuarantined(cl) || cl.trial && (run.mayHaveRun > 0 || len(cl.trialOf.Parts) > 0):
 		return res, false
 	case !cl.bound.resumable() || cl.bound.is && !fr.pools.HasBuild(cl.pool.Name(), cl.bound.build):
 		// What follows of the stream would be of another build.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -80,7 +80,7 @@
 	end := ending.Broken(ctx)
 	run.release(tgt, end.RouteOutcome(false), took)
 	if end == ending.Cut {
-		run.fr.checkCrash(run.cl, tgt)
+		run.fr.checkCrash(run.cl, tgt, false)
 	}
 	return end
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/poison"
+	"amaranthvalve/pkg/reach"
 )
 
 // Setup holds the dependencies and settings of a [Front].
@@ -31,8 +32,8 @@
 	Relay       *relay.Relay
 	Pools       *pools.Pools
 	Coordinator *coord.Coordinator
-	// ProcessEnded reports whether the process at an endpoint's address has ended.
-	ProcessEnded func(ctx context.Context, addr string) bool
+	// CheckProcess finds out whether the process at an endpoint's address has ended.
+	CheckProcess func(ctx context.Context, addr string) reach.Process
 	Clock        clock.Clock
 	Meter        *meter.Meter
 	Log          zerolog.Logger
@@ -56,7 +57,7 @@
 // New returns a front with its filters linked in order.
 func New(set Setup) *Front {
 	fr := &Front{set: set, pools: set.Pools, coord: set.Coordinator}
-	fr.head = chain.Link(fr.final, fr.match, fr.drain, fr.identify, fr.quarantine, fr.resume, fr.admit, fr.stages)
+	fr.head = chain.Link(fr.final, fr.match, fr.drain, fr.identify, fr.resume, fr.target, fr.quarantine, fr.admit, fr.stages)
 	return fr
 }
 
@@ -94,8 +95,13 @@
 	// long body takes a while, and most requests need none.
 	fprintOnce sync.Once
 	fprint     poison.Fingerprint
-	// trial is set when the request is admitted after its quarantine; it gets a single attempt.
-	trial bool
+	// partsOnce guards partPrints, the fingerprints of the shared parts of the prompt.
+	partsOnce  sync.Once
+	partPrints []poison.Fingerprint
+	// trial is set when the request is admitted after its quarantine, for what trialOf names; it gets a single
+	// attempt.
+	trial   bool
+	trialOf state.Trial
 	// Fields of the log line at the end of the request.
 	attempts   int
 	recomputes int
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -81,18 +81,24 @@
 	return clock.Milli(spc.BatchMs + spc.ItemMs*float64(min(n, spc.MaxItems)) + spc.BatchMs*float64(batches-1))
 }
 
-// admit chooses the final pool, and refuses at once requests that can't be answered before their
-// deadline. While pools are contended it also refuses those that will probably be late: they would
-// take the slot of a request that can be in time. While pools are not contended, late requests are
-// admitted as long as they meet their deadline. The target latency of a retry counts from the
-// caller's first attempt, so that it goes before requests that came later.
-func (fr *Front) admit(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
+// target chooses the final pool: that of the stream that the request resumes, or one of the route's.
+func (fr *Front) target(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	name := cmp.Or(cl.bound.pool, cl.route.Target(rand.Float64()))
 	pol, ok := cl.view.Plan().Pool(name)
 	if !ok || !fr.pools.Usable(name) {
 		return outcm.Refuse(outcm.NoEndpoint, retry.Jittered(staleRetryAfter), "the pool has no usable endpoint")
 	}
 	cl.pool = pol
+	return nxt(ctx, cl)
+}
+
+// admit refuses at once requests that can't be answered before their
+// deadline. While pools are contended it also refuses those that will probably be late: they would
+// take the slot of a request that can be in time. While pools are not contended, late requests are
+// admitted as long as they meet their deadline. The target latency of a retry counts from the
+// caller's first attempt, so that it goes before requests that came later.
+func (fr *Front) admit(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
+	name := cl.pool.Name()
 	if end, all := fr.coord.RestEnd(name, cl.bound.build); all && end > fr.set.Clock.Now()+fr.firstByteEstimate(cl)+cl.slotWait() {
 		return fr.refuseResting(end)
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -66,11 +66,13 @@
 	EventStoreRestored = "store_came_back_from_copy"
 	EventRest          = "endpoint_rest"
 	EventRestOfNone    = "endpoint_rest_of_none"
+	// EventPartQuarantined: a part of prompts is refused because endpoints crashed with it in flight.
+	EventPartQuarantined = "part_quarantined"
 )
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
 }
 
 // Names of the gauges.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,7 +206,7 @@
 	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli), Origins: nod.dialer.Origins})
 	nod.front = front.New(front.Setup{
 		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, nod.dialer.DialContext, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
-		Meter: nod.mtr, Log: nod.log, ProcessEnded: nod.dialer.ProcessEnded,
+		Meter: nod.mtr, Log: nod.log, CheckProcess: nod.dialer.CheckProcess,
 		TokenMaxViewAge: clock.Milli(tokenAgeShare * float64(nod.set.TokenMaxViewAge())),
 	})
 }
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -179,6 +179,7 @@
 				break
 			}
 			pts.send(soundPart + ":10," + badPart + ":10")
+			pts.sendSound()
 		}
 		time.Sleep(stableTime)
 		for _, nod := range tbd.nodes {
@@ -195,4 +196,24 @@
 		}
 		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(ended))
 	})
+
+	// Guards against refusing for long a sound part that had been in no other prompts than those that end engines.
+	ginkgo.It("doesn't take parts along that came with it alone", func() {
+		tbd := newTestbed(3)
+		pts := newPromptTest(tbd, fake.Shape{Framing: fake.Chunked, Cut: fake.AfterHead})
+		for range 100 {
+			if pts.crt.crashCount() >= crashesToLearn {
+				break
+			}
+			pts.send(soundPart + ":10," + badPart + ":10")
+		}
+		eventually(func() int { return pts.send(soundPart + ":10," + rarePart + ":10").status }, 2*stableTime, 100*time.Millisecond).Should(equal(http.StatusOK))
+		ended := pts.crt.arrivalsAfter(time.Time{})
+		time.Sleep(300 * time.Millisecond)
+		for range 2 * len(tbd.nodes) {
+			expect(pts.send(soundPart + ":10," + rarePart + ":10").status).To(equal(http.StatusOK))
+			expect(pts.send(soundPart + ":10," + badPart + ":10").body).To(gomega.ContainSubstring(`"quarantined"`))
+		}
+		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(ended))
+	})
 })
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -397,6 +397,7 @@
 		for _, ep := range tbd.engines {
 			ep.Duration = 600 * time.Millisecond
 		}
+		tbd.waitGranter()
 		tbd.spreadCrashes(11 * clock.Minute)
 		first := make(chan response, 1)
 		go func() { first <- tbd.send(0, request{path: "/stream-once/plan", body: crashBody}) }()
@@ -418,6 +419,7 @@
 	// because its trial did not run.
 	ginkgo.It("is cleared when it runs after its quarantine and retried when the trial did not run", func() {
 		tbd := newTestbed(2)
+		tbd.waitGranter()
 		tbd.spreadCrashes(11 * clock.Minute)
 		injectFaults(tbd.engines, fake.Shed, fake.Shed, fake.Shed, fake.Shed)
 		expect(tbd.send(0, request{path: "/stream-once/plan", body: crashBody}).body).NotTo(gomega.ContainSubstring(`"quarantined"`))
@@ -449,3 +451,16 @@
 		eventually(func() bool { return nod.ctl.View().Suspects().OnTrial(fpr) }, pollTimeout).Should(gomega.BeTrue())
 	}
 }
+
+// grantTenure is how long the coordinator of a pool waits before it grants trials.
+const grantTenure = 2 * clock.Second
+
+// waitGranter waits until an instance has been the coordinator of the engines for long enough to grant trials.
+func (tbd *testbed) waitGranter() {
+	eventually(func() bool {
+		return slices.ContainsFunc(tbd.nodes, func(nod *Node) bool {
+			since, is := nod.ctl.View().CoordinatorSince("engines")
+			return is && nod.clk.Since(since) > grantTenure
+		})
+	}, pollTimeout).Should(gomega.BeTrue())
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -103,6 +103,8 @@
 	// NoteBindings carries the builds at which streams began; FindBinding asks for that of one stream.
 	NoteBindings
 	FindBinding
+	// BeginTrial asks the coordinator of a pool to admit a quarantined request for a trial.
+	BeginTrial
 )
 
 // Message is a request or a response.
--- a/internal/state/exchange.go
+++ b/internal/state/exchange.go
@@ -119,6 +119,8 @@
 		return ans
 	case peer.GetState:
 		return ctl.answerSnapshot(now)
+	case peer.BeginTrial:
+		return ctl.answerTrial(msg, now)
 	case peer.EntryMissing:
 		ctl.announceAgain()
 		return ctl.group.Message(peer.OK, msg.From)
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -21,6 +21,8 @@
 	isLeaving = "1"
 	// factsTimeout bounds the sending of facts and the recording of a crash.
 	factsTimeout = time.Second
+	// maxLoggedCrashes bounds the crashes in the line on a part of prompts that is quarantined.
+	maxLoggedCrashes = 8
 )
 
 // factsCtl owns the facts that instances spread by gossip.
@@ -30,6 +32,7 @@
 	// flushPending is set while new facts wait to be sent.
 	flushPending bool
 	suspects     *poison.List
+	answers      *answerLog
 	declared     map[gossip.Kind]declaredBy
 	evicted      int
 	stored       storedState
@@ -38,7 +41,7 @@
 }
 
 func newFacts(ctl *Control) factsCtl {
-	fcl := factsCtl{ctl: ctl}
+	fcl := factsCtl{ctl: ctl, answers: &answerLog{}}
 	fcl.spread.Bound(gossip.CrashedUnder, poison.Bounds(func() *poison.List { return ctl.facts.suspects }))
 	for _, kind := range append([]gossip.Kind{gossip.Leaving}, declaredKinds...) {
 		fcl.spread.Bound(kind, noticeBounds)
@@ -89,6 +92,12 @@
 	}
 	before := fcl.suspects
 	fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
+	if fresh := fcl.shareAnswers(now); len(fresh) > 0 {
+		fcl.spread.Enqueue(fresh...)
+		fcl.scheduleFlush()
+		fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
+	}
+	fcl.logConvicted(before, now)
 	fcl.stored.wanted = gossip.Digest(fcl.quarantineFacts(now))
 	for _, fpr := range fcl.suspects.NewlyQuarantined(before, now) {
 		evt := fcl.ctl.set.Log.Warn().Stringer("mark", fpr)
@@ -144,18 +153,15 @@
 	}
 }
 
-// recordCrash adds a fact on the crash of an endpoint, or withdraws one with [poison.Cleared].
-func (fcl *factsCtl) recordCrash(key, value string, now clock.Milli) {
-	if fct, ok := fcl.spread.Set(gossip.CrashedUnder, key, value, now); ok {
-		fcl.addLocal([]gossip.Fact{fct}, now)
+// recordCrashes adds facts on the crash of an endpoint, or withdraws them with [poison.Cleared].
+func (fcl *factsCtl) recordCrashes(keys []string, value string, now clock.Milli) {
+	var fresh []gossip.Fact
+	for _, key := range keys {
+		if fct, ok := fcl.spread.Set(gossip.CrashedUnder, key, value, now); ok {
+			fresh = append(fresh, fct)
+		}
 	}
-}
-
-// RecordCrash records that an endpoint crashed while it processed a request with this fingerprint.
-func (ctl *Control) RecordCrash(fpr poison.Fingerprint, id ident.Process) {
-	ctx, cancel := context.WithTimeout(context.Background(), factsTimeout)
-	defer cancel()
-	ctl.loop.Do(ctx, func(now clock.Milli) { ctl.facts.recordCrash(poison.Key(fpr, id), ctl.set.Self.Addr(), now) })
+	fcl.addLocal(fresh, now)
 }
 
 // RecordCompletion records that an endpoint has completed a request with a suspected fingerprint.
@@ -164,23 +170,3 @@
 		ctl.facts.addLocal(poison.Clear(&ctl.facts.spread.Table, ctl.facts.suspects, fpr, now), now)
 	})
 }
-
-// BeginTrial admits a request whose quarantine is over. It records a crash before the request is
-// sent to any endpoint, so that no other instance admits it at the same time. It reports false if
-// another one already has.
-func (ctl *Control) BeginTrial(fpr poison.Fingerprint, attempt ident.Process) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), factsTimeout)
-	defer cancel()
-	began := false
-	done := ctl.loop.Do(ctx, func(now clock.Milli) {
-		if began = ctl.facts.suspects.Quarantined(fpr, now) == 0; began {
-			ctl.facts.recordCrash(poison.Key(fpr, attempt), ctl.set.Self.Addr(), now)
-		}
-	})
-	return done && began
-}
-
-// CancelTrial withdraws the crash recorded by BeginTrial: nothing ran, or the endpoint goes on.
-func (ctl *Control) CancelTrial(fpr poison.Fingerprint, attempt ident.Process) {
-	ctl.loop.Offer(func(now clock.Milli) { ctl.facts.recordCrash(poison.Key(fpr, attempt), poison.Cleared, now) })
-}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -93,7 +93,12 @@
 // Refresh records a fact that originates here, even if the table already has this value, and
 // returns it for dissemination. Its age counts from now.
 func (tbl *Table) Refresh(kind Kind, key, value string, now clock.Milli) Fact {
-	fct := Fact{Kind: kind, Key: key, Value: value, Version: tbl.facts[factID{kind, key}].version + 1}
+	return tbl.RefreshAged(kind, key, value, 0, now)
+}
+
+// RefreshAged is [Table.Refresh] for a fact that is older.
+func (tbl *Table) RefreshAged(kind Kind, key, value string, age, now clock.Milli) Fact {
+	fct := Fact{Kind: kind, Key: key, Value: value, Version: tbl.facts[factID{kind, key}].version + 1, Age: max(age, 0)}
 	tbl.Learn([]Fact{fct}, now)
 	return fct
 }
--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -17,6 +17,19 @@
 // it. After the quarantine one instance admits it for a trial and records a crash in advance.
 // Each crash lengthens the next quarantine.
 //
+// # Parts of prompts
+//
+// A part of a prompt may crash every endpoint that begins to answer a prompt with it, whatever else
+// the request holds. Crashes accuse each [Part] but the last of the prompts in flight. The answer to
+// a prompt with a part, begun after a crash, clears the part of it; one shortly before makes it
+// doubtful that the part is the cause. Of the parts that are left those are convicted that explain
+// crashes which no better part explains. Crashes that a convicted part explains count against no
+// request.
+//
+// Prompts with a convicted part are refused, except for three trials. Trials are granted by the
+// coordinator of the pool, so that all instances together get three; those of a part whose conviction
+// is open to doubt come early.
+//
 // # What does not count
 //
 // A broken connection alone is no evidence of a crash. It counts only if the endpoint's address
--- a/pkg/poison/list.go
+++ b/pkg/poison/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/hex"
 	"iter"
 	"maps"
@@ -43,16 +42,23 @@
 	At clock.Milli
 }
 
-// List is an immutable index of crashes by request. A nil list is empty.
+// List is an immutable index of crashes by request and by part of prompts. A nil list is empty.
 type List struct {
 	byFingerprint map[Fingerprint][]Crash
+	parts         map[Fingerprint]*Part
+	// convicted are the convicted parts, explained the endpoints that crashed with one in flight.
+	convicted []*Part
+	explained map[ident.Process]bool
 }
 
-// Bounds returns the bounds of crash facts. Facts on requests with more crashes are evicted last:
-// otherwise the caller of a poison request could have its crashes evicted by sending many other
+// Bounds returns the bounds of crash facts. Facts on requests and parts with more crashes are evicted
+// last: otherwise the caller of a poison request could have its crashes evicted by sending many other
 // requests that are present at crashes.
 func Bounds(list func() *List) gossip.Bounds {
 	return gossip.Bounds{Retention: crashRetention, MaxFacts: maxCrashes, Weight: func(key string) int {
+		if fpr, _, ok := parsePartKey(key); ok {
+			return list().partWeight(fpr)
+		}
 		fpr, _, _ := parseKey(key)
 		return len(list().Crashes(fpr))
 	}}
@@ -81,18 +87,23 @@
 			lst.byFingerprint[fpr] = append(lst.byFingerprint[fpr], Crash{Endpoint: endpoint, By: fct.Value, At: now - fct.Age})
 		}
 	}
-	for _, crashes := range lst.byFingerprint {
-		slices.SortFunc(crashes, func(x, y Crash) int {
-			return cmp.Or(cmp.Compare(x.At, y.At), strings.Compare(string(x.Endpoint), string(y.Endpoint)))
-		})
+	lst.readParts(facts, now)
+	for fpr, crashes := range lst.byFingerprint {
+		crashes = slices.DeleteFunc(crashes, func(crs Crash) bool { return lst.explained[crs.Endpoint] })
+		slices.SortFunc(crashes, compareCrashes)
+		if lst.byFingerprint[fpr] = crashes; len(crashes) == 0 {
+			delete(lst.byFingerprint, fpr)
+		}
 	}
 	return lst
 }
 
-// Empty reports whether no request is suspected.
-func (lst *List) Empty() bool { return lst == nil || len(lst.byFingerprint) == 0 }
+// Empty reports whether no request and no part of prompts is suspected.
+func (lst *List) Empty() bool {
+	return lst == nil || len(lst.byFingerprint) == 0 && len(lst.parts) == 0
+}
 
-// Crashes returns the crashes of a request, the oldest first.
+// Crashes returns the crashes of a request that no part of prompts explains, the oldest first.
 func (lst *List) Crashes(fpr Fingerprint) []Crash {
 	if lst == nil {
 		return nil
@@ -100,6 +111,14 @@
 	return lst.byFingerprint[fpr]
 }
 
+// partWeight returns the number of crashes of a part.
+func (lst *List) partWeight(fpr Fingerprint) int {
+	if lst == nil || lst.parts[fpr] == nil {
+		return 0
+	}
+	return len(lst.parts[fpr].crashes)
+}
+
 // Quarantined returns the remaining time of a request's quarantine; zero if it is not quarantined.
 func (lst *List) Quarantined(fpr Fingerprint, now clock.Milli) clock.Milli {
 	if !lst.OnTrial(fpr) {
@@ -117,11 +136,12 @@
 // quarantine, and one attempt at a time.
 func (lst *List) OnTrial(fpr Fingerprint) bool { return len(lst.Crashes(fpr)) > crashesAllowed }
 
-// QuarantineFacts returns the facts that quarantine requests, or will do so after the next trial:
-// for at most the given number of requests, the last each facts of a request.
+// QuarantineFacts returns the facts that quarantine requests and convict parts, or will do so after the
+// next trial: for at most the given number of requests and of parts, the last each facts of a request.
 func QuarantineFacts(facts []gossip.Fact, lst *List, requests, each int) []gossip.Fact {
 	var list []gossip.Fact
 	wanted := map[string]bool{}
+	lst.storedKeys(wanted, requests)
 	for fpr, crashes := range lst.all() {
 		if !lst.OnTrial(fpr) || requests == 0 {
 			continue
--- a/pkg/reach/result.go
+++ b/pkg/reach/result.go
@@ -1,6 +1,6 @@
 package reach
 
-//go:generate go tool stringer -type=Result,Path -linecomment -output=result_string.go
+//go:generate go tool stringer -type=Result,Path,Process -linecomment -output=result_string.go
 
 // Result is how an attempt to open a connection to an endpoint ended.
 type Result int
@@ -35,3 +35,16 @@
 
 // Paths returns all paths.
 func Paths() []Path { return []Path{Direct, Relayed} }
+
+// Process is what is known of the process at an endpoint's address.
+type Process int
+
+// The states of a process.
+const (
+	// Unknown: the address was not reached.
+	Unknown Process = iota // unknown
+	// Running: something accepts connections.
+	Running // running
+	// Ended: connections are refused.
+	Ended // ended
+)
