--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -92,7 +92,7 @@
 	}
 	before := fcl.suspects
 	fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
-	if fresh := fcl.shareAnswers(now); len(fresh) > 0 {
+	if fresh := fcl.shareAnswers(fcl.suspects.Suspects(), now); len(fresh) > 0 {
 		fcl.spread.Enqueue(fresh...)
 		fcl.scheduleFlush()
 		fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -63,16 +63,18 @@
 		return
 	}
 	ctl.facts.answers.add(parts, began, ctl.set.Clock.Now())
-	if ctl.View().Suspects().Suspected(parts) {
-		ctl.loop.Offer(func(now clock.Milli) { ctl.facts.addLocal(ctl.facts.shareAnswers(now), now) })
+	if len(ctl.View().Suspects().Exonerate(parts, ctl.facts.answers.latest)) > 0 {
+		ctl.loop.Offer(func(now clock.Milli) { ctl.facts.addLocal(ctl.facts.shareAnswers(parts, now), now) })
 	}
 }
 
-// shareAnswers records the facts on this instance's answers that bear on suspected parts, and returns them.
-func (fcl *factsCtl) shareAnswers(now clock.Milli) []gossip.Fact {
+// shareAnswers changes the facts on suspected parts by this instance's answers, and returns those that changed.
+func (fcl *factsCtl) shareAnswers(parts []poison.Fingerprint, now clock.Milli) []gossip.Fact {
 	var fresh []gossip.Fact
-	for fpr, at := range fcl.suspects.Exonerating(fcl.answers.latest) {
-		fresh = append(fresh, fcl.spread.RefreshAged(gossip.CrashedUnder, poison.AnswerKey(fpr), poison.Answered, now-at, now))
+	for key, value := range fcl.suspects.Exonerate(parts, fcl.answers.latest) {
+		if fct, ok := fcl.spread.Amend(gossip.CrashedUnder, key, value, now); ok {
+			fresh = append(fresh, fct)
+		}
 	}
 	return fresh
 }
@@ -201,9 +203,14 @@
 func (ctl *Control) RecordCrash(fpr poison.Fingerprint, id ident.Process, parts ...poison.Fingerprint) {
 	ctx, cancel := context.WithTimeout(context.Background(), factsTimeout)
 	defer cancel()
-	keys := []string{poison.Key(fpr, id)}
-	for _, prt := range parts {
-		keys = append(keys, poison.PartKey(prt, id))
-	}
-	ctl.loop.Do(ctx, func(now clock.Milli) { ctl.facts.recordCrashes(keys, ctl.set.Self.Addr(), now) })
+	ctl.loop.Do(ctx, func(now clock.Milli) {
+		keys := []string{poison.Key(fpr, id)}
+		for _, prt := range parts {
+			// Another instance may have recorded it, and answers may have changed the fact since.
+			if key := poison.PartKey(prt, id); !ctl.facts.spread.Has(gossip.CrashedUnder, key) {
+				keys = append(keys, key)
+			}
+		}
+		ctl.facts.recordCrashes(keys, ctl.set.Self.Addr(), now)
+	})
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -93,16 +93,28 @@
 // Refresh records a fact that originates here, even if the table already has this value, and
 // returns it for dissemination. Its age counts from now.
 func (tbl *Table) Refresh(kind Kind, key, value string, now clock.Milli) Fact {
-	return tbl.RefreshAged(kind, key, value, 0, now)
-}
-
-// RefreshAged is [Table.Refresh] for a fact that is older.
-func (tbl *Table) RefreshAged(kind Kind, key, value string, age, now clock.Milli) Fact {
-	fct := Fact{Kind: kind, Key: key, Value: value, Version: tbl.facts[factID{kind, key}].version + 1, Age: max(age, 0)}
+	fct := Fact{Kind: kind, Key: key, Value: value, Version: tbl.facts[factID{kind, key}].version + 1}
 	tbl.Learn([]Fact{fct}, now)
 	return fct
 }
 
+// Amend changes the value of a known fact, which keeps its age, and returns it for dissemination. It returns false if
+// the fact is unknown or has this value.
+func (tbl *Table) Amend(kind Kind, key, value string, now clock.Milli) (Fact, bool) {
+	old, ok := tbl.facts[factID{kind, key}]
+	if !ok || old.value == value {
+		return Fact{}, false
+	}
+	fct := Fact{Kind: kind, Key: key, Value: value, Version: old.version + 1, Age: max(now-old.at, 0)}
+	return fct, len(tbl.Learn([]Fact{fct}, now)) > 0
+}
+
+// Has reports whether the table has a fact.
+func (tbl *Table) Has(kind Kind, key string) bool {
+	_, ok := tbl.facts[factID{kind, key}]
+	return ok
+}
+
 // Learn merges facts from another instance and returns those that changed the table.
 func (tbl *Table) Learn(list []Fact, now clock.Milli) []Fact {
 	var fresh []Fact
--- a/pkg/poison/list.go
+++ b/pkg/poison/list.go
@@ -40,6 +40,8 @@
 	// By is the address of the instance that observed the crash.
 	By string
 	At clock.Milli
+	// Doubtful is set on the crash of a part that had been answered shortly before.
+	Doubtful bool
 }
 
 // List is an immutable index of crashes by request and by part of prompts. A nil list is empty.
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -14,6 +15,10 @@
 const (
 	// partPrefix begins the keys of facts on parts of prompts.
 	partPrefix = "p"
+	// doubtMark begins the value of a crash fact that is doubtful. clearedByAnswer sorts behind all other
+	// values, so that of changes made at the same time it is the one that stays.
+	doubtMark       = "~"
+	clearedByAnswer = doubtMark + doubtMark
 	// trialPrefix begins the name of an attempt where an endpoint's name is expected.
 	trialPrefix = "attempt "
 
@@ -25,13 +30,13 @@
 	partCrashesAtOnce = 5
 	// momentGap separates crashes of different moments.
 	momentGap = 250 * clock.Milli(1)
-	// answerMemory is how long before a crash an answer makes it doubtful that the part is its cause. A
-	// doubtful part is convicted by doubtfulCrashes over doubtfulSpan without an answer in between: its
-	// content or the endpoints' build may have changed.
+	// answerMemory is how long before a crash an answer makes it doubtful that the part is its cause: its
+	// content or the endpoints' build may have changed. A part with doubtful crashes is convicted by
+	// doubtfulCrashes over doubtfulSpan without an answer in between.
 	answerMemory    = 30 * clock.Second
 	doubtfulCrashes = 5
 	doubtfulSpan    = 3 * clock.Second
-	// confirmedCrashes is the number of crashes that confirm a conviction.
+	// confirmedCrashes is the number of crashes that confirm a conviction, after a trial that was not answered.
 	confirmedCrashes = 5
 	// explainedLead is how many more crashes than another part a part has if it explains those of the other one.
 	explainedLead = 2
@@ -43,19 +48,16 @@
 // The times from the last crash or trial of a part to the next trial, by the number of trials so far: a part
 // gets three within the retention of crashes.
 var (
-	confirmedWaits = []clock.Milli{firstQuarantine, quarantineFactor * firstQuarantine, quarantineFactor * quarantineFactor * firstQuarantine, crashRetention}
-	doubtfulWaits  = []clock.Milli{3 * clock.Second, 30 * clock.Second, firstQuarantine, crashRetention}
+	openWaits      = []clock.Milli{3 * clock.Second, 30 * clock.Second, firstQuarantine, crashRetention}
+	confirmedWaits = []clock.Milli{3 * clock.Second, firstQuarantine, quarantineFactor * firstQuarantine, crashRetention}
 )
 
 // Part is what the facts say of one part of prompts at one pool.
 type Part struct {
 	fpr Fingerprint
-	// crashes are those since the last answer, trials the trials since then.
-	crashes  []Crash
-	trials   []Crash
-	answered clock.Milli
-	// known is set if the part has been answered at all.
-	known     bool
+	// crashes are those that no answer has cleared, trials such trials.
+	crashes   []Crash
+	trials    []Crash
 	convicted bool
 	confirmed bool
 }
@@ -70,14 +72,7 @@
 // PartKey returns the fact key of the crash of an endpoint with a part in flight, or of the trial of a part.
 func PartKey(fpr Fingerprint, endpoint ident.Process) string { return partPrefix + Key(fpr, endpoint) }
 
-// AnswerKey returns the fact key of the last answer to a prompt with a part. The fact's age is that of the
-// answer's beginning.
-func AnswerKey(fpr Fingerprint) string { return PartKey(fpr, "") }
-
-// Answered is the value of the fact that a prompt with a part was answered.
-const Answered = "answered"
-
-// parsePartKey parses a key made by [PartKey] or [AnswerKey].
+// parsePartKey parses a key made by [PartKey].
 func parsePartKey(key string) (fpr Fingerprint, endpoint ident.Process, ok bool) {
 	rest, ok := strings.CutPrefix(key, partPrefix)
 	if !ok {
@@ -91,7 +86,7 @@
 	lst.parts = map[Fingerprint]*Part{}
 	for _, fct := range facts {
 		fpr, endpoint, ok := parsePartKey(fct.Key)
-		if !ok || fct.Value == Cleared {
+		if !ok || fct.Value == Cleared || fct.Value == clearedByAnswer {
 			continue
 		}
 		prt := lst.parts[fpr]
@@ -99,32 +94,25 @@
 			prt = &Part{fpr: fpr}
 			lst.parts[fpr] = prt
 		}
-		crs := Crash{Endpoint: endpoint, By: fct.Value, At: now - fct.Age}
-		switch {
-		case endpoint == "":
-			prt.answered, prt.known = crs.At, true
-		case strings.HasPrefix(string(endpoint), trialPrefix):
+		by, doubtful := strings.CutPrefix(fct.Value, doubtMark)
+		crs := Crash{Endpoint: endpoint, By: by, At: now - fct.Age, Doubtful: doubtful}
+		if strings.HasPrefix(string(endpoint), trialPrefix) {
 			prt.trials = append(prt.trials, crs)
-		default:
+		} else {
 			prt.crashes = append(prt.crashes, crs)
 		}
 	}
 	for _, prt := range lst.parts {
-		prt.crashes, prt.trials = prt.sinceAnswer(prt.crashes), prt.sinceAnswer(prt.trials)
+		slices.SortFunc(prt.crashes, compareCrashes)
+		slices.SortFunc(prt.trials, compareCrashes)
 	}
 	lst.judge()
 }
 
-// sinceAnswer returns the crashes after the part's last answer began, the oldest first.
-func (prt *Part) sinceAnswer(list []Crash) []Crash {
-	list = slices.DeleteFunc(list, func(crs Crash) bool { return prt.known && crs.At < prt.answered })
-	slices.SortFunc(list, compareCrashes)
-	return list
-}
-
 // judge convicts parts. An endpoint that crashed accuses all parts in flight there, most of which are sound.
 // Those that were answered in between are out. What is left is explained by as few parts as possible: the
-// crashes of a part count only if no better convicted part explains them.
+// crashes of a part count only if no better convicted part explains them. Who knows a part of the facts only
+// convicts no more parts for it than who knows all, but for those that others explain.
 func (lst *List) judge() {
 	lst.convicted, lst.explained = nil, map[ident.Process]bool{}
 	for _, prt := range lst.parts {
@@ -137,43 +125,52 @@
 	})
 	suspects := lst.convicted
 	lst.convicted = nil
+	// explaining has the most crashes of a convicted part without doubt by the endpoints that crashed with it, convictions
+	// the number of convicted parts.
+	explaining, convictions := map[ident.Process]int{}, map[ident.Process]int{}
 	for _, prt := range suspects {
-		if prt.convicts(lst.unexplained(prt, func(oth *Part) bool { return oth.explains(prt) })) {
-			prt.convicted = true
-			lst.convicted = append(lst.convicted, prt)
+		if !prt.convicts(prt.unexplained(explaining)) {
+			continue
+		}
+		prt.convicted = true
+		lst.convicted = append(lst.convicted, prt)
+		for _, crs := range prt.crashes {
+			lst.explained[crs.Endpoint] = true
+			convictions[crs.Endpoint]++
+			if !prt.doubtful() {
+				explaining[crs.Endpoint] = max(explaining[crs.Endpoint], len(prt.crashes))
+			}
 		}
 	}
 	for _, prt := range lst.convicted {
-		own := lst.unexplained(prt, func(oth *Part) bool { return oth != prt })
-		prt.confirmed = !prt.doubtful() && len(prt.crashes) >= confirmedCrashes && moments(prt.crashes) >= partMoments && len(own) >= partCrashes
+		own := 0
 		for _, crs := range prt.crashes {
-			lst.explained[crs.Endpoint] = true
+			if convictions[crs.Endpoint] == 1 {
+				own++
+			}
 		}
+		prt.confirmed = !prt.doubtful() && len(prt.trials) > 0 && own >= partCrashes && len(prt.crashes) >= confirmedCrashes && moments(prt.crashes) >= partMoments
 	}
 }
 
-// doubtful reports whether the part was answered shortly before its first crash that counts.
+// doubtful reports whether a prompt with the part was answered shortly before a crash.
 func (prt *Part) doubtful() bool {
-	return prt.known && len(prt.crashes) > 0 && prt.answered >= prt.crashes[0].At-answerMemory
-}
-
-// explains reports whether crashes of another part that are this part's as well don't count against the other
-// one. Parts that always come together explain nothing of each other: which of them it is shows in a trial.
-func (prt *Part) explains(oth *Part) bool {
-	return !prt.doubtful() && (oth.doubtful() || len(prt.crashes) >= len(oth.crashes)+explainedLead)
+	return slices.ContainsFunc(prt.crashes, func(crs Crash) bool { return crs.Doubtful })
 }
 
-// unexplained returns the crashes of a part that no convicted part explains.
-func (lst *List) unexplained(prt *Part, explains func(oth *Part) bool) []Crash {
-	elsewhere := map[ident.Process]bool{}
-	for _, oth := range lst.convicted {
-		if explains(oth) {
-			for _, crs := range oth.crashes {
-				elsewhere[crs.Endpoint] = true
-			}
-		}
+// unexplained returns the crashes of the part that count against it. Those of a doubtful part don't where a
+// convicted part without doubt was in flight; those of another part don't where one with more crashes was. A part
+// without answers is not explained for ever, and parts that always come together explain nothing of each other:
+// which of them it is shows in a trial.
+func (prt *Part) unexplained(explaining map[ident.Process]int) []Crash {
+	lead := len(prt.crashes) + explainedLead
+	switch {
+	case prt.doubtful():
+		lead = 1
+	case len(prt.crashes) >= confirmedCrashes:
+		return prt.crashes
 	}
-	return slices.DeleteFunc(slices.Clone(prt.crashes), func(crs Crash) bool { return elsewhere[crs.Endpoint] })
+	return slices.DeleteFunc(slices.Clone(prt.crashes), func(crs Crash) bool { return explaining[crs.Endpoint] >= lead })
 }
 
 // convicts reports whether crashes convict the part.
@@ -210,7 +207,7 @@
 
 // Quarantined returns the time until the next trial of a convicted part.
 func (prt *Part) Quarantined(now clock.Milli) clock.Milli {
-	waits := doubtfulWaits
+	waits := openWaits
 	if prt.confirmed {
 		waits = confirmedWaits
 	}
@@ -240,32 +237,39 @@
 	return slices.DeleteFunc(slices.Clone(lst.convicted), func(prt *Part) bool { return len(before.Convicted([]Fingerprint{prt.fpr})) > 0 })
 }
 
-// Suspected reports whether an endpoint has crashed with any of these parts in flight.
-func (lst *List) Suspected(parts []Fingerprint) bool {
-	return lst != nil && slices.ContainsFunc(parts, func(fpr Fingerprint) bool { return lst.parts[fpr] != nil })
-}
-
-// Exonerating returns the suspected parts on whose crashes the beginnings of local answers bear, with the time
-// of the beginning: answers after a crash, or shortly before the first. latest returns the latest answer that began.
-func (lst *List) Exonerating(latest func(fpr Fingerprint) (clock.Milli, bool)) map[Fingerprint]clock.Milli {
-	list := map[Fingerprint]clock.Milli{}
+// Exonerate returns the new values of facts on the crashes of these parts, by their keys, that answers change:
+// one that began after a crash clears the part of it, one shortly before makes it doubtful. latest returns when
+// the latest answer to a prompt with a part began.
+func (lst *List) Exonerate(parts []Fingerprint, latest func(fpr Fingerprint) (clock.Milli, bool)) map[string]string {
 	if lst == nil {
-		return list
+		return nil
 	}
-	for fpr, prt := range lst.parts {
-		if at, ok := latest(fpr); ok && prt.bears(at) {
-			list[fpr] = at
+	values := map[string]string{}
+	for _, fpr := range parts {
+		prt := lst.parts[fpr]
+		if prt == nil {
+			continue
+		}
+		began, ok := latest(fpr)
+		for _, crs := range slices.Concat(prt.crashes, prt.trials) {
+			switch {
+			case !ok:
+			case began > crs.At:
+				values[PartKey(fpr, crs.Endpoint)] = clearedByAnswer
+			case began >= crs.At-answerMemory && !crs.Doubtful:
+				values[PartKey(fpr, crs.Endpoint)] = doubtMark + crs.By
+			}
 		}
 	}
-	return list
+	return values
 }
 
-// bears reports whether an answer that began at a time changes what is known of the part's crashes.
-func (prt *Part) bears(at clock.Milli) bool {
-	if len(prt.crashes) == 0 || prt.known && at <= prt.answered {
-		return false
+// Suspects returns the parts that were in flight at crashes.
+func (lst *List) Suspects() []Fingerprint {
+	if lst == nil {
+		return nil
 	}
-	return prt.crashes[0].At < at || !prt.doubtful() && at >= prt.crashes[0].At-answerMemory
+	return slices.Collect(maps.Keys(lst.parts))
 }
 
 // maxStoredPartCrashes bounds the crashes of a part that are stored: half are the first, half the last ones.
@@ -284,7 +288,6 @@
 		for _, crs := range slices.Concat(stored, prt.trials) {
 			wanted[PartKey(prt.fpr, crs.Endpoint)] = true
 		}
-		wanted[AnswerKey(prt.fpr)] = true
 	}
 }
 
--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -21,14 +21,18 @@
 // crashParts records the crash of an endpoint with parts in flight.
 func (obs *observer) crashParts(endpoint string, now clock.Milli, parts ...Fingerprint) {
 	for _, fpr := range parts {
-		obs.tbl.Set(gossip.CrashedUnder, PartKey(fpr, ident.Process(endpoint)), "10.0.0.1:7300", now)
+		if key := PartKey(fpr, ident.Process(endpoint)); !obs.tbl.Has(gossip.CrashedUnder, key) {
+			obs.tbl.Set(gossip.CrashedUnder, key, "10.0.0.1:7300", now)
+		}
 	}
 	obs.refresh(now)
 }
 
 // answer records an answer to a prompt with a part that began at a time.
 func (obs *observer) answer(fpr Fingerprint, began, now clock.Milli) {
-	obs.tbl.RefreshAged(gossip.CrashedUnder, AnswerKey(fpr), Answered, now-began, now)
+	for key, value := range obs.lst.Exonerate([]Fingerprint{fpr}, func(Fingerprint) (clock.Milli, bool) { return began, true }) {
+		obs.tbl.Amend(gossip.CrashedUnder, key, value, now)
+	}
 	obs.refresh(now)
 }
 
@@ -88,13 +92,11 @@
 		for range rapid.IntRange(1, 25).Draw(rt, "facts") {
 			fpr := PartOf("engines", rapid.StringMatching("[abc]").Draw(rt, "part"))
 			key := PartKey(fpr, ident.Process(rapid.StringMatching("i-[0-7]").Draw(rt, "endpoint")))
-			switch rapid.IntRange(0, 5).Draw(rt, "kind") {
-			case 0:
-				key = AnswerKey(fpr)
-			case 1:
+			if rapid.IntRange(0, 5).Draw(rt, "kind") == 0 {
 				key = PartKey(fpr, Trial("x"))
 			}
-			facts = append(facts, gossip.Fact{Kind: gossip.CrashedUnder, Key: key, Value: "x", Version: 1, Age: 1000 * clock.Milli(rapid.IntRange(0, 40).Draw(rt, "age"))})
+			value := rapid.SampledFrom([]string{"x", "x", "x", doubtMark + "x", clearedByAnswer}).Draw(rt, "value")
+			facts = append(facts, gossip.Fact{Kind: gossip.CrashedUnder, Key: key, Value: value, Version: 1, Age: 1000 * clock.Milli(rapid.IntRange(0, 40).Draw(rt, "age"))})
 		}
 		unique := map[string]gossip.Fact{}
 		for _, fct := range facts {
@@ -155,9 +157,9 @@
 func TestCommonPartIsExplained(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	obs := newObserver()
-	obs.answer(soundPart, 0, 0)
 	for i := range 12 {
 		obs.crashParts(fmt.Sprintf("i-%d", i), clock.Milli(i)*clock.Second, soundPart, badPart)
+		obs.answer(soundPart, 0, clock.Milli(i)*clock.Second)
 	}
 	gom.Expect(obs.convicted(badPart)).To(gomega.BeTrue())
 	gom.Expect(obs.convicted(soundPart)).To(gomega.BeFalse())
@@ -183,9 +185,9 @@
 func TestChangedPart(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	obs := newObserver()
-	obs.answer(badPart, 0, 0)
 	for i := range 5 {
 		obs.crashParts(fmt.Sprintf("i-%d", i), clock.Milli(i+1)*clock.Second, badPart)
+		obs.answer(badPart, 0, clock.Milli(i+1)*clock.Second)
 	}
 	gom.Expect(obs.convicted(badPart)).To(gomega.BeTrue())
 }
@@ -195,9 +197,9 @@
 func TestSimultaneousCrashes(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	obs := newObserver()
-	obs.answer(soundPart, 0, 0)
 	for i := range 10 {
 		obs.crashParts(fmt.Sprintf("i-%d", i), clock.Second+clock.Milli(10*i), soundPart)
+		obs.answer(soundPart, 0, clock.Second+clock.Milli(10*i))
 	}
 	gom.Expect(obs.convicted(soundPart)).To(gomega.BeFalse())
 	rare := PartOf("engines", "rare")
@@ -222,12 +224,73 @@
 	gom.Expect(sound[0].Quarantined(5 * clock.Second)).To(gomega.BeNumerically("<=", 3*clock.Second))
 	obs.answer(soundPart, 9*clock.Second, 9*clock.Second)
 	gom.Expect(obs.convicted(soundPart)).To(gomega.BeFalse())
+	obs.tbl.Set(gossip.CrashedUnder, PartKey(badPart, Trial("one")), "x", 9*clock.Second)
+	obs.crashParts("i-9", 9*clock.Second, badPart)
 	bad := obs.lst.Convicted([]Fingerprint{badPart})
 	gom.Expect(bad).To(gomega.HaveLen(1))
 	gom.Expect(bad[0].Confirmed()).To(gomega.BeTrue())
 	gom.Expect(bad[0].Quarantined(9 * clock.Second)).To(gomega.BeNumerically(">", clock.Minute))
 }
 
+// TestSubsetConvictsNoMore guards against an instance that has just started and refuses sound parts since it has
+// learned of crashes, but not yet that answers cleared them.
+func TestSubsetConvictsNoMore(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		gom := gomega.NewWithT(t)
+		obs := newObserver()
+		for i := range rapid.IntRange(3, 20).Draw(rt, "crashes") {
+			at := clock.Milli(i) * clock.Second
+			obs.crashParts(fmt.Sprintf("i-%d", i), at, soundPart)
+			obs.answer(soundPart, at+100, at+500)
+		}
+		gom.Expect(obs.convicted(soundPart)).To(gomega.BeFalse())
+		started := newObserver()
+		for _, fct := range obs.tbl.All(gossip.CrashedUnder, clock.Minute) {
+			if rapid.Bool().Draw(rt, "arrives") {
+				started.tbl.Learn([]gossip.Fact{fct}, clock.Minute)
+			}
+		}
+		started.refresh(clock.Minute)
+		gom.Expect(started.convicted(soundPart)).To(gomega.BeFalse())
+	})
+}
+
+// TestClearedStaysCleared guards against a doubt that wins over the clearing that another instance recorded at the
+// same time.
+func TestClearedStaysCleared(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	one, two := newObserver(), newObserver()
+	one.crashParts("i-1", clock.Minute, soundPart)
+	two.tbl.Learn(one.tbl.All(gossip.CrashedUnder, clock.Minute), clock.Minute)
+	two.refresh(clock.Minute)
+	one.answer(soundPart, clock.Minute-1, clock.Minute+2)
+	two.answer(soundPart, clock.Minute+1, clock.Minute+2)
+	for range 2 {
+		facts := one.tbl.All(gossip.CrashedUnder, clock.Minute+3)
+		one.tbl.Learn(two.tbl.All(gossip.CrashedUnder, clock.Minute+3), clock.Minute+3)
+		two.tbl.Learn(facts, clock.Minute+3)
+	}
+	one.refresh(clock.Minute + 3)
+	two.refresh(clock.Minute + 3)
+	gom.Expect(one.tbl.Digest()).To(gomega.Equal(two.tbl.Digest()))
+	gom.Expect(one.lst.Empty()).To(gomega.BeTrue())
+}
+
+// TestExplainedPartStaysConvicted guards against a part that is admitted again since a sound one without answers was
+// at more crashes.
+func TestExplainedPartStaysConvicted(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	obs := newObserver()
+	for i := range 10 {
+		parts := []Fingerprint{soundPart}
+		if i < 6 {
+			parts = append(parts, badPart)
+		}
+		obs.crashParts(fmt.Sprintf("i-%d", i), clock.Milli(i)*clock.Second, parts...)
+	}
+	gom.Expect(obs.convicted(badPart)).To(gomega.BeTrue())
+}
+
 // TestThreePartTrials guards against a part that gets more than three trials within the retention of crashes,
 // whether its conviction is open to doubt or not.
 func TestThreePartTrials(t *testing.T) {
@@ -330,3 +393,17 @@
 		PartOf("engines", "5c1e07a2")
 	}
 }
+
+func BenchmarkRead(bnc *testing.B) {
+	for _, crashes := range []int{100, maxCrashes} {
+		obs := newObserver()
+		for i := range crashes {
+			obs.tbl.Set(gossip.CrashedUnder, PartKey(PartOf("engines", fmt.Sprint(rand.IntN(800))), ident.Process(fmt.Sprint(i))), "x", clock.Milli(i))
+		}
+		bnc.Run(fmt.Sprintf("facts=%d", crashes), func(bnc *testing.B) {
+			for bnc.Loop() {
+				obs.refresh(clock.Milli(crashes))
+			}
+		})
+	}
+}
