internal/dial: a relay that may probe no endpoint proves nothing by its own failure

Instances that were partitioned together took each other's word.

Now a relay that may probe nothing says that it is not sure: its failure neither proves anything nor has it avoided, and the next relay is asked. A blind instance that may probe nothing probes the addresses that only relays reach. Whether a process has ended is judged as before, since two refused connections of instances that aren't blind are the best evidence there is at brittle pools. Instances of earlier builds ignore the new field.

--- a/internal/dial/check.go
+++ b/internal/dial/check.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 )
 
@@ -27,26 +29,29 @@
 	mtx     sync.Mutex
 	at      clock.Milli
 	reaches bool
+	sure    bool
 }
 
 // reachesOthers reports whether this instance reaches any endpoint other than that at an address,
-// which was not reached. Without another endpoint it returns true: nothing tells otherwise.
-func (dlr *Dialer) reachesOthers(addr string) bool {
+// which was not reached. Without another endpoint it returns true: nothing tells otherwise. The
+// result is not sure if there are others, of which none may be connected to see.
+func (dlr *Dialer) reachesOthers(addr string) (reaches, sure bool) {
 	chk := &dlr.checks
 	chk.mtx.Lock()
 	defer chk.mtx.Unlock()
 	if now := dlr.set.Clock.Now(); chk.at == 0 || now-chk.at >= checkValid {
-		chk.reaches, chk.at = dlr.connectsAny(addr), dlr.set.Clock.Now()
+		chk.reaches, chk.sure = dlr.connectsAny(addr)
+		chk.at = dlr.set.Clock.Now()
 	}
-	return chk.reaches
+	return chk.reaches, chk.sure
 }
 
 // connectsAny connects to a few endpoints other than that at an address, and reports whether any
-// accepted.
-func (dlr *Dialer) connectsAny(addr string) bool {
+// accepted; not sure if none may be connected.
+func (dlr *Dialer) connectsAny(addr string) (connects, sure bool) {
 	addrs := dlr.sampleAddrs(addr)
 	if len(addrs) == 0 {
-		return true
+		return true, !slices.ContainsFunc(dlr.set.Endpoints(), func(ep proto.Endpoint) bool { return ep.Addr != addr && !ep.Leaving })
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
@@ -56,10 +61,10 @@
 	}
 	for range addrs {
 		if <-results {
-			return true
+			return true, true
 		}
 	}
-	return false
+	return false, true
 }
 
 // sampleAddrs returns some addresses of endpoints except one, in random order.
@@ -111,7 +116,7 @@
 	return dlr.probing
 }
 
-// probeNext probes one blocked path, or any endpoints while this instance is blind.
+// probeNext probes one blocked path, or any endpoints while this instance is blind, if any may be probed.
 func (dlr *Dialer) probeNext() {
 	dlr.mtx.Lock()
 	addr, severed := dlr.table.NextProbe(dlr.set.Clock.Now())
@@ -119,10 +124,12 @@
 	dlr.mtx.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
-	switch {
-	case blind:
-		dlr.connectsAny("")
-	case severed:
+	if blind {
+		if _, sure := dlr.connectsAny(""); sure {
+			return
+		}
+	}
+	if severed {
 		dlr.probe(ctx, addr)
 	}
 }
--- a/internal/dial/crash.go
+++ b/internal/dial/crash.go
@@ -40,7 +40,7 @@
 	ep, known := dlr.endpointAt(addr)
 	witnesses := dlr.chooseRelays(ep.Zone)
 	if !known || len(witnesses) == 0 {
-		if own == reach.Refused && dlr.reachesOthers(addr) {
+		if reaches, _ := dlr.reachesOthers(addr); own == reach.Refused && reaches {
 			return reach.Ended
 		}
 		return reach.Unknown
@@ -131,7 +131,7 @@
 	defer cancel()
 	reply := tunnelReply{Result: dlr.observe(ctx, ep.Addr)}
 	if reply.Result != reach.Connected {
-		reply.Blind = !dlr.reachesOthers(ep.Addr)
+		reply.setReach(dlr.reachesOthers(ep.Addr))
 	}
 	if body, err := cbor.Marshal(reply); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -147,8 +147,10 @@
 	dlr.mtx.Lock()
 	blind := dlr.table.Blind()
 	dlr.mtx.Unlock()
-	if blind && !dlr.reachesOthers("") {
-		return nil, errUnreached
+	if blind {
+		if reaches, _ := dlr.reachesOthers(""); !reaches {
+			return nil, errUnreached
+		}
 	}
 	return dlr.direct(ctx, network, addr)
 }
--- a/internal/dial/relayed.go
+++ b/internal/dial/relayed.go
@@ -36,9 +36,15 @@
 	Blind bool `cbor:"2,keyasint,omitempty"`
 	// Withheld is set if the instance doesn't connect to the endpoint for a reason of its own.
 	Withheld bool `cbor:"3,keyasint,omitempty"`
+	// Unsure is set if the instance may connect to no other endpoint to see whether it reaches any.
+	Unsure bool `cbor:"4,keyasint,omitempty"`
 }
 
-// proves reports whether the reply is evidence of the endpoint's state, and not of the relay's.
+// setReach sets what a reply says of the instance's reach of other endpoints.
+func (trp *tunnelReply) setReach(reaches, sure bool) { trp.Blind, trp.Unsure = !reaches, !sure }
+
+// proves reports whether the reply is evidence of the endpoint's state, and not of the relay's. An instance that is
+// not sure of its own reach gives such evidence of a process that ended, but not of an endpoint that isn't reached.
 func (trp tunnelReply) proves() bool { return !trp.Blind && !trp.Withheld }
 
 // relayedConn is a connection to an endpoint through a relay.
@@ -157,19 +163,19 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	proof := rrp.err == nil && rrp.reply.proves()
+	proof := rrp.err == nil && rrp.reply.proves() && !rrp.reply.Unsure
 	dlr.set.Meter.CountDial(reach.Relayed, rrp.result())
 	now := dlr.set.Clock.Now()
 	dlr.mtx.Lock()
 	switch {
 	case proof:
 		dlr.table.RecordRelayed(ep.Addr, false, now)
-	case !rrp.reply.Withheld:
+	case !rrp.reply.Withheld && !rrp.reply.Unsure:
 		dlr.relays.Avoid(rrp.relay.ID, now)
 	}
 	dlr.mtx.Unlock()
 	dlr.set.Log.Info().AnErr("error", rrp.err).Str("endpoint", string(ep.ID)).Str("relay", string(rrp.relay.ID)).Stringer("result", rrp.reply.Result).
-		Bool("blind", rrp.reply.Blind).Bool("withheld", rrp.reply.Withheld).Msg("no connection through the relay")
+		Bool("blind", rrp.reply.Blind).Bool("withheld", rrp.reply.Withheld).Bool("unsure", rrp.reply.Unsure).Msg("no connection through the relay")
 	return proof
 }
 
--- a/internal/dial/serve.go
+++ b/internal/dial/serve.go
@@ -109,7 +109,9 @@
 	defer cancel()
 	con, err := dlr.direct(ctx, "tcp", ep.Addr)
 	if err != nil {
-		return nil, ep.ID, tunnelReply{Result: ResultOf(err), Blind: !dlr.reachesOthers(ep.Addr)}
+		reply := tunnelReply{Result: ResultOf(err)}
+		reply.setReach(dlr.reachesOthers(ep.Addr))
+		return nil, ep.ID, reply
 	}
 	return con, ep.ID, tunnelReply{}
 }
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -56,9 +56,11 @@
 // attempt is one request as its caller saw it.
 type attempt struct {
 	requestKind
-	id          string
-	path        string
-	body        string
+	id   string
+	path string
+	body string
+	// prompt lists the parts of the prompt, empty for none.
+	prompt      string
 	key         string
 	version     int
 	ins         *instance
@@ -259,6 +261,9 @@
 	if knd.items != "" {
 		headers[fake.HeaderItems], headers[fake.HeaderItemKey] = knd.items, "pk-"+att.id
 	}
+	if att.prompt != "" {
+		headers[fake.HeaderPrefix], headers[fake.HeaderTokens] = att.prompt, promptTokens
+	}
 	if att.resumes != nil {
 		headers[fake.HeaderLastEvent], headers[fake.HeaderResumes] = strconv.Itoa(att.after), att.resumes.first.id
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -123,6 +123,7 @@
 	}
 	sr.checkVersions()
 	sr.checkPoison()
+	sr.checkParts()
 	sr.checkRates()
 	sr.checkPartitions()
 	sr.checkBrittle()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -54,6 +54,7 @@
 	{"answers of all shapes", (*soakRun).shapeAnswers},
 	{"store from a copy", (*soakRun).restoreStore},
 	{"engines of another build", (*soakRun).rollOutBuild},
+	{"part of prompts", (*soakRun).sendParts},
 }
 
 // Runs that draw from at least variedFromKinds kinds may have answers of varied length. In such a
@@ -90,6 +91,9 @@
 func (sr *soakRun) inject(ctx context.Context, log func(format string, args ...any)) {
 	var wgr sync.WaitGroup
 	start := time.Now()
+	if sr.params.parts {
+		wgr.Go(sr.sendParts)
+	}
 	for ctx.Err() == nil {
 		flt := sr.drawFault()
 		times := 1 + sr.drawInt(3)
@@ -124,6 +128,9 @@
 	if sr.params.rollOuts && sr.drawInt(calmAnyFaultOneIn) > 0 {
 		return rollOutFaults[sr.drawInt(len(rollOutFaults))]
 	}
+	if sr.params.parts && sr.drawInt(calmAnyFaultOneIn) > 0 {
+		return partFaults[sr.drawInt(len(partFaults))]
+	}
 	return faultKinds[sr.drawInt(sr.faultKinds)]
 }
 
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -61,6 +61,9 @@
 	// calm reports that most faults leave the instances themselves alone, so that checks of what
 	// steady instances do apply for longer.
 	calm bool
+	// parts reports that prompts with a part that crashes engines are sent all the time, and that most faults are
+	// restarts and losses of instances.
+	parts bool
 	// rollOuts reports that most faults are roll-outs of builds and ends of instances, so that many streams
 	// are taken up.
 	rollOuts bool
@@ -82,6 +85,9 @@
 // a seed are independent of them.
 func newRunParams(spc runSpec) runParams {
 	rng := rand.New(rand.NewPCG(spc.seed, 2))
+	if spc.faultKinds >= partsFromKinds && rng.IntN(2) == 0 {
+		return runParams{shutdownTimeout: defaultShutdownTimeout, entryTTL: defaultEntryTTL, parts: true}
+	}
 	if spc.faultKinds >= buildsFromKinds && rng.IntN(2) == 0 {
 		return runParams{shutdownTimeout: defaultShutdownTimeout, entryTTL: defaultEntryTTL, rollOuts: true}
 	}
@@ -131,6 +137,7 @@
 	// notes explain checks in the report, such as the connections of unanswered requests.
 	notes         []string
 	poisons       []*poisonRequest
+	parts         []*badPart
 	declaredRates []*declaredRate
 	partitions    []*partitionPeriod
 	brittles      []*brittlePeriod
@@ -225,6 +232,9 @@
 	ep.SetAddr(ep.proxy.addr())
 	ep.Duration, ep.DurationOf = 5*time.Millisecond, sr.answerTime
 	ep.CrashOn(poisonText, func() { sr.crashEndpoint(ep) })
+	for _, bpt := range sr.parts {
+		sr.armPart(ep, bpt)
+	}
 	for _, brt := range sr.brittles {
 		if brt.pool == pool && !brt.ended {
 			brt.arm(sr, ep)
