--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -10,6 +11,11 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/poison"
 	"amaranthvalve/platform/fake"
 )
 
@@ -216,4 +222,59 @@
 		}
 		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(ended))
 	})
+
+	// Guards against trials that each instance grants itself.
+	ginkgo.It("is tried once by all instances together", func() {
+		tbd := newTestbed(4)
+		pts := newPromptTest(tbd, fake.Shape{Framing: fake.Chunked, Cut: fake.AfterHead})
+		tbd.waitGranter()
+		tbd.spreadPartCrashes(crashesToLearn, clock.Minute)
+		var wgr sync.WaitGroup
+		for range 6 * len(tbd.nodes) {
+			wgr.Go(func() { pts.send(soundPart + ":10," + badPart + ":10") })
+		}
+		wgr.Wait()
+		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(1))
+	})
+
+	// Guards against a prompt that was admitted before its part was found and is sent to an engine all the same.
+	ginkgo.It("isn't sent with a request that was admitted before", func() {
+		tbd := newTestbed(1)
+		pts := newPromptTest(tbd, fake.Shape{Framing: fake.Chunked, Cut: fake.AfterHead})
+		for _, ep := range tbd.stages {
+			ep.DelayedDuration = 300 * time.Millisecond
+			ep.QueueFaults(fake.Delayed)
+		}
+		stageCount := func() int { return len(tbd.stages[0].Arrivals()) + len(tbd.stages[1].Arrivals()) }
+		before := stageCount()
+		answer := make(chan response, 1)
+		go func() {
+			answer <- tbd.send(0, request{path: stagedPath, body: "draft", header: map[string]string{
+				fake.HeaderItems: "1,1", fake.HeaderItemKey: "pk", fake.HeaderTokens: "30,4", fake.HeaderPrefix: badPart + ":10,e0:10",
+			}})
+		}()
+		eventually(stageCount, pollTimeout).Should(gomega.BeNumerically(">", before))
+		for i := range crashesToLearn {
+			tbd.nodes[0].ctl.RecordCrash(poison.FingerprintOf(host, fmt.Sprint(i), "", nil), ident.Process(fmt.Sprintf("i-%d", i)), poison.PartOf("engines", badPart))
+		}
+		var rsp response
+		eventually(answer, pollTimeout).Should(gomega.Receive(&rsp))
+		expect(rsp.body).To(gomega.ContainSubstring(`"quarantined"`))
+		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(0))
+	})
 })
+
+// spreadPartCrashes gives all instances facts about past crashes with badPart in flight, a second apart.
+func (tbd *testbed) spreadPartCrashes(count int, ago clock.Milli) {
+	fpr := poison.PartOf("engines", badPart)
+	var facts []gossip.Fact
+	for i := range count {
+		facts = append(facts, gossip.Fact{
+			Kind: gossip.CrashedUnder, Key: poison.PartKey(fpr, ident.Process(fmt.Sprintf("before-%d", i))), Value: "127.0.0.1:1", Version: 1, Age: ago + clock.Milli(i)*clock.Second,
+		})
+	}
+	for _, nod := range tbd.nodes {
+		nod.ctl.Handle(context.Background(), peer.Message{Kind: peer.PushFacts, From: tbd.nodes[0].ctl.Self(), To: nod.ctl.Self(), Facts: facts})
+		eventually(func() int { return len(nod.ctl.View().Suspects().Convicted([]poison.Fingerprint{fpr})) }, pollTimeout).Should(equal(1))
+	}
+}
