pkg/poison: crashes of one moment don't quarantine a request

A request is quarantined by three crashes at two moments (250 ms) now, or by five. A request that crashes endpoints together is so found two crashes later at most, within the three that may be late.

--- a/internal/node/era_test.go
+++ b/internal/node/era_test.go
@@ -147,6 +147,7 @@
 		crt := tbd.crashEngines(4)
 		for crt.arrivalCount() < 3 {
 			tbd.send(0, request{path: "/stream-once/plan", body: crashBody})
+			time.Sleep(crashPause)
 		}
 		eventually(tbd.store.Instances, pollTimeout).Should(gomega.HaveLen(5))
 		tbd.store.Restore()()
--- a/pkg/poison/doc.go
+++ b/pkg/poison/doc.go
@@ -14,7 +14,8 @@
 // # Quarantine
 //
 // A request with more crashes than coincidence explains is quarantined: every instance refuses
-// it. After the quarantine one instance admits it for a trial and records a crash in advance.
+// it. Crashes of one moment count for little, since a stream that is resumed at once may be at
+// several endpoints that another request crashes. After the quarantine one instance admits it for a trial and records a crash in advance.
 // Each crash lengthens the next quarantine.
 //
 // # Parts of prompts
--- a/pkg/poison/list.go
+++ b/pkg/poison/list.go
@@ -18,6 +18,10 @@
 	// at an endpoint that crashes for another reason, and this may happen to it again when it is
 	// retried at the next one.
 	crashesAllowed = 2
+	// Crashes of one moment quarantine a request from crashesAtOnce on: a stream that is resumed at once, endpoint
+	// after endpoint, may be a bystander at all of them.
+	requestMoments = 2
+	crashesAtOnce  = 5
 	// firstQuarantine is the first quarantine, counted from the last crash. Afterwards the request
 	// is admitted for a trial, since the endpoints may have been fixed. Each further crash
 	// multiplies the quarantine by quarantineFactor.
@@ -136,7 +140,10 @@
 
 // OnTrial reports whether a request has so many crashes that it is admitted only after its
 // quarantine, and one attempt at a time.
-func (lst *List) OnTrial(fpr Fingerprint) bool { return len(lst.Crashes(fpr)) > crashesAllowed }
+func (lst *List) OnTrial(fpr Fingerprint) bool {
+	crashes := lst.Crashes(fpr)
+	return len(crashes) >= crashesAtOnce || len(crashes) > crashesAllowed && moments(crashes) >= requestMoments
+}
 
 // QuarantineFacts returns the facts that quarantine requests and convict parts, or will do so after the
 // next trial: for at most the given number of requests and of parts, the last each facts of a request.
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -23,13 +23,12 @@
 	trialPrefix = "attempt "
 
 	// partCrashes is the number of crashes that convict a part, at partMoments different moments; simultaneous
-	// crashes have one cause, and any part may be at the endpoints that it hits. More than that explains
-	// simultaneous crashes too.
-	partCrashes       = 3
-	partMoments       = 3
-	partCrashesAtOnce = 5
-	// momentGap separates crashes of different moments.
-	momentGap = 250 * clock.Milli(1)
+	// crashes have one cause, and any part may be at the endpoints that it hits. From crashesAtOnce on simultaneous
+	// crashes convict too.
+	partCrashes = 3
+	partMoments = 3
+	// momentSpan is how long after the first crash of a moment others belong to it.
+	momentSpan = 250 * clock.Milli(1)
 	// answerMemory is how long before a crash an answer makes it doubtful that the part is its cause: its
 	// content or the endpoints' build may have changed. A part with doubtful crashes is convicted by
 	// doubtfulCrashes over doubtfulSpan without an answer in between.
@@ -179,15 +178,16 @@
 	if prt.doubtful() {
 		return count >= doubtfulCrashes && crashes[count-1].At-crashes[0].At >= doubtfulSpan
 	}
-	return count >= partCrashesAtOnce || count >= partCrashes && moments(crashes) >= partMoments
+	return count >= crashesAtOnce || count >= partCrashes && moments(crashes) >= partMoments
 }
 
 // moments counts the moments at which crashes happened.
 func moments(crashes []Crash) int {
-	count := 0
-	for i, crs := range crashes {
-		if i == 0 || crs.At-crashes[i-1].At > momentGap {
+	count, began := 0, clock.Milli(0)
+	for _, crs := range crashes {
+		if count == 0 || crs.At-began > momentSpan {
 			count++
+			began = crs.At
 		}
 	}
 	return count
