internal/front: the crash of a part's trial is recorded like any other

Read while going through the diff: where the trial of a part crashed an engine, the crash was not recorded for the part, since the fact of a request's trial stands for its crash. For a part it doesn't: bystanders at that engine recorded theirs, which the convicted part then didn't explain, so that sound requests and parts were held more suspect with each trial. The model in fake time records it, the product didn't. The spec 'is tried once by all instances together' now asks for the sixth crash: 5 after 5 s before, 6 now.

--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -56,13 +56,15 @@
 	go func() {
 		process := fr.set.CheckProcess(context.Background(), tgt.Addr)
 		counts := process == reach.Ended && !leaving
-		switch {
-		case counts && !cl.trial && settled:
+		switch trialOfRequest := cl.trial && len(cl.trialOf.Parts) == 0; {
+		case trialOfRequest && !counts:
+			fr.set.Control.CancelTrial(cl.trialOf)
+		case trialOfRequest || !counts:
+			// The fact of the trial counts as the crash.
+		case settled:
 			fr.set.Control.RecordCrash(fpr, tgt.ID)
-		case counts && !cl.trial:
+		default:
 			fr.set.Control.RecordCrash(fpr, tgt.ID, parts...)
-		case !counts && cl.trial && len(cl.trialOf.Parts) == 0:
-			fr.set.Control.CancelTrial(cl.trialOf)
 		}
 		if settled || whole && process == reach.Running {
 			fr.set.Control.RecordAnswer(parts, began)
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -241,6 +241,7 @@
 		}
 		wgr.Wait()
 		expect(pts.crt.arrivalsAfter(time.Time{})).To(equal(1))
+		eventually(func() int { return tbd.nodes[0].partCrashes(badPart) }, pollTimeout).Should(equal(crashesToLearn + 1))
 	})
 
 	// Guards against a prompt that was admitted before its part was found and is sent to an engine all the same.
@@ -284,3 +285,12 @@
 		eventually(func() int { return len(nod.ctl.View().Suspects().Convicted([]poison.Fingerprint{fpr})) }, pollTimeout).Should(equal(1))
 	}
 }
+
+// partCrashes returns the number of crashes that an instance knows of a convicted part.
+func (nod *Node) partCrashes(id string) int {
+	list := nod.ctl.View().Suspects().Convicted([]poison.Fingerprint{poison.PartOf("engines", id)})
+	if len(list) == 0 {
+		return 0
+	}
+	return len(list[0].Crashes())
+}
