pkg/poison, internal/state, internal/front: what reading the diff showed

How long answers count stood in two packages; two things were called Trial; one function ranked, convicted and confirmed; a trial that the coordinator granted to itself left no line; the memory of answers and the amending of facts had no tests of their own; an attempt was 62 lines; a spec spelled a header that belongs to the stand-in. Nothing decides otherwise.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -214,14 +214,7 @@
 		end = ending.GaveUp
 	}
 	if end == ending.Answered {
-		fr.pools.RecordFirstByte(cl.route.Name(), took)
-		fr.coord.FirstEvent(cl.pool.Name(), tgt, took)
-		cl.firstByte, cl.headAt = took, began+took
-		if cl.route.Streams() {
-			// Events after the deadline are of no use, and take the engine's time.
-			defer context.AfterFunc(ctx, cancel)()
-		}
-		return run.forward(ctx, tgt, rsp, began)
+		return run.answered(ctx, tgt, rsp, began, took, cancel)
 	}
 	run.rejected = end == ending.Refused && isRejection(rsp)
 	run.release(tgt, end.RouteOutcome(slow), took)
@@ -236,6 +229,19 @@
 	return run.afterFailure(ctx, end)
 }
 
+// answered records that an endpoint has begun to answer, and forwards its response. cancel ends the attempt.
+func (run *finalRun) answered(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began, took clock.Milli, cancel func()) (outcm.Result, bool) {
+	fr, cl := run.fr, run.cl
+	fr.pools.RecordFirstByte(cl.route.Name(), took)
+	fr.coord.FirstEvent(cl.pool.Name(), tgt, took)
+	cl.firstByte, cl.headAt = took, began+took
+	if cl.route.Streams() {
+		// Events after the deadline are of no use, and take the engine's time.
+		defer context.AfterFunc(ctx, cancel)()
+	}
+	return run.forward(ctx, tgt, rsp, began)
+}
+
 // isRejection reports whether an endpoint refused a request for lack of room.
 func isRejection(rsp *relay.Response) bool {
 	return rsp != nil && rsp.Status == http.StatusServiceUnavailable && !rsp.Reply.Misdirected
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -92,11 +92,11 @@
 	return nxt(ctx, cl)
 }
 
-// admit refuses at once requests that can't be answered before their
-// deadline. While pools are contended it also refuses those that will probably be late: they would
-// take the slot of a request that can be in time. While pools are not contended, late requests are
-// admitted as long as they meet their deadline. The target latency of a retry counts from the
-// caller's first attempt, so that it goes before requests that came later.
+// admit refuses at once requests that can't be answered before their deadline. While pools are
+// contended it also refuses those that will probably be late: they would take the slot of a request
+// that can be in time. While pools are not contended, late requests are admitted as long as they
+// meet their deadline. The target latency of a retry counts from the caller's first attempt, so that
+// it goes before requests that came later.
 func (fr *Front) admit(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	name := cl.pool.Name()
 	if end, all := fr.coord.RestEnd(name, cl.bound.build); all && end > fr.set.Clock.Now()+fr.firstByteEstimate(cl)+cl.slotWait() {
--- a/internal/node/build_test.go
+++ b/internal/node/build_test.go
@@ -361,14 +361,14 @@
 		tbd := newBuilds("v1", "v1.1")
 		tbd.begin(0, "first")
 		for _, headers := range [][]string{
-			{fake.HeaderResumes, " "}, {fake.HeaderResumes, "itself"}, {fake.HeaderResumes, "first", "Amaranthvalve-Resumes", "first"},
+			{fake.HeaderResumes, " "}, {fake.HeaderResumes, "itself"}, {fake.HeaderResumes, "first", fake.HeaderResumesLong, "first"},
 		} {
 			rsp := tbd.resume(0, "itself", headers...)
 			expect(rsp.status).To(equal(http.StatusBadRequest), "%v", headers)
 			expect(rsp.body).To(gomega.ContainSubstring("Resumes"))
 		}
 		expect(tbd.hasRun("itself")).To(gomega.BeFalse())
-		expect(tbd.resume(1, "other-spelling", "Amaranthvalve-Resumes", "first").status).To(equal(http.StatusOK))
+		expect(tbd.resume(1, "other-spelling", fake.HeaderResumesLong, "first").status).To(equal(http.StatusOK))
 	})
 
 	// Guards against a stream that goes on at a process whose entry has changed its build since it was chosen.
--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// answerRetention is how long answers are remembered at least, maxAnswers bounds the parts remembered.
-	answerRetention = 30 * clock.Second
-	maxAnswers      = 8192
+	// maxAnswers bounds the parts of which answers are remembered.
+	maxAnswers = 8192
 	// grantTimeout bounds the request for a trial, some round trips between data centres.
 	grantTimeout = 200 * clock.Milli(1)
 	// minGrantTenure is how long an instance has been the first coordinator of a pool before it grants trials:
@@ -26,7 +25,8 @@
 	minGrantTenure = 2 * clock.Second
 )
 
-// answerLog remembers when this instance's latest answers to prompts with a part began. Its zero value is empty.
+// answerLog remembers when this instance's latest answers to prompts with a part began, for [poison.AnswerMemory]
+// at least unless there are too many. Its zero value is empty.
 type answerLog struct {
 	mtx sync.Mutex
 	// recent has the parts seen since turned, older those of the span before.
@@ -37,7 +37,7 @@
 func (alg *answerLog) add(parts []poison.Fingerprint, began, now clock.Milli) {
 	alg.mtx.Lock()
 	defer alg.mtx.Unlock()
-	if alg.recent == nil || now-alg.turned >= answerRetention || len(alg.recent)+len(parts) > maxAnswers/2 {
+	if alg.recent == nil || now-alg.turned >= poison.AnswerMemory || len(alg.recent)+len(parts) > maxAnswers/2 {
 		alg.recent, alg.older, alg.turned = map[poison.Fingerprint]clock.Milli{}, alg.recent, now
 	}
 	for _, fpr := range parts {
@@ -107,10 +107,10 @@
 func (trl Trial) keys() []string {
 	var keys []string
 	for _, fpr := range trl.Request {
-		keys = append(keys, poison.Key(fpr, poison.Trial(trl.Attempt)))
+		keys = append(keys, poison.Key(fpr, poison.TrialName(trl.Attempt)))
 	}
 	for _, fpr := range trl.Parts {
-		keys = append(keys, poison.PartKey(fpr, poison.Trial(trl.Attempt)))
+		keys = append(keys, poison.PartKey(fpr, poison.TrialName(trl.Attempt)))
 	}
 	return keys
 }
@@ -124,26 +124,37 @@
 	if list := ctl.View().Coordinators(trl.Pool); len(list) > 0 {
 		owner = list[0]
 	}
+	var facts []gossip.Fact
 	if owner == ctl.set.Self || ctl.set.Link == nil {
-		facts, ok := loop.Get(ctx, ctl.loop, func(now clock.Milli) []gossip.Fact { return ctl.facts.grant(trl, now) })
-		return ok && len(facts) > 0
+		facts, _ = loop.Get(ctx, ctl.loop, func(now clock.Milli) []gossip.Fact { return ctl.facts.grant(trl, now) })
+	} else {
+		facts = ctl.requestGrant(ctx, owner, trl)
 	}
+	ctl.set.Log.Info().Str("request", trl.Attempt).Str("pool", trl.Pool).Int("parts", len(trl.Parts)).Str("granter", string(owner)).
+		Bool("granted", len(facts) > 0).Msg("trial of a quarantined request")
+	return len(facts) > 0
+}
+
+// requestGrant asks another instance to grant a trial, and returns the trial's facts; none if it doesn't.
+func (ctl *Control) requestGrant(ctx context.Context, owner ident.Incarnation, trl Trial) []gossip.Fact {
 	body, err := cbor.Marshal(trl)
 	if err != nil {
-		return false
+		return nil
 	}
 	ans, err := ctl.set.Link.Call(ctx, owner.Addr(), peer.Message{Kind: peer.BeginTrial, From: ctl.set.Self, To: owner, Body: body})
-	ctl.set.Log.Info().AnErr("error", err).Str("request", trl.Attempt).Str("pool", trl.Pool).Str("granter", string(owner)).
-		Bool("granted", err == nil && ans.Kind == peer.OK).Msg("trial of a quarantined request")
 	if err != nil || ans.Kind != peer.OK {
-		return false
+		return nil
 	}
 	// The trial may be withdrawn before gossip brings its facts.
-	return ctl.loop.Do(ctx, func(now clock.Milli) {
+	learned := ctl.loop.Do(ctx, func(now clock.Milli) {
 		if ctl.facts.spread.Receive(ans.Facts, true, now) {
 			ctl.facts.refresh(now)
 		}
 	})
+	if !learned {
+		return nil
+	}
+	return ans.Facts
 }
 
 // grant records a trial and returns its facts; none if the trial isn't due, or if this instance has not
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -98,3 +98,21 @@
 		gom.Expect(ok).To(gomega.BeTrue(), key)
 	}
 }
+
+// TestAmendKeepsAge guards against facts that live on because their value changes, and against amending what is unknown.
+func TestAmendKeepsAge(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var tbl Table
+	tbl.Bound(CrashedUnder, Bounds{Retention: clock.Minute, MaxFacts: 2})
+	_, ok := tbl.Amend(CrashedUnder, "a", "x", 0)
+	gom.Expect(ok || tbl.Has(CrashedUnder, "a")).To(gomega.BeFalse())
+	tbl.Set(CrashedUnder, "a", "x", 0)
+	fct, ok := tbl.Amend(CrashedUnder, "a", "y", 50*clock.Second)
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(fct.Age).To(gomega.Equal(50 * clock.Second))
+	gom.Expect(fct.Version).To(gomega.BeEquivalentTo(2))
+	_, ok = tbl.Amend(CrashedUnder, "a", "y", 50*clock.Second)
+	gom.Expect(ok).To(gomega.BeFalse())
+	gom.Expect(tbl.Expire(clock.Minute)).To(gomega.BeTrue())
+	gom.Expect(tbl.Has(CrashedUnder, "a")).To(gomega.BeFalse())
+}
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -29,10 +29,10 @@
 	partMoments = 3
 	// momentSpan is how long after the first crash of a moment others belong to it.
 	momentSpan = 250 * clock.Milli(1)
-	// answerMemory is how long before a crash an answer makes it doubtful that the part is its cause: its
+	// AnswerMemory is how long before a crash an answer makes it doubtful that the part is its cause: its
 	// content or the endpoints' build may have changed. A part with doubtful crashes is convicted by
 	// doubtfulCrashes over doubtfulSpan without an answer in between.
-	answerMemory    = 30 * clock.Second
+	AnswerMemory    = 30 * clock.Second
 	doubtfulCrashes = 5
 	doubtfulSpan    = 3 * clock.Second
 	// confirmedCrashes is the number of crashes that confirm a conviction, after a trial that was not answered.
@@ -65,8 +65,8 @@
 // another.
 func PartOf(pool, id string) Fingerprint { return FingerprintOf(partPrefix, pool, id, nil) }
 
-// Trial returns the name under which a trial is recorded where an endpoint's name is expected.
-func Trial(attempt string) ident.Process { return ident.Process(trialPrefix + attempt) }
+// TrialName returns the name under which a trial is recorded where an endpoint's name is expected.
+func TrialName(attempt string) ident.Process { return ident.Process(trialPrefix + attempt) }
 
 // PartKey returns the fact key of the crash of an endpoint with a part in flight, or of the trial of a part.
 func PartKey(fpr Fingerprint, endpoint ident.Process) string { return partPrefix + Key(fpr, endpoint) }
@@ -110,24 +110,14 @@
 
 // judge convicts parts. An endpoint that crashed accuses all parts in flight there, most of which are sound.
 // Those that were answered in between are out. What is left is explained by as few parts as possible: the
-// crashes of a part count only if no better convicted part explains them. Who knows a part of the facts only
-// convicts no more parts for it than who knows all, but for those that others explain.
+// crashes of a part count only if no better convicted part explains them. An instance that lacks some of the
+// facts convicts no others, but for parts whose crashes it can't explain yet.
 func (lst *List) judge() {
 	lst.convicted, lst.explained = nil, map[ident.Process]bool{}
-	for _, prt := range lst.parts {
-		if len(prt.crashes) >= partCrashes {
-			lst.convicted = append(lst.convicted, prt)
-		}
-	}
-	slices.SortFunc(lst.convicted, func(x, y *Part) int {
-		return cmp.Or(compareBools(x.doubtful(), y.doubtful()), cmp.Compare(len(y.crashes), len(x.crashes)), bytes.Compare(x.fpr[:], y.fpr[:]))
-	})
-	suspects := lst.convicted
-	lst.convicted = nil
-	// explaining has the most crashes of a convicted part without doubt by the endpoints that crashed with it, convictions
-	// the number of convicted parts.
-	explaining, convictions := map[ident.Process]int{}, map[ident.Process]int{}
-	for _, prt := range suspects {
+	// explaining has the endpoints that crashed with a convicted part without doubt, with the most crashes of
+	// such a part.
+	explaining := map[ident.Process]int{}
+	for _, prt := range lst.suspectsInOrder() {
 		if !prt.convicts(prt.unexplained(explaining)) {
 			continue
 		}
@@ -135,12 +125,37 @@
 		lst.convicted = append(lst.convicted, prt)
 		for _, crs := range prt.crashes {
 			lst.explained[crs.Endpoint] = true
-			convictions[crs.Endpoint]++
 			if !prt.doubtful() {
 				explaining[crs.Endpoint] = max(explaining[crs.Endpoint], len(prt.crashes))
 			}
 		}
 	}
+	lst.confirm()
+}
+
+// suspectsInOrder returns the parts with enough crashes to be convicted, the best explanations first.
+func (lst *List) suspectsInOrder() []*Part {
+	var list []*Part
+	for _, prt := range lst.parts {
+		if len(prt.crashes) >= partCrashes {
+			list = append(list, prt)
+		}
+	}
+	slices.SortFunc(list, func(x, y *Part) int {
+		return cmp.Or(compareBools(x.doubtful(), y.doubtful()), cmp.Compare(len(y.crashes), len(x.crashes)), bytes.Compare(x.fpr[:], y.fpr[:]))
+	})
+	return list
+}
+
+// confirm confirms the convictions that a trial has borne out, of parts with enough crashes at which no other
+// convicted part was in flight.
+func (lst *List) confirm() {
+	convictions := map[ident.Process]int{}
+	for _, prt := range lst.convicted {
+		for _, crs := range prt.crashes {
+			convictions[crs.Endpoint]++
+		}
+	}
 	for _, prt := range lst.convicted {
 		own := 0
 		for _, crs := range prt.crashes {
@@ -256,7 +271,7 @@
 			case !ok:
 			case began > crs.At:
 				values[PartKey(fpr, crs.Endpoint)] = clearedByAnswer
-			case began >= crs.At-answerMemory && !crs.Doubtful:
+			case began >= crs.At-AnswerMemory && !crs.Doubtful:
 				values[PartKey(fpr, crs.Endpoint)] = doubtMark + crs.By
 			}
 		}
--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -93,7 +93,7 @@
 			fpr := PartOf("engines", rapid.StringMatching("[abc]").Draw(rt, "part"))
 			key := PartKey(fpr, ident.Process(rapid.StringMatching("i-[0-7]").Draw(rt, "endpoint")))
 			if rapid.IntRange(0, 5).Draw(rt, "kind") == 0 {
-				key = PartKey(fpr, Trial("x"))
+				key = PartKey(fpr, TrialName("x"))
 			}
 			value := rapid.SampledFrom([]string{"x", "x", "x", doubtMark + "x", clearedByAnswer}).Draw(rt, "value")
 			facts = append(facts, gossip.Fact{Kind: gossip.CrashedUnder, Key: key, Value: value, Version: 1, Age: 1000 * clock.Milli(rapid.IntRange(0, 40).Draw(rt, "age"))})
@@ -224,7 +224,7 @@
 	gom.Expect(sound[0].Quarantined(5 * clock.Second)).To(gomega.BeNumerically("<=", 3*clock.Second))
 	obs.answer(soundPart, 9*clock.Second, 9*clock.Second)
 	gom.Expect(obs.convicted(soundPart)).To(gomega.BeFalse())
-	obs.tbl.Set(gossip.CrashedUnder, PartKey(badPart, Trial("one")), "x", 9*clock.Second)
+	obs.tbl.Set(gossip.CrashedUnder, PartKey(badPart, TrialName("one")), "x", 9*clock.Second)
 	obs.crashParts("i-9", 9*clock.Second, badPart)
 	bad := obs.lst.Convicted([]Fingerprint{badPart})
 	gom.Expect(bad).To(gomega.HaveLen(1))
@@ -309,7 +309,7 @@
 			}
 			trials++
 			for _, fpr := range companions {
-				obs.tbl.Set(gossip.CrashedUnder, PartKey(fpr, Trial(fmt.Sprint(trials))), "x", now)
+				obs.tbl.Set(gossip.CrashedUnder, PartKey(fpr, TrialName(fmt.Sprint(trials))), "x", now)
 			}
 			obs.crashParts(fmt.Sprintf("trial-%d", trials), now, companions...)
 		}
@@ -342,7 +342,7 @@
 	for i := range 40 {
 		obs.crashParts(fmt.Sprintf("i-%d", i), clock.Milli(i)*clock.Second, badPart)
 	}
-	obs.tbl.Set(gossip.CrashedUnder, PartKey(badPart, Trial("one")), "x", now)
+	obs.tbl.Set(gossip.CrashedUnder, PartKey(badPart, TrialName("one")), "x", now)
 	obs.refresh(now)
 	stored := QuarantineFacts(obs.tbl.All(gossip.CrashedUnder, now), obs.lst, 64, 6)
 	gom.Expect(len(stored)).To(gomega.BeNumerically("<=", maxStoredPartCrashes+1))
--- a/pkg/poison/partsize_test.go
+++ b/pkg/poison/partsize_test.go
@@ -262,7 +262,7 @@
 	}
 	cls.boots++
 	for _, fpr := range fprs {
-		cls.record(owner, poison.PartKey(fpr, poison.Trial(fmt.Sprint(cls.boots))))
+		cls.record(owner, poison.PartKey(fpr, poison.TrialName(fmt.Sprint(cls.boots))))
 	}
 	return true
 }
