internal/relay, internal/peer: closing the connection oneself doesn't break off a whole answer

Callers saw an answer without framing broken off though its endpoint had ended it in order, if the endpoint answered before it had read all of the request.

Cause: an answer without framing is whole only if no write of its request failed, since a write may take the report of a reset. net/http closes the connection as soon as such an answer has ended; a write still under way then fails with "use of closed network connection", which was counted like a reset. Ruled out: the wait of 50 ms for the end of the writing, which no failure reached.

Change: the connection itself records failed writes, but for those after it was closed on this side; a tunnel reports these as net.ErrClosed too.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -383,3 +383,17 @@
 	step("ca.pem", func(dir string) []byte { return file(newDirs[dir], "ca.pem") })
 	gom.Expect(ask(0, 2)).To(gomega.HaveOccurred())
 }
+
+// Guards against taking a tunnel that was closed on this side for one that failed.
+func TestTunnelWriteAfterClose(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ath := newAuthority(t)
+	far := openLink(t, ath, "b@2#1", func(lnk *Link) {
+		lnk.HandleTunnel = func(_ Message, tnl *Tunnel) { _ = tnl.Answer(Message{Kind: OK}) }
+	})
+	tnl, _, err := openLink(t, ath, "a@1#1").OpenTunnel(t.Context(), far.Addr(), Message{})
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(tnl.Close()).To(gomega.Succeed())
+	_, err = tnl.Write([]byte("a part"))
+	gom.Expect(err).To(gomega.MatchError(net.ErrClosed))
+}
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -178,6 +179,7 @@
 	str           *quic.Stream
 	local, remote net.Addr
 	done          func()
+	closed        atomic.Bool
 }
 
 // Answer answers the request for the tunnel.
@@ -186,11 +188,18 @@
 // Read reads what the peer has written.
 func (tnl *Tunnel) Read(buf []byte) (int, error) { return tnl.str.Read(buf) }
 
-// Write writes to the peer.
-func (tnl *Tunnel) Write(buf []byte) (int, error) { return tnl.str.Write(buf) }
+// Write writes to the peer. It fails with [net.ErrClosed] after [Tunnel.Close].
+func (tnl *Tunnel) Write(buf []byte) (int, error) {
+	n, err := tnl.str.Write(buf)
+	if err != nil && tnl.closed.Load() {
+		err = net.ErrClosed
+	}
+	return n, err
+}
 
 // Close closes both directions, after what was written.
 func (tnl *Tunnel) Close() error {
+	tnl.closed.Store(true)
 	tnl.str.CancelRead(0)
 	err := tnl.str.Close()
 	tnl.done()
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthvalve/pkg/ending"
@@ -15,19 +16,14 @@
 type written struct {
 	once sync.Once
 	done chan struct{}
-	err  error
+	// broken is set if the connection failed a write.
+	broken atomic.Bool
 }
 
-func (wrt *written) end(err error) {
-	wrt.once.Do(func() {
-		wrt.err = err
-		close(wrt.done)
-	})
-}
+func (wrt *written) end() { wrt.once.Do(func() { close(wrt.done) }) }
 
 // closeBody is the body of an answer that ends with its connection. A reset is reported once: after a
-// write that failed with it, the body seems to end in order. It is complete only if the request was written
-// completely.
+// write that failed with it, the body seems to end in order. It is complete only if no write failed.
 type closeBody struct {
 	io.ReadCloser
 	wrt *written
@@ -40,7 +36,7 @@
 	}
 	select {
 	case <-cbd.wrt.done:
-		if cbd.wrt.err == nil {
+		if !cbd.wrt.broken.Load() {
 			return n, io.EOF
 		}
 	case <-time.After(writeGrace):
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -76,13 +76,45 @@
 		_, _ = io.Copy(io.Discard, con)
 	})
 	rel := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil)
-	hdr := http.Header{fake.HeaderRequestID: {"one"}}
-	rqs := Request{ID: "one", Method: "POST", Host: "x", Target: "/", Header: hdr, Body: make([]byte, 10<<10)}
-	rsp, end, err := rel.Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
-	gom.Expect(err).NotTo(gomega.HaveOccurred())
-	gom.Expect(end).To(gomega.Equal(ending.Answered))
-	text, err := io.ReadAll(rsp.Body)
+	for i := range 1000 {
+		id := fmt.Sprint(i)
+		hdr := http.Header{fake.HeaderRequestID: {id}}
+		rqs := Request{ID: id, Method: "POST", Host: "x", Target: "/", Header: hdr, Body: make([]byte, 10<<10)}
+		rsp, end, err := rel.Do(t.Context(), lsn.Addr().String(), rqs, proto.SendMeta{Remaining: 1000})
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		gom.Expect(end).To(gomega.Equal(ending.Answered))
+		text, err := io.ReadAll(rsp.Body)
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		gom.Expect(string(text)).To(gomega.Equal("a part"))
+		_ = rsp.Body.Close()
+	}
+}
+
+// Guards against breaking off a whole answer because the transport closed its connection while the rest of the
+// request was being written.
+func TestOwnCloseIsNoFailedWrite(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
 	gom.Expect(err).NotTo(gomega.HaveOccurred())
-	gom.Expect(string(text)).To(gomega.Equal("a part"))
-	_ = rsp.Body.Close()
+	defer func() { _ = lsn.Close() }()
+	for _, reset := range []bool{false, true} {
+		con, err := net.Dial("tcp", lsn.Addr().String())
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		far, err := lsn.Accept()
+		gom.Expect(err).NotTo(gomega.HaveOccurred())
+		wrt := &written{}
+		tcn := &trackedConn{Conn: con, wrt: wrt}
+		if reset {
+			_ = far.(*net.TCPConn).SetLinger(0)
+			_ = far.Close()
+			_, _ = con.Read(make([]byte, 1))
+		} else {
+			_ = tcn.Close()
+		}
+		_, err = tcn.Write([]byte("a part"))
+		gom.Expect(err).To(gomega.HaveOccurred())
+		gom.Expect(wrt.broken.Load()).To(gomega.Equal(reset))
+		_ = con.Close()
+		_ = far.Close()
+	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,7 +43,7 @@
 // New returns a relay for a dialect. obs is called with each answer; it may be nil.
 func New(dia *proto.Dialect, dlf dial.Func, obs Observer) *Relay {
 	return &Relay{dia: dia, trn: &observedTransport{observe: obs, next: &http.Transport{
-		DialContext: dialAllowed(dlf), DisableCompression: true,
+		DialContext: dialTracked(dlf), DisableCompression: true,
 		// No connection is reused. DisableKeepAlives would achieve that too, but sends "Connection:
 		// close" to endpoints; they would then answer the same, which could not be told from an
 		// endpoint that is leaving.
@@ -157,7 +157,7 @@
 	if len(rqs.Body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(rqs.Body)), int64(len(rqs.Body))
 	}
-	return req.WithContext(withTrace(withAllowed(ctx, rqs.Allowed), connected, wrt, rqs.OnWritten)), nil
+	return req.WithContext(withTrace(withAllowed(context.WithValue(ctx, writtenKey{}, wrt), rqs.Allowed), connected, wrt, rqs.OnWritten)), nil
 }
 
 // dropHop removes the hop-by-hop headers, including those that the Connection header lists.
