pkg/poison: crashes of a part outlive an end of all instances before it is convicted

The new TestSuspicionOutlivesAll shows this fault: without the change nothing is stored after two crashes.

Change: the crashes of a part without answers are stored from the second one on, after those of convicted parts and within the same bounds. With no crash, or one crash of each part, nothing more is stored. A mutant takes it out; it fails its test.

--- a/pkg/poison/list.go
+++ b/pkg/poison/list.go
@@ -145,8 +145,8 @@
 	return len(crashes) >= crashesAtOnce || len(crashes) > crashesAllowed && moments(crashes) >= requestMoments
 }
 
-// QuarantineFacts returns the facts that quarantine requests and convict parts, or will do so after the
-// next trial: for at most the given number of requests and of parts, the last each facts of a request.
+// QuarantineFacts returns the facts that quarantine requests and convict parts, or may do so after the
+// next trial or crash: for at most the given number of requests and of parts, the last each facts of a request.
 func QuarantineFacts(facts []gossip.Fact, lst *List, requests, each int) []gossip.Fact {
 	var list []gossip.Fact
 	wanted := map[string]bool{}
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -117,7 +117,7 @@
 	// explaining has the endpoints that crashed with a convicted part without doubt, with the most crashes of
 	// such a part.
 	explaining := map[ident.Process]int{}
-	for _, prt := range lst.suspectsInOrder() {
+	for _, prt := range lst.suspectsInOrder(partCrashes) {
 		if !prt.convicts(prt.unexplained(explaining)) {
 			continue
 		}
@@ -133,11 +133,11 @@
 	lst.confirm()
 }
 
-// suspectsInOrder returns the parts with enough crashes to be convicted, the best explanations first.
-func (lst *List) suspectsInOrder() []*Part {
+// suspectsInOrder returns the parts with at least some number of crashes, the best explanations first.
+func (lst *List) suspectsInOrder(atLeast int) []*Part {
 	var list []*Part
 	for _, prt := range lst.parts {
-		if len(prt.crashes) >= partCrashes {
+		if len(prt.crashes) >= atLeast {
 			list = append(list, prt)
 		}
 	}
@@ -287,15 +287,27 @@
 	return slices.Collect(maps.Keys(lst.parts))
 }
 
-// maxStoredPartCrashes bounds the crashes of a part that are stored: half are the first, half the last ones.
-const maxStoredPartCrashes = 2 * partMoments
+const (
+	// maxStoredPartCrashes bounds the crashes of a part that are stored: half are the first, half the last ones.
+	maxStoredPartCrashes = 2 * partMoments
+	// minStoredCrashes is the number of crashes from which on a part without answers is stored before it is
+	// convicted: all instances may end again and again before they have seen more.
+	minStoredCrashes = 2
+)
 
-// storedKeys adds the keys of the facts that convict parts, for at most the given number of parts.
+// storedKeys adds the keys of the facts on convicted parts, and on those that may soon be, for at most the given
+// number of parts.
 func (lst *List) storedKeys(wanted map[string]bool, parts int) {
 	if lst == nil {
 		return
 	}
-	for _, prt := range lst.convicted[:min(parts, len(lst.convicted))] {
+	list := slices.Clone(lst.convicted)
+	for _, prt := range lst.suspectsInOrder(minStoredCrashes) {
+		if !prt.convicted && !prt.doubtful() {
+			list = append(list, prt)
+		}
+	}
+	for _, prt := range list[:min(parts, len(list))] {
 		stored := prt.crashes
 		if len(stored) > maxStoredPartCrashes {
 			stored = slices.Concat(stored[:partMoments], stored[len(stored)-partMoments:])
--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -355,6 +355,28 @@
 	gom.Expect(is[0].Quarantined(now)).To(gomega.Equal(was[0].Quarantined(now)))
 }
 
+// TestSuspicionOutlivesAll guards against a part that crashes endpoints without bound because all instances end again and
+// again before they have seen enough crashes to convict it.
+func TestSuspicionOutlivesAll(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	obs := newObserver()
+	now, crashes := clock.Milli(0), 0
+	for !obs.convicted(badPart) && crashes < 20 {
+		for range 2 {
+			now += clock.Second
+			crashes++
+			obs.crashParts(fmt.Sprintf("i-%d", crashes), now, badPart, soundPart)
+			obs.answer(soundPart, now-100, now)
+		}
+		stored := QuarantineFacts(obs.tbl.All(gossip.CrashedUnder, now), obs.lst, 64, 6)
+		gom.Expect(len(stored)).To(gomega.Equal(crashes), "only the part that was not answered")
+		obs = newObserver()
+		obs.tbl.Learn(stored, now)
+		obs.refresh(now)
+	}
+	gom.Expect(crashes).To(gomega.BeNumerically("<=", confirmedCrashes))
+}
+
 // TestFloodDoesNotEvictParts guards against a caller that has convictions evicted by prompts with many parts.
 func TestFloodDoesNotEvictParts(t *testing.T) {
 	gom := gomega.NewWithT(t)
