internal/node, platform/fake: specs of engines that come back and of bystanders, where a part crashes engines

Guarded now: engines whose successors listen on the addresses of those that crashed under a convicted part are sent sound prompts at once (all others leave, 36 of 36 are served), and prompts that wait at an engine which another one crashes are repeated and answered (32 of 32, some of them twice at an engine, none more often).

--- a/internal/node/notice_test.go
+++ b/internal/node/notice_test.go
@@ -55,7 +55,7 @@
 }
 
 // isRelease reports whether a request releases results, which no caller sent.
-func isRelease(arr fake.Arrival) bool { return arr.Path == "/-/stage-free" }
+func isRelease(arr fake.Arrival) bool { return arr.Path == fake.PathRelease }
 
 var _ = ginkgo.Describe("an endpoint that announces its end in its answers", func() {
 	// Guards against requests, prompts and batches that reach an endpoint after it has said that it
--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
@@ -229,6 +231,73 @@
 		expect(pts.crt.arrivalsAfter(time.Time{}) - ended).To(gomega.BeNumerically("<=", latePrompts))
 	})
 
+	// Guards against holding the crashes against the engines' addresses: successors that listen there would get no prompts
+	// for a while.
+	ginkgo.It("leaves no mark on engines that come back at their addresses", func() {
+		tbd := newTestbed(3)
+		pts := newPromptTest(tbd, fake.Shape{Framing: fake.Chunked, Cut: fake.AfterHead})
+		pts.crt.keepsAddress = true
+		first := len(pts.crt.allEngines())
+		convict := func() string {
+			pts.sendSound()
+			return pts.send(soundPart + ":10," + badPart + ":10").body
+		}
+		eventually(convict, 4*pollTimeout, crashPause).Should(gomega.ContainSubstring(`"quarantined"`))
+		time.Sleep(2 * restartDelay)
+		successors := pts.crt.allEngines()[first:]
+		expect(successors).NotTo(gomega.BeEmpty())
+		for _, ep := range pts.crt.allEngines()[:first] {
+			if slices.ContainsFunc(ep.Runs(), func(run fake.Run) bool { return run.Fault == fake.Crashes }) {
+				continue
+			}
+			tbd.putEntry("engines", ep.ID(), tbd.servers[ep.ID()].Addr(), true)
+		}
+		for _, nod := range tbd.nodes {
+			eventually(func() int {
+				return len(slices.DeleteFunc(slices.Clone(nod.ctl.View().Endpoints()), func(ep proto.Endpoint) bool { return ep.Pool != "engines" || ep.Leaving }))
+			}, pollTimeout).Should(equal(len(successors)))
+		}
+		for range 12 * len(tbd.nodes) {
+			expect(pts.send(soundPart + ":10," + rarePart + ":10").status).To(equal(http.StatusOK))
+		}
+	})
+
+	// Guards against sound prompts that are lost because another one crashed their engine before it answered them.
+	ginkgo.It("doesn't keep prompts that waited at the engine from being answered", func() {
+		tbd := newTestbed(2)
+		pts := newPromptTest(tbd, fake.Shape{Framing: fake.Chunked, Cut: fake.InHead})
+		for _, ep := range pts.crt.allEngines() {
+			ep.Duration, ep.PromptDuration = 100*time.Millisecond, 300*time.Millisecond
+		}
+		var wgr sync.WaitGroup
+		answers := make([]response, 32)
+		for i := range answers {
+			wgr.Go(func() {
+				answers[i] = tbd.send(i%2, request{path: "/stream/plan", id: fmt.Sprintf("sound-%d", i), body: fmt.Sprintf("plan %d", i), header: map[string]string{
+					fake.HeaderTokens: "30,4", fake.HeaderPrefix: fmt.Sprintf("%s:10,%x:10", soundPart, 1<<20+i),
+				}})
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		pts.send(soundPart + ":10," + badPart + ":10")
+		wgr.Wait()
+		runs := map[string]int{}
+		for _, ep := range pts.crt.allEngines() {
+			for _, run := range ep.Runs() {
+				runs[run.ID]++
+			}
+		}
+		repeated := 0
+		for i, rsp := range answers {
+			expect(rsp.status).To(equal(http.StatusOK), rsp.body)
+			if n := runs[fmt.Sprintf("sound-%d", i)]; n > 1 {
+				expect(n).To(equal(2))
+				repeated++
+			}
+		}
+		expect(repeated).To(gomega.BeNumerically(">", 0))
+	})
+
 	// Guards against trials that each instance grants itself.
 	ginkgo.It("is tried once by all instances together", func() {
 		tbd := newTestbed(4)
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -50,6 +50,8 @@
 	partShape fake.Shape
 	// shapes are the shapes of the engines' answers, nil for the usual ones.
 	shapes *fake.Shapes
+	// keepsAddress is set if successors listen on the address of the engine that crashed.
+	keepsAddress bool
 	// done is set at the end of the test.
 	done bool
 }
@@ -64,7 +66,7 @@
 	})
 	crt.rearm()
 	for range more {
-		crt.add()
+		crt.add(anyAddress)
 	}
 	for _, nod := range tbd.nodes {
 		eventually(func() int {
@@ -74,13 +76,16 @@
 	return crt
 }
 
-func (crt *crashTest) add() {
+// anyAddress has an engine listen on a free port.
+const anyAddress = "127.0.0.1:0"
+
+func (crt *crashTest) add(addr string) {
 	crt.mtx.Lock()
 	defer crt.mtx.Unlock()
 	if crt.done {
 		return
 	}
-	ep := crt.tbd.add("engines", fmt.Sprintf("engine-%d", crt.nextID))
+	ep := crt.tbd.addAt("engines", fmt.Sprintf("engine-%d", crt.nextID), addr)
 	crt.nextID++
 	crt.tbd.engines = append(crt.tbd.engines, ep)
 	crt.arm(ep, crt.tbd.servers[ep.ID()])
@@ -119,7 +124,11 @@
 	srv.Close()
 	time.AfterFunc(restartDelay, func() {
 		crt.tbd.store.RemoveEndpoint(ep.ID())
-		crt.add()
+		if crt.keepsAddress {
+			crt.add(srv.Addr())
+		} else {
+			crt.add(anyAddress)
+		}
 	})
 }
 
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -152,12 +152,12 @@
 		tbd := newSenderTestbed(3)
 		for _, ep := range tbd.engines {
 			ep.SetRest(askedRest)
-			ep.SetShedding("/-/kv-list")
+			ep.SetShedding(fake.PathCached)
 		}
 		tbd.stages[0].SetRest(askedRest)
-		tbd.stages[0].SetShedding("/-/stage-free")
+		tbd.stages[0].SetShedding(fake.PathRelease)
 		tbd.stages[1].SetRest(askedRest)
-		tbd.stages[1].SetShedding("/-/report")
+		tbd.stages[1].SetShedding(fake.PathReport)
 		ctx, cancel := context.WithTimeout(context.Background(), restLoad)
 		defer cancel()
 		tbd.sendMixed(ctx, 40)
@@ -170,7 +170,7 @@
 		all := append(append(append([]*fake.Endpoint{}, tbd.engines...), tbd.plain...), tbd.stages...)
 		for _, ep := range all {
 			ep.SetRest(askedRest)
-			ep.SetShedding("/", "/-/stage-run")
+			ep.SetShedding("/", fake.PathBatch)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), restLoad)
 		defer cancel()
--- a/internal/node/testbed_test.go
+++ b/internal/node/testbed_test.go
@@ -138,8 +138,13 @@
 }
 
 func (tbd *testbed) add(service, id string) *fake.Endpoint {
+	return tbd.addAt(service, id, anyAddress)
+}
+
+// addAt is like add, with the address that the endpoint listens on.
+func (tbd *testbed) addAt(service, id, addr string) *fake.Endpoint {
 	ep := fake.NewEndpoint(id)
-	srv, err := stand.Serve("127.0.0.1:0", ep.Handler())
+	srv, err := stand.Serve(addr, ep.Handler())
 	expect(err).NotTo(anything())
 	ep.SetAddr(srv.Addr())
 	tbd.servers[id] = srv
