pkg/gossip, internal/state: facts on many crashes at many instances take less of the processor

Cause: a crash is a fact for each part of each prompt in flight, so that the table of 4,096 facts fills. Tables of many instances that evict never have the same digest, so that each probe exchanges facts.

Change: weights are read once for a sample; a ranking finds the 64 least important facts, which facts that come later join in their place, and serves for a second; crashes that others report are judged at most each 100 ms, notices at once, one's own crashes and grants of trials at once. Which facts are evicted is as before.

--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"amaranthvalve/internal/meter"
@@ -21,6 +22,9 @@
 	isLeaving = "1"
 	// factsTimeout bounds the sending of facts and the recording of a crash.
 	factsTimeout = time.Second
+	// judgeInterval is the minimum time between judgements of crashes that others report: when many endpoints crash, each message
+	// brings facts on some of them.
+	judgeInterval = 100 * clock.Milli(1)
 	// maxLoggedCrashes bounds the crashes in the line on a part of prompts that is quarantined.
 	maxLoggedCrashes = 8
 )
@@ -33,6 +37,9 @@
 	flushPending bool
 	suspects     *poison.List
 	answers      *answerLog
+	// judgedAt is when suspects was derived from the facts, judgePending is set while facts have changed since.
+	judgedAt     clock.Milli
+	judgePending bool
 	declared     map[gossip.Kind]declaredBy
 	evicted      int
 	stored       storedState
@@ -61,7 +68,7 @@
 // facts are sent to the other instance.
 func (fcl *factsCtl) receive(msg peer.Message, answers bool, now clock.Milli) {
 	if fcl.spread.Receive(msg.Facts, fcl.ctl.list.IsMesh(), now) {
-		fcl.refresh(now)
+		fcl.changed(msg.Facts, now)
 		fcl.scheduleFlush()
 	}
 	if answers {
@@ -75,12 +82,42 @@
 		return
 	}
 	fcl.spread.Enqueue(fresh...)
-	fcl.refresh(now)
+	fcl.changed(fresh, now)
 	fcl.scheduleFlush()
 }
 
-// refresh derives the declared values, leaving endpoints and suspects that requests use from the facts.
+// changed derives what requests use from the facts after these have changed: at once, but for suspects that were
+// derived lately.
+func (fcl *factsCtl) changed(facts []gossip.Fact, now clock.Milli) {
+	fcl.readNotices(now)
+	switch {
+	case !slices.ContainsFunc(facts, func(fct gossip.Fact) bool { return fct.Kind == gossip.CrashedUnder }):
+	case fcl.suspects == nil || now-fcl.judgedAt >= judgeInterval:
+		fcl.judge(now)
+	case !fcl.judgePending:
+		fcl.judgePending = true
+		fcl.ctl.loop.Go(func(ctx context.Context) {
+			pause(ctx, judgeInterval.Duration())
+			fcl.ctl.loop.Do(ctx, fcl.settle)
+		})
+	}
+}
+
+// settle derives the suspects if facts on crashes have changed since that was done last.
+func (fcl *factsCtl) settle(now clock.Milli) {
+	if fcl.judgePending {
+		fcl.judge(now)
+	}
+}
+
+// refresh derives what requests use from the facts.
 func (fcl *factsCtl) refresh(now clock.Milli) {
+	fcl.readNotices(now)
+	fcl.judge(now)
+}
+
+// readNotices derives the declared values and leaving endpoints from the facts.
+func (fcl *factsCtl) readNotices(now clock.Milli) {
 	values := map[gossip.Kind]declaredBy{}
 	for _, kind := range declaredKinds {
 		values[kind] = readDeclared(fcl.spread.All(kind, now), now)
@@ -90,15 +127,21 @@
 	for _, fct := range fcl.spread.All(gossip.Leaving, now) {
 		fcl.ctl.endpts.markLeaving(ident.Process(fct.Key), "reported by another instance", now)
 	}
-	before := fcl.suspects
-	fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
+}
+
+// judge derives the suspects from the facts on crashes.
+func (fcl *factsCtl) judge(now clock.Milli) {
+	fcl.judgedAt, fcl.judgePending = now, false
+	before, facts := fcl.suspects, fcl.spread.All(gossip.CrashedUnder, now)
+	fcl.suspects = poison.Read(facts, now)
 	if fresh := fcl.shareAnswers(fcl.suspects.Suspects(), now); len(fresh) > 0 {
 		fcl.spread.Enqueue(fresh...)
 		fcl.scheduleFlush()
-		fcl.suspects = poison.Read(fcl.spread.All(gossip.CrashedUnder, now), now)
+		facts = fcl.spread.All(gossip.CrashedUnder, now)
+		fcl.suspects = poison.Read(facts, now)
 	}
 	fcl.logConvicted(before, now)
-	fcl.stored.wanted = gossip.Digest(fcl.quarantineFacts(now))
+	fcl.stored.wanted = gossip.Digest(poison.QuarantineFacts(facts, fcl.suspects, maxStoredFingerprints, maxStoredCrashes))
 	for _, fpr := range fcl.suspects.NewlyQuarantined(before, now) {
 		evt := fcl.ctl.set.Log.Warn().Stringer("mark", fpr)
 		for _, crash := range fcl.suspects.Crashes(fpr) {
@@ -162,6 +205,7 @@
 		}
 	}
 	fcl.addLocal(fresh, now)
+	fcl.settle(now)
 }
 
 // RecordCompletion records that an endpoint has completed a request with a suspected fingerprint.
--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -165,6 +165,7 @@
 	if !fcl.known || fcl.ctl.set.Link != nil && (!mine || now-since < minGrantTenure) {
 		return nil
 	}
+	fcl.settle(now)
 	convicted := fcl.suspects.Convicted(trl.Parts)
 	if len(convicted) < len(trl.Parts) {
 		return nil
@@ -186,6 +187,7 @@
 		}
 	}
 	fcl.addLocal(fresh, now)
+	fcl.settle(now)
 	return fresh
 }
 
--- a/internal/state/parts_test.go
+++ b/internal/state/parts_test.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
+	"amaranthvalve/internal/peer"
+	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/poison"
 )
 
@@ -31,3 +36,38 @@
 	_, ok = alg.latest(one[0])
 	gom.Expect(ok).To(gomega.BeFalse())
 }
+
+// TestJudgementsAreSpaced guards against a processor that is busy with judging all crashes anew for each message while many
+// endpoints crash, and against a crash that is never judged.
+func TestJudgementsAreSpaced(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl := started(t, proto.Store{})
+	fpr, other := poison.PartOf("engines", "one"), ident.NewIncarnation("10.0.0.2:1")
+	judged := map[*poison.List]bool{}
+	began := time.Now()
+	for i := range 200 {
+		key := poison.PartKey(fpr, ident.Process(fmt.Sprint(i)))
+		ctl.Handle(t.Context(), peer.Message{Kind: peer.PushFacts, From: other, To: ctl.Self(), Facts: []gossip.Fact{{Kind: gossip.CrashedUnder, Key: key, Value: "x", Version: 1}}})
+		judged[ctl.View().Suspects()] = true
+	}
+	gom.Expect(len(judged)).To(gomega.BeNumerically("<=", 3+int(time.Since(began)/judgeInterval.Duration())))
+	gom.Eventually(func() int {
+		count := 0
+		for _, prt := range ctl.View().Suspects().Convicted([]poison.Fingerprint{fpr}) {
+			count += len(prt.Crashes())
+		}
+		return count
+	}, soon).Should(gomega.Equal(200))
+}
+
+// TestOwnCrashesAreJudgedAtOnce guards against an instance that sends a request to another endpoint before it has judged the
+// crash that it recorded itself.
+func TestOwnCrashesAreJudgedAtOnce(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl := started(t, proto.Store{})
+	fpr := poison.FingerprintOf("h", "/poison", "", nil)
+	for i := range 20 {
+		ctl.RecordCrash(fpr, ident.Process(fmt.Sprint(i)))
+		gom.Expect(ctl.View().Suspects().Crashes(fpr)).To(gomega.HaveLen(i + 1))
+	}
+}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"slices"
+	"sort"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -64,17 +65,55 @@
 // Table holds the facts known to an instance. The zero value is empty and accepts facts only of
 // kinds set by [Table.Bound]. It is not safe for concurrent use.
 type Table struct {
-	bounds  map[Kind]Bounds
-	facts   map[factID]entry
-	counts  map[Kind]int
-	digest  uint64
-	evicted int
+	bounds   map[Kind]Bounds
+	facts    map[factID]entry
+	counts   map[Kind]int
+	rankings map[Kind]*ranking
+	digest   uint64
+	evicted  int
+}
+
+const (
+	// rankedAtOnce is the number of facts that one ranking of a full table finds to evict, rankingLife how long it is
+	// used: weights change, and ranking takes long.
+	rankedAtOnce = 64
+	rankingLife  = clock.Second
+)
+
+// rank is the place of a fact in the order of eviction.
+type rank struct {
+	weight int
+	at     clock.Milli
+}
+
+func (rnk rank) compare(oth rank) int {
+	return cmp.Or(cmp.Compare(rnk.weight, oth.weight), cmp.Compare(rnk.at, oth.at))
+}
+
+type rankedFact struct {
+	rank
+	fid factID
+}
+
+// ranking holds the facts of a kind that are below a rank, the least important one first, until a time.
+type ranking struct {
+	least []rankedFact
+	below rank
+	until clock.Milli
+}
+
+// insert adds a fact.
+func (rkg *ranking) insert(rkd rankedFact) {
+	if rkd.compare(rkg.below) < 0 {
+		i, _ := slices.BinarySearchFunc(rkg.least, rkd.rank, func(oth rankedFact, rnk rank) int { return oth.compare(rnk) })
+		rkg.least = slices.Insert(rkg.least, i, rkd)
+	}
 }
 
 // Bound sets the bounds of a kind. Facts of kinds without bounds are ignored.
 func (tbl *Table) Bound(kind Kind, bnd Bounds) {
 	if tbl.bounds == nil {
-		tbl.bounds, tbl.facts, tbl.counts = map[Kind]Bounds{}, map[factID]entry{}, map[Kind]int{}
+		tbl.bounds, tbl.facts, tbl.counts, tbl.rankings = map[Kind]Bounds{}, map[factID]entry{}, map[Kind]int{}, map[Kind]*ranking{}
 	}
 	tbl.bounds[kind] = bnd
 }
@@ -144,6 +183,9 @@
 	}
 	tbl.facts[fid] = entry{value: fct.Value, version: fct.Version, at: now - fct.Age}
 	tbl.counts[fct.Kind]++
+	if rkg := tbl.rankings[fct.Kind]; rkg != nil && now < rkg.until {
+		rkg.insert(rankedFact{rank{bnd.weight(fct.Key), now - fct.Age}, fid})
+	}
 	tbl.digest ^= digest(fid, tbl.facts[fid])
 	return true
 }
@@ -151,23 +193,36 @@
 // evict drops the least important fact to make room for a new one. It returns false if the new
 // fact is the least important one itself.
 func (tbl *Table) evict(fct Fact, bnd Bounds, now clock.Milli) bool {
-	least, lightest, oldest := factID{fct.Kind, fct.Key}, bnd.weight(fct.Key), now-fct.Age
-	for fid, ent := range tbl.facts {
-		if fid.kind != fct.Kind {
-			continue
-		}
-		if weight := bnd.weight(fid.key); weight < lightest || weight == lightest && ent.at < oldest {
-			least, lightest, oldest = fid, weight, ent.at
-		}
-	}
 	tbl.evicted++
-	if least.key == fct.Key {
+	least := tbl.least(fct.Kind, bnd, now)
+	if (rank{bnd.weight(fct.Key), now - fct.Age}).compare(least.rank) <= 0 {
 		return false
 	}
-	tbl.drop(least)
+	tbl.drop(least.fid)
 	return true
 }
 
+// least returns the least important fact of a kind that has facts.
+func (tbl *Table) least(kind Kind, bnd Bounds, now clock.Milli) rankedFact {
+	if rkg := tbl.rankings[kind]; rkg != nil && now < rkg.until {
+		for ; len(rkg.least) > 0; rkg.least = rkg.least[1:] {
+			if ent, found := tbl.facts[rkg.least[0].fid]; found && ent.at == rkg.least[0].at {
+				return rkg.least[0]
+			}
+		}
+	}
+	list := make([]rankedFact, 0, tbl.counts[kind])
+	for fid, ent := range tbl.facts {
+		if fid.kind == kind {
+			list = append(list, rankedFact{rank{bnd.weight(fid.key), ent.at}, fid})
+		}
+	}
+	slices.SortFunc(list, func(x, y rankedFact) int { return x.compare(y.rank) })
+	count := min(len(list), rankedAtOnce)
+	tbl.rankings[kind] = &ranking{least: slices.Clone(list[:count]), below: list[count-1].rank, until: now + rankingLife}
+	return list[0]
+}
+
 func (bnd Bounds) weight(key string) int {
 	if bnd.Weight == nil {
 		return 0
@@ -222,13 +277,32 @@
 	if len(list) <= most {
 		return list
 	}
-	weight := func(fct Fact) int { return tbl.bounds[fct.Kind].weight(fct.Key) }
-	slices.SortStableFunc(list, func(x, y Fact) int { return weight(y) - weight(x) })
+	weights := make([]int, len(list))
+	for i, fct := range list {
+		weights[i] = tbl.bounds[fct.Kind].weight(fct.Key)
+	}
+	sort.Sort(byWeight{list, weights})
 	rest := list[most/2:]
-	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	for i := range most - most/2 {
+		j := i + rand.IntN(len(rest)-i)
+		rest[i], rest[j] = rest[j], rest[i]
+	}
 	return list[:most]
 }
 
+// byWeight sorts facts by their weights, the highest first.
+type byWeight struct {
+	facts   []Fact
+	weights []int
+}
+
+func (bwt byWeight) Len() int           { return len(bwt.facts) }
+func (bwt byWeight) Less(i, j int) bool { return bwt.weights[i] > bwt.weights[j] }
+func (bwt byWeight) Swap(i, j int) {
+	bwt.facts[i], bwt.facts[j] = bwt.facts[j], bwt.facts[i]
+	bwt.weights[i], bwt.weights[j] = bwt.weights[j], bwt.weights[i]
+}
+
 // Len returns the number of facts.
 func (tbl *Table) Len() int { return len(tbl.facts) }
 
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -116,3 +116,67 @@
 	gom.Expect(tbl.Expire(clock.Minute)).To(gomega.BeTrue())
 	gom.Expect(tbl.Has(CrashedUnder, "a")).To(gomega.BeFalse())
 }
+
+// TestFullTablesAreCheap guards against a processor that is busy with the facts of full tables: ranking all of them for each
+// new fact, for each comparison of an exchange, and for facts that were evicted and come back with each exchange.
+func TestFullTablesAreCheap(t *testing.T) {
+	const size = 1024
+	gom := gomega.NewWithT(t)
+	calls := 0
+	var tbl Table
+	tbl.Bound(CrashedUnder, Bounds{Retention: clock.Minute, MaxFacts: size, Weight: func(string) int { calls++; return 0 }})
+	fact := func(i int, now clock.Milli) []Fact {
+		return []Fact{{Kind: CrashedUnder, Key: fmt.Sprint(i), Value: "x", Version: 1, Age: now - clock.Milli(i)}}
+	}
+	now := clock.Milli(3 * size)
+	for i := range size {
+		tbl.Learn(fact(size+i, now), now)
+	}
+	tbl.Sample(64, now)
+	gom.Expect(calls).To(gomega.BeNumerically("<=", size), "an exchange")
+	calls = 0
+	for i := range size {
+		tbl.Learn(fact(2*size+i, now), now)
+	}
+	gom.Expect(calls).To(gomega.BeNumerically("<=", 100*size), "new facts")
+	gom.Expect(tbl.Len()).To(gomega.Equal(size))
+	calls = 0
+	for i := range 2 * size {
+		gom.Expect(tbl.Learn(fact(i, now), now)).To(gomega.BeEmpty(), "%d was evicted", i)
+	}
+	gom.Expect(calls).To(gomega.BeNumerically("<=", 4*size), "evicted facts")
+}
+
+// TestFullTablesConverge guards against instances that go on sending one another what each of them evicted.
+func TestFullTablesConverge(t *testing.T) {
+	rapid.Check(t, func(rpt *rapid.T) {
+		bounds := Bounds{Retention: clock.Minute, MaxFacts: 130, Weight: func(key string) int { return len(key) % 3 }}
+		tables := make([]Table, 3)
+		for i := range tables {
+			tables[i].Bound(CrashedUnder, bounds)
+		}
+		for i := range 400 {
+			fct := Fact{Kind: CrashedUnder, Key: fmt.Sprint(rapid.IntRange(0, 10000).Draw(rpt, "key")), Value: "x", Version: 1, Age: clock.Milli(rapid.IntRange(0, 1000).Draw(rpt, "age"))}
+			tables[i%len(tables)].Learn([]Fact{fct}, 2000)
+		}
+		for now := clock.Milli(2000); ; now += 500 {
+			fresh := 0
+			for i := range tables {
+				for j := range tables {
+					fresh += len(tables[j].Learn(tables[i].Sample(1000, now), now))
+				}
+			}
+			if fresh == 0 {
+				break
+			}
+			if now > 20*clock.Second {
+				rpt.Fatalf("%d facts are still fresh after %v exchanges", fresh, now/500)
+			}
+		}
+		for i := range tables {
+			if n := tables[i].Len(); n != bounds.MaxFacts {
+				rpt.Fatalf("%d facts", n)
+			}
+		}
+	})
+}
