internal/state: a crash is in the view when its recording returns

Found by TestOwnCrashesAreJudgedAtOnce under the race detector: 0 crashes in the view after the first was recorded (1 of 1 run of the package; not seen without the detector). Cause: an event of the control thread is reported as done before the view that it leads to is stored, so that the request's next attempt could be judged by the view from before its own crash. Ruled out: the delay of judgements, which doesn't hold for an instance's own crashes. Change: RecordCrash stores the view itself. After: 10 of 10 with the detector; the mutant fails. That it ever cost an endpoint was not seen.

--- a/internal/state/parts.go
+++ b/internal/state/parts.go
@@ -212,7 +212,7 @@
 }
 
 // RecordCrash records that an endpoint crashed while a request with this fingerprint was in flight there, and
-// these parts in its prompt.
+// these parts in its prompt. The view has the crash when it returns.
 func (ctl *Control) RecordCrash(fpr poison.Fingerprint, id ident.Process, parts ...poison.Fingerprint) {
 	ctx, cancel := context.WithTimeout(context.Background(), factsTimeout)
 	defer cancel()
@@ -225,5 +225,6 @@
 			}
 		}
 		ctl.facts.recordCrashes(keys, ctl.set.Self.Addr(), now)
+		ctl.publish(now)
 	})
 }
