--- a/internal/node/rate_test.go
+++ b/internal/node/rate_test.go
@@ -122,7 +122,12 @@
 			}
 		}
 		<-done
-		expect(maxArrivals(tbd.engines[0], began.Add(spreadTime))).To(gomega.BeNumerically("<=", allowedArrivals(2)))
+		var arrivals []time.Duration
+		for _, at := range tbd.engines[0].Arrivals() {
+			arrivals = append(arrivals, at.Sub(began))
+		}
+		expect(maxArrivals(tbd.engines[0], began.Add(spreadTime))).To(gomega.BeNumerically("<=", allowedArrivals(2)),
+			"arrivals: %v; coordinator crashed after %v", arrivals, killed.Sub(began))
 		last := killed
 		for _, at := range tbd.engines[0].Arrivals() {
 			if at.After(killed) {
