pkg/gossip: facts are evicted by their present weights

Read in: a ranking holds weights for a second, so that a fact whose weight has risen since, such as one on the second crash of a part, could be evicted by a new fact of less weight. TestEvictionFollowsNewWeights fails there (the fact b is gone). Change: the weight of a fact that is to be evicted is read again, and the fact takes its new place. A new fact below the least important one is rejected without that.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -194,23 +194,34 @@
 // fact is the least important one itself.
 func (tbl *Table) evict(fct Fact, bnd Bounds, now clock.Milli) bool {
 	tbl.evicted++
-	least := tbl.least(fct.Kind, bnd, now)
-	if (rank{bnd.weight(fct.Key), now - fct.Age}).compare(least.rank) <= 0 {
-		return false
+	fresh := rank{bnd.weight(fct.Key), now - fct.Age}
+	rkg := tbl.rankings[fct.Kind]
+	if rkg == nil || now >= rkg.until {
+		rkg = tbl.rank(fct.Kind, bnd, now)
 	}
-	tbl.drop(least.fid)
-	return true
-}
-
-// least returns the least important fact of a kind that has facts.
-func (tbl *Table) least(kind Kind, bnd Bounds, now clock.Milli) rankedFact {
-	if rkg := tbl.rankings[kind]; rkg != nil && now < rkg.until {
-		for ; len(rkg.least) > 0; rkg.least = rkg.least[1:] {
-			if ent, found := tbl.facts[rkg.least[0].fid]; found && ent.at == rkg.least[0].at {
-				return rkg.least[0]
-			}
+	for {
+		if len(rkg.least) == 0 {
+			rkg = tbl.rank(fct.Kind, bnd, now)
+		}
+		least := rkg.least[0]
+		if fresh.compare(least.rank) <= 0 {
+			return false
+		}
+		rkg.least = rkg.least[1:]
+		ent, found := tbl.facts[least.fid]
+		current := rankedFact{rank{bnd.weight(least.fid.key), ent.at}, least.fid}
+		if found && current == least {
+			tbl.drop(least.fid)
+			return true
+		}
+		if found {
+			rkg.insert(current)
 		}
 	}
+}
+
+// rank ranks the facts of a kind.
+func (tbl *Table) rank(kind Kind, bnd Bounds, now clock.Milli) *ranking {
 	list := make([]rankedFact, 0, tbl.counts[kind])
 	for fid, ent := range tbl.facts {
 		if fid.kind == kind {
@@ -219,8 +230,9 @@
 	}
 	slices.SortFunc(list, func(x, y rankedFact) int { return x.compare(y.rank) })
 	count := min(len(list), rankedAtOnce)
-	tbl.rankings[kind] = &ranking{least: slices.Clone(list[:count]), below: list[count-1].rank, until: now + rankingLife}
-	return list[0]
+	rkg := &ranking{least: slices.Clone(list[:count]), below: list[count-1].rank, until: now + rankingLife}
+	tbl.rankings[kind] = rkg
+	return rkg
 }
 
 func (bnd Bounds) weight(key string) int {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -99,6 +100,24 @@
 	}
 }
 
+// TestEvictionFollowsNewWeights guards against the eviction of facts whose weight has risen since they were ranked.
+func TestEvictionFollowsNewWeights(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	heavy := ""
+	var tbl Table
+	tbl.Bound(CrashedUnder, Bounds{Retention: clock.Minute, MaxFacts: 4, Weight: func(key string) int { return strings.Count(heavy, key) }})
+	for i, key := range []string{"a", "b", "c", "d", "e"} {
+		tbl.Set(CrashedUnder, key, "x", clock.Milli(i))
+	}
+	heavy = "b"
+	for i, key := range []string{"f", "g", "h"} {
+		tbl.Set(CrashedUnder, key, "x", clock.Milli(5+i))
+	}
+	for _, key := range []string{"b", "f", "g", "h"} {
+		gom.Expect(tbl.Has(CrashedUnder, key)).To(gomega.BeTrue(), key)
+	}
+}
+
 // TestAmendKeepsAge guards against facts that live on because their value changes, and against amending what is unknown.
 func TestAmendKeepsAge(t *testing.T) {
 	gom := gomega.NewWithT(t)
