internal/relay: the end of a whole answer waits a second for the writing of its request

Cause: such an answer is whole only if no write of its request failed, and its end waits 50 ms to learn that. Ruled out: a write that hangs, since the transport closes the connection when the answer has ended, and the write fails then. Change: it waits up to a second, which only a writing that is still under way costs.

TestEndWaitsForWriting fails without it; a mutant.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -10,7 +10,7 @@
 )
 
 // writeGrace is how long the end of an answer waits for the end of the writing of its request.
-const writeGrace = 50 * time.Millisecond
+const writeGrace = time.Second
 
 // written tells how the writing of a request ended.
 type written struct {
--- a/internal/relay/body_test.go
+++ b/internal/relay/body_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +91,17 @@
 	}
 }
 
+// Guards against breaking off a whole answer because the writing of its request goes on for a moment on a busy machine.
+func TestEndWaitsForWriting(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	wrt := &written{done: make(chan struct{})}
+	time.AfterFunc(200*time.Millisecond, wrt.end)
+	body := guardEnd(io.NopCloser(strings.NewReader("whole")), ending.CloseDelimited, wrt)
+	text, err := io.ReadAll(body)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(string(text)).To(gomega.Equal("whole"))
+}
+
 // Guards against breaking off a whole answer because the transport closed its connection while the rest of the
 // request was being written.
 func TestOwnCloseIsNoFailedWrite(t *testing.T) {
