--- a/internal/dial/tunnel_test.go
+++ b/internal/dial/tunnel_test.go
@@ -193,7 +193,7 @@
 		const size = 200_000
 		_, err := accepted.Write(make([]byte, size))
 		gom.Expect(err).NotTo(gomega.HaveOccurred())
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		_ = accepted.SetLinger(0)
 		_ = accepted.Close()
 		time.Sleep(50 * time.Millisecond)
