--- a/internal/state/parts_test.go
+++ b/internal/state/parts_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -37,11 +38,16 @@
 	gom.Expect(ok).To(gomega.BeFalse())
 }
 
+// takesFacts returns a store that takes the facts that are to outlive all instances.
+func takesFacts() proto.Store {
+	return proto.Store{PutShared: func(context.Context, []byte) error { return nil }}
+}
+
 // TestJudgementsAreSpaced guards against a processor that is busy with judging all crashes anew for each message while many
 // endpoints crash, and against a crash that is never judged.
 func TestJudgementsAreSpaced(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	ctl := started(t, proto.Store{})
+	ctl := started(t, takesFacts())
 	fpr, other := poison.PartOf("engines", "one"), ident.NewIncarnation("10.0.0.2:1")
 	receive := func(from, to int) {
 		var facts []gossip.Fact
@@ -71,7 +77,7 @@
 // TestFewCrashesAreJudgedAtOnce guards against sound requests that are refused for longer than others' answers take.
 func TestFewCrashesAreJudgedAtOnce(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	ctl := started(t, proto.Store{})
+	ctl := started(t, takesFacts())
 	fpr, other := poison.FingerprintOf("h", "/poison", "", nil), ident.NewIncarnation("10.0.0.2:1")
 	for i := range 20 {
 		key := poison.Key(fpr, ident.Process(fmt.Sprint(i)))
@@ -84,7 +90,7 @@
 // crash that it recorded itself.
 func TestOwnCrashesAreJudgedAtOnce(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	ctl := started(t, proto.Store{})
+	ctl := started(t, takesFacts())
 	fpr := poison.FingerprintOf("h", "/poison", "", nil)
 	for i := range fewFacts + 20 {
 		ctl.RecordCrash(fpr, ident.Process(fmt.Sprint(i)))
