pkg/gossip: bounds without room keep no facts

Read in: the first fact of a kind whose bounds have no room ends the process, since the ranking of no facts has no last one (TestNoFactsAreKeptWithoutRoom: index out of range; false as before now). No kind has such bounds today.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -194,6 +194,9 @@
 // fact is the least important one itself.
 func (tbl *Table) evict(fct Fact, bnd Bounds, now clock.Milli) bool {
 	tbl.evicted++
+	if tbl.counts[fct.Kind] == 0 {
+		return false
+	}
 	fresh := rank{bnd.weight(fct.Key), now - fct.Age}
 	rkg := tbl.rankings[fct.Kind]
 	if rkg == nil || now >= rkg.until {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// TestNoFactsAreKeptWithoutRoom guards against bounds that leave no room for any fact.
+func TestNoFactsAreKeptWithoutRoom(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var tbl Table
+	tbl.Bound(CrashedUnder, Bounds{Retention: clock.Minute})
+	_, ok := tbl.Set(CrashedUnder, "a", "x", 0)
+	gom.Expect(ok).To(gomega.BeFalse())
+	gom.Expect(tbl.Len()).To(gomega.BeZero())
+}
+
 // TestAmendKeepsAge guards against facts that live on because their value changes, and against amending what is unknown.
 func TestAmendKeepsAge(t *testing.T) {
 	gom := gomega.NewWithT(t)
