--- a/internal/node/part_test.go
+++ b/internal/node/part_test.go
@@ -221,7 +221,8 @@
 		time.Sleep(300 * time.Millisecond)
 		refused := 0
 		for range 2 * len(tbd.nodes) {
-			expect(pts.send(soundPart + ":10," + rarePart + ":10").status).To(equal(http.StatusOK))
+			rsp := pts.send(soundPart + ":10," + rarePart + ":10")
+			expect(rsp.status).To(equal(http.StatusOK), "%s", rsp.body)
 			if strings.Contains(pts.send(soundPart+":10,"+badPart+":10").body, `"quarantined"`) {
 				refused++
 			}
