--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -66,6 +66,10 @@
 	EventStoreRestored = "store_came_back_from_copy"
 	EventRest          = "endpoint_rest"
 	EventRestOfNone    = "endpoint_rest_of_none"
+	// EventWithheld: a request, batch or connection was withheld at the last check because its endpoint's
+	// data centre is evacuated. EventRecordSkipped: an operator's record is invalid.
+	EventWithheld      = "evacuated_endpoint_withheld"
+	EventRecordSkipped = "operator_record_skipped"
 	// EventPartQuarantined: a part of prompts is refused because endpoints crashed with it in flight.
 	EventPartQuarantined = "part_quarantined"
 )
@@ -73,6 +77,7 @@
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
 	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
+	EventWithheld, EventRecordSkipped,
 }
 
 // Names of the gauges.
@@ -87,6 +92,7 @@
 	GaugeEventQueue = "control_events_waiting"
 	GaugeSevered    = "endpoints_reached_by_relay"
 	GaugeBlind      = "blind"
+	GaugeEvacuated  = "evacuated_data_centres"
 )
 
 // New returns a meter whose counters are zero.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,7 @@
 	"github.com/zeebo/errs"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/evac"
 	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
@@ -134,6 +135,9 @@
 	Digest uint64        `cbor:"14,keyasint,omitempty"`
 	// Version orders documents across the store's eras.
 	Version int64 `cbor:"15,keyasint,omitempty"`
+	// Evacuations identifies the sender's set of evacuated data centres; nil while it has read none, and
+	// from senders of earlier builds.
+	Evacuations *evac.Mark `cbor:"16,keyasint,omitempty"`
 }
 
 // Link is an instance's transport to all other instances. It is opened by [Listen].
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -122,6 +122,9 @@
 	// Build is the build of the endpoint's software, empty if it is unknown. Builds compare for equality
 	// only.
 	Build string
+	// Withheld is set while the endpoint must be sent nothing because its data centre is evacuated. Each
+	// instance decides this by itself, so that it is not sent to others.
+	Withheld bool `cbor:"-"`
 }
 
 // Instance is an instance's entry in the store.
@@ -190,6 +193,10 @@
 	Position
 	End  int64
 	Text []byte
+	// Evacuated are the data centres that the operators have evacuated, by records beside the document.
+	// Faults has an error for each record that can't be used.
+	Evacuated []string
+	Faults    []error
 }
 
 // Dialect implements the protocols of callers, endpoints and the store.
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -79,6 +79,7 @@
 	endpts    endptsCtl
 	facts     factsCtl
 	rests     rests
+	evacs     evacsCtl
 	leaving   bool
 	dirty     bool
 	// noticesChanged is set if values declared by endpoints changed since the last view.
@@ -120,6 +121,7 @@
 	ctl.docs.ctl, ctl.docs.doc.Position, ctl.docs.ignored = ctl, unread, unread
 	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace}
 	ctl.facts = newFacts(ctl)
+	ctl.evacs.ctl = ctl
 	ctl.view.Store(&View{position: proto.Position{Offset: -1}})
 	changed := make(chan struct{})
 	ctl.viewChanged.Store(&changed)
@@ -176,6 +178,7 @@
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
 	ctl.facts.step(now)
+	ctl.evacs.step(now)
 	ctl.set.Meter.SetGauge(meter.GaugeLogAge, float64(now-ctl.docs.asOf))
 	ctl.set.Meter.SetGauge(meter.GaugeEventQueue, float64(ctl.loop.QueueLen()))
 }
@@ -188,7 +191,7 @@
 		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, builds: old.builds, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
-		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
+		evacuations: ctl.evacs.set, eligible: old.eligible, suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.stepped {
 		vw.members = ctl.list.All()
@@ -205,6 +208,7 @@
 		}
 	}
 	if ctl.dirty {
+		vw.eligible = withheld(ctl.evacs.set, vw.endpoints)
 		vw.digest, vw.builds = digest(vw.endpoints), digestBuilds(vw.endpoints)
 	}
 	if vw.digest != old.digest || vw.builds != old.builds {
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -245,6 +245,7 @@
 // applyRead puts the store's documents into force if they are newer. They confirm those in force unless the
 // store may lack newer ones, see [eras].
 func (dct *docsCtl) applyRead(doc proto.Document, sent, now clock.Milli) {
+	dct.ctl.evacs.applyRead(doc, sent, now)
 	late := dct.eras.isOver(doc.Era) || doc.Before(dct.doc.Position)
 	if !dct.eras.isOver(doc.Era) {
 		dct.enterEra(doc.Era, now)
--- a/internal/state/exchange.go
+++ b/internal/state/exchange.go
@@ -9,16 +9,18 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/evac"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 )
 
 // attachState adds the state of this instance to an outgoing message: leaving endpoints, uptime of
-// the store, digest of the facts, and offset and age of the documents.
+// the store, digest of the facts, position of the evacuations, and offset and age of the documents.
 func (ctl *Control) attachState(msg *peer.Message) {
 	msg.Leaving = ctl.endpts.leavingIDs()
 	msg.StoreUptime = ctl.endpts.uptime(ctl.set.Clock.Now())
 	msg.Digest = ctl.facts.spread.Digest()
+	msg.Evacuations = ctl.evacs.attached()
 	if ctl.docs.plan != nil {
 		msg.Known, msg.Applied, msg.Version, msg.Age = true, ctl.docs.doc.Offset, ctl.docs.version(), ctl.set.Clock.Since(ctl.docs.asOf)
 	}
@@ -34,9 +36,10 @@
 	if sent > 0 {
 		ctl.endpts.recordOtherUptime(msg.StoreUptime, sent)
 	}
+	lacks := ctl.evacs.receive(msg.Evacuations)
 	switch {
 	case !msg.Known:
-	case ctl.docs.isOlder(msg.Version, msg.Applied):
+	case lacks || ctl.docs.isOlder(msg.Version, msg.Applied):
 		ctl.docs.fetchSnapshot(msg.From)
 	case sent > 0 && ctl.docs.isSame(msg.Version, msg.Applied):
 		ctl.docs.confirmByPeer(sent - msg.Age)
@@ -68,6 +71,8 @@
 	// Members are all members that the sender knows.
 	Members []member.Update `cbor:"5,keyasint,omitempty"`
 	Era     int64           `cbor:"6,keyasint,omitempty"`
+	// Evacuations is the set of evacuated data centres, nil from senders of earlier builds.
+	Evacuations *evac.Records `cbor:"7,keyasint,omitempty"`
 }
 
 // fetchSnapshot fetches the state of another instance.
@@ -87,6 +92,9 @@
 			if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &snp) != nil {
 				return
 			}
+			if snp.Evacuations != nil {
+				dct.ctl.evacs.apply(*snp.Evacuations, sent-snp.Age, now, string(from))
+			}
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: snp.Era, Offset: snp.Offset}, Text: snp.Text}, sent-snp.Age, now, string(from))
 			dct.ctl.endpts.applySnapshot(snp.Endpoints)
 			dct.ctl.list.Merge(snp.Members, now)
@@ -134,9 +142,10 @@
 	if ctl.docs.plan == nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
 	}
+	rec := ctl.evacs.set.Records(now)
 	body, err := cbor.Marshal(snapshot{
 		Offset: ctl.docs.doc.Offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era,
+		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec,
 	})
 	if err != nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -13,6 +13,7 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/evac"
 	"amaranthvalve/pkg/ident"
 )
 
@@ -61,6 +62,10 @@
 	Changed   bool             `cbor:"8,keyasint,omitempty"`
 	Gone      []string         `cbor:"9,keyasint,omitempty"`
 	Digest    uint64           `cbor:"10,keyasint,omitempty"`
+	// Mark identifies the reader's set of evacuated data centres. Evacuations is set if the follower's is
+	// earlier and differs.
+	Mark        *evac.Mark    `cbor:"14,keyasint,omitempty"`
+	Evacuations *evac.Records `cbor:"15,keyasint,omitempty"`
 }
 
 // updateRequest describes what a follower has: the offset of its documents, and the list of
@@ -77,6 +82,9 @@
 	Patient bool `cbor:"3,keyasint,omitempty"`
 	// Builds identifies the builds of the list last received; zero from followers that know none.
 	Builds uint64 `cbor:"5,keyasint,omitempty"`
+	// Evacuations identifies the follower's set of evacuated data centres; nil from followers of earlier
+	// builds, which know none.
+	Evacuations *evac.Mark `cbor:"6,keyasint,omitempty"`
 }
 
 // follow requests the next update from a reader, and applies it.
@@ -107,6 +115,11 @@
 	asOf := sent + upd.Held - upd.Age
 	ctl.loop.Do(ctx, func(now clock.Milli) {
 		dct.enterEra(upd.StoreEra, now)
+		// Before the documents, so that the first ones come with the set.
+		if upd.Evacuations != nil {
+			ctl.evacs.apply(*upd.Evacuations, asOf, now, string(who))
+		}
+		ctl.evacs.receive(upd.Mark)
 		switch {
 		case upd.Text != nil:
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: upd.Era, Offset: upd.Offset}, Text: upd.Text}, asOf, now, string(who))
@@ -126,7 +139,8 @@
 }
 
 func (dct *docsCtl) updateRequest() updateRequest {
-	return updateRequest{Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest, Builds: dct.fromReader.Builds}
+	mrk := dct.ctl.evacs.set.Mark()
+	return updateRequest{Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest, Builds: dct.fromReader.Builds, Evacuations: &mrk}
 }
 
 // ServeFollower answers a follower; it is registered with the link.
@@ -142,7 +156,7 @@
 		// A reader that gets no answers from the store reports that at once, so that the follower
 		// turns to another source.
 		silent := !req.Patient && vw.storeSilence(ctl.set.Clock.Now()) > maxStoreSilence
-		return silent || vw.hasNewer(req) || vw.hasUpdate(req)
+		return silent || vw.hasNewer(req) || vw.hasUpdate(req) || vw.hasEvacuations(req)
 	})
 	now := ctl.set.Clock.Now()
 	if vw.answeredAt == 0 && vw.plan == nil {
@@ -155,6 +169,13 @@
 	if vw.hasUpdate(req) {
 		upd.fillEndpoints(vw, req)
 	}
+	if mrk := vw.evacuations.Mark(); mrk != (evac.Mark{}) {
+		upd.Mark = &mrk
+	}
+	if vw.hasEvacuations(req) {
+		rec := vw.evacuations.Records(now)
+		upd.Evacuations = &rec
+	}
 	if body, err := cbor.Marshal(upd); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
 	}
@@ -177,6 +198,16 @@
 	return vw.endpointsKnown && (vw.digest != req.Digest || req.Builds != 0 && vw.builds != req.Builds)
 }
 
+// hasEvacuations reports whether the view has a later set of evacuated data centres than a follower, with
+// others.
+func (vw *View) hasEvacuations(req updateRequest) bool {
+	if req.Evacuations == nil {
+		return false
+	}
+	mrk := vw.evacuations.Mark()
+	return req.Evacuations.Before(mrk.Position) && req.Evacuations.Sum != mrk.Sum
+}
+
 // waitFor waits up to a span for a view that satisfies a condition, and returns the latest view.
 func (ctl *Control) waitFor(ctx context.Context, span time.Duration, want func(vw *View) bool) *View {
 	tmr := time.NewTimer(span)
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -3,6 +3,7 @@
 import (
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/evac"
 	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
@@ -18,6 +19,10 @@
 	storeEra  int64
 	asOf      clock.Milli
 	endpoints []proto.Endpoint
+	// evacuations are the evacuated data centres, and eligible are the endpoints with those there withheld,
+	// nil if there are none.
+	evacuations evac.Set
+	eligible    []proto.Endpoint
 	// digest identifies the list of endpoints, builds their builds; pastLists has earlier lists.
 	digest    uint64
 	builds    uint64
@@ -49,6 +54,15 @@
 	return &View{plan: pln, endpoints: endpoints, endpointsKnown: true, factsKnown: true, position: proto.Position{Offset: -1}}
 }
 
+// WithEvacuated returns a copy of the view in which data centres are evacuated, for decisions made without a
+// control loop.
+func (vw *View) WithEvacuated(zones ...string) *View {
+	cpy := *vw
+	cpy.evacuations, _ = evac.Set{}.Apply(evac.Named(evac.Position{End: 1}, zones...), 0, 0)
+	cpy.eligible = withheld(cpy.evacuations, cpy.endpoints)
+	return &cpy
+}
+
 // WithBrittlePool returns a copy of the view in which the endpoints of a pool are brittle and the pool has
 // these coordinators, the first of them for long, for decisions made without a control loop.
 func (vw *View) WithBrittlePool(pool string, coordinators ...ident.Incarnation) *View {
@@ -84,7 +98,12 @@
 }
 
 // Endpoints returns all endpoints.
-func (vw *View) Endpoints() []proto.Endpoint { return vw.endpoints }
+func (vw *View) Endpoints() []proto.Endpoint {
+	if vw.eligible != nil {
+		return vw.eligible
+	}
+	return vw.endpoints
+}
 
 // IsLeaving reports whether an endpoint is leaving: it announced that, or has no entry. An endpoint
 // that has ended keeps its entry for some seconds.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -278,6 +278,15 @@
 	Coordinators []StatusCoordinator `json:"gatherers,omitempty"`
 	Refusals     map[string]int64    `json:"refusals"`
 	Keys         int                 `json:"keys"`
+	// Evacuated are the evacuated data centres.
+	Evacuated []StatusEvacuation `json:"evacuated,omitempty"`
+}
+
+// StatusEvacuation is one evacuated data centre in a [Status], with the number of its endpoints.
+type StatusEvacuation struct {
+	Zone      string      `json:"zone"`
+	SinceMs   clock.Milli `json:"since_ms"`
+	Endpoints int         `json:"endpoints"`
 }
 
 // StatusMember is one instance in a [Status].
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	for _, oth := range sch.endpoints {
-		if oth.Zone == itm.Zone && !oth.Leaving && now >= max(oth.blockedUntil, oth.restUntil) && oth.slowness(now) <= slowThreshold {
+		if oth.Zone == itm.Zone && !oth.Leaving && !oth.Withheld && now >= max(oth.blockedUntil, oth.restUntil) && oth.slowness(now) <= slowThreshold {
 			return true
 		}
 	}
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -82,6 +82,8 @@
 	Addr    string
 	Zone    string
 	Leaving bool
+	// Withheld is set while the endpoint must be sent nothing. Unlike Leaving, a later Sync takes it back.
+	Withheld bool
 }
 
 // Item is an item: a unit of work of one stage of one request.
@@ -166,7 +168,7 @@
 
 // isHeld reports whether the endpoint must not be sent batches now.
 func (ep *endpoint) isHeld(now clock.Milli) bool {
-	return ep.Leaving || now < max(ep.blockedUntil, ep.pausedUntil, ep.restUntil)
+	return ep.Leaving || ep.Withheld || now < max(ep.blockedUntil, ep.pausedUntil, ep.restUntil)
 }
 
 // slowness returns the ratio of measured to planned time of the endpoint's batches, decayed towards
@@ -301,17 +303,22 @@
 // Waiting returns the number of queued items.
 func (sch *Scheduler) Waiting() int { return len(sch.waiting) }
 
-// Usable returns the number of endpoints that are not leaving.
+// Usable returns the number of endpoints that are neither leaving nor withheld.
 func (sch *Scheduler) Usable() int {
 	n := 0
 	for _, ep := range sch.endpoints {
-		if !ep.Leaving {
+		if !ep.Leaving && !ep.Withheld {
 			n++
 		}
 	}
 	return n
 }
 
+// Stranded reports whether endpoints are withheld and no other one is left.
+func (sch *Scheduler) Stranded() bool {
+	return sch.Usable() == 0 && slices.ContainsFunc(sch.endpoints, func(ep *endpoint) bool { return ep.Withheld && !ep.Leaving })
+}
+
 // Wait estimates how long an item added now would wait until its batch starts. It counts the
 // batches in progress and the queued items that can still be on time, started at the planned
 // interval or, if that is longer, at the measured one. Late items are overtaken and do not count.
@@ -359,7 +366,7 @@
 func (sch *Scheduler) restLeft(now clock.Milli) clock.Milli {
 	first := clock.Milli(-1)
 	for _, ep := range sch.endpoints {
-		if left := max(ep.restUntil-now, 0); !ep.Leaving && (first < 0 || left < first) {
+		if left := max(ep.restUntil-now, 0); !ep.Leaving && !ep.Withheld && (first < 0 || left < first) {
 			first = left
 		}
 	}
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -233,12 +233,12 @@
 }
 
 // available returns the engines to choose from: healthy ones with a free slot, or else healthy
-// ones, or else all that are not leaving. Brittle engines need a free slot.
+// ones, or else all that are neither leaving nor withheld. Brittle engines need a free slot.
 func (plc *Placer) available(ask Ask, now clock.Milli) []*engine {
 	var free, full, ejected []*engine
 	for _, eng := range plc.list {
 		switch {
-		case eng.Leaving || slices.Contains(ask.Avoid, eng.ID) || !ask.fits(eng.Engine):
+		case eng.Leaving || eng.Withheld || slices.Contains(ask.Avoid, eng.ID) || !ask.fits(eng.Engine):
 		case plc.brittle && (eng.isFull(now) || eng.exceeds(ask.Share, now) || eng.rejectedAt > 0 && now-eng.rejectedAt < rejectPause):
 		case eng.isEjected(now):
 			ejected = append(ejected, eng)
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -38,6 +38,8 @@
 	Addr    string
 	Zone    string
 	Leaving bool
+	// Withheld is set while the engine must be sent nothing. Unlike Leaving, a later Sync takes it back.
+	Withheld bool
 	// Build is the build of the engine's software, empty if it is unknown.
 	Build string
 	// Slots is the number of concurrent requests, Memory the tokens that these and the prefix
@@ -144,10 +146,10 @@
 	return eng.Engine, true
 }
 
-// Usable reports whether an engine is known, not leaving and not ejected.
+// Usable reports whether an engine is known, not leaving, not withheld and not ejected.
 func (plc *Placer) Usable(id string, now clock.Milli) bool {
 	eng, ok := plc.byID[id]
-	return ok && !eng.Leaving && now >= eng.ejectedUntil
+	return ok && !eng.Leaving && !eng.Withheld && now >= eng.ejectedUntil
 }
 
 // Full reports whether all slots of an engine are in use, as far as known from the requests placed
--- a/pkg/route/learn.go
+++ b/pkg/route/learn.go
@@ -149,6 +149,7 @@
 	Latency  float64 `json:"latency_ms"`
 	Ejected  bool    `json:"benched"`
 	Leaving  bool    `json:"leaving"`
+	Withheld bool    `json:"withheld,omitempty"`
 }
 
 // EndpointStates returns the state of all endpoints for operators.
@@ -157,7 +158,7 @@
 	for _, pr := range pl.peers {
 		list = append(list, EndpointState{
 			ID: pr.ep.ID, Addr: pr.ep.Addr, Zone: pr.ep.Zone, InFlight: pr.inFlight, Limit: pr.limiter.Limit(),
-			Latency: pr.latency, Ejected: pr.ejectedUntil != 0, Leaving: pr.leaving,
+			Latency: pr.latency, Ejected: pr.ejectedUntil != 0, Leaving: pr.leaving, Withheld: pr.ep.Withheld,
 		})
 	}
 	return list
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -43,6 +43,8 @@
 	Addr    string
 	Zone    string
 	Leaving bool
+	// Withheld is set while the endpoint must be sent nothing. Unlike Leaving, a later Sync takes it back.
+	Withheld bool
 }
 
 // peer is the state of one endpoint.
@@ -149,7 +151,7 @@
 }
 
 // Pick selects an endpoint and counts the request as in flight there. It returns
-// false if every endpoint is at its limit, leaving or avoided; the caller then queues
+// false if every endpoint is at its limit, leaving, withheld or avoided; the caller then queues
 // or refuses the request.
 func (pl *Pool) Pick(ask Ask, now clock.Milli) (Endpoint, bool) {
 	if probe := pl.dueProbe(ask, now); probe != nil {
@@ -167,10 +169,10 @@
 }
 
 // Begin counts a request as in flight at the given endpoint, whatever its limit; false if it is unknown
-// or leaving.
+// leaving or withheld.
 func (pl *Pool) Begin(id string) (Endpoint, bool) {
 	pr, ok := pl.byID[id]
-	if !ok || pr.leaving {
+	if !ok || pr.isOut() {
 		return Endpoint{}, false
 	}
 	return pl.take(pr, Ask{}), true
@@ -181,11 +183,14 @@
 	return len(pl.eligible(ask, true)) > 0 || len(pl.eligible(ask, false)) > 0
 }
 
-// Usable counts the endpoints that are not leaving.
+// isOut reports whether the endpoint gets no new requests, whatever its health.
+func (pr *peer) isOut() bool { return pr.leaving || pr.ep.Withheld }
+
+// Usable counts the endpoints that are neither leaving nor withheld.
 func (pl *Pool) Usable() int {
 	n := 0
 	for _, pr := range pl.peers {
-		if !pr.leaving {
+		if !pr.isOut() {
 			n++
 		}
 	}
@@ -193,11 +198,11 @@
 }
 
 // Capacity returns the sum of the limits of the healthy endpoints, or of all if none is
-// healthy. Endpoints that are leaving are excluded.
+// healthy. Endpoints that are leaving or withheld are excluded.
 func (pl *Pool) Capacity() int {
 	healthy, all := 0, 0
 	for _, pr := range pl.peers {
-		if pr.leaving {
+		if pr.isOut() {
 			continue
 		}
 		all += pr.limiter.Limit()
@@ -226,7 +231,7 @@
 	var open []*peer
 	anyHealthy := false
 	for _, pr := range pl.peers {
-		if pr.leaving || slices.Contains(ask.Avoid, pr.ep.ID) {
+		if pr.isOut() || slices.Contains(ask.Avoid, pr.ep.ID) {
 			continue
 		}
 		if pr.ejectedUntil == 0 {
@@ -252,7 +257,7 @@
 		return nil
 	}
 	for _, pr := range pl.peers {
-		if pr.ejectedUntil != 0 && !pr.probing && !pr.leaving && now >= pr.ejectedUntil && !slices.Contains(ask.Avoid, pr.ep.ID) {
+		if pr.ejectedUntil != 0 && !pr.probing && !pr.isOut() && now >= pr.ejectedUntil && !slices.Contains(ask.Avoid, pr.ep.ID) {
 			return pr
 		}
 	}
