--- a/internal/batch/batcher.go
+++ b/internal/batch/batcher.go
@@ -45,6 +45,10 @@
 	// Rests returns the endpoints that this instance must send nothing, with the time until when; nil
 	// for none.
 	Rests func() map[ident.Process]clock.Milli
+	// MaySend is the last check right before something is sent to an endpoint, MaySendTo that for the
+	// endpoints at an address; nil allows all.
+	MaySend   func(id ident.Process, zone string) bool
+	MaySendTo func(addr, zone string) bool
 }
 
 // Batcher batches the items of all pools that this instance coordinates.
@@ -59,6 +63,12 @@
 	if set.After == nil {
 		set.After = afterFunc
 	}
+	if set.MaySend == nil {
+		set.MaySend = func(ident.Process, string) bool { return true }
+	}
+	if set.MaySendTo == nil {
+		set.MaySendTo = func(string, string) bool { return true }
+	}
 	return &Batcher{set: set, pools: map[string]*pool{}}
 }
 
@@ -70,7 +80,7 @@
 	}
 	byPool := map[string][]gather.Endpoint{}
 	for _, ep := range endpoints {
-		byPool[ep.Pool] = append(byPool[ep.Pool], gather.Endpoint{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving})
+		byPool[ep.Pool] = append(byPool[ep.Pool], gather.Endpoint{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving, Withheld: ep.Withheld})
 	}
 	for name, pol := range pln.Pools() {
 		if spc := pol.Batch(); spc != nil {
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -167,6 +167,7 @@
 	now := pol.set.Clock.Now()
 	share := pol.holdRateLimited(now)
 	pol.holdResting()
+	pol.failStranded()
 	for {
 		bat, ok := pol.sched.Next(now)
 		if !ok {
@@ -222,12 +223,20 @@
 	ep := proto.Endpoint{ID: ident.Process(bat.Endpoint.ID), Pool: pol.name, Addr: bat.Endpoint.Addr, Zone: bat.Endpoint.Zone}
 	fetch := time.AfterFunc(pol.fetchTime(bat), func() { pol.inputsFetched(bat) })
 	defer fetch.Stop()
+	if !pol.set.MaySend(ep.ID, ep.Zone) {
+		pol.withdrawBatch(bat)
+		return
+	}
 	began := pol.set.Clock.Now()
 	made, rep, err := pol.set.Dialect.RunBatch(ctx, pol.set.Client, ep, items)
 	took := pol.set.Clock.Since(began)
 	if rep.Misdirected {
 		pol.set.OnMisdirected(ep.ID, "another endpoint answers at its address")
 	}
+	if errors.Is(err, proto.ErrWithheld) {
+		pol.withdrawBatch(bat)
+		return
+	}
 	crashed := pol.crashedDuring(ctx, bat, err)
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
@@ -239,6 +248,43 @@
 	pol.dispatch()
 }
 
+// withdrawBatch puts the items of a batch of which nothing was sent back into the scheduler. That is no
+// attempt, and takes nothing from the retry budget.
+func (pol *pool) withdrawBatch(bat gather.Batch) {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	pol.set.Log.Info().Str("pool", pol.name).Str("endpoint", bat.Endpoint.ID).Int("pieces", len(bat.Items)).Msg("batch withheld from an evacuated data centre")
+	pol.sched.End(bat.ID, gather.Canceled, nil, pol.set.Clock.Now())
+	for _, itm := range bat.Items {
+		ref, ok := pol.refs[itm.ID]
+		if !ok {
+			continue
+		}
+		delete(pol.refs, itm.ID)
+		if ref.ord.completed {
+			continue
+		}
+		ref.ord.fetch.set(ref.index, ref.ord.Count, false)
+		if ref.ord.fetch.released {
+			// The inputs were taken for fetched while the connection was opened.
+			ref.ord.complete(proto.InputLost)
+			continue
+		}
+		pol.add(ref.ord, ref.index, itm.Begun)
+	}
+	pol.dispatch()
+}
+
+// failStranded fails all waiting items if no endpoint is left because of evacuations.
+func (pol *pool) failStranded() {
+	if !pol.sched.Stranded() {
+		return
+	}
+	for _, itm := range pol.sched.TakeAll() {
+		pol.failItem(itm.ID, proto.Broken)
+	}
+}
+
 func (pol *pool) requestItems(bat gather.Batch) []proto.Item {
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
@@ -382,15 +428,15 @@
 // is not retried: the endpoint drops the results when they expire.
 func (pol *pool) queueRelease(res Handle) {
 	if len(pol.pendingReleases[res.Addr]) == 0 {
-		pol.set.After(max(releaseDelay, pol.releaseInterval(res.Addr)), func() { pol.sendReleases(res.Addr) })
+		pol.set.After(max(releaseDelay, pol.releaseInterval(res.Addr)), func() { pol.sendReleases(res.Addr, res.Zone) })
 	}
 	pol.pendingReleases[res.Addr] = append(pol.pendingReleases[res.Addr], res.Name)
 }
 
-func (pol *pool) sendReleases(addr string) {
+func (pol *pool) sendReleases(addr, zone string) {
 	pol.mtx.Lock()
 	if left := pol.restLeft(addr); left > 0 {
-		pol.set.After(left, func() { pol.sendReleases(addr) })
+		pol.set.After(left, func() { pol.sendReleases(addr, zone) })
 		pol.mtx.Unlock()
 		return
 	}
@@ -398,6 +444,11 @@
 	delete(pol.pendingReleases, addr)
 	pol.countRelease(addr)
 	pol.mtx.Unlock()
+	if !pol.set.MaySendTo(addr, zone) {
+		// The endpoint drops them when they expire, as does the scheduler.
+		pol.set.Log.Info().Str("pool", pol.name).Str("addr", addr).Int("results", len(list)).Msg("results in an evacuated data centre not released")
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := pol.set.Dialect.Free(ctx, pol.set.Client, addr, list); err != nil {
--- a/internal/batch/storage.go
+++ b/internal/batch/storage.go
@@ -66,12 +66,15 @@
 	var grp sync.WaitGroup
 	var held, failures atomic.Int64
 	for _, ep := range list {
-		if _, resting := rests[ident.Process(ep.ID)]; resting || ep.Leaving || pol.hasDeclaredRate(ep.ID) {
+		if _, resting := rests[ident.Process(ep.ID)]; resting || ep.Leaving || ep.Withheld || pol.hasDeclaredRate(ep.ID) {
 			continue
 		}
 		grp.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
+			if !pol.set.MaySend(ident.Process(ep.ID), ep.Zone) {
+				return
+			}
 			bytes, err := pol.queryFreeStorage(ep)
 			held.Add(bytes)
 			if err != nil {
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -102,6 +102,13 @@
 	// Placements whose answer is lost are ended one by one.
 	ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
 	prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+	if prp.ID != "" && crd.isWithheld(prp.ID) {
+		// The coordinator doesn't know of the evacuation yet.
+		crd.endLate(inc, pool, ticket)
+		ask.Avoid = slices.Concat(ask.Avoid, crd.set.Control.View().Withheld(pool))
+		ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
+		prp, err = crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+	}
 	if prp.ID != "" {
 		if tgt, ok := crd.set.Pools.Assign(pool, prp.ID, prp.From, ticket, ask); ok {
 			crd.slotWaits.answered(pool, true, crd.set.Clock.Now())
@@ -126,6 +133,11 @@
 	return crd.pick(pool, ticket, ask, 0)
 }
 
+// isWithheld reports whether an endpoint is in an evacuated data centre, as far as this instance knows.
+func (crd *Coordinator) isWithheld(id string) bool {
+	return crd.set.Control.View().IsWithheld(ident.Process(id))
+}
+
 // engineShare returns the part of the slots of a pool's engines that this instance may use as their
 // coordinator, zero for all of them; false if the engines are brittle and it is not the coordinator.
 func (crd *Coordinator) engineShare(vw *state.View, pool string) (share float64, mine bool) {
@@ -165,7 +177,7 @@
 	ask.Avoid = crd.withResting(ask.Avoid)
 	if inc := crd.promptCoordinator(vw, pool); inc != crd.set.Control.Self() {
 		if prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ask: ask, Predict: true}); err == nil && prp.ID != "" {
-			if eng, ok := crd.set.Pools.Find(pool, prp.ID); ok {
+			if eng, ok := crd.set.Pools.Find(pool, prp.ID); ok && !eng.Withheld {
 				return eng, prp.Read, true
 			}
 		}
--- a/internal/coord/rests.go
+++ b/internal/coord/rests.go
@@ -102,7 +102,7 @@
 		return 0, false
 	}
 	for _, ep := range crd.set.Control.View().Endpoints() {
-		if ep.Pool != pool || ep.Leaving || build != "" && ep.Build != build {
+		if ep.Pool != pool || ep.Leaving || ep.Withheld || build != "" && ep.Build != build {
 			continue
 		}
 		until, resting := rests[ep.ID]
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -94,7 +95,9 @@
 	if until, ok := ctx.Deadline(); ok {
 		left += crd.set.Clock.Until(until)
 	}
-	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: ask.Avoid, Left: left})
+	// A coordinator may not know of an evacuation yet.
+	avoid := slices.Concat(ask.Avoid, crd.set.Control.View().Withheld(pool))
+	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: avoid, Left: left})
 	if id == "" {
 		return Placement{}, false
 	}
--- a/internal/coord/tenures.go
+++ b/internal/coord/tenures.go
@@ -64,7 +64,7 @@
 	var mtx sync.Mutex
 	queried, failed, parts := 0, 0, 0
 	for _, ep := range vw.Endpoints() {
-		if _, rated := vw.Rate(ep.ID); rated || ep.Pool != pool || ep.Leaving || crd.set.Control.Resting(ep.ID) || queried >= maxCacheQueries {
+		if _, rated := vw.Rate(ep.ID); rated || ep.Pool != pool || ep.Leaving || ep.Withheld || crd.set.Control.Resting(ep.ID) || queried >= maxCacheQueries {
 			continue
 		}
 		queried++
@@ -88,6 +88,9 @@
 func (crd *Coordinator) queryCache(ep proto.Endpoint) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), cacheQueryTimeout)
 	defer cancel()
+	if !crd.set.Control.MaySend(ep.ID, ep.Zone) {
+		return 0, proto.ErrWithheld
+	}
 	parts, err := crd.set.CachedParts(ctx, ep)
 	if err != nil {
 		return 0, err
--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -42,6 +42,9 @@
 	Relays    func() []reach.Relay
 	// MayRelay reports whether an endpoint may be connected for another instance; nil allows all.
 	MayRelay func(ep proto.Endpoint) bool
+	// MaySend is the last check right before something is sent to an endpoint for another instance, with the
+	// endpoint's data centre; nil allows all.
+	MaySend func(id ident.Process, zone string) bool
 	// MayProbe reports whether an endpoint may be connected only to see whether it is reached; nil
 	// allows all.
 	MayProbe func(ep proto.Endpoint) bool
--- a/internal/dial/serve.go
+++ b/internal/dial/serve.go
@@ -76,11 +76,11 @@
 // ServeTunnel relays a connection to an endpoint for another instance; it is registered with the link.
 func (dlr *Dialer) ServeTunnel(msg peer.Message, tnl *peer.Tunnel) {
 	defer dlr.serving.count.Add(-1)
-	con, id, reply := dlr.connectFor(msg, dlr.serving.count.Add(1))
+	con, ep, reply := dlr.connectFor(msg, dlr.serving.count.Add(1))
 	ans := peer.Message{Kind: peer.Nack, From: dlr.set.Self}
 	if con != nil {
 		ans.Kind = peer.OK
-		defer dlr.serving.add(id, msg.From)()
+		defer dlr.serving.add(ep.ID, msg.From)()
 	}
 	body, err := cbor.Marshal(reply)
 	ans.Body = body
@@ -91,19 +91,19 @@
 		_ = tnl.Close()
 		return
 	}
-	splice(tnl, con)
+	splice(tnl, con, func() bool { return dlr.set.MaySend == nil || dlr.set.MaySend(ep.ID, ep.Zone) })
 }
 
 // connectFor opens the connection to an endpoint that another instance asks for. count is the number of
 // connections relayed here with this one.
-func (dlr *Dialer) connectFor(msg peer.Message, count int64) (net.Conn, ident.Process, tunnelReply) {
+func (dlr *Dialer) connectFor(msg peer.Message, count int64) (net.Conn, proto.Endpoint, tunnelReply) {
 	var trq tunnelRequest
 	if cbor.Unmarshal(msg.Body, &trq) != nil {
-		return nil, "", tunnelReply{Result: reach.Unreachable, Withheld: true}
+		return nil, proto.Endpoint{}, tunnelReply{Result: reach.Unreachable, Withheld: true}
 	}
 	ep, ok := dlr.endpoint(trq.Endpoint)
 	if !ok || count > maxServed || dlr.set.MayRelay != nil && !dlr.set.MayRelay(ep) {
-		return nil, ep.ID, tunnelReply{Result: reach.Unreachable, Withheld: true}
+		return nil, ep, tunnelReply{Result: reach.Unreachable, Withheld: true}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), boundedBy(trq.Timeout))
 	defer cancel()
@@ -111,9 +111,14 @@
 	if err != nil {
 		reply := tunnelReply{Result: ResultOf(err)}
 		reply.setReach(dlr.reachesOthers(ep.Addr))
-		return nil, ep.ID, reply
+		return nil, ep, reply
 	}
-	return con, ep.ID, tunnelReply{}
+	if dlr.set.MaySend != nil && !dlr.set.MaySend(ep.ID, ep.Zone) {
+		// The answer has changed while the connection was opened.
+		_ = con.Close()
+		return nil, ep, tunnelReply{Result: reach.Unreachable, Withheld: true}
+	}
+	return con, ep, tunnelReply{}
 }
 
 // boundedBy returns a caller's timeout within the one for connections.
@@ -136,9 +141,10 @@
 // Anything but the end of the endpoint's data breaks the tunnel, so that the caller can tell a complete
 // answer from a cut one; a tunnel that was closed closes the connection, by which the endpoint learns that
 // its caller is gone.
-func splice(tnl *peer.Tunnel, con net.Conn) {
+// may is asked before the first byte is sent to the endpoint: the caller may know less than this instance.
+func splice(tnl *peer.Tunnel, con net.Conn, may func() bool) {
 	var grp sync.WaitGroup
-	snd := &sender{con: con}
+	snd := &sender{con: con, may: may}
 	grp.Go(func() {
 		_, _ = io.CopyBuffer(snd, tnl, make([]byte, copyBytes))
 		_ = con.Close()
@@ -155,14 +161,24 @@
 // sender writes to a connection. A reset is reported once: after a write that failed with it, reads end as if
 // the connection had been closed in order.
 type sender struct {
-	con    net.Conn
+	con net.Conn
+	// may reports whether the first bytes may be sent; it is nil afterwards.
+	may    func() bool
 	mtx    sync.Mutex
 	failed bool
 }
 
+// errWithheld is returned for the first bytes to an endpoint that must be sent nothing by now.
+var errWithheld = errors.New("the endpoint must be sent nothing")
+
 func (snd *sender) Write(buf []byte) (int, error) {
 	snd.mtx.Lock()
 	defer snd.mtx.Unlock()
+	if snd.may != nil && !snd.may() {
+		snd.failed = true
+		return 0, errWithheld
+	}
+	snd.may = nil
 	n, err := snd.con.Write(buf)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		snd.failed = true
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -112,6 +112,9 @@
 	}
 	until := fr.set.Clock.Now() + cl.slotWait()
 	for {
+		if fr.set.Control.View().IsStranded(cl.pool.Name(), cl.bound.build) {
+			return coord.Placement{}, fr.refuseEvacuated(cl.pool.Name())
+		}
 		ask := cl.placeAsk(run.avoid)
 		ask.Zone, ask.Bytes = cl.inputZone()
 		if tgt, ok := fr.coord.Place(ctx, fr.set.Control.View(), cl.pool.Name(), cl.ticket(), ask); ok {
@@ -136,6 +139,11 @@
 	return outcm.Refuse(outcm.QueueFull, max(end-fr.set.Clock.Now(), minRetryAfter), "all endpoints have asked this instance for rest")
 }
 
+// refuseEvacuated returns the refusal for a pool whose endpoints are all in evacuated data centres.
+func (fr *Front) refuseEvacuated(pool string) outcm.Result {
+	return outcm.Refuse(outcm.NoEndpoint, fr.retryAfter(maxRetryAfter), "the data centres of all endpoints of pool "+pool+" are evacuated")
+}
+
 // release frees the slot of an attempt and records how the attempt ended.
 func (run *finalRun) release(tgt coord.Placement, out route.Outcome, took clock.Milli) {
 	fr, cl := run.fr, run.cl
@@ -184,17 +192,22 @@
 	began := fr.set.Clock.Now()
 	rqs, stop := fr.withInputRelease(cl, tgt)
 	defer stop()
+	// The coordinator that chose the engine may not know of an evacuation yet.
+	fetch := tgt.FetchFrom
+	if fr.set.Control.View().IsWithheldAt(fetch) {
+		fetch = ""
+	}
 	// The endpoint may have announced its end or asked for rest since it was chosen, perhaps by another
-	// instance.
+	// instance, or its data centre may have been evacuated.
 	bound := cl.bound
 	rqs.Allowed = func() bool {
-		return fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
+		return fr.set.Control.MaySend(tgt.ID, "") && fr.set.Control.MaySendTo(fetch, "") && fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
 			!fr.set.Control.Resting(tgt.ID) && bound.allows(fr.set.Control.View().Build(tgt.ID))
 	}
 	var cgd cancelGuard
 	timer := run.cancelIfSlow(actx, &cgd, cancel)
 	rsp, end, err := fr.set.Relay.Do(actx, tgt.Addr, rqs, proto.SendMeta{
-		Endpoint: tgt.ID, Workspace: cl.wsp, Remaining: cl.deadline - began, Priority: cl.rank, Inputs: cl.inputs, Fetch: tgt.FetchFrom, LastEvent: run.lastEvent,
+		Endpoint: tgt.ID, Workspace: cl.wsp, Remaining: cl.deadline - began, Priority: cl.rank, Inputs: cl.inputs, Fetch: fetch, LastEvent: run.lastEvent,
 	})
 	timer.Stop()
 	slow := cgd.settle()
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -85,6 +85,9 @@
 func (fr *Front) target(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	name := cmp.Or(cl.bound.pool, cl.route.Target(rand.Float64()))
 	pol, ok := cl.view.Plan().Pool(name)
+	if ok && fr.set.Control.View().IsStranded(name, cl.bound.build) {
+		return fr.refuseEvacuated(name)
+	}
 	if !ok || !fr.pools.Usable(name) {
 		return outcm.Refuse(outcm.NoEndpoint, retry.Jittered(staleRetryAfter), "the pool has no usable endpoint")
 	}
@@ -105,6 +108,11 @@
 	if len(cl.ask.Items) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Items), 0)) > coord.MaxItems {
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "pieces for more stages than the route has, or too many pieces of a stage")
 	}
+	for _, pool := range cl.pools() {
+		if fr.set.Control.View().IsStranded(pool, "") {
+			return fr.refuseEvacuated(pool)
+		}
+	}
 	fr.estimateWait(ctx, cl)
 	now := fr.set.Clock.Now()
 	tms := admit.Budget{Estimate: fr.firstByteEstimate(cl), ToDeadline: cl.deadline - now, ToTarget: cl.due - now, Contended: fr.contended(cl)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,11 +169,12 @@
 		},
 		Endpoints: func() []proto.Endpoint { return nod.ctl.View().Endpoints() },
 		Relays:    func() []reach.Relay { return nod.ctl.View().Relays(inc) },
-		MayRelay:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.Resting(ep.ID) },
-		MayProbe:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.View().BrittlePools()[ep.Pool] },
+		MayRelay:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.Resting(ep.ID) && nod.ctl.MaySend(ep.ID, ep.Zone) },
+		MaySend:   func(id ident.Process, zone string) bool { return nod.ctl.MaySend(id, zone) },
+		MayProbe:  func(ep proto.Endpoint) bool { return !ep.Leaving && !ep.Withheld && !nod.ctl.View().BrittlePools()[ep.Pool] },
 		OnHealed:  func() { nod.pooled.CloseIdleConnections() },
 	})
-	cli := relay.PooledClient(idleConnTimeout, nod.dialer.DialContext, onReply)
+	cli := relay.PooledClient(idleConnTimeout, nod.dialAllowed, onReply)
 	nod.pooled = cli
 	share, reserve, window := nod.set.RetryBudget()
 	btr := batch.New(batch.Setup{
@@ -183,6 +184,8 @@
 		RateShare:       func(pool string) float64 { return nod.coord.RateShare(pool) },
 		OnInputsFetched: func(sets []batch.ResultSet) { nod.coord.ReleaseAll(sets) },
 		Rests:           func() map[ident.Process]clock.Milli { return nod.ctl.Rests() },
+		MaySend:         func(id ident.Process, zone string) bool { return nod.ctl.MaySend(id, zone) },
+		MaySendTo:       func(addr, zone string) bool { return nod.ctl.MaySendTo(addr, zone) },
 	})
 	pls := pools.New(pools.Setup{Clock: nod.clk, Zone: nod.set.Zone(), RetryShare: share, RetryReserve: reserve})
 	nod.pools = pls
@@ -211,6 +214,17 @@
 	})
 }
 
+// dialAllowed opens a connection for calls of this instance itself. Opening one takes up to a second, in which
+// the data centre may be evacuated.
+func (nod *Node) dialAllowed(ctx context.Context, network, addr string) (net.Conn, error) {
+	con, err := nod.dialer.DialContext(ctx, network, addr)
+	if err == nil && !nod.ctl.MaySendTo(addr, "") {
+		_ = con.Close()
+		return nil, proto.ErrWithheld
+	}
+	return con, err
+}
+
 // cachedParts returns the query for the prompt parts that a model engine has cached, or nil if
 // the dialect has no such query.
 func cachedParts(dia *proto.Dialect, cli *http.Client) func(ctx context.Context, ep proto.Endpoint) ([]place.Part, error) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -45,11 +45,23 @@
 	}
 	for _, ep := range vw.Endpoints() {
 		state := "ready"
-		if ep.Leaving {
+		switch {
+		case ep.Leaving:
 			state = "leaving"
+		case ep.Withheld:
+			state = "evacuated"
 		}
 		st.Endpoints = append(st.Endpoints, wire.StatusEndpoint{Pool: ep.Pool, ID: string(ep.ID), Addr: ep.Addr, State: state})
 	}
+	for _, zon := range vw.Evacuations(now) {
+		evacuated := wire.StatusEvacuation{Zone: zon.Name, SinceMs: zon.Age}
+		for _, ep := range vw.Endpoints() {
+			if ep.Zone == zon.Name {
+				evacuated.Endpoints++
+			}
+		}
+		st.Evacuated = append(st.Evacuated, evacuated)
+	}
 	if pln != nil {
 		st.Services = append(st.Services, wire.StatusService{Service: "all routes", Revision: pln.Version()})
 		for name, pol := range pln.Pools() {
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -154,7 +154,7 @@
 		engines := make([]place.Engine, len(list))
 		for i, ep := range list {
 			engines[i] = place.Engine{
-				ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving, Build: ep.Build, Slots: ep.Places, Memory: spc.Memory, Fetches: spc.Fetches,
+				ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving, Withheld: ep.Withheld, Build: ep.Build, Slots: ep.Places, Memory: spc.Memory, Fetches: spc.Fetches,
 			}
 		}
 		pst.engines.Sync(engines)
@@ -162,7 +162,7 @@
 	}
 	plain := make([]route.Endpoint, len(list))
 	for i, ep := range list {
-		plain[i] = route.Endpoint{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving}
+		plain[i] = route.Endpoint{ID: string(ep.ID), Addr: ep.Addr, Zone: ep.Zone, Leaving: ep.Leaving, Withheld: ep.Withheld}
 	}
 	pst.plain.Sync(plain)
 }
@@ -216,7 +216,7 @@
 }
 
 // Assign counts a request at an engine that another instance chose for it; false if that engine is
-// unknown here, or is leaving.
+// unknown here, is leaving or withheld.
 func (pls *Pools) Assign(pool, id, from, ticket string, ask place.Ask) (Target, bool) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
@@ -226,7 +226,7 @@
 		return Target{}, false
 	}
 	eng, ok := pst.engines.Find(id)
-	if !ok || eng.Leaving || ask.Build != "" && eng.Build != ask.Build {
+	if !ok || eng.Leaving || eng.Withheld || ask.Build != "" && eng.Build != ask.Build {
 		// Instances of earlier versions know no builds.
 		return Target{}, false
 	}
--- a/internal/pools/rates.go
+++ b/internal/pools/rates.go
@@ -43,7 +43,7 @@
 	}
 	wait = maxPermitWait
 	for _, ep := range pst.plain.EndpointStates() {
-		if !pls.rates.Has(ep.ID) || ep.Leaving {
+		if !pls.rates.Has(ep.ID) || ep.Leaving || ep.Withheld {
 			continue
 		}
 		if left := pls.rates.Wait(ep.ID, now); left > 0 {
--- a/internal/pools/slots.go
+++ b/internal/pools/slots.go
@@ -44,7 +44,7 @@
 	least, ejected := 0.0, false
 	for _, ep := range pst.plain.EndpointStates() {
 		usage, ok := pls.slots.Usage(ep.ID, share, now)
-		if !ok || ep.Leaving || slices.Contains(avoid, ep.ID) {
+		if !ok || ep.Leaving || ep.Withheld || slices.Contains(avoid, ep.ID) {
 			continue
 		}
 		if id == "" || ejected && !ep.Ejected || ejected == ep.Ejected && usage < least {
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -245,6 +245,9 @@
 // ErrFull is returned for a batch that an endpoint had no free slot for.
 var ErrFull = errs.New("the endpoint has no free slot")
 
+// ErrWithheld is returned for a call that was not sent because its endpoint is in an evacuated data centre.
+var ErrWithheld = errs.New("the data centre of the endpoint is evacuated")
+
 // Store is the client of the store.
 type Store struct {
 	// Document returns the store's document. Watch waits for records from a position on, for at most the
--- a/internal/shell/status.go
+++ b/internal/shell/status.go
@@ -44,11 +44,22 @@
 	for _, ept := range st.Endpoints {
 		con.printf("%-16s %-20s %-22s %6d %6d %10.1f %s\n", ept.Pool, ept.ID, ept.Addr, ept.InFlight, ept.Limit, ept.Latency, ept.State)
 	}
+	printEvacuated(con, st.Evacuated)
 	printCoordinators(con, st.Coordinators)
 	printLeases(con, st.Leases)
 	printRefusals(con, st.Refusals)
 }
 
+func printEvacuated(con *console, list []wire.StatusEvacuation) {
+	if len(list) == 0 {
+		return
+	}
+	con.printf("\n%-20s %9s %10s\n", "EVACUATED", "ENDPOINTS", "SINCE_MS")
+	for _, evc := range list {
+		con.printf("%-20s %9d %10d\n", evc.Zone, evc.Endpoints, evc.SinceMs)
+	}
+}
+
 func printCoordinators(con *console, list []wire.StatusCoordinator) {
 	if len(list) == 0 {
 		return
--- a/internal/state/evacs.go
+++ b/internal/state/evacs.go
@@ -211,9 +211,10 @@
 }
 
 // MaySend reports whether an endpoint may be sent something by the current view, and counts it if not: the
-// last check right before sending.
-func (ctl *Control) MaySend(id ident.Process) bool {
-	if !ctl.View().IsWithheld(id) {
+// last check right before sending. zone is its data centre as it was when it was chosen, since it may not be
+// listed any more; empty if that is unknown.
+func (ctl *Control) MaySend(id ident.Process, zone string) bool {
+	if vw := ctl.View(); !vw.IsWithheld(id) && !vw.IsEvacuated(zone) {
 		return true
 	}
 	ctl.set.Meter.CountEvent(meter.EventWithheld)
@@ -221,8 +222,8 @@
 }
 
 // MaySendTo is MaySend for the endpoints at an address.
-func (ctl *Control) MaySendTo(addr string) bool {
-	if !ctl.View().IsWithheldAt(addr) {
+func (ctl *Control) MaySendTo(addr, zone string) bool {
+	if vw := ctl.View(); !vw.IsWithheldAt(addr) && !vw.IsEvacuated(zone) {
 		return true
 	}
 	ctl.set.Meter.CountEvent(meter.EventWithheld)
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -300,6 +300,13 @@
 	return expired
 }
 
+// TakeAll removes and returns all queued items.
+func (sch *Scheduler) TakeAll() []Item {
+	all := sch.waiting
+	sch.waiting = nil
+	return all
+}
+
 // Waiting returns the number of queued items.
 func (sch *Scheduler) Waiting() int { return len(sch.waiting) }
 
