--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -87,6 +87,7 @@
 	GaugeEventQueue = "control_events_waiting"
 	GaugeSevered    = "endpoints_reached_by_relay"
 	GaugeBlind      = "blind"
+	GaugeCold       = "endpoints_cold"
 )
 
 // New returns a meter whose counters are zero.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -44,11 +44,14 @@
 		})
 	}
 	for _, ep := range vw.Endpoints() {
-		state := "ready"
+		ste := wire.StatusEndpoint{Pool: ep.Pool, ID: string(ep.ID), Addr: ep.Addr, State: "ready"}
+		if until, ok := vw.ColdUntil(ep.ID); ok {
+			ste.State, ste.ColdLeftMs = "cold", max(int64(until-now), 0)
+		}
 		if ep.Leaving {
-			state = "leaving"
+			ste.State = "leaving"
 		}
-		st.Endpoints = append(st.Endpoints, wire.StatusEndpoint{Pool: ep.Pool, ID: string(ep.ID), Addr: ep.Addr, State: state})
+		st.Endpoints = append(st.Endpoints, ste)
 	}
 	if pln != nil {
 		st.Services = append(st.Services, wire.StatusService{Service: "all routes", Revision: pln.Version()})
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -99,6 +99,8 @@
 	Brittle Declared
 	// Leaving is set if the endpoint announces that it will end.
 	Leaving bool
+	// ColdLeft is how much longer the endpoint is cold; zero if it is not, or does not say so.
+	ColdLeft clock.Milli
 	// Rest is how long the endpoint wants no request from the instance that it has turned away; zero
 	// for none. RestText is what it asked for.
 	Rest     clock.Milli
@@ -122,6 +124,10 @@
 	// Build is the build of the endpoint's software, empty if it is unknown. Builds compare for equality
 	// only.
 	Build string
+	// ColdLeft is how much longer the endpoint was cold when it wrote its entry. It is set in lists
+	// read from the store only: it counts down from entry to entry, and would make each of them a
+	// change of the list.
+	ColdLeft clock.Milli `cbor:"-"`
 }
 
 // Instance is an instance's entry in the store.
--- a/internal/shell/status.go
+++ b/internal/shell/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 
 	"amaranthvalve/internal/opers"
@@ -42,7 +43,11 @@
 	}
 	con.printf("\n%-16s %-20s %-22s %6s %6s %10s %s\n", "POOL", "ENDPOINT", "ADDRESS", "BUSY", "LIMIT", "LATENCY_MS", "STATE")
 	for _, ept := range st.Endpoints {
-		con.printf("%-16s %-20s %-22s %6d %6d %10.1f %s\n", ept.Pool, ept.ID, ept.Addr, ept.InFlight, ept.Limit, ept.Latency, ept.State)
+		state := ept.State
+		if ept.ColdLeftMs > 0 {
+			state = fmt.Sprintf("%s, %d ms left", state, ept.ColdLeftMs)
+		}
+		con.printf("%-16s %-20s %-22s %6d %6d %10.1f %s\n", ept.Pool, ept.ID, ept.Addr, ept.InFlight, ept.Limit, ept.Latency, state)
 	}
 	printCoordinators(con, st.Coordinators)
 	printLeases(con, st.Leases)
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -59,8 +59,8 @@
 	// OnRest is called for each answer by which an endpoint asks for rest, with the instance that
 	// relayed the request, empty for none; it may be nil.
 	OnRest func(id ident.Process, span clock.Milli, relay ident.Incarnation)
-	// OnChange is called on the control loop with each new view whose plan, endpoints or values
-	// declared by endpoints differ from those of the view before.
+	// OnChange is called on the control loop with each new view whose plan, endpoints, values
+	// declared by endpoints or cold endpoints differ from those of the view before.
 	OnChange func(vw *View)
 }
 
@@ -78,10 +78,12 @@
 	docs      docsCtl
 	endpts    endptsCtl
 	facts     factsCtl
+	cold      coldCtl
 	rests     rests
 	leaving   bool
 	dirty     bool
-	// noticesChanged is set if values declared by endpoints changed since the last view.
+	// noticesChanged is set if values declared by endpoints, or the cold ones, changed since the last
+	// view.
 	noticesChanged bool
 	// rankedChanges is the change counter of the member list when the view's rankings were
 	// computed. stepped is set after a step, which updates heartbeats and loads of members.
@@ -120,6 +122,7 @@
 	ctl.docs.ctl, ctl.docs.doc.Position, ctl.docs.ignored = ctl, unread, unread
 	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace}
 	ctl.facts = newFacts(ctl)
+	ctl.cold.ctl = ctl
 	ctl.view.Store(&View{position: proto.Position{Offset: -1}})
 	changed := make(chan struct{})
 	ctl.viewChanged.Store(&changed)
@@ -183,12 +186,14 @@
 // publish stores a new view. What is derived from the members alone is reused while they are
 // unchanged: ranking them for every event took a quarter of the processor at 300 instances.
 func (ctl *Control) publish(now clock.Milli) {
+	ctl.cold.update(now)
 	old := ctl.view.Load()
 	vw := &View{
 		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, builds: old.builds, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
+		cold: ctl.cold.ends,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.stepped {
 		vw.members = ctl.list.All()
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -141,10 +141,12 @@
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
 	ect.down, ect.loaded = false, true
 	ect.logFaults(faults)
+	left := takeEntries(list)
 	if now-min(ect.upSince, ect.otherUpSince) < lapsedGrace || now-ect.missingSince < lapsedGrace {
 		list = ect.withLapsed(list)
 	}
 	ect.apply(list, now)
+	ect.ctl.cold.entries(left, now)
 }
 
 // withLapsed adds the known endpoints that are missing from a list, except those whose address
@@ -197,8 +199,13 @@
 		return 1
 	})
 	if slices.Equal(list, ect.list) {
+		if ect.loaded && len(list) == 0 {
+			// Endpoints that are listed later have started since.
+			ect.ctl.cold.list(nil, now)
+		}
 		return
 	}
+	ect.ctl.cold.list(list, now)
 	ect.logChanges(list, now)
 	ect.list = list
 	ect.ctl.dirty = true
--- a/internal/state/exchange.go
+++ b/internal/state/exchange.go
@@ -9,6 +9,7 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 )
@@ -68,6 +69,8 @@
 	// Members are all members that the sender knows.
 	Members []member.Update `cbor:"5,keyasint,omitempty"`
 	Era     int64           `cbor:"6,keyasint,omitempty"`
+	// Cold are the facts on endpoints that are cold.
+	Cold []gossip.Fact `cbor:"15,keyasint,omitempty"`
 }
 
 // fetchSnapshot fetches the state of another instance.
@@ -89,6 +92,7 @@
 			}
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: snp.Era, Offset: snp.Offset}, Text: snp.Text}, sent-snp.Age, now, string(from))
 			dct.ctl.endpts.applySnapshot(snp.Endpoints)
+			dct.ctl.facts.take(snp.Cold, now)
 			dct.ctl.list.Merge(snp.Members, now)
 			dct.ctl.membersLoaded.fire()
 		})
@@ -136,7 +140,7 @@
 	}
 	body, err := cbor.Marshal(snapshot{
 		Offset: ctl.docs.doc.Offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era,
+		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Cold: ctl.cold.current(now),
 	})
 	if err != nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -56,6 +56,7 @@
 	for _, kind := range append([]gossip.Kind{gossip.Leaving}, declaredKinds...) {
 		fcl.spread.Bound(kind, noticeBounds)
 	}
+	fcl.spread.Bound(gossip.Cold, coldBounds)
 	return fcl
 }
 
@@ -70,15 +71,20 @@
 // receive merges the facts of a message. If it is an answer whose digest differs from ours, our
 // facts are sent to the other instance.
 func (fcl *factsCtl) receive(msg peer.Message, answers bool, now clock.Milli) {
-	if fcl.spread.Receive(msg.Facts, fcl.ctl.list.IsMesh(), now) {
-		fcl.changed(msg.Facts, now)
-		fcl.scheduleFlush()
-	}
+	fcl.take(msg.Facts, now)
 	if answers {
 		fcl.send(msg.From, fcl.spread.Delta(msg.Digest, now))
 	}
 }
 
+// take merges facts from the state of another instance, and forwards those that are new.
+func (fcl *factsCtl) take(list []gossip.Fact, now clock.Milli) {
+	if fcl.spread.Receive(list, fcl.ctl.list.IsMesh(), now) {
+		fcl.changed(list, now)
+		fcl.scheduleFlush()
+	}
+}
+
 // addLocal adds facts that originate at this instance.
 func (fcl *factsCtl) addLocal(fresh []gossip.Fact, now clock.Milli) {
 	if len(fresh) == 0 {
@@ -93,6 +99,9 @@
 // derived from many facts lately.
 func (fcl *factsCtl) changed(facts []gossip.Fact, now clock.Milli) {
 	fcl.readNotices(now)
+	if slices.ContainsFunc(facts, func(fct gossip.Fact) bool { return fct.Kind == gossip.Cold }) {
+		fcl.ctl.cold.dirty = true
+	}
 	switch {
 	case !slices.ContainsFunc(facts, func(fct gossip.Fact) bool { return fct.Kind == gossip.CrashedUnder }):
 	case fcl.judged <= fewFacts || now-fcl.judgedAt >= judgeInterval:
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -13,6 +13,7 @@
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 )
 
@@ -61,6 +62,8 @@
 	Changed   bool             `cbor:"8,keyasint,omitempty"`
 	Gone      []string         `cbor:"9,keyasint,omitempty"`
 	Digest    uint64           `cbor:"10,keyasint,omitempty"`
+	// Cold are the facts on endpoints that are cold, with a full list.
+	Cold []gossip.Fact `cbor:"20,keyasint,omitempty"`
 }
 
 // updateRequest describes what a follower has: the offset of its documents, and the list of
@@ -107,6 +110,7 @@
 	asOf := sent + upd.Held - upd.Age
 	ctl.loop.Do(ctx, func(now clock.Milli) {
 		dct.enterEra(upd.StoreEra, now)
+		ctl.facts.take(upd.Cold, now)
 		switch {
 		case upd.Text != nil:
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: upd.Era, Offset: upd.Offset}, Text: upd.Text}, asOf, now, string(who))
@@ -155,6 +159,9 @@
 	if vw.hasUpdate(req) {
 		upd.fillEndpoints(vw, req)
 	}
+	if upd.Listed && !upd.Changed && len(vw.cold) > 0 {
+		upd.Cold, _ = loop.Get(ctx, ctl.loop, ctl.cold.current)
+	}
 	if body, err := cbor.Marshal(upd); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
 	}
--- a/internal/state/notices.go
+++ b/internal/state/notices.go
@@ -52,19 +52,27 @@
 	return values
 }
 
-// Rate returns how many requests per second an endpoint accepts from all instances together; false
-// if it declares no rate.
+// Rate returns how many requests per second an endpoint accepts from all instances together: the
+// lower one of the rate that it declares and of that which it tolerates while it is cold; false if it
+// declares none and is warm.
 func (vw *View) Rate(id ident.Process) (perSecond float64, ok bool) {
-	rte, ok := vw.declared[gossip.DeclaredRate][id]
-	return rte.value, ok
+	rte, declares := vw.declared[gossip.DeclaredRate][id]
+	end, isCold := vw.cold[id]
+	if isCold && (!declares || end.perSecond < rte.value) {
+		return end.perSecond, true
+	}
+	return rte.value, declares
 }
 
-// Rates returns the declared rates by endpoint.
+// Rates returns the rates of [View.Rate] by endpoint.
 func (vw *View) Rates() map[string]float64 {
-	all := make(map[string]float64, len(vw.declared[gossip.DeclaredRate]))
+	all := make(map[string]float64, len(vw.declared[gossip.DeclaredRate])+len(vw.cold))
 	for id, rte := range vw.declared[gossip.DeclaredRate] {
 		all[string(id)] = rte.value
 	}
+	for id := range vw.cold {
+		all[string(id)], _ = vw.Rate(id)
+	}
 	return all
 }
 
@@ -91,6 +99,7 @@
 func (ctl *Control) RecordNotice(addr string, ntc proto.Notice, sent clock.Milli, relay ident.Incarnation) {
 	vw := ctl.View()
 	ctl.recordRest(vw, addr, ntc, relay)
+	ctl.recordCold(vw, addr, ntc)
 	if ntc.Endpoint == "" {
 		return
 	}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -42,6 +42,7 @@
 	declared    map[gossip.Kind]declaredBy
 	// brittlePools has the pools with brittle endpoints.
 	brittlePools map[string]bool
+	cold         map[ident.Process]coldEnd
 }
 
 // ViewOf returns a view with a plan and endpoints only, for decisions made without a control loop.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -310,6 +310,8 @@
 	Limit    int     `json:"limit"`
 	Latency  float64 `json:"latency_ms"`
 	State    string  `json:"state"`
+	// ColdLeftMs is how much longer the endpoint is cold, in milliseconds.
+	ColdLeftMs int64 `json:"cold_left_ms,omitempty"`
 }
 
 // StatusLease is one lease in a [Status].
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -28,6 +28,9 @@
 	DeclaredBrittle // brittle
 	// Leaving: an endpoint has announced its end, or is gone; the key is the endpoint.
 	Leaving // leaving
+	// Cold: an endpoint is cold; the key is the endpoint, the value the time that it was cold for
+	// when the fact was recorded.
+	Cold // cold
 )
 
 // Fact is the wire form of a fact.
--- a/pkg/gossip/kind_string.go
+++ b/pkg/gossip/kind_string.go
@@ -12,11 +12,12 @@
 	_ = x[DeclaredRate-2]
 	_ = x[DeclaredBrittle-3]
 	_ = x[Leaving-4]
+	_ = x[Cold-5]
 }
 
-const _Kind_name = "ended_undernamed_ratebrittleleaving"
+const _Kind_name = "ended_undernamed_ratebrittleleavingcold"
 
-var _Kind_index = [...]uint8{0, 11, 21, 28, 35}
+var _Kind_index = [...]uint8{0, 11, 21, 28, 35, 39}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/pkg/plan/draft.go
+++ b/pkg/plan/draft.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -63,6 +64,11 @@
 	Name   string
 	Batch  *DraftBatch
 	Engine *DraftEngine
+	// ColdStartS is how long an endpoint is cold after its start, in seconds, and ColdPerS the rate
+	// of requests that it tolerates meanwhile, in requests per second from all instances together.
+	// If either is zero, endpoints of the pool are never cold.
+	ColdStartS float64
+	ColdPerS   float64
 }
 
 // DraftBatch describes how an endpoint of a pool processes batches of stage items.
@@ -115,6 +121,10 @@
 			fts = append(fts, Error.New("services[%d] %q: %v", i, pol.Name, err))
 			continue
 		}
+		if err := checkCold(pol); err != nil {
+			fts = append(fts, Error.New("services[%d] %q: %v", i, pol.Name, err))
+			pol.ColdStartS, pol.ColdPerS = 0, 0
+		}
 		pln.pools[pol.Name] = &Pool{draft: pol}
 	}
 	for i, raw := range drf.Routes {
@@ -172,6 +182,19 @@
 	return nil
 }
 
+// checkCold validates how long endpoints are cold, and the rate meanwhile.
+func checkCold(pol DraftPool) error {
+	for _, fld := range []struct {
+		name  string
+		value float64
+	}{{"cold time", pol.ColdStartS}, {"cold rate", pol.ColdPerS}} {
+		if !(fld.value >= 0) || math.IsInf(fld.value, 1) {
+			return fmt.Errorf("%s %g must be a finite number from 0", fld.name, fld.value)
+		}
+	}
+	return nil
+}
+
 // compileRoute validates a route.
 func (pln *Plan) compileRoute(raw DraftRoute) (*Route, error) {
 	kind, err := parseKind(raw.Kind)
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"math"
 	"strings"
 
 	"amaranthvalve/pkg/clock"
@@ -155,6 +156,16 @@
 	return rte.draft.Targets[len(rte.draft.Targets)-1].Pool
 }
 
+// HasCold reports whether endpoints of any pool may be cold.
+func (pln *Plan) HasCold() bool {
+	for _, pol := range pln.pools {
+		if _, _, ok := pol.Cold(); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Pool is a set of endpoints that do the same work.
 type Pool struct {
 	draft DraftPool
@@ -169,3 +180,15 @@
 
 // Engine returns the capabilities of the pool's model engines; nil for plain services.
 func (pol *Pool) Engine() *DraftEngine { return pol.draft.Engine }
+
+// maxColdTime bounds the time for which an endpoint is cold.
+const maxColdTime = 10 * clock.Minute
+
+// Cold returns how long an endpoint is cold after its start, and the rate that it tolerates
+// meanwhile, in requests per second from all instances together; false if endpoints are never cold.
+func (pol *Pool) Cold() (span clock.Milli, perSecond float64, ok bool) {
+	if pol.draft.ColdStartS == 0 || pol.draft.ColdPerS == 0 {
+		return 0, 0, false
+	}
+	return clock.Milli(math.Ceil(min(pol.draft.ColdStartS*float64(clock.Second), float64(maxColdTime)))), pol.draft.ColdPerS, true
+}
