--- a/internal/coord/rates.go
+++ b/internal/coord/rates.go
@@ -18,7 +18,8 @@
 // request per second, equal shares for hundreds of instances would be useless, so the coordinator
 // of a pool owns the declared rates of its endpoints: it batches the items or places the prompts,
 // and sees all of these anyway. For a plain endpoint the other instances request a permit from it.
-// An instance that can't reach the coordinator sends such an endpoint nothing.
+// An instance that can't reach the coordinator sends such an endpoint nothing. An endpoint that is
+// cold has a rate in the same way.
 
 // permitRetryDelay is how long no permits are requested from a coordinator that did not answer.
 const permitRetryDelay = 200 * clock.Milli(1)
@@ -26,7 +27,12 @@
 // rateShareIn returns the fraction of the declared rates of a pool's endpoints that this instance
 // may use by a view of the membership.
 func (crd *Coordinator) rateShareIn(vw *state.View, pool string) (share float64) {
-	return crd.shareIn(vw, pool, limit.CoordinatorShare)
+	if !vw.IsCold(pool) {
+		return crd.shareIn(vw, pool, limit.CoordinatorShare)
+	}
+	return crd.shareIn(vw, pool, func(unresponsive int, term clock.Milli) float64 {
+		return limit.ColdShare(unresponsive, term, vw.Minority())
+	})
 }
 
 // shareIn returns what this instance may use of a pool as its coordinator, by a function of the number
--- a/internal/state/cold.go
+++ b/internal/state/cold.go
@@ -198,3 +198,23 @@
 	end, ok := vw.cold[id]
 	return end.until, ok
 }
+
+// IsCold reports whether a pool has cold endpoints.
+func (vw *View) IsCold(pool string) bool { return vw.coldPools[pool] }
+
+// Minority reports whether this instance may be partitioned from a majority of the others.
+func (vw *View) Minority() bool { return vw.minority }
+
+// findColdPools returns the pools with cold endpoints.
+func findColdPools(endpoints []proto.Endpoint, ends map[ident.Process]coldEnd) map[string]bool {
+	if len(ends) == 0 {
+		return nil
+	}
+	pools := map[string]bool{}
+	for _, ep := range endpoints {
+		if _, ok := ends[ep.ID]; ok {
+			pools[ep.Pool] = true
+		}
+	}
+	return pools
+}
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -91,6 +91,8 @@
 	stepped       bool
 	// isolated is set while this instance has lost contact to the others.
 	isolated bool
+	// minority is set while this instance may be partitioned from a majority of the others.
+	minority bool
 	// storedNames are the names of the instance entries last read from the store.
 	storedNames map[string]bool
 	// viewChanged is closed, and replaced, when a view with another plan or other endpoints is
@@ -175,7 +177,7 @@
 		ctl.list.SetBlind(ctl.set.Blind())
 	}
 	ctl.stepped = true
-	ctl.isolated = ctl.list.IsIsolated(now)
+	ctl.isolated, ctl.minority = ctl.list.IsIsolated(now), ctl.list.IsMinority(now)
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
 	ctl.facts.step(now)
@@ -193,7 +195,7 @@
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
-		cold: ctl.cold.ends,
+		cold: ctl.cold.ends, coldPools: findColdPools(ctl.endpts.list, ctl.cold.ends), minority: ctl.minority,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.stepped {
 		vw.members = ctl.list.All()
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -43,6 +43,10 @@
 	// brittlePools has the pools with brittle endpoints.
 	brittlePools map[string]bool
 	cold         map[ident.Process]coldEnd
+	// coldPools has the pools with cold endpoints.
+	coldPools map[string]bool
+	// minority is set while this instance may be partitioned from a majority of the others.
+	minority bool
 }
 
 // ViewOf returns a view with a plan and endpoints only, for decisions made without a control loop.
--- a/pkg/member/choose.go
+++ b/pkg/member/choose.go
@@ -230,6 +230,13 @@
 	return now-last > isolatedAfter
 }
 
+// IsMinority reports whether this instance is isolated, or has declared half of the members or more
+// dead without a proof of their end. The others may have a majority and its roles then.
+func (lst *List) IsMinority(now clock.Milli) bool {
+	_, ok := lst.MajoritySeen(now)
+	return !ok || lst.IsIsolated(now)
+}
+
 // rank orders members by the hash of the name and the member, highest first.
 func rank(name string, ids []ident.Incarnation) []ident.Incarnation {
 	type scored struct {
