--- a/internal/coord/tenures.go
+++ b/internal/coord/tenures.go
@@ -54,6 +54,9 @@
 // hashing alone, prompts go to other engines than those that have cached them: after a loss of all
 // instances, or in a rolling restart with seven changes of the coordinator, more tokens were
 // prefilled again than in all the rest of the time.
+//
+// Endpoints with a rate are left out, also cold ones: a query counts towards the rate, and an engine
+// that has just started has nothing cached.
 func (crd *Coordinator) queryCaches(vw *state.View, pool string) {
 	if crd.set.CachedParts == nil {
 		return
--- a/internal/state/cold_test.go
+++ b/internal/state/cold_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
@@ -207,6 +208,15 @@
 	gom.Expect(ctl.View().Rates()).To(gomega.BeEmpty())
 	ctl.RecordNotice("e1", proto.Notice{Endpoint: "e1", ColdLeft: 500}, clock.Clock{}.Now(), "")
 	gom.Eventually(func() float64 { return rate(ctl, "e1") }, soon).Should(gomega.Equal(coldRate))
+	// An instance that starts is told with the whole list and with the documents.
+	body, err := cbor.Marshal(updateRequest{})
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	var upd update
+	gom.Expect(cbor.Unmarshal(ctl.ServeFollower(t.Context(), peer.Message{Body: body}).Body, &upd)).To(gomega.Succeed())
+	gom.Expect(upd.Cold).To(gomega.HaveLen(1))
+	var snp snapshot
+	gom.Expect(cbor.Unmarshal(ctl.Handle(t.Context(), peer.Message{Kind: peer.GetState}).Body, &snp)).To(gomega.Succeed())
+	gom.Expect(snp.Cold).To(gomega.HaveLen(1))
 	before := changes.Load()
 	gom.Consistently(func() float64 { return rate(ctl, "e1") }, 500*time.Millisecond).Should(gomega.Equal(coldRate))
 	gom.Eventually(func() float64 { return rate(ctl, "e1") }, soon).Should(gomega.BeZero())
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -62,7 +62,7 @@
 	Changed   bool             `cbor:"8,keyasint,omitempty"`
 	Gone      []string         `cbor:"9,keyasint,omitempty"`
 	Digest    uint64           `cbor:"10,keyasint,omitempty"`
-	// Cold are the facts on endpoints that are cold, with a full list.
+	// Cold are the facts on endpoints that are cold, for a follower without a list or with a full one.
 	Cold []gossip.Fact `cbor:"20,keyasint,omitempty"`
 }
 
@@ -159,7 +159,7 @@
 	if vw.hasUpdate(req) {
 		upd.fillEndpoints(vw, req)
 	}
-	if upd.Listed && !upd.Changed && len(vw.cold) > 0 {
+	if upd.Listed && (req.Digest == 0 || !upd.Changed) && len(vw.cold) > 0 {
 		upd.Cold, _ = loop.Get(ctx, ctl.loop, ctl.cold.current)
 	}
 	if body, err := cbor.Marshal(upd); err == nil {
