--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -93,6 +93,7 @@
 	GaugeSevered    = "endpoints_reached_by_relay"
 	GaugeBlind      = "blind"
 	GaugeEvacuated  = "evacuated_data_centres"
+	GaugeCold       = "endpoints_cold"
 )
 
 // New returns a meter whose counters are zero.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -44,14 +44,17 @@
 		})
 	}
 	for _, ep := range vw.Endpoints() {
-		state := "ready"
+		ste := wire.StatusEndpoint{Pool: ep.Pool, ID: string(ep.ID), Addr: ep.Addr, State: "ready"}
+		if until, ok := vw.ColdUntil(ep.ID); ok {
+			ste.State, ste.ColdLeftMs = "cold", max(int64(until-now), 0)
+		}
 		switch {
 		case ep.Leaving:
-			state = "leaving"
+			ste.State = "leaving"
 		case ep.Withheld:
-			state = "evacuated"
+			ste.State = "evacuated"
 		}
-		st.Endpoints = append(st.Endpoints, wire.StatusEndpoint{Pool: ep.Pool, ID: string(ep.ID), Addr: ep.Addr, State: state})
+		st.Endpoints = append(st.Endpoints, ste)
 	}
 	for _, zon := range vw.Evacuations(now) {
 		evacuated := wire.StatusEvacuation{Zone: zon.Name, SinceMs: zon.Age}
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -59,8 +59,8 @@
 	// OnRest is called for each answer by which an endpoint asks for rest, with the instance that
 	// relayed the request, empty for none; it may be nil.
 	OnRest func(id ident.Process, span clock.Milli, relay ident.Incarnation)
-	// OnChange is called on the control loop with each new view whose plan, endpoints or values
-	// declared by endpoints differ from those of the view before.
+	// OnChange is called on the control loop with each new view whose plan, endpoints, values
+	// declared by endpoints or cold endpoints differ from those of the view before.
 	OnChange func(vw *View)
 }
 
@@ -78,11 +78,13 @@
 	docs      docsCtl
 	endpts    endptsCtl
 	facts     factsCtl
+	cold      coldCtl
 	rests     rests
 	evacs     evacsCtl
 	leaving   bool
 	dirty     bool
-	// noticesChanged is set if values declared by endpoints changed since the last view.
+	// noticesChanged is set if values declared by endpoints, or the cold ones, changed since the last
+	// view.
 	noticesChanged bool
 	// rankedChanges is the change counter of the member list when the view's rankings were
 	// computed. stepped is set after a step, which updates heartbeats and loads of members.
@@ -90,6 +92,8 @@
 	stepped       bool
 	// isolated is set while this instance has lost contact to the others.
 	isolated bool
+	// minority is set while this instance may be partitioned from a majority of the others.
+	minority bool
 	// storedNames are the names of the instance entries last read from the store.
 	storedNames map[string]bool
 	// viewChanged is closed, and replaced, when a view with another plan or other endpoints is
@@ -122,6 +126,8 @@
 	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace}
 	ctl.facts = newFacts(ctl)
 	ctl.evacs.ctl = ctl
+	ctl.cold.ctl = ctl
+	ctl.cold.released = func(zone string) (at clock.Milli, ok bool) { return ctl.evacs.set.Released(zone) }
 	ctl.view.Store(&View{position: proto.Position{Offset: -1}})
 	changed := make(chan struct{})
 	ctl.viewChanged.Store(&changed)
@@ -174,7 +180,7 @@
 		ctl.list.SetBlind(ctl.set.Blind())
 	}
 	ctl.stepped = true
-	ctl.isolated = ctl.list.IsIsolated(now)
+	ctl.isolated, ctl.minority = ctl.list.IsIsolated(now), ctl.list.IsMinority(now)
 	ctl.group.Tick(now)
 	ctl.endpts.step(now)
 	ctl.facts.step(now)
@@ -186,12 +192,14 @@
 // publish stores a new view. What is derived from the members alone is reused while they are
 // unchanged: ranking them for every event took a quarter of the processor at 300 instances.
 func (ctl *Control) publish(now clock.Milli) {
+	ctl.cold.update(now)
 	old := ctl.view.Load()
 	vw := &View{
 		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, builds: old.builds, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay,
 		evacuations: ctl.evacs.set, eligible: old.eligible, suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
+		cold: ctl.cold.ends, coldPools: findColdPools(ctl.endpts.list, ctl.cold.ends), minority: ctl.minority,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.stepped {
 		vw.members = ctl.list.All()
--- a/internal/state/exchange.go
+++ b/internal/state/exchange.go
@@ -10,6 +10,7 @@
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/evac"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/member"
 )
@@ -73,6 +74,8 @@
 	Era     int64           `cbor:"6,keyasint,omitempty"`
 	// Evacuations is the set of evacuated data centres, nil from senders of earlier builds.
 	Evacuations *evac.Records `cbor:"7,keyasint,omitempty"`
+	// Cold are the facts on endpoints that are cold.
+	Cold []gossip.Fact `cbor:"15,keyasint,omitempty"`
 }
 
 // fetchSnapshot fetches the state of another instance.
@@ -97,6 +100,7 @@
 			}
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: snp.Era, Offset: snp.Offset}, Text: snp.Text}, sent-snp.Age, now, string(from))
 			dct.ctl.endpts.applySnapshot(snp.Endpoints)
+			dct.ctl.facts.take(snp.Cold, now)
 			dct.ctl.list.Merge(snp.Members, now)
 			dct.ctl.membersLoaded.fire()
 		})
@@ -145,7 +149,7 @@
 	rec := ctl.evacs.set.Records(now)
 	body, err := cbor.Marshal(snapshot{
 		Offset: ctl.docs.doc.Offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec,
+		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec, Cold: ctl.cold.current(now),
 	})
 	if err != nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -14,6 +14,7 @@
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/evac"
+	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/ident"
 )
 
@@ -66,6 +67,8 @@
 	// earlier and differs.
 	Mark        *evac.Mark    `cbor:"14,keyasint,omitempty"`
 	Evacuations *evac.Records `cbor:"15,keyasint,omitempty"`
+	// Cold are the facts on endpoints that are cold, for a follower without a list or with a full one.
+	Cold []gossip.Fact `cbor:"20,keyasint,omitempty"`
 }
 
 // updateRequest describes what a follower has: the offset of its documents, and the list of
@@ -120,6 +123,7 @@
 			ctl.evacs.apply(*upd.Evacuations, asOf, now, string(who))
 		}
 		ctl.evacs.receive(upd.Mark)
+		ctl.facts.take(upd.Cold, now)
 		switch {
 		case upd.Text != nil:
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: upd.Era, Offset: upd.Offset}, Text: upd.Text}, asOf, now, string(who))
@@ -176,6 +180,9 @@
 		rec := vw.evacuations.Records(now)
 		upd.Evacuations = &rec
 	}
+	if upd.Listed && (req.Digest == 0 || !upd.Changed) && len(vw.cold) > 0 {
+		upd.Cold, _ = loop.Get(ctx, ctl.loop, ctl.cold.current)
+	}
 	if body, err := cbor.Marshal(upd); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
 	}
