--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,10 +169,14 @@
 		},
 		Endpoints: func() []proto.Endpoint { return nod.ctl.View().Endpoints() },
 		Relays:    func() []reach.Relay { return nod.ctl.View().Relays(inc) },
-		MayRelay:  func(ep proto.Endpoint) bool { return !ep.Leaving && !nod.ctl.Resting(ep.ID) && nod.ctl.MaySend(ep.ID, ep.Zone) },
-		MaySend:   func(id ident.Process, zone string) bool { return nod.ctl.MaySend(id, zone) },
-		MayProbe:  func(ep proto.Endpoint) bool { return !ep.Leaving && !ep.Withheld && !nod.ctl.View().BrittlePools()[ep.Pool] },
-		OnHealed:  func() { nod.pooled.CloseIdleConnections() },
+		MayRelay: func(ep proto.Endpoint) bool {
+			return !ep.Leaving && !nod.ctl.Resting(ep.ID) && nod.ctl.MaySend(ep.ID, ep.Zone)
+		},
+		MaySend: func(id ident.Process, zone string) bool { return nod.ctl.MaySend(id, zone) },
+		MayProbe: func(ep proto.Endpoint) bool {
+			return !ep.Leaving && !ep.Withheld && !nod.ctl.View().BrittlePools()[ep.Pool]
+		},
+		OnHealed: func() { nod.pooled.CloseIdleConnections() },
 	})
 	cli := relay.PooledClient(idleConnTimeout, nod.dialAllowed, onReply)
 	nod.pooled = cli
