--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -330,6 +330,8 @@
 	switch {
 	case run.mayHaveRun == 0 && passed:
 		return outcm.Refuse(outcm.DeadlinePassed, minRetryAfter, "no endpoint accepted the request before its deadline")
+	case run.mayHaveRun == 0 && fr.set.Control.View().IsStranded(cl.pool.Name(), cl.bound.build):
+		return fr.refuseEvacuated(cl.pool.Name())
 	case run.mayHaveRun == 0 && all:
 		return fr.refuseResting(rested)
 	case run.mayHaveRun == 0:
--- a/internal/state/evacs.go
+++ b/internal/state/evacs.go
@@ -40,6 +40,7 @@
 	set, changes := ect.set.Expire(now)
 	ect.put(set, changes, 0, "store")
 	ect.warnUnlisted()
+	ect.ctl.set.Meter.SetGauge(meter.GaugeEvacuated, float64(set.Len()))
 }
 
 // put replaces the set, and logs what changed.
@@ -59,7 +60,6 @@
 		ect.ctl.set.Log.Info().Str("zone", chg.Zone).Int64("era", pos.Era).Int64("end", pos.End).Int64("age_ms", int64(age)).
 			Int("endpoints", ect.countIn(chg.Zone)).Str("from", from).Msg(msg)
 	}
-	ect.ctl.set.Meter.SetGauge(meter.GaugeEvacuated, float64(set.Len()))
 }
 
 // warnUnlisted logs evacuated data centres without endpoints, which may be misspelt, once the endpoints are
--- a/internal/state/evacs_test.go
+++ b/internal/state/evacs_test.go
@@ -1,8 +1,10 @@
 package state
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/proto"
@@ -275,3 +278,27 @@
 	gom.Expect(msg.Evacuations).To(gomega.BeNil())
 	gom.Expect(ctl.evacs.receive(nil)).To(gomega.BeFalse())
 }
+
+// Guards against an invalid record or a data centre without endpoints that nobody hears of, or that is logged at each
+// read, and against changes without a line of their own.
+func TestEvacuationsAreLoggedOnce(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var log bytes.Buffer
+	ctl := newEndpts().ctl
+	ctl.set.Log = zerolog.New(&log)
+	ctl.endpts.list, _, _ = zonedEndpoints(t.Context())
+	count := func(text string) int { return strings.Count(log.String(), text) }
+	doc := proto.Document{Position: proto.Position{Offset: -1}, End: 4, Evacuated: []string{"north", "nowhere"}, Faults: []error{errors.New("a bad key")}}
+	for now := range clock.Milli(3) {
+		doc.End++
+		ctl.evacs.applyRead(doc, now, now+7)
+		ctl.evacs.step(now)
+	}
+	gom.Expect(log.String()).To(gomega.ContainSubstring(`"zone":"north","era":0,"end":5,"age_ms":7,"endpoints":1,"from":"store","message":"data centre evacuated"`))
+	gom.Expect(count("data centre evacuated")).To(gomega.Equal(2))
+	gom.Expect(count("a bad key")).To(gomega.Equal(1))
+	gom.Expect(count("no endpoint is listed in an evacuated data centre")).To(gomega.Equal(1))
+	doc.End, doc.Evacuated = 9, nil
+	ctl.evacs.applyRead(doc, 9, 9)
+	gom.Expect(count("data centre released")).To(gomega.Equal(2))
+}
