--- a/pkg/cold/cold_test.go
+++ b/pkg/cold/cold_test.go
@@ -54,6 +54,7 @@
 	var bk Book
 	bk.List([]string{"a"}, 1000)
 	bk.List(nil, 2000)
+	bk.List([]string{"b"}, 2100)
 	bk.List([]string{"a"}, 2000+goneRetention)
 	gom.Expect(endOf(&bk, Endpoint{ID: "a", Span: span}, 2000+goneRetention)).To(gomega.BeZero())
 	for i := range clock.Milli(1000) {
--- a/pkg/limit/cold_size_test.go
+++ b/pkg/limit/cold_size_test.go
@@ -250,17 +250,14 @@
 		least float64
 	}
 	list := []scenario{{name: "undisturbed", least: 0.6}}
-	for _, before := range []clock.Milli{0, 500, 1500, 3000, 6000} {
-		for _, divisor := range []int{0, 3} {
-			list = append(list, scenario{name: fmt.Sprintf("partitioned %d ms before, one in %d", before, divisor), before: func(cfl *coldFleet) {
-				count := 1
-				if divisor > 0 {
-					count = len(cfl.Instances()) / divisor
-				}
-				cfl.partitionFirst(count)
-				cfl.runLoaded(before)
-			}})
-		}
+	for _, before := range []clock.Milli{0, 500, 1500, 3000, 6000, 15_000} {
+		list = append(list, scenario{name: fmt.Sprintf("coordinator partitioned %d ms before", before), before: func(cfl *coldFleet) {
+			cfl.partitionFirst(1)
+			cfl.runLoaded(before)
+		}}, scenario{name: fmt.Sprintf("nearly half partitioned %d ms before", before), before: func(cfl *coldFleet) {
+			cfl.partitionFirst((len(cfl.Instances()) - 1) / 2)
+			cfl.runLoaded(before)
+		}})
 	}
 	for _, after := range []clock.Milli{0, 400, 1200} {
 		list = append(list, scenario{name: fmt.Sprintf("coordinator restarts %d ms after", after), least: 0.2, after: func(cfl *coldFleet) {
