--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -128,6 +128,8 @@
 	// read from the store only: it counts down from entry to entry, and would make each of them a
 	// change of the list.
 	ColdLeft clock.Milli `cbor:"-"`
+	// EntryOffset is the offset of the entry in the store, set together with ColdLeft.
+	EntryOffset int64 `cbor:"-"`
 }
 
 // Instance is an instance's entry in the store.
--- a/internal/state/cold.go
+++ b/internal/state/cold.go
@@ -54,19 +54,20 @@
 
 // takeEntries returns the remaining cold times in entries read from the store, and removes them from
 // the list: each read would otherwise be a change.
-func takeEntries(eps []proto.Endpoint) map[ident.Process]clock.Milli {
-	left := make(map[ident.Process]clock.Milli, len(eps))
+func takeEntries(eps []proto.Endpoint) map[ident.Process]cold.Entry {
+	all := make(map[ident.Process]cold.Entry, len(eps))
 	for i := range eps {
-		left[eps[i].ID], eps[i].ColdLeft = eps[i].ColdLeft, 0
+		all[eps[i].ID] = cold.Entry{Left: eps[i].ColdLeft, Offset: eps[i].EntryOffset}
+		eps[i].ColdLeft, eps[i].EntryOffset = 0, 0
 	}
-	return left
+	return all
 }
 
 // entries records the remaining cold times in entries read from the store.
-func (ccl *coldCtl) entries(left map[ident.Process]clock.Milli, now clock.Milli) {
-	for id, span := range left {
-		ccl.book.Entry(string(id), span, now)
-		ccl.dirty = ccl.dirty || span > 0
+func (ccl *coldCtl) entries(all map[ident.Process]cold.Entry, now clock.Milli) {
+	for id, ent := range all {
+		ccl.book.Entry(string(id), ent, now)
+		ccl.dirty = ccl.dirty || ent.Left > 0
 	}
 }
 
--- a/internal/state/cold_test.go
+++ b/internal/state/cold_test.go
@@ -132,7 +132,7 @@
 	ctl.set.OnChange = func(*View) { changed++ }
 	for now := clock.Milli(2700); now < 5000; now += 700 {
 		eps := list("a", "b")
-		eps[0].ColdLeft = 5000 - now + 150
+		eps[0].ColdLeft, eps[0].EntryOffset = 5000-now+150, int64(now)
 		at(now, func() { ctl.endpts.applyRead(eps, nil, nil, now) })
 		gom.Expect(ctl.View().Endpoints()).To(gomega.Equal(list("a", "b")))
 	}
@@ -222,3 +222,17 @@
 	gom.Eventually(func() float64 { return rate(ctl, "e1") }, soon).Should(gomega.BeZero())
 	gom.Expect(changes.Load()).To(gomega.BeNumerically(">", before))
 }
+
+// Guards against an endpoint that becomes cold again before its next entry is read, which names the same
+// time: it would be taken for the entry read before.
+func TestColdAgain(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl, at := coldEndpts("a")
+	for i, now := range []clock.Milli{2000, 3500} {
+		eps := list("a")
+		eps[0].ColdLeft, eps[0].EntryOffset = coldTime, int64(i+5)
+		at(now, func() { ctl.endpts.applyRead(eps, nil, nil, now) })
+	}
+	at(3500+coldTime-1, func() { ctl.stepped = true })
+	gom.Expect(rate(ctl, "a")).To(gomega.Equal(coldRate))
+}
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -141,12 +141,12 @@
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
 	ect.down, ect.loaded = false, true
 	ect.logFaults(faults)
-	left := takeEntries(list)
+	entries := takeEntries(list)
 	if now-min(ect.upSince, ect.otherUpSince) < lapsedGrace || now-ect.missingSince < lapsedGrace {
 		list = ect.withLapsed(list)
 	}
 	ect.apply(list, now)
-	ect.ctl.cold.entries(left, now)
+	ect.ctl.cold.entries(entries, now)
 }
 
 // withLapsed adds the known endpoints that are missing from a list, except those whose address
--- a/pkg/cold/cold.go
+++ b/pkg/cold/cold.go
@@ -54,8 +54,8 @@
 	startedAt     clock.Milli
 	started       bool
 	reportedUntil clock.Milli
-	// entryLeft is the remaining time in the entry read last.
-	entryLeft clock.Milli
+	// entry is the entry read last.
+	entry Entry
 	// goneAt is when the endpoint was no longer listed.
 	goneAt clock.Milli
 	gone   bool
@@ -96,15 +96,22 @@
 	bk.listed = true
 }
 
-// Entry records the remaining cold time in an endpoint's entry in the store. The same entry is read
-// several times, which does not prolong the time.
-func (bk *Book) Entry(id string, left, now clock.Milli) {
+// Entry is what an endpoint's entry in the store says: the remaining cold time when it was written.
+// Offset identifies the entry: an endpoint that becomes cold again may write the same time twice.
+type Entry struct {
+	Left   clock.Milli
+	Offset int64
+}
+
+// Entry records an endpoint's entry. The same entry is read several times, which does not prolong the
+// time.
+func (bk *Book) Entry(id string, ent Entry, now clock.Milli) {
 	lrn, ok := bk.byID[id]
-	if !ok || lrn.entryLeft == left {
+	if !ok || lrn.entry == ent {
 		return
 	}
-	lrn.entryLeft = left
-	bk.Answer(id, left, now)
+	lrn.entry = ent
+	bk.Answer(id, ent.Left, now)
 }
 
 // Answer records the remaining cold time that an endpoint names in an answer.
--- a/pkg/cold/cold_test.go
+++ b/pkg/cold/cold_test.go
@@ -16,7 +16,7 @@
 	var bk Book
 	bk.List([]string{"e-1"}, 1000)
 	bk.List([]string{"e-1", "e-2"}, 2000)
-	bk.Entry("e-1", 700, 2000)
+	bk.Entry("e-1", Entry{Left: 700}, 2000)
 	list := []Endpoint{{ID: "e-1", Span: span}, {ID: "e-2", Span: span}, {ID: "e-3", Span: span, ReleasedAt: 1500}, {ID: "e-4", Span: span, ToldUntil: 2200}}
 	ends := bk.Ends(list, 2100)
 	for _, ep := range list {
@@ -71,11 +71,10 @@
 	bk.List([]string{"a"}, 1000)
 	ep := Endpoint{ID: "a", Span: span}
 	for now := clock.Milli(1000); now < 9000; now += 700 {
-		bk.Entry("a", 2000, now)
+		bk.Entry("a", Entry{Left: 2000, Offset: 4}, now)
 	}
 	gom.Expect(endOf(&bk, ep, 1500)).To(gomega.Equal(clock.Milli(3000)))
-	bk.Entry("a", 0, 9000)
-	bk.Entry("a", 2000, 10_000)
+	bk.Entry("a", Entry{Left: 2000, Offset: 5}, 10_000)
 	gom.Expect(endOf(&bk, ep, 10_000)).To(gomega.Equal(clock.Milli(12_000)), "it is cold again")
 }
 
@@ -85,7 +84,7 @@
 // 700 ms and arrive with any delay up to that.
 func TestEndIsNeverEarly(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		gom := gomega.NewWithT(t)
+		gom := gomega.NewWithT(rt)
 		starts := rapid.SliceOfN(rapid.IntRange(1, 6000), 1, 5).Draw(rt, "starts")
 		delay := clock.Milli(rapid.IntRange(0, 700).Draw(rt, "delay"))
 		var bk Book
@@ -105,7 +104,7 @@
 			}
 			if now-readAt >= 700 && now-writtenAt >= delay {
 				readAt = now
-				bk.Entry("a", left, now)
+				bk.Entry("a", Entry{left, int64(writtenAt)}, now)
 			}
 			ep := Endpoint{ID: "a", Span: span, ToldUntil: toldUntil}
 			end := bk.Ends([]Endpoint{ep}, now)["a"]
--- a/pkg/limit/cold_size_test.go
+++ b/pkg/limit/cold_size_test.go
@@ -93,7 +93,7 @@
 	}
 	sdr.book.List(ids, cfl.Now())
 	for _, id := range ids {
-		sdr.book.Entry(id, max(cfl.began+coldSpan-cfl.Now(), 0), cfl.Now())
+		sdr.book.Entry(id, cold.Entry{Left: max(cfl.began+coldSpan-cfl.Now(), 0)}, cfl.Now())
 	}
 	sdr.listed = cfl.run
 }
@@ -296,7 +296,7 @@
 // any time of the cold period and for any load.
 func TestTwoCoordinatorsOfColdEndpoint(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		gom := gomega.NewWithT(t)
+		gom := gomega.NewWithT(rt)
 		rate := rapid.SampledFrom([]float64{0.5, 3, 7.4, 9.9, 40}).Draw(rt, "rate")
 		changes := clock.Milli(rapid.IntRange(0, 3000).Draw(rt, "changes"))
 		pauses := rapid.SliceOfN(rapid.IntRange(0, 400), 1, 20).Draw(rt, "pauses")
