pkg/gather, pkg/admit: waits by rank over a chain, and a guard against starvation

The wait that was estimated for a request counted all queued items, also those that it would overtake, so that urgent requests were refused because of less urgent ones. WaitFor counts what goes before an item of a priority, and the more urgent items that come meanwhile. WaitTable keeps the last waits by rank; Recent notices groups that are served far less often than all.

--- a/pkg/admit/budget.go
+++ b/pkg/admit/budget.go
@@ -19,6 +19,10 @@
 	ToTarget   clock.Milli
 	// Contended is set if other requests are queued at the pools of this one.
 	Contended bool
+	// Starved is the class by which the request is starved. A request whose size is starved is held to its
+	// deadline only: where its stages alone take most of the target latency, it would be refused for as
+	// long as its pools are contended.
+	Starved Class
 }
 
 // Admission is the admission decision for a request.
@@ -41,7 +45,7 @@
 	switch {
 	case bdg.Estimate > bdg.ToDeadline:
 		return MissesDeadline
-	case bdg.Contended && float64(bdg.Estimate) > contendedShare*float64(bdg.ToTarget):
+	case bdg.Contended && bdg.Starved != Size && float64(bdg.Estimate) > contendedShare*float64(bdg.ToTarget):
 		return ShedLate
 	}
 	return Admit
--- a/pkg/admit/chain_test.go
+++ b/pkg/admit/chain_test.go
@@ -56,6 +56,8 @@
 	burstBy    float64
 	// lost is the share of wait queries without an answer in time.
 	lost float64
+	// ranked is set if the routes have different priorities.
+	ranked bool
 }
 
 // threeRoutes has three routes over three stage pools with one slot per endpoint.
@@ -72,7 +74,7 @@
 			{perS: 64, target: 1600, deadline: 8000, rank: 1, stages: []stageLoad{{pool: 0, share: 0.7, count: 2.5, weight: 1}}},
 			{perS: 50, target: 2300, deadline: 20000, rank: 2, stages: append(chain[:3:3], stageLoad{pool: 0, share: 0.4, count: 1.5, weight: 1})},
 		},
-		instances: instances, workspaces: 16, span: 24000, burst: 1, burstFrom: 5000, burstUntil: 12000, burstBy: 2.7, lost: 0.1,
+		instances: instances, workspaces: 16, span: 24000, burst: 1, burstFrom: 5000, burstUntil: 12000, burstBy: 2.7, lost: 0.1, ranked: true,
 	}
 }
 
@@ -138,13 +140,15 @@
 type simReq struct {
 	route, workspace int
 	first            clock.Milli
-	items            []int
-	rank             int
-	retried          bool
-	pending          []int
-	left             int
-	work             float64
-	ended            bool
+	// onRefusal, if set, is called when an admitted request is refused after all.
+	onRefusal func()
+	items     []int
+	rank      int
+	retried   bool
+	pending   []int
+	left      int
+	work      float64
+	ended     bool
 }
 
 // simItem maps an item to its request.
@@ -256,6 +260,10 @@
 // refuse ends an attempt; its caller comes back once.
 func (sim *simulation) refuse(req *simReq, again clock.Milli) {
 	req.ended = true
+	if req.onRefusal != nil {
+		req.onRefusal()
+		req.onRefusal = nil
+	}
 	if req.retried {
 		sim.rep.routes[req.route].refused++
 		sim.rep.workspaces[req.workspace].refused++
@@ -327,19 +335,24 @@
 		return
 	}
 	rte := sim.routes[req.route]
-	after := firstByteMs + sim.timeFrom(req, stg, func(i int) clock.Milli { return sim.serviceTime(req, i) }) - sim.serviceTime(req, stg)
-	pool := rte.stages[stg].pool
+	pool, due := rte.stages[stg].pool, sim.due(req, stg)
 	sim.nextID++
 	job := sim.nextID
 	req.pending[stg] = req.items[stg]
 	for range req.items[stg] {
 		sim.nextID++
 		sim.items[sim.nextID] = simItem{req, stg}
-		sim.scheds[pool].Add(gather.Item{ID: sim.nextID, Job: job, Due: req.first + rte.target - after, Expires: req.first + rte.deadline - after, Priority: req.rank})
+		sim.scheds[pool].Add(gather.Item{ID: sim.nextID, Job: job, Added: sim.now, Due: due, Expires: due + rte.deadline - rte.target, Priority: req.rank, Ranked: sim.ranked})
 	}
 	sim.dispatch(pool)
 }
 
+// due returns when the items of a stage are due.
+func (sim *simulation) due(req *simReq, stg int) clock.Milli {
+	service := func(i int) clock.Milli { return sim.serviceTime(req, i) }
+	return req.first + sim.routes[req.route].target - firstByteMs - sim.timeFrom(req, stg, service) + service(stg)
+}
+
 // next starts the stages that depend on a completed one, or the final call.
 func (sim *simulation) next(req *simReq, stg int) {
 	for i, load := range sim.routes[req.route].stages {
@@ -435,3 +448,53 @@
 	bdg := admit.Budget{Estimate: sim.estimate(req, waits), ToDeadline: req.first + rte.deadline - sim.now, ToTarget: req.first + rte.target - sim.now, Contended: contended}
 	return bdg.Judge() == admit.Admit, bdg.Excess()
 }
+
+// ranked admits by the waits at the rank of the request, and guards against starvation.
+type ranked struct {
+	waits  map[int]*admit.WaitTable
+	recent map[int]*admit.Recent
+	// unguarded turns the guard off.
+	unguarded bool
+	starved   int
+}
+
+func (rkd *ranked) admit(sim *simulation, inst int, req *simReq) (bool, clock.Milli) {
+	if rkd.waits == nil {
+		rkd.waits, rkd.recent = map[int]*admit.WaitTable{}, map[int]*admit.Recent{}
+	}
+	if rkd.waits[inst] == nil {
+		rkd.waits[inst], rkd.recent[inst] = &admit.WaitTable{}, &admit.Recent{}
+	}
+	known, recent := rkd.waits[inst], rkd.recent[inst]
+	waits, contended, items := make([]clock.Milli, len(sim.pools)), false, 0
+	for _, n := range req.items {
+		items += n
+	}
+	lost := sim.rng.Float64() < sim.lost
+	rte := sim.routes[req.route]
+	groups := admit.Groups(fmt.Sprint(req.route), fmt.Sprint(req.workspace), items)
+	starved := recent.Starved(groups, sim.now)
+	req.rank = rte.rank
+	if starved != admit.NoClass && !rkd.unguarded {
+		req.rank = 0
+		rkd.starved++
+	} else {
+		starved = admit.NoClass
+	}
+	for stg, load := range rte.stages {
+		name := fmt.Sprint(load.pool)
+		if !lost {
+			known.Note(name, req.rank, sim.scheds[load.pool].WaitFor(req.rank, sim.due(req, stg), sim.now), sim.now)
+		}
+		waits[load.pool] = known.At(name, req.rank, sim.now)
+		spc := sim.pools[load.pool].spec
+		contended = contended || float64(waits[load.pool]) > 0.5*float64(spc.Time(spc.MaxItems))
+	}
+	bdg := admit.Budget{Estimate: sim.estimate(req, waits), ToDeadline: req.first + rte.deadline - sim.now, ToTarget: req.first + rte.target - sim.now, Contended: contended, Starved: starved}
+	admitted := bdg.Judge() == admit.Admit
+	recent.Record(groups, req.retried, admitted, sim.now)
+	if admitted {
+		req.onRefusal = func() { recent.Revoke(groups, sim.now) }
+	}
+	return admitted, bdg.Excess()
+}
--- a/pkg/gather/choose.go
+++ b/pkg/gather/choose.go
@@ -95,18 +95,20 @@
 }
 
 // sortWaiting orders the waiting items: remaining items of jobs that have begun, then items that
-// can still be on time, then late items; within each class by due time.
+// can still be on time, then late items; within each class by due time, with a step for each
+// priority that is larger for ranked items while the pool is contended.
 //
 // Remaining items go first even if they are late. The results of a job that has begun can be
 // neither used nor released before its last item is complete. When they were sorted behind all
 // others, they waited until they expired while the results of the job occupied the storage that the
 // others needed: the pool stalled with its endpoints idle.
 func (sch *Scheduler) sortWaiting(now clock.Milli) {
+	contended := sch.contended(now)
 	slices.SortStableFunc(sch.waiting, func(x, y Item) int {
 		if classX, classY := sch.class(x, now), sch.class(y, now); classX != classY {
 			return cmp.Compare(classX, classY)
 		}
-		return cmp.Compare(x.Due+clock.Milli(x.Priority)*priorityStep, y.Due+clock.Milli(y.Priority)*priorityStep)
+		return cmp.Compare(orderTime(x, contended), orderTime(y, contended))
 	})
 }
 
--- a/pkg/gather/doc.go
+++ b/pkg/gather/doc.go
@@ -16,6 +16,10 @@
 // request a little late: the most overdue item would always go first, although its answer has
 // already lost most of its value.
 //
+// Where a document gives different priorities to the routes of a pool, the step between two
+// priorities is larger while the pool is contended, and [Scheduler.WaitFor] estimates the wait of a
+// priority by what goes before it.
+//
 // Batches of a pool start at even intervals: see [Scheduler.StartDelay].
 //
 // # Locality and result storage
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -90,12 +90,16 @@
 	ID int64
 	// Job groups the items of one stage of one request; the job is complete when all its items are.
 	Job int64
+	// Added is when the item was added.
+	Added clock.Milli
 	// Due is when the item must be complete for its request to be on time.
 	Due clock.Milli
 	// Expires is when the item becomes useless.
 	Expires clock.Milli
 	// Priority is the request's priority, 0 being the highest.
 	Priority int
+	// Ranked is set if a document gives different priorities to the routes that share the pool.
+	Ranked bool
 	// Zone is the preferred data centre, where the item's inputs are or its result will be used;
 	// empty if there is none.
 	Zone string
@@ -223,6 +227,7 @@
 	meanFill   float64
 	throughput throughput
 	spacing    spacing
+	demand     demand
 	// allKnownAt is when all results from before this scheduler started will have expired.
 	allKnownAt clock.Milli
 }
@@ -272,6 +277,7 @@
 
 // Add queues an item. An exclusive item makes its whole job exclusive.
 func (sch *Scheduler) Add(itm Item) {
+	sch.demand.add(itm.Priority, itm.Added)
 	sch.waiting = append(sch.waiting, itm)
 	for i := range sch.waiting {
 		sch.waiting[i].Exclusive = sch.waiting[i].Exclusive || itm.Exclusive && sch.waiting[i].Job == itm.Job
@@ -321,14 +327,19 @@
 		return max(maxEject, sch.restLeft(now))
 	}
 	sch.throughput.observe(0, len(sch.waiting) >= sch.spec.MaxItems, now)
-	interval := max(sch.plannedInterval(rate), sch.throughput.interval())
 	ahead := 0
 	for _, itm := range sch.waiting {
 		if now+sch.spec.Time(1) <= itm.Due {
 			ahead++
 		}
 	}
-	return soonest + clock.Milli(float64(ahead)*interval)
+	return soonest + clock.Milli(float64(ahead)*sch.interval(rate))
+}
+
+// interval returns the expected mean time between the starts of two items with the given number of
+// slots, in milliseconds: the planned one or, if that is longer, the measured one.
+func (sch *Scheduler) interval(rate float64) float64 {
+	return max(sch.plannedInterval(rate), sch.throughput.interval())
 }
 
 // plannedInterval returns the planned mean time between the starts of two items with the given
