internal/coord, internal/front: admission of staged requests by rank

Where routes of different priorities share a stage pool, a wait query tells the rank and the time until the items are due, and the reply has the waits for it. Instances of the previous build ignore the new fields; their answers are used as before. Estimates are kept by pool and rank. The front counts recent admissions by route, workspace and size, and admits a starved group at the most urgent rank. Refusals are logged with the estimates by stage and counted by rank.

--- a/internal/batch/batcher.go
+++ b/internal/batch/batcher.go
@@ -103,4 +103,10 @@
 // instance.
 func (btr *Batcher) EstimateWait(name string) clock.Milli { return btr.pool(name).wait() }
 
+// EstimateRankWait is [Batcher.EstimateWait] for an item of a rank that is due after a span: it counts
+// only what goes before the item.
+func (btr *Batcher) EstimateRankWait(name string, rank int, due clock.Milli) clock.Milli {
+	return btr.pool(name).waitFor(rank, due)
+}
+
 func afterFunc(span clock.Milli, work func()) { time.AfterFunc(span.Duration(), work) }
--- a/internal/batch/order.go
+++ b/internal/batch/order.go
@@ -35,6 +35,8 @@
 	// Exclusive keeps the items out of batches shared with other requests, because endpoints have
 	// crashed under this request.
 	Exclusive bool `cbor:"16,keyasint,omitempty"`
+	// Ranked is set if the document gives different priorities to the routes that share the pool.
+	Ranked bool `cbor:"17,keyasint,omitempty"`
 }
 
 // ResultSet is a set of results of one pool, with the address of the coordinator that had them
@@ -55,6 +57,9 @@
 	InputsReleased bool `cbor:"4,keyasint,omitempty"`
 	// Crashed lists the endpoints that crashed while they had items of the order.
 	Crashed []ident.Process `cbor:"5,keyasint,omitempty"`
+	// RankWait is how long an item of the order's rank added now would wait at this instance; nil
+	// unless the order is ranked.
+	RankWait *clock.Milli `cbor:"6,keyasint,omitempty"`
 }
 
 // Handle is the name and location of a result.
@@ -73,6 +78,8 @@
 // order is an order in progress.
 type order struct {
 	Order
+	// span is the time that was left until the items were due when the order arrived.
+	span clock.Milli
 	// job identifies the order in the scheduler.
 	job       int64
 	results   []Handle
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -89,9 +89,27 @@
 	return pol.sched.Wait(pol.set.Clock.Now())
 }
 
+func (pol *pool) waitFor(rank int, due clock.Milli) clock.Milli {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	now := pol.set.Clock.Now()
+	return pol.sched.WaitFor(rank, now+due, now)
+}
+
+// result returns the outcome of an order with the current waits.
+func (pol *pool) result(ord *order, failure proto.Failure) OrderResult {
+	now := pol.set.Clock.Now()
+	out := OrderResult{Failure: failure, Wait: pol.sched.Wait(now)}
+	if ord.Ranked {
+		wait := pol.sched.WaitFor(ord.Rank, now+ord.span, now)
+		out.RankWait = &wait
+	}
+	return out
+}
+
 // fill adds an order's items to the scheduler and waits for them.
 func (pol *pool) fill(ctx context.Context, ask Order) OrderResult {
-	ord := &order{Order: ask, results: make([]Handle, ask.Count), pending: ask.Count, tries: make([]int, ask.Count), done: make(chan struct{})}
+	ord := &order{Order: ask, span: ask.Due, results: make([]Handle, ask.Count), pending: ask.Count, tries: make([]int, ask.Count), done: make(chan struct{})}
 	pol.mtx.Lock()
 	now := pol.set.Clock.Now()
 	if !ask.Recompute {
@@ -100,7 +118,7 @@
 		defer pol.mtx.Unlock()
 		pol.set.Log.Info().Str("request", ask.Request).Int("stage", ask.Stage).Str("pool", ask.Pool).Int("pieces", ask.Count).
 			Msg("retry budget exhausted, lost inputs are not recomputed")
-		return OrderResult{Failure: proto.InputLost, Wait: pol.sched.Wait(now)}
+		return pol.result(ord, proto.InputLost)
 	}
 	// From here on the spans are instants of the local clock.
 	ord.Due, ord.Expires, ord.LocalUntil = now+ask.Due, now+ask.Expires, now+ask.LocalUntil
@@ -127,7 +145,8 @@
 // finish completes an order and returns its outcome. The results of a failed order are released.
 func (pol *pool) finish(ord *order) OrderResult {
 	ord.complete(proto.Late)
-	out := OrderResult{Failure: ord.failure, Wait: pol.sched.Wait(pol.set.Clock.Now()), InputsReleased: ord.fetch.released, Crashed: ord.crashes}
+	out := pol.result(ord, ord.failure)
+	out.InputsReleased, out.Crashed = ord.fetch.released, ord.crashes
 	if ord.failure == proto.NoFailure {
 		out.Results = ord.results
 		return out
@@ -157,7 +176,7 @@
 	pol.next++
 	pol.refs[pol.next] = itemRef{ord: ord, index: index}
 	pol.sched.Add(gather.Item{
-		ID: pol.next, Job: ord.job, Due: ord.Due, Expires: ord.Expires, Priority: ord.Rank, Zone: ord.Zone, LocalUntil: ord.LocalUntil, Bytes: ord.Bytes, Begun: begun,
+		ID: pol.next, Job: ord.job, Added: pol.set.Clock.Now(), Due: ord.Due, Expires: ord.Expires, Priority: ord.Rank, Ranked: ord.Ranked, Zone: ord.Zone, LocalUntil: ord.LocalUntil, Bytes: ord.Bytes, Begun: begun,
 		Exclusive: ord.Exclusive || len(ord.crashes) > 0,
 	})
 }
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -21,6 +21,7 @@
 	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/internal/state"
+	"amaranthvalve/pkg/admit"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/place"
@@ -80,7 +81,8 @@
 
 	mtx               sync.Mutex
 	unresponsiveUntil map[ident.Incarnation]clock.Milli
-	waitEstimates     map[string]waitEstimate
+	// waits has the last estimates of coordinators by pool and rank.
+	waits admit.WaitTable
 	// orders counts the orders of other instances in progress here.
 	orders   atomic.Int64
 	arrivals arrivals
@@ -106,7 +108,7 @@
 	if set.Ranking == nil {
 		set.Ranking = func(pool string) []ident.Incarnation { return set.Control.View().Coordinators(pool) }
 	}
-	crd := &Coordinator{set: set, joined: make(chan struct{}), unresponsiveUntil: map[ident.Incarnation]clock.Milli{}, placeTimeouts: map[ident.Incarnation]timeouts{}, waitEstimates: map[string]waitEstimate{}}
+	crd := &Coordinator{set: set, joined: make(chan struct{}), unresponsiveUntil: map[ident.Incarnation]clock.Milli{}, placeTimeouts: map[ident.Incarnation]timeouts{}}
 	if set.Link == nil {
 		close(crd.joined)
 	} else {
@@ -137,7 +139,7 @@
 		ord.Due, ord.Expires = left()
 		orr, err := crd.sendOrder(ctx, inc, ord)
 		if err == nil {
-			crd.noteWait(ord.Pool, orr.Wait)
+			crd.noteOrderWait(ord, orr)
 			return orr, inc.Addr()
 		}
 		if ctx.Err() != nil {
@@ -147,7 +149,7 @@
 	}
 	ord.Due, ord.Expires = left()
 	orr := crd.set.Batcher.Fill(ctx, ord)
-	crd.noteWait(ord.Pool, orr.Wait)
+	crd.noteOrderWait(ord, orr)
 	return orr, crd.set.Control.Self().Addr()
 }
 
--- a/internal/coord/waits.go
+++ b/internal/coord/waits.go
@@ -8,8 +8,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"amaranthvalve/internal/batch"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/state"
+	"amaranthvalve/pkg/admit"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 )
@@ -32,25 +34,30 @@
 	maxArrivals = 20000
 )
 
-// waitEstimate is a coordinator's wait estimate with the time at which it was received.
-type waitEstimate struct {
-	span clock.Milli
-	at   clock.Milli
-}
-
-func (crd *Coordinator) noteWait(pool string, span clock.Milli) {
+func (crd *Coordinator) noteWait(pool string, rank int, span clock.Milli) {
 	crd.mtx.Lock()
 	defer crd.mtx.Unlock()
-	crd.waitEstimates[pool] = waitEstimate{span: span, at: crd.set.Clock.Now()}
+	crd.waits.Note(pool, rank, span, crd.set.Clock.Now())
+}
+
+// noteOrderWait records the waits in the result of an order. A coordinator of the previous build tells
+// only that of all items.
+func (crd *Coordinator) noteOrderWait(ord batch.Order, orr batch.OrderResult) {
+	crd.noteWait(ord.Pool, admit.Unranked, orr.Wait)
+	switch {
+	case orr.RankWait != nil:
+		crd.noteWait(ord.Pool, ord.Rank, *orr.RankWait)
+	case ord.Ranked:
+		crd.noteWait(ord.Pool, ord.Rank, orr.Wait)
+	}
 }
 
-// EstimateWait estimates how long an item of a pool would wait: the coordinator's last estimate,
-// less the time since.
-func (crd *Coordinator) EstimateWait(pool string) clock.Milli {
+// EstimateWait estimates how long an item of a rank would wait in a pool: the coordinator's last
+// estimate, less the time since. The rank is [admit.Unranked] where ranks don't count.
+func (crd *Coordinator) EstimateWait(pool string, rank int) clock.Milli {
 	crd.mtx.Lock()
 	defer crd.mtx.Unlock()
-	est := crd.waitEstimates[pool]
-	return max(est.span-crd.set.Clock.Since(est.at), 0)
+	return crd.waits.At(pool, rank, crd.set.Clock.Now())
 }
 
 // waitQuery asks a coordinator for wait estimates before a request is admitted.
@@ -59,11 +66,41 @@
 	// coordinator does not record its first arrival.
 	Fingerprint uint64   `cbor:"1,keyasint,omitempty"`
 	Pools       []string `cbor:"2,keyasint"`
+	// Ranked asks for the waits at a rank. A coordinator of the previous build ignores it, and
+	// answers with the waits of all items.
+	Ranked *rankedQuery `cbor:"3,keyasint,omitempty"`
+}
+
+// rankedQuery is the part of a waitQuery about the rank of a request.
+type rankedQuery struct {
+	Rank int `cbor:"1,keyasint,omitempty"`
+	// Due is the time until the request's items are due, for each pool of the query.
+	Due []clock.Milli `cbor:"2,keyasint"`
+}
+
+// dueIn returns the time until the items of the i-th pool are due.
+func (rqu *rankedQuery) dueIn(i int) clock.Milli {
+	if i >= len(rqu.Due) {
+		return 0
+	}
+	return rqu.Due[i]
+}
+
+// WaitAsk asks for the waits of a request's items.
+type WaitAsk struct {
+	// Fingerprint identifies the request across the attempts of its caller.
+	Fingerprint uint64
+	// Rank is the rank at which the items would wait, [admit.Unranked] to count all items.
+	Rank  int
+	Pools []string
+	// Due is the time until the items of each pool are due; it is ignored without a rank.
+	Due []clock.Milli
 }
 
 // waitReply answers a waitQuery.
 type waitReply struct {
-	// Waits has the estimated wait of an item that is added now, for each pool.
+	// Waits has the estimated wait of an item that is added now, for each pool: at the rank of the
+	// query if it has one.
 	Waits []clock.Milli `cbor:"1,keyasint"`
 	// Elapsed is the time since the first arrival of the request.
 	Elapsed clock.Milli `cbor:"2,keyasint,omitempty"`
@@ -74,14 +111,20 @@
 // at any instance, which the coordinator of the first pool records. The last estimate of a
 // coordinator that doesn't answer stays in use; orders and probes detect whether that coordinator
 // is gone.
-func (crd *Coordinator) QueryWaits(ctx context.Context, vw *state.View, fp uint64, pools []string) (elapsed clock.Milli) {
+func (crd *Coordinator) QueryWaits(ctx context.Context, vw *state.View, ask WaitAsk) (elapsed clock.Milli) {
 	queries := map[ident.Incarnation]waitQuery{}
-	for i, pool := range pools {
+	for i, pool := range ask.Pools {
 		inc := crd.coordinator(vw, pool)
 		wqr := queries[inc]
 		wqr.Pools = append(wqr.Pools, pool)
 		if i == 0 {
-			wqr.Fingerprint = fp
+			wqr.Fingerprint = ask.Fingerprint
+		}
+		if ask.Rank != admit.Unranked {
+			if wqr.Ranked == nil {
+				wqr.Ranked = &rankedQuery{Rank: ask.Rank}
+			}
+			wqr.Ranked.Due = append(wqr.Ranked.Due, ask.Due[i])
 		}
 		queries[inc] = wqr
 	}
@@ -96,7 +139,7 @@
 				return
 			}
 			for i, pool := range wqr.Pools {
-				crd.noteWait(pool, wrp.Waits[i])
+				crd.noteWait(pool, ask.Rank, wrp.Waits[i])
 			}
 			total.Add(int64(wrp.Elapsed))
 		})
@@ -139,6 +182,10 @@
 func (crd *Coordinator) answerWait(wqr waitQuery) waitReply {
 	wrp := waitReply{Waits: make([]clock.Milli, len(wqr.Pools))}
 	for i, pool := range wqr.Pools {
+		if wqr.Ranked != nil {
+			wrp.Waits[i] = crd.set.Batcher.EstimateRankWait(pool, wqr.Ranked.Rank, wqr.Ranked.dueIn(i))
+			continue
+		}
 		wrp.Waits[i] = crd.set.Batcher.EstimateWait(pool)
 	}
 	if wqr.Fingerprint != 0 {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/internal/serve"
 	"amaranthvalve/internal/state"
+	"amaranthvalve/pkg/admit"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/place"
@@ -52,6 +53,8 @@
 	stopEnd atomic.Int64
 	// firstByteTimes has the measured times from a final call to its first byte.
 	firstByteTimes routeTimes
+	// service has the recent admissions of ranked routes.
+	service service
 }
 
 // New returns a front with its filters linked in order.
@@ -79,6 +82,12 @@
 	due      clock.Milli
 	deadline clock.Milli
 	rank     int
+	// ranked is set if the route shares stage pools with routes of other priorities. stageRank is the rank at
+	// which its stages are admitted and queued: the most urgent one if the request is starved by its
+	// route, its workspace or its size.
+	ranked    bool
+	stageRank int
+	starved   admit.Class
 	// sinceFirst is the time since the caller first sent this request.
 	sinceFirst clock.Milli
 	// bound is set once events of the stream have been sent to the caller, by this attempt or by an earlier
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -105,10 +105,13 @@
 	if len(cl.ask.Items) > len(cl.route.Stages()) || slices.Max(append(slices.Clone(cl.ask.Items), 0)) > coord.MaxItems {
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "pieces for more stages than the route has, or too many pieces of a stage")
 	}
+	fr.rankForStages(cl)
 	fr.estimateWait(ctx, cl)
 	now := fr.set.Clock.Now()
-	tms := admit.Budget{Estimate: fr.firstByteEstimate(cl), ToDeadline: cl.deadline - now, ToTarget: cl.due - now, Contended: fr.contended(cl)}
-	switch tms.Judge() {
+	tms := admit.Budget{Estimate: fr.firstByteEstimate(cl), ToDeadline: cl.deadline - now, ToTarget: cl.due - now, Contended: fr.contended(cl, cl.waitRank()), Starved: cl.starved}
+	verdict := tms.Judge()
+	fr.recordAdmission(cl, tms, verdict)
+	switch verdict {
 	case admit.MissesDeadline:
 		return outcm.Refuse(outcm.Hopeless, fr.retryAfter(tms.Excess()), fmt.Sprintf("%d ms are needed and %d left", tms.Estimate, tms.ToDeadline))
 	case admit.ShedLate:
@@ -124,7 +127,7 @@
 	if len(pools) == 0 {
 		return
 	}
-	cl.sinceFirst = fr.coord.QueryWaits(ctx, cl.view, cl.retryKey(), pools)
+	cl.sinceFirst = fr.coord.QueryWaits(ctx, cl.view, coord.WaitAsk{Fingerprint: cl.retryKey(), Rank: cl.waitRank(), Pools: pools, Due: fr.dueIn(cl, pools)})
 	cl.due -= cl.sinceFirst
 }
 
@@ -159,7 +162,7 @@
 	if cl.itemCount(stg) == 0 {
 		return 0
 	}
-	return fr.coord.EstimateWait(cl.route.Stages()[stg].Pool) + cl.serviceTime(stg)
+	return fr.coord.EstimateWait(cl.route.Stages()[stg].Pool, cl.waitRank()) + cl.serviceTime(stg)
 }
 
 // retryAfter returns a retry-after delay with jitter, so that callers refused together don't
@@ -178,6 +181,9 @@
 	}
 	began := fr.set.Clock.Now()
 	if res := fr.runStages(ctx, cl); res.Outcome() != outcm.Pending {
+		if res.IsRefusal() {
+			fr.revokeAdmission(cl)
+		}
 		return res
 	}
 	cl.stagesTook = fr.set.Clock.Since(began)
@@ -264,7 +270,7 @@
 func (fr *Front) job(cl *call, stg int, last []int) job {
 	raw := cl.route.Stages()[stg]
 	ord := batch.Order{
-		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.itemCount(stg), Bytes: raw.Bytes, Rank: cl.rank, Zone: cl.preferredZone(stg),
+		Pool: raw.Pool, Request: cl.ask.ID, Stage: stg, Count: cl.itemCount(stg), Bytes: raw.Bytes, Rank: cl.stageRank, Ranked: cl.ranked, Zone: cl.preferredZone(stg),
 		LastInputs: cl.resultSets(last), Recompute: slices.Contains(cl.recomputed, stg), Exclusive: len(fr.crashesUnder(cl)) > 0,
 	}
 	if len(raw.After) == 0 {
@@ -323,24 +329,24 @@
 // part of the slack, which is shared with the stages that follow.
 func (fr *Front) zoneWait(cl *call, jb job) clock.Milli {
 	slack := jb.due - cl.serviceTime(jb.ord.Stage) - fr.set.Clock.Now()
-	if jb.ord.Zone == "" || slack <= 0 || fr.contended(cl) {
+	if jb.ord.Zone == "" || slack <= 0 || fr.contended(cl, cl.longestRank()) {
 		return 0
 	}
 	left := cl.route.Graph().PathTimes(func(int) clock.Milli { return 1 })[jb.ord.Stage]
 	return slack / (2 * (left + 1))
 }
 
-// contended reports whether the items of any of the route's stages have a long wait. Results take
+// contended reports whether items of a rank have a long wait at any of the route's stages. Results take
 // storage at their endpoints until the next stage is done; when storage is short, a stage that
 // waits for an endpoint in its own data centre keeps the stages before it waiting too.
-func (fr *Front) contended(cl *call) bool {
+func (fr *Front) contended(cl *call, rank int) bool {
 	for i, stg := range cl.route.Stages() {
 		spc := cl.batchSpec(i)
 		if spc == nil {
 			continue
 		}
 		full := spc.BatchMs + spc.ItemMs*float64(spc.MaxItems)
-		if float64(fr.coord.EstimateWait(stg.Pool)) > contendedShare*full {
+		if float64(fr.coord.EstimateWait(stg.Pool, rank)) > contendedShare*full {
 			return true
 		}
 	}
@@ -360,7 +366,7 @@
 // refuseStage returns the refusal for a stage that failed. Nothing with a side effect has run.
 func (fr *Front) refuseStage(cl *call, out stageOut) outcm.Result {
 	pool := cl.route.Stages()[out.stage].Pool
-	after := fr.retryAfter(fr.coord.EstimateWait(pool))
+	after := fr.retryAfter(fr.coord.EstimateWait(pool, cl.waitRank()))
 	switch {
 	case fr.set.Clock.Now() >= cl.deadline:
 		return outcm.Refuse(outcm.DeadlinePassed, after, fmt.Sprintf("stage %d did not finish before the deadline", out.stage))
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,6 +39,7 @@
 	dials       *prometheus.CounterVec
 	answers     *prometheus.CounterVec
 	gauges      *prometheus.GaugeVec
+	shed        *prometheus.CounterVec
 
 	mtx     sync.Mutex
 	refused map[string]int64
@@ -100,6 +102,7 @@
 	mtr.dials = mtr.counter("endpoint_dials_total", "Connections opened to endpoints, by path and result.", "path", "result")
 	mtr.answers = mtr.counter("endpoint_answers_total", "Answers of endpoints to final calls, by the framing and the end of their bodies.", "framing", "end")
 	mtr.events = mtr.counter("events_total", "Notable events by kind.", "kind")
+	mtr.shed = mtr.counter("requests_shed_total", "Requests refused on arrival because their stages would end too late, by rank; 0 is the most urgent.", "rank")
 	mtr.requestTime = mtr.histogram("request_seconds", "Time from a request's arrival to its answer.", "service")
 	mtr.stageTime = mtr.histogram("stage_seconds", "Time of a stage's successful attempt, waiting included.", "service", "stage")
 	mtr.gauges = prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "state", Help: "State of the instance by name."}, []string{"name"})
@@ -162,6 +165,9 @@
 	mtr.mtx.Unlock()
 }
 
+// CountShed counts a request of a rank that was refused because its stages would end too late.
+func (mtr *Meter) CountShed(rank int) { mtr.shed.WithLabelValues(strconv.Itoa(rank)).Inc() }
+
 // Refusals returns the number of requests that did not complete, by
 // "outcome/reason".
 func (mtr *Meter) Refusals() map[string]int64 {
--- a/pkg/admit/recent.go
+++ b/pkg/admit/recent.go
@@ -19,8 +19,8 @@
 	// sees a request of a route every four seconds, and must remember some before it.
 	recentHalfLife = 20_000.0
 	// priorRequests is the number of requests, served as often as all, that are added to the counts of
-	// a group. Without them the first refusal of a rare group would make its next request urgent, and
-	// with 195 instances all groups are rare.
+	// a group. Without them a single refusal would make the requests of a rare group urgent for minutes,
+	// and with 195 instances all groups are rare.
 	priorRequests = 0.5
 	// maxRecent bounds the number of groups whose counts are kept, 200 bytes each.
 	maxRecent = 1024
--- a/pkg/admit/waits.go
+++ b/pkg/admit/waits.go
@@ -1,9 +1,17 @@
 package admit
 
-import "amaranthvalve/pkg/clock"
+import (
+	"math"
 
-// Unranked is the rank of a wait that counts all queued items, whatever their ranks.
-const Unranked = -1
+	"amaranthvalve/pkg/clock"
+)
+
+const (
+	// Unranked is the rank of a wait that counts all queued items, whatever their ranks.
+	Unranked = -1
+	// LeastUrgent is a rank that is not more urgent than any other.
+	LeastUrgent = math.MaxInt
+)
 
 // WaitTable holds the last known waits of pools by rank. The zero value knows of none. It is not safe
 // for concurrent use.
@@ -50,10 +58,11 @@
 	if rank == Unranked {
 		return wtb.pools[pool][Unranked].left(now)
 	}
-	for ; rank >= 0; rank-- {
-		if wt, ok := wtb.pools[pool][rank]; ok {
-			return wt.left(now)
+	nearest, left := Unranked, clock.Milli(0)
+	for oth, wt := range wtb.pools[pool] {
+		if oth <= rank && oth > nearest {
+			nearest, left = oth, wt.left(now)
 		}
 	}
-	return 0
+	return left
 }
--- a/pkg/plan/draft.go
+++ b/pkg/plan/draft.go
@@ -131,6 +131,7 @@
 	}
 	fts = append(fts, pln.addWorkspaces(drf.Workspaces)...)
 	pln.collectUrgencies()
+	pln.collectRanked()
 	if len(pln.routes) == 0 && len(drf.Routes) > 0 {
 		return nil, fts
 	}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -29,6 +29,8 @@
 	limits  Limits
 	// urgencies are the distinct urgencies of requests, the most urgent first.
 	urgencies []urgency
+	// ranked are the routes that share a stage pool with a route of another priority.
+	ranked map[*Route]bool
 }
 
 // Version returns the version number in the document, for logs.
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -119,3 +119,29 @@
 	got = ranks()
 	gom.Expect(got["two"][2]).To(gomega.BeNumerically("<", got["one"][0]))
 }
+
+// TestRankedRoutes: only routes that share a stage pool with a route of another priority are admitted by rank.
+// All others are served as before.
+func TestRankedRoutes(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	batch := &DraftBatch{Slots: 1, MaxItems: 1, BatchMs: 1, ItemMs: 1, ResultBytes: 1000, ResultTTL: 4000}
+	drf := Draft{Pools: []DraftPool{{Name: "p"}, {Name: "shared", Batch: batch}, {Name: "alike", Batch: batch}}}
+	for _, raw := range []struct {
+		name     string
+		priority int
+		pools    []string
+	}{{"chat", 0, []string{"shared"}}, {"digest", 2, []string{"alike", "shared"}}, {"memo", 2, []string{"alike"}}, {"log", 1, nil}} {
+		rte := DraftRoute{Name: raw.name, Host: "a", Prefix: "/" + raw.name + "/", Kind: "streaming", Priority: raw.priority, Targets: []DraftTarget{{Pool: "p", Weight: 1}}}
+		for _, pool := range raw.pools {
+			rte.Stages = append(rte.Stages, DraftStage{Pool: pool})
+		}
+		drf.Routes = append(drf.Routes, rte)
+	}
+	pln, fts := Compile(drf)
+	gom.Expect(fts).To(gomega.BeEmpty())
+	got := map[string]bool{}
+	for _, rte := range pln.Routes() {
+		got[rte.Name()] = pln.Ranked(rte)
+	}
+	gom.Expect(got).To(gomega.Equal(map[string]bool{"chat": true, "digest": true, "memo": false, "log": false}))
+}
--- a/pkg/plan/urgency.go
+++ b/pkg/plan/urgency.go
@@ -40,6 +40,29 @@
 	pln.urgencies = slices.Compact(pln.urgencies)
 }
 
+// collectRanked collects the routes that share a stage pool with a route of another priority.
+func (pln *Plan) collectRanked() {
+	pln.ranked = map[*Route]bool{}
+	byPool := map[string][]*Route{}
+	for _, rte := range pln.routes {
+		for _, stg := range rte.Stages() {
+			byPool[stg.Pool] = append(byPool[stg.Pool], rte)
+		}
+	}
+	for _, list := range byPool {
+		if !slices.ContainsFunc(list, func(rte *Route) bool { return rte.draft.Priority != list[0].draft.Priority }) {
+			continue
+		}
+		for _, rte := range list {
+			pln.ranked[rte] = true
+		}
+	}
+}
+
+// Ranked reports whether a route shares a stage pool with a route of another priority: its requests
+// are then admitted by rank.
+func (pln *Plan) Ranked(rte *Route) bool { return pln.ranked[rte] }
+
 // Rank returns the position of a workspace's requests on a route in the order of
 // urgency; 0 is the most urgent. The workspace is nil on open routes.
 func (pln *Plan) Rank(rte *Route, wsp *Workspace) int {
