--- a/pkg/admit/recent_test.go
+++ b/pkg/admit/recent_test.go
@@ -80,7 +80,9 @@
 	gom := gomega.NewWithT(t)
 	var rct Recent
 	for i := range clock.Milli(20) {
-		rct.Record(Groups("chat", "", 1), false, true, 10*i)
+		for range 10 {
+			rct.Record(Groups("chat", "", 1), false, true, 10*i)
+		}
 		rct.Record(Groups("digest", "", 1), false, false, 10*i)
 		rct.Record(Groups("digest", "", 1), true, true, 10*i)
 	}
