pkg/admit, internal/front: retry-after covers the wait at the request's own rank

A request that was refused within the margin of its target came back after the minimum delay, to the same queue.

--- a/internal/front/ranks.go
+++ b/internal/front/ranks.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// rankWait returns the longest wait of the request's stages at its rank; zero where ranks don't count.
+func (fr *Front) rankWait(cl *call) clock.Milli {
+	longest := clock.Milli(0)
+	if cl.ranked {
+		for _, pool := range cl.pools() {
+			longest = max(longest, fr.coord.EstimateWait(pool, cl.stageRank))
+		}
+	}
+	return longest
+}
+
 // dueIn returns the time until the items of each pool are due: the latest where several stages use
 // the pool.
 func (fr *Front) dueIn(cl *call, pools []string) []clock.Milli {
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -108,14 +108,14 @@
 	fr.rankForStages(cl)
 	fr.estimateWait(ctx, cl)
 	now := fr.set.Clock.Now()
-	tms := admit.Budget{Estimate: fr.firstByteEstimate(cl), ToDeadline: cl.deadline - now, ToTarget: cl.due - now, Contended: fr.contended(cl, cl.waitRank()), Starved: cl.starved}
+	tms := admit.Budget{Estimate: fr.firstByteEstimate(cl), ToDeadline: cl.deadline - now, ToTarget: cl.due - now, Contended: fr.contended(cl, cl.waitRank()), Starved: cl.starved, Wait: fr.rankWait(cl)}
 	verdict := tms.Judge()
 	fr.recordAdmission(cl, tms, verdict)
 	switch verdict {
 	case admit.MissesDeadline:
-		return outcm.Refuse(outcm.Hopeless, fr.retryAfter(tms.Excess()), fmt.Sprintf("%d ms are needed and %d left", tms.Estimate, tms.ToDeadline))
+		return outcm.Refuse(outcm.Hopeless, fr.retryAfter(tms.RetryAfter()), fmt.Sprintf("%d ms are needed and %d left", tms.Estimate, tms.ToDeadline))
 	case admit.ShedLate:
-		return outcm.Refuse(outcm.Crowded, fr.retryAfter(tms.Excess()), fmt.Sprintf("%d ms are needed and %d left to be in time", tms.Estimate, tms.ToTarget))
+		return outcm.Refuse(outcm.Crowded, fr.retryAfter(tms.RetryAfter()), fmt.Sprintf("%d ms are needed and %d left to be in time", tms.Estimate, tms.ToTarget))
 	}
 	return nxt(ctx, cl)
 }
--- a/pkg/admit/budget.go
+++ b/pkg/admit/budget.go
@@ -23,6 +23,8 @@
 	// deadline only: where its stages alone take most of the target latency, it would be refused for as
 	// long as its pools are contended.
 	Starved Class
+	// Wait is the longest wait of the stages at the request's own rank; zero where ranks don't count.
+	Wait clock.Milli
 }
 
 // Admission is the admission decision for a request.
@@ -59,3 +61,8 @@
 	}
 	return bdg.Estimate - bdg.ToTarget
 }
+
+// RetryAfter returns the retry-after delay of a refused request before jitter and bounds: the excess,
+// and at least the wait at the request's own rank. With the excess alone, which is negative within
+// the margin, callers returned to the queue for which they had been refused.
+func (bdg Budget) RetryAfter() clock.Milli { return max(bdg.Excess(), bdg.Wait) }
--- a/pkg/admit/recent_test.go
+++ b/pkg/admit/recent_test.go
@@ -134,3 +134,15 @@
 		}
 	})
 }
+
+// TestRetryAfterCoversTheWait: a request that is refused within the margin of its target, with a negative excess,
+// returns when the queue at its own rank has been served and not at once. Without a rank nothing changes.
+func TestRetryAfterCoversTheWait(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bdg := Budget{Estimate: 2000, ToTarget: 2300, ToDeadline: 6000, Contended: true, Wait: 900}
+	gom.Expect(bdg.Judge()).To(gomega.Equal(ShedLate))
+	gom.Expect(bdg.RetryAfter()).To(gomega.Equal(clock.Milli(900)))
+	bdg.Wait = 0
+	bdg.Estimate = 2400
+	gom.Expect(bdg.RetryAfter()).To(gomega.Equal(bdg.Excess()))
+}
