--- a/pkg/admit/budget.go
+++ b/pkg/admit/budget.go
@@ -19,6 +19,12 @@
 	ToTarget   clock.Milli
 	// Contended is set if other requests are queued at the pools of this one.
 	Contended bool
+	// Starved is the class by which the request is starved. A request whose size is starved is held to its
+	// deadline only: where its stages alone take most of the target latency, it would be refused for as
+	// long as its pools are contended.
+	Starved Class
+	// Wait is the longest wait of the stages at the request's own rank; zero where ranks don't count.
+	Wait clock.Milli
 }
 
 // Admission is the admission decision for a request.
@@ -41,7 +47,7 @@
 	switch {
 	case bdg.Estimate > bdg.ToDeadline:
 		return MissesDeadline
-	case bdg.Contended && float64(bdg.Estimate) > contendedShare*float64(bdg.ToTarget):
+	case bdg.Contended && bdg.Starved != Size && float64(bdg.Estimate) > contendedShare*float64(bdg.ToTarget):
 		return ShedLate
 	}
 	return Admit
@@ -55,3 +61,8 @@
 	}
 	return bdg.Estimate - bdg.ToTarget
 }
+
+// RetryAfter returns the retry-after delay of a refused request before jitter and bounds: the excess,
+// and at least the wait at the request's own rank. With the excess alone, which is negative within
+// the margin, callers returned to the queue for which they had been refused.
+func (bdg Budget) RetryAfter() clock.Milli { return max(bdg.Excess(), bdg.Wait) }
