--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/peer"
 	"amaranthvalve/internal/pools"
 	"amaranthvalve/internal/proto"
@@ -65,6 +66,10 @@
 	// Ranking returns the instances in the order in which they coordinate a pool; nil selects that of the
 	// current view.
 	Ranking func(pool string) []ident.Incarnation
+	// View returns the current view; nil selects that of Control.
+	View func() *state.View
+	// Meter may be nil.
+	Meter *meter.Meter
 	// After runs work after a delay; nil selects the runtime's timers.
 	After func(span clock.Milli, work func())
 }
@@ -96,6 +101,12 @@
 	placeTries atomic.Int64
 	// placeTimeouts counts consecutive placement requests without an answer.
 	placeTimeouts map[ident.Incarnation]timeouts
+	// queues has the requests that wait for slots of the pools that this instance coordinates; gaugesDue is
+	// set while an update of their gauges is scheduled.
+	queues    queues
+	gaugesDue atomic.Bool
+	// earlier records the coordinators that know no queue.
+	earlier earlier
 }
 
 // New returns a coordinator that takes every other instance for responsive.
@@ -106,6 +117,9 @@
 	if set.Ranking == nil {
 		set.Ranking = func(pool string) []ident.Incarnation { return set.Control.View().Coordinators(pool) }
 	}
+	if set.View == nil {
+		set.View = func() *state.View { return set.Control.View() }
+	}
 	crd := &Coordinator{set: set, joined: make(chan struct{}), unresponsiveUntil: map[ident.Incarnation]clock.Milli{}, placeTimeouts: map[ident.Incarnation]timeouts{}, waitEstimates: map[string]waitEstimate{}}
 	if set.Link == nil {
 		close(crd.joined)
@@ -151,6 +165,9 @@
 	return orr, crd.set.Control.Self().Addr()
 }
 
+// view returns the current view.
+func (crd *Coordinator) view() *state.View { return crd.set.View() }
+
 // hasJoined reports whether this instance has received the membership or waited joinTimeout for it.
 func (crd *Coordinator) hasJoined() bool {
 	select {
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -71,6 +71,8 @@
 	Rejected bool          `cbor:"7,keyasint,omitempty"`
 	// Bindings are those of streams that began; the other fields but Pool are unset then.
 	Bindings []sticky.Binding `cbor:"8,keyasint,omitempty"`
+	// Withdrawn is set if the request may have been granted an endpoint, but does not use it.
+	Withdrawn bool `cbor:"9,keyasint,omitempty"`
 	// repeated is set once the report is sent again.
 	repeated bool
 }
@@ -97,6 +99,9 @@
 		if ask.Share, mine = crd.engineShare(vw, pool); !mine {
 			return Placement{}, false
 		}
+		if crd.isContended(pool) {
+			return crd.poll("", pool, ticket, ask, slotGrace)
+		}
 		return crd.pick(pool, ticket, ask, crd.rateShareIn(vw, pool))
 	}
 	// Placements whose answer is lost are ended one by one.
@@ -266,7 +271,7 @@
 	if cbor.Unmarshal(msg.Body, &prq) != nil {
 		return ans
 	}
-	prp, ok := crd.answerPlace(vw, prq)
+	prp, ok := crd.answerPlace(vw, msg.From, prq)
 	if !ok {
 		return ans
 	}
@@ -278,7 +283,7 @@
 
 // answerPlace answers the placement request of another instance; false if this one must not place prompts
 // at the pool's engines, which are brittle.
-func (crd *Coordinator) answerPlace(vw *state.View, prq placeRequest) (prp placeReply, ok bool) {
+func (crd *Coordinator) answerPlace(vw *state.View, holder ident.Incarnation, prq placeRequest) (prp placeReply, ok bool) {
 	if vw.Plan() != nil {
 		crd.promptCoordinator(vw, prq.Pool)
 	}
@@ -291,6 +296,10 @@
 	if prq.Ask.Share, ok = crd.engineShare(vw, prq.Pool); !ok {
 		return placeReply{}, false
 	}
+	if crd.isContended(prq.Pool) {
+		plc, _ := crd.poll(holder, prq.Pool, prq.Ticket, prq.Ask, maxSlotTime)
+		return placeReply{ID: string(plc.ID), From: plc.FetchFrom}, true
+	}
 	if plc, found := crd.pick(prq.Pool, prq.Ticket, prq.Ask, crd.rateShareIn(vw, prq.Pool)); found {
 		prp = placeReply{ID: string(plc.ID), From: plc.FetchFrom}
 	}
@@ -313,6 +322,7 @@
 		return
 	}
 	crd.set.Pools.End(pool, plc.Ticket, end, pause)
+	crd.dispatch(pool)
 	crd.reports.add(crd, plc.promptCoordinator, report{Pool: pool, Ticket: plc.Ticket, Ended: true, End: end, Span: pause})
 }
 
@@ -322,17 +332,27 @@
 	if cbor.Unmarshal(msg.Body, &list) != nil {
 		return peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
 	}
+	ended := map[string]bool{}
+	defer func() {
+		for pool := range ended {
+			crd.dispatch(pool)
+		}
+	}()
 	for _, rpt := range list {
 		if len(rpt.Bindings) > 0 {
 			crd.bindings.learn(rpt.Pool, rpt.Bindings, crd.set.Clock.Now())
 			crd.copyBindings(rpt.Pool, rpt.Bindings)
 			continue
 		}
-		if rpt.Slot != "" {
+		if rpt.Ended {
+			ended[rpt.Pool] = true
+			crd.queues.drop(rpt.Ticket)
+		}
+		switch {
+		case rpt.Slot != "" || rpt.Withdrawn && crd.set.Pools.IsBrittle(rpt.Pool):
 			crd.set.Pools.ReleaseSlot(rpt.Slot, rpt.Ticket, rpt.Rejected)
 			continue
-		}
-		if rpt.Ended {
+		case rpt.Ended:
 			crd.set.Pools.End(rpt.Pool, rpt.Ticket, rpt.End, rpt.Span)
 			continue
 		}
--- a/internal/coord/rates.go
+++ b/internal/coord/rates.go
@@ -119,6 +119,9 @@
 // there is none.
 func (crd *Coordinator) acquirePermit(ctx context.Context, vw *state.View, pool string) string {
 	if share := crd.rateShareIn(vw, pool); share > 0 {
+		if crd.isContended(pool) {
+			return ""
+		}
 		id, _ := crd.set.Pools.TakePermit(pool, share)
 		return id
 	}
@@ -155,8 +158,10 @@
 	if share == 0 {
 		return ans
 	}
-	var prm permit
-	prm.ID, prm.Wait = crd.set.Pools.TakePermit(string(msg.Body), share)
+	prm := permit{Wait: pollWait}
+	if !crd.isContended(string(msg.Body)) {
+		prm.ID, prm.Wait = crd.set.Pools.TakePermit(string(msg.Body), share)
+	}
 	if body, err := cbor.Marshal(prm); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
 	}
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -88,13 +89,18 @@
 	return slw.lostSince[pool]
 }
 
-// placeBrittle chooses a brittle plain endpoint that has a free slot.
-func (crd *Coordinator) placeBrittle(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
+// timeLeft returns the time in which a request ends, and its slot if that is not released.
+func (crd *Coordinator) timeLeft(ctx context.Context) clock.Milli {
 	left := slotGrace
 	if until, ok := ctx.Deadline(); ok {
 		left += crd.set.Clock.Until(until)
 	}
-	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: ask.Avoid, Left: left})
+	return left
+}
+
+// placeBrittle chooses a brittle plain endpoint that has a free slot.
+func (crd *Coordinator) placeBrittle(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
+	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: ask.Avoid, Left: crd.timeLeft(ctx)})
 	if id == "" {
 		return Placement{}, false
 	}
@@ -114,6 +120,10 @@
 func (crd *Coordinator) acquireSlot(ctx context.Context, vw *state.View, srq slotRequest) (id string, by ident.Incarnation) {
 	now := crd.set.Clock.Now()
 	if share := crd.shareIn(vw, srq.Pool, limit.SlotShare); share > 0 {
+		if crd.isContended(srq.Pool) {
+			plc, _ := crd.poll("", srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
+			return string(plc.ID), ""
+		}
 		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, now+srq.Left), ""
 	}
 	inc := crd.coordinator(vw, srq.Pool)
@@ -134,6 +144,23 @@
 	return "", ""
 }
 
+// placeOneSlot places a request at a brittle pool by the records of this instance, which isn't its
+// coordinator: one slot of each endpoint may be used.
+func (crd *Coordinator) placeOneSlot(pool, ticket string, ask place.Ask, expires clock.Milli) (Placement, bool) {
+	ask.Avoid = crd.withResting(ask.Avoid)
+	if crd.set.Pools.HasBrittleEngines(pool) {
+		ask.Share = limit.OneSlot
+		return crd.pick(pool, ticket, ask, 0)
+	}
+	jrq := joinRequest{Pool: pool, Ticket: ticket, Ask: ask}
+	avoid := slices.Concat(ask.Avoid, crd.set.Pools.OtherBuilds(pool, ask.Build))
+	id := crd.set.Pools.TakeSlot(pool, ticket, avoid, limit.OneSlot, expires)
+	if id == "" {
+		return Placement{}, false
+	}
+	return crd.beginPlain(pool, jrq, id, "")
+}
+
 // requestSlot requests a slot from a coordinator. It returns an empty ID if there is none, and false if
 // the coordinator did not answer.
 func (crd *Coordinator) requestSlot(ctx context.Context, vw *state.View, inc ident.Incarnation, srq slotRequest) (string, bool) {
@@ -167,6 +194,11 @@
 		return ans
 	}
 	ans.Kind = peer.OK
+	if crd.isContended(srq.Pool) {
+		plc, _ := crd.poll(msg.From, srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
+		ans.Body = []byte(plc.ID)
+		return ans
+	}
 	ans.Body = []byte(crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.set.Clock.Now()+min(srq.Left, maxSlotTime)))
 	return ans
 }
@@ -181,5 +213,6 @@
 		return
 	}
 	crd.set.Pools.ReleaseSlot(plc.ID, plc.slot.ticket, rejected)
+	crd.dispatch(pool)
 	crd.reports.add(crd, plc.slot.coordinator, report{Pool: pool, Ticket: plc.slot.ticket, Ended: true, Slot: plc.ID, Rejected: rejected})
 }
--- a/internal/coord/waits.go
+++ b/internal/coord/waits.go
@@ -168,6 +168,14 @@
 	order []uint64
 }
 
+// has reports whether an arrival of a request is recorded that is recent.
+func (arr *arrivals) has(fp uint64, now clock.Milli) bool {
+	arr.mtx.Lock()
+	defer arr.mtx.Unlock()
+	at, ok := arr.first[fp]
+	return ok && now-at <= arrivalTTL
+}
+
 // elapsed returns the time since the first arrival of a request, and records the arrival if it is
 // the first.
 func (arr *arrivals) elapsed(fp uint64, now clock.Milli) clock.Milli {
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -26,7 +26,8 @@
 	// ends at the deadline. An endpoint refuses a request whose deadline passes in its queue, and may ask for
 	// rest with it.
 	answerGrace = 100 * clock.Milli(1)
-	// slotPollInterval is the interval at which a full pool is polled for a free slot.
+	// slotPollInterval is the interval at which a full pool without a queue is polled for a free slot: one whose
+	// endpoints are neither brittle nor paced, or whose coordinator is of an earlier version.
 	slotPollInterval = 5 * time.Millisecond
 	// fetchGrace is the time that an engine has to fetch a request's inputs after the request
 	// was written: it fetches them at its next step, some milliseconds later, and the largest
@@ -102,8 +103,8 @@
 // slotWait returns how long a request waits for a slot at a full pool.
 func (cl *call) slotWait() clock.Milli { return max(cl.due-cl.arrived, 0) / slotWaitDivisor }
 
-// findPlacement places the attempt at an endpoint; at a full pool it polls for a free slot for a
-// bounded time.
+// findPlacement places the attempt at an endpoint. At a full pool the request waits for a bounded time, in
+// the queue of the pool's coordinator if there is one; otherwise the pool is polled.
 func (run *finalRun) findPlacement(ctx context.Context) (coord.Placement, outcm.Result) {
 	fr, cl := run.fr, run.cl
 	if next := run.nextPlacement; next != nil {
@@ -114,12 +115,23 @@
 	for {
 		ask := cl.placeAsk(run.avoid)
 		ask.Zone, ask.Bytes = cl.inputZone()
-		if tgt, ok := fr.coord.Place(ctx, fr.set.Control.View(), cl.pool.Name(), cl.ticket(), ask); ok {
+		wish := cl.wish(fr.coord, until)
+		if len(run.avoid) > 0 {
+			wish.Until = 0
+		}
+		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until && wish.Key != 0 {
+			return coord.Placement{}, fr.refuseResting(end)
+		}
+		tgt, wait, acq := fr.coord.Acquire(ctx, cl.pool.Name(), cl.ticket(), ask, wish)
+		if acq == coord.Granted {
 			return tgt, outcm.Result{}
 		}
 		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until {
 			return coord.Placement{}, fr.refuseResting(end)
 		}
+		if acq == coord.Refused {
+			return coord.Placement{}, outcm.Refuse(outcm.QueueFull, fr.retryAfter(max(wait, minRetryAfter)), "no slot is free in time")
+		}
 		if len(run.avoid) > 0 || ctx.Err() != nil || fr.set.Clock.Now() >= until {
 			return coord.Placement{}, outcm.Refuse(outcm.QueueFull, fr.retryAfter(minRetryAfter), "all endpoints are full")
 		}
@@ -130,6 +142,16 @@
 	}
 }
 
+// wish returns what the wait of a request for an endpoint depends on. At a pool without a queue, where it is not
+// used, it has no key: the fingerprint takes a while to compute.
+func (cl *call) wish(crd *coord.Coordinator, until clock.Milli) coord.Wish {
+	wish := coord.Wish{Rank: cl.rank, Workspace: cl.wsp, Until: until, Since: cl.sinceFirst}
+	if crd.Queues(cl.pool.Name()) {
+		wish.Key = max(cl.retryKey(), 1)
+	}
+	return wish
+}
+
 // refuseResting returns the refusal for a pool whose endpoints have all asked this instance for rest, the
 // first of them until end.
 func (fr *Front) refuseResting(end clock.Milli) outcm.Result {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -87,6 +87,10 @@
 	GaugeEventQueue = "control_events_waiting"
 	GaugeSevered    = "endpoints_reached_by_relay"
 	GaugeBlind      = "blind"
+	// GaugeGrantQueue is the number of requests of all instances that wait here for slots, GaugeGrantWait the
+	// longest time that one of them has waited, in milliseconds.
+	GaugeGrantQueue = "requests_waiting_for_grant"
+	GaugeGrantWait  = "grant_oldest_wait_ms"
 )
 
 // New returns a meter whose counters are zero.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,8 +138,11 @@
 		return Error.Wrap(err)
 	}
 	nod.link.HandleLong = func(ctx context.Context, msg peer.Message) peer.Message {
-		if msg.Kind == peer.PollUpdate {
+		switch msg.Kind {
+		case peer.PollUpdate:
 			return nod.ctl.ServeFollower(ctx, msg)
+		case peer.JoinQueue:
+			return nod.coord.HandleJoin(ctx, msg)
 		}
 		return nod.coord.HandleOrder(ctx, msg)
 	}
@@ -198,12 +201,13 @@
 			nod.dialer.SetKnown(len(vw.Endpoints()))
 			btr.Sync(vw.Plan(), vw.Endpoints(), vw.Rates(), vw.BrittlePools())
 			pls.Sync(vw)
+			nod.coord.DispatchAll(vw)
 			if pln := vw.Plan(); pln != nil {
 				nod.callers.SetLimits(serve.Limits{HeaderTimeout: pln.Limits().HeaderTime, IdleTimeout: pln.Limits().IdleTime})
 			}
 		},
 	})
-	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli), Origins: nod.dialer.Origins})
+	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, CachedParts: cachedParts(dia, cli), Origins: nod.dialer.Origins})
 	nod.front = front.New(front.Setup{
 		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, nod.dialer.DialContext, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
 		Meter: nod.mtr, Log: nod.log, CheckProcess: nod.dialer.CheckProcess,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -59,5 +59,8 @@
 		}
 	}
 	slices.SortFunc(st.Coordinators, func(x, y wire.StatusCoordinator) int { return cmp.Compare(x.Pool, y.Pool) })
+	for _, qst := range nod.coord.QueueStates() {
+		st.Queues = append(st.Queues, wire.StatusQueue{Pool: qst.Pool, Waiting: qst.Waiting, OldestMs: qst.Oldest, PaceMs: qst.Pace})
+	}
 	return st
 }
--- a/internal/peer/long.go
+++ b/internal/peer/long.go
@@ -14,7 +14,8 @@
 	defer cancel()
 	done := make(chan Message, 1)
 	go func() { done <- lnk.HandleLong(ctx, msg) }()
-	tkr := time.NewTicker(keepAliveInterval)
+	interval, _ := msg.Kind.keepAlive()
+	tkr := time.NewTicker(interval)
 	defer tkr.Stop()
 	for {
 		_ = str.SetDeadline(time.Now().Add(answerTimeout))
@@ -34,13 +35,14 @@
 	}
 }
 
-// CallLong sends a long request. It fails when nothing was received for keepAliveTimeout, the time
-// of three keep-alives: the peer has died, is frozen or partitioned, and another one must be used.
+// CallLong sends a long request. It fails when nothing was received for the time of three
+// keep-alives: the peer has died, is frozen or partitioned, and another one must be used.
 func (lnk *Link) CallLong(ctx context.Context, addr string, msg Message) (Message, error) {
 	if lnk.Partitioned != nil && lnk.Partitioned(addr) {
 		return Message{}, Error.New("%s is partitioned off", addr)
 	}
-	dctx, cancel := context.WithTimeout(ctx, keepAliveTimeout)
+	_, timeout := msg.Kind.keepAlive()
+	dctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	qcn, err := lnk.conn(dctx, addr)
 	if err != nil {
@@ -53,13 +55,13 @@
 	}
 	stop := context.AfterFunc(ctx, func() { str.CancelRead(0); str.CancelWrite(0) })
 	defer stop()
-	_ = str.SetDeadline(time.Now().Add(keepAliveTimeout))
+	_ = str.SetDeadline(time.Now().Add(timeout))
 	if err := write(str, msg); err != nil {
 		return Message{}, err
 	}
 	_ = str.Close()
 	for {
-		_ = str.SetReadDeadline(time.Now().Add(keepAliveTimeout))
+		_ = str.SetReadDeadline(time.Now().Add(timeout))
 		ans, err := read(str)
 		if err != nil {
 			if ctx.Err() == nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,6 +53,10 @@
 	// fails.
 	keepAliveInterval = 200 * time.Millisecond
 	keepAliveTimeout  = 700 * time.Millisecond
+	// queueKeepAliveInterval and queueKeepAliveTimeout are the same for JoinQueue: a request waits for a slot
+	// for some hundred milliseconds, and must have time left to ask another instance.
+	queueKeepAliveInterval = 40 * time.Millisecond
+	queueKeepAliveTimeout  = 130 * time.Millisecond
 )
 
 // Kind is the type of a message.
@@ -105,8 +109,23 @@
 	FindBinding
 	// BeginTrial asks the coordinator of a pool to admit a quarantined request for a trial.
 	BeginTrial
+	// JoinQueue is a long request for an endpoint of a pool, which is answered when one is granted or when
+	// none will be in time.
+	JoinQueue
 )
 
+// isLong reports whether messages of a kind are long requests.
+func (knd Kind) isLong() bool { return knd == OrderItems || knd == PollUpdate || knd == JoinQueue }
+
+// keepAlive returns the interval of the keep-alives of a long request, and how long its caller waits for the
+// next one.
+func (knd Kind) keepAlive() (interval, timeout time.Duration) {
+	if knd == JoinQueue {
+		return queueKeepAliveInterval, queueKeepAliveTimeout
+	}
+	return keepAliveInterval, keepAliveTimeout
+}
+
 // Message is a request or a response.
 type Message struct {
 	Kind Kind              `cbor:"1,keyasint"`
@@ -144,8 +163,9 @@
 	handle func(ctx context.Context, msg Message) Message
 	// OnRefused is called for connections that failed authentication; it may be nil.
 	OnRefused func(err error)
-	// HandleLong handles long requests, those of the kinds OrderItems and PollUpdate, in place of
-	// handle. While it runs the caller is sent KeepAlive at keepAliveInterval. It may be nil.
+	// HandleLong handles long requests, those of the kinds OrderItems, PollUpdate and JoinQueue, in place of
+	// handle. While it runs the caller is sent KeepAlive at keepAliveInterval, or queueKeepAliveInterval. It
+	// may be nil.
 	HandleLong func(ctx context.Context, msg Message) Message
 	// HandleTunnel answers OpenTunnel by [Tunnel.Answer], and then carries the bytes. It is called on
 	// a goroutine of its own; it may be nil.
@@ -338,7 +358,7 @@
 		lnk.acceptTunnel(qcn, str, msg)
 		return
 	}
-	if lnk.HandleLong != nil && (msg.Kind == OrderItems || msg.Kind == PollUpdate) {
+	if lnk.HandleLong != nil && msg.Kind.isLong() {
 		lnk.answerLong(str, msg)
 		return
 	}
--- a/internal/shell/status.go
+++ b/internal/shell/status.go
@@ -45,6 +45,7 @@
 		con.printf("%-16s %-20s %-22s %6d %6d %10.1f %s\n", ept.Pool, ept.ID, ept.Addr, ept.InFlight, ept.Limit, ept.Latency, ept.State)
 	}
 	printCoordinators(con, st.Coordinators)
+	printQueues(con, st.Queues)
 	printLeases(con, st.Leases)
 	printRefusals(con, st.Refusals)
 }
@@ -59,6 +60,16 @@
 	}
 }
 
+func printQueues(con *console, list []wire.StatusQueue) {
+	if len(list) == 0 {
+		return
+	}
+	con.printf("\n%-16s %8s %10s %8s\n", "QUEUE OF POOL", "WAITING", "OLDEST_MS", "PACE_MS")
+	for _, que := range list {
+		con.printf("%-16s %8d %10d %8.1f\n", que.Pool, que.Waiting, que.OldestMs, que.PaceMs)
+	}
+}
+
 func printLeases(con *console, list []wire.StatusLease) {
 	con.printf("\n%-12s %-40s %8s\n", "LEASE", "HOLDER", "FENCE")
 	for _, lse := range list {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -276,8 +276,10 @@
 	Leases         []StatusLease    `json:"leases"`
 	// Coordinators are the coordinators of pools.
 	Coordinators []StatusCoordinator `json:"gatherers,omitempty"`
-	Refusals     map[string]int64    `json:"refusals"`
-	Keys         int                 `json:"keys"`
+	// Queues has the queues of requests that wait for slots at this instance.
+	Queues   []StatusQueue    `json:"queues,omitempty"`
+	Refusals map[string]int64 `json:"refusals"`
+	Keys     int              `json:"keys"`
 }
 
 // StatusMember is one instance in a [Status].
@@ -289,6 +291,16 @@
 	Load     int    `json:"load"`
 }
 
+// StatusQueue is the queue of a pool at its coordinator in a [Status].
+type StatusQueue struct {
+	Pool    string `json:"pool"`
+	Waiting int    `json:"waiting"`
+	// OldestMs is the longest time that a request has waited, PaceMs the mean time between grants; zero if it
+	// is unknown.
+	OldestMs clock.Milli `json:"oldest_ms"`
+	PaceMs   float64     `json:"pace_ms"`
+}
+
 // StatusCoordinator is the coordinator of a pool in a [Status].
 type StatusCoordinator struct {
 	Pool     string `json:"pool"`
--- a/pkg/limit/slots.go
+++ b/pkg/limit/slots.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// Opens returns the time at which a pause of an endpoint ends; false if there is none.
+func (sls *Slots) Opens(id string, now clock.Milli) (at clock.Milli, ok bool) {
+	slt, ok := sls.byID[id]
+	if !ok || now >= slt.pausedUntil {
+		return 0, false
+	}
+	return slt.pausedUntil, true
+}
+
 // Pause grants no slots of an endpoint for a while: it has rejected a request.
 func (sls *Slots) Pause(id string, until clock.Milli) {
 	if slt, ok := sls.byID[id]; ok {
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -157,6 +157,16 @@
 	return ok && eng.Slots > 0 && eng.streams(now) >= float64(eng.Slots)
 }
 
+// PauseEnd returns the time at which a brittle engine gets requests again that has rejected one; false if it
+// has not, or gets them.
+func (plc *Placer) PauseEnd(id string, now clock.Milli) (at clock.Milli, ok bool) {
+	eng, ok := plc.byID[id]
+	if !ok || !plc.brittle || eng.rejectedAt == 0 || now-eng.rejectedAt >= rejectPause {
+		return 0, false
+	}
+	return eng.rejectedAt + rejectPause, true
+}
+
 // Begin records that a request was sent to an engine; ticket identifies it in later calls. gap is
 // the maximum gap of streams there.
 func (plc *Placer) Begin(id, ticket string, prm Prompt, gap, now clock.Milli) {
