--- a/pkg/grant/grant.go
+++ b/pkg/grant/grant.go
@@ -17,6 +17,10 @@
 	minPaceGrants = 8
 	// maxPaceAge is the time of waiting after which a grant says nothing about the current pace any more.
 	maxPaceAge = 5 * clock.Second
+	// deadlineGrain is the precision of deadlines in the order; requests within it are in no particular order.
+	// The time of a message between data centres lies between them: in the order of arrival the requests of
+	// the coordinator's own callers would go first in every burst.
+	deadlineGrain = 20 * clock.Milli(1)
 	// dropMargin is the multiple of its time left by which a waiting request's expected wait must exceed it
 	// for the request to be refused. The estimate errs by a factor of about two when slots are released in
 	// bursts, and a slot without a request that waits for it is lost.
@@ -66,7 +70,16 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(ent.ask.Deadline, oth.ask.Deadline), cmp.Compare(ent.seq, oth.seq))
+	return cmp.Or(cmp.Compare(ent.ask.Deadline/deadlineGrain, oth.ask.Deadline/deadlineGrain), cmp.Compare(ent.tie(), oth.tie()))
+}
+
+// tie returns a number that orders requests that are equal otherwise: the finalizer of SplitMix64 (G. Steele and
+// others, "Fast splittable pseudorandom number generators", 2014), which is injective.
+func (ent *Entry) tie() uint64 {
+	val := ent.seq
+	val = (val ^ val>>30) * 0xbf58476d1ce4e5b9
+	val = (val ^ val>>27) * 0x94d049bb133111eb
+	return val ^ val>>31
 }
 
 // flow has the waiting requests of one workspace in one rank, in their order. Its start tag counts its
