--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -262,7 +262,7 @@
 
 // HandlePlace handles a placement request of another instance; it is registered with the link.
 func (crd *Coordinator) HandlePlace(msg peer.Message) peer.Message {
-	return crd.handlePlace(crd.set.Control.View(), msg)
+	return crd.handlePlace(crd.view(), msg)
 }
 
 func (crd *Coordinator) handlePlace(vw *state.View, msg peer.Message) peer.Message {
--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -70,6 +70,8 @@
 	pool    string
 	holder  ident.Incarnation
 	expires clock.Milli
+	// listed is set if the holder was a live member at some time.
+	listed bool
 }
 
 // queues has the queues of the pools, and the grants from them by ticket. The zero value is empty.
@@ -125,27 +127,27 @@
 	return pool
 }
 
-// heldByDead removes and returns the grants whose holders have died, by ticket, and forgets those that have
-// expired.
-func (qus *queues) heldByDead(vw *state.View, now clock.Milli) map[string]holding {
+// takeLost removes and returns the grants that have expired, and those whose holders have died, by ticket. Dead
+// members are not listed; one that was never listed may be about to be.
+func (qus *queues) takeLost(vw *state.View, now clock.Milli) map[string]holding {
 	qus.mtx.Lock()
 	defer qus.mtx.Unlock()
 	if len(qus.held) == 0 {
 		return nil
 	}
-	dead := map[ident.Incarnation]bool{}
+	live := map[ident.Incarnation]bool{}
 	for _, mbr := range vw.Members() {
-		if mbr.Status() == member.Dead {
-			dead[mbr.ID()] = true
-		}
+		live[mbr.ID()] = true
 	}
 	lost := map[string]holding{}
 	for ticket, hld := range qus.held {
-		if dead[hld.holder] {
+		switch {
+		case now >= hld.expires || hld.listed && !live[hld.holder]:
 			lost[ticket] = hld
-		}
-		if dead[hld.holder] || now >= hld.expires {
 			delete(qus.held, ticket)
+		case !hld.listed && live[hld.holder]:
+			hld.listed = true
+			qus.held[ticket] = hld
 		}
 	}
 	return lost
@@ -284,15 +286,22 @@
 // DispatchAll gives free slots of all pools to the requests that wait here. It is called when the endpoints
 // or the membership have changed.
 func (crd *Coordinator) DispatchAll(vw *state.View) {
-	for ticket, hld := range crd.queues.heldByDead(vw, crd.set.Clock.Now()) {
-		crd.set.Log.Info().Str("pool", hld.pool).Str("ticket", ticket).Str("holder", string(hld.holder)).Msg("grant ended, its instance is dead")
-		crd.giveBack(hld.pool, ticket)
-	}
+	crd.endLost(vw)
 	for pool := range crd.queues.all() {
 		crd.dispatch(pool)
 	}
 }
 
+// endLost ends the grants of instances that have died, and those that have expired.
+func (crd *Coordinator) endLost(vw *state.View) {
+	now := crd.set.Clock.Now()
+	for ticket, hld := range crd.queues.takeLost(vw, now) {
+		crd.set.Log.Info().Str("pool", hld.pool).Str("request", ticket).Str("holder", string(hld.holder)).Bool("expired", now >= hld.expires).
+			Msg("grant was not released, and ended")
+		crd.giveBack(hld.pool, ticket)
+	}
+}
+
 func (crd *Coordinator) dispatchLocked(pool string, pqu *poolQueue) {
 	if pqu.que.Len() == 0 {
 		return
@@ -354,11 +363,16 @@
 		plc, _ = crd.pick(pool, jrq.Ticket, ask, crd.rateShareIn(vw, pool))
 	}
 	if plc.ID != "" && wtr.holder != "" {
-		crd.queues.hold(jrq.Ticket, holding{pool: pool, holder: wtr.holder, expires: expires})
+		crd.queues.hold(jrq.Ticket, holding{pool: pool, holder: wtr.holder, expires: expires, listed: isMember(vw, wtr.holder)})
 	}
 	return plc, plc.ID != ""
 }
 
+// isMember reports whether an instance is a live member.
+func isMember(vw *state.View, inc ident.Incarnation) bool {
+	return slices.ContainsFunc(vw.Members(), func(mbr member.Member) bool { return mbr.ID() == inc })
+}
+
 // isPlain reports whether a pool has plain endpoints.
 func (crd *Coordinator) isPlain(vw *state.View, pool string) bool {
 	pol, ok := vw.Plan().Pool(pool)
@@ -378,6 +392,7 @@
 	}
 	pqu.wakeAt = at
 	crd.set.After(at-now, func() {
+		crd.endLost(crd.view())
 		pqu.mtx.Lock()
 		defer pqu.mtx.Unlock()
 		if pqu.wakeAt == at {
--- a/internal/coord/rates.go
+++ b/internal/coord/rates.go
@@ -67,7 +67,7 @@
 // RateShare returns the fraction of the declared rates of a pool's endpoints that this instance may
 // use by the current view.
 func (crd *Coordinator) RateShare(pool string) float64 {
-	return crd.rateShareIn(crd.set.Control.View(), pool)
+	return crd.rateShareIn(crd.view(), pool)
 }
 
 // permit is a coordinator's answer: the endpoint that may be sent a request, or the time until one
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -189,7 +189,7 @@
 	if cbor.Unmarshal(msg.Body, &srq) != nil {
 		return ans
 	}
-	share := crd.shareIn(crd.set.Control.View(), srq.Pool, limit.SlotShare)
+	share := crd.shareIn(crd.view(), srq.Pool, limit.SlotShare)
 	if share == 0 {
 		return ans
 	}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -52,10 +52,31 @@
 // WithBrittlePool returns a copy of the view in which the endpoints of a pool are brittle and the pool has
 // these coordinators, the first of them for long, for decisions made without a control loop.
 func (vw *View) WithBrittlePool(pool string, coordinators ...ident.Incarnation) *View {
+	return vw.WithBrittlePools([]string{pool}, coordinators...)
+}
+
+// WithBrittlePools is WithBrittlePool for several pools.
+func (vw *View) WithBrittlePools(pools []string, coordinators ...ident.Incarnation) *View {
+	cpy := *vw
+	cpy.brittlePools, cpy.coordinators, cpy.coordinatorSince = map[string]bool{}, map[string][]ident.Incarnation{}, map[string]clock.Milli{}
+	for _, pool := range pools {
+		cpy.brittlePools[pool], cpy.coordinators[pool], cpy.coordinatorSince[pool] = true, coordinators, 0
+	}
+	return &cpy
+}
+
+// WithCoordinatorSince returns a copy of the view in which this instance coordinates a pool since the given
+// time, for decisions made without a control loop.
+func (vw *View) WithCoordinatorSince(pool string, since clock.Milli) *View {
+	cpy := *vw
+	cpy.coordinatorSince = map[string]clock.Milli{pool: since}
+	return &cpy
+}
+
+// WithMembers returns a copy of the view with these members, for decisions made without a control loop.
+func (vw *View) WithMembers(members ...member.Member) *View {
 	cpy := *vw
-	cpy.brittlePools = map[string]bool{pool: true}
-	cpy.coordinators = map[string][]ident.Incarnation{pool: coordinators}
-	cpy.coordinatorSince = map[string]clock.Milli{pool: 0}
+	cpy.members = members
 	return &cpy
 }
 
