--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -125,7 +125,7 @@
 	var failed []ident.Incarnation
 	for {
 		out, inc, err := crd.tryJoin(ctx, pool, ticket, ask, wish, failed)
-		now := crd.set.Clock.Now()
+		now, repeated := crd.set.Clock.Now(), slices.Contains(failed, inc)
 		switch {
 		case err == nil && !out.moved:
 			crd.logWait(pool, ticket, inc, wish, out, now-began)
@@ -157,7 +157,7 @@
 		if now >= wish.Until {
 			return Placement{}, 0, Refused
 		}
-		if err == nil || errors.Is(err, errRefused) {
+		if repeated || err == nil || errors.Is(err, errRefused) {
 			crd.pause(ctx, retryPause)
 		}
 	}
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -24,6 +24,7 @@
 	"amaranthvalve/pkg/member"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/plan"
+	"amaranthvalve/pkg/route"
 )
 
 // queueBed is a number of instances, and brittle pools of one plain endpoint and one engine.
@@ -122,6 +123,7 @@
 // release ends a request at its endpoint.
 func (bed *queueBed) release(ins int, pool string, plc Placement) {
 	if plc.Ticket == "" {
+		bed.crds[ins].set.Pools.Finish(pool, plc.ID, route.Success, 1)
 		bed.crds[ins].ReleaseSlot(pool, plc, false)
 		return
 	}
@@ -464,3 +466,35 @@
 	_, acq := bed.acquire(context.Background(), 0, "bookings", Wish{}, 3*time.Second)
 	gom.Expect(acq).To(gomega.Equal(Granted))
 }
+
+// Guards against requests that are refused, or poll, while the only endpoints of a pool are held by a rate; against
+// more requests than the rate allows; and against permits that go to new requests while others wait.
+func TestRequestsWaitForARate(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 2, 9)
+		rates := map[ident.Process]float64{"b1": 10, "e1": 10}
+		for i := range bed.views {
+			vw := bed.base.WithCoordinators(queuePools, bed.ids...).WithRates(rates)
+			bed.views[i].Store(vw)
+			bed.crds[i].set.Pools.Sync(vw)
+		}
+		began := time.Now()
+		var grp sync.WaitGroup
+		var granted atomic.Int64
+		for i := range 10 {
+			grp.Go(func() {
+				if plc, acq := bed.acquire(context.Background(), i%2, pool, Wish{}, 2*time.Second); acq == Granted {
+					granted.Add(1)
+					bed.release(i%2, pool, plc)
+				}
+			})
+		}
+		bed.gom.Eventually(bed.waiting(0, pool), time.Second).Should(gomega.BeNumerically(">", 5))
+		_, acq := bed.acquire(context.Background(), 0, pool, Wish{}, 0)
+		bed.gom.Expect(acq).NotTo(gomega.Equal(Granted))
+		grp.Wait()
+		bed.gom.Expect(granted.Load()).To(gomega.BeEquivalentTo(10))
+		// Of ten requests, one or two are sent at once.
+		bed.gom.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically(">", 750*time.Millisecond), gomega.BeNumerically("<", 1600*time.Millisecond)))
+	})
+}
--- a/internal/node/brittle_test.go
+++ b/internal/node/brittle_test.go
@@ -152,6 +152,43 @@
 		expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">=", 9*sum/10), "%v", statuses)
 	})
 
+	// Guards against slots that go to the callers of the coordinator, which asks without a round trip, while
+	// there are twice as many requests as slots.
+	ginkgo.It("serves the requests of all instances alike", alone, func() {
+		tbd := newTestbed(4)
+		for _, ep := range tbd.plain {
+			ep.Duration = 60 * time.Millisecond
+		}
+		tbd.makeBrittle("bookings", tbd.plain, 8, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		defer cancel()
+		tbd.sendBursts(ctx, plainRequest, burst, pause)
+		var mtx sync.Mutex
+		var grp sync.WaitGroup
+		served := map[int]int{}
+		for round := range 60 {
+			for i := range 64 {
+				grp.Go(func() {
+					rqt := plainRequest
+					rqt.id = fmt.Sprintf("alike-%d-%d", round, i)
+					if tbd.send(i%len(tbd.nodes), rqt).status == http.StatusOK {
+						mtx.Lock()
+						defer mtx.Unlock()
+						served[i%len(tbd.nodes)]++
+					}
+				})
+			}
+			time.Sleep(60 * time.Millisecond)
+		}
+		grp.Wait()
+		ginkgo.GinkgoLogr.Info(fmt.Sprint("served by instance ", served))
+		least, most := served[0], served[0]
+		for node := range tbd.nodes {
+			least, most = min(least, served[node]), max(most, served[node])
+		}
+		expect(least).To(gomega.BeNumerically(">", 7*most/10), "%v", served)
+	})
+
 	// Guards against the same where prompts are placed and items are batched.
 	ginkgo.It("is sent no more prompts and batches than it has room for", func() {
 		tbd := newTestbed(4)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -397,3 +397,49 @@
 	_, err = tnl.Write([]byte("a part"))
 	gom.Expect(err).To(gomega.MatchError(net.ErrClosed))
 }
+
+// TestQueueCosts measures the bytes and datagrams of a request that waits in the queue of another instance, and of
+// one that polls, with IP and UDP headers. It guards against waits that cost more than polls.
+func TestQueueCosts(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	const wait = 250 * time.Millisecond
+	ath := newAuthority(t)
+	one, two := openLink(t, ath, "one#1"), openLink(t, ath, "two#1", func(lnk *Link) {
+		lnk.handle = func(context.Context, Message) Message { return Message{Kind: OK} }
+		lnk.HandleLong = func(context.Context, Message) Message {
+			time.Sleep(wait)
+			return Message{Kind: OK, Body: make([]byte, 40)}
+		}
+	})
+	rly := newUDPRelay(t, two.Addr())
+	ask := Message{From: "10.0.0.1:7000#0123456789abcdef", To: "10.0.0.2:7000#0123456789abcdef", Body: make([]byte, 160)}
+	ctx := context.Background()
+	measure := func(count int, call func() error) (bytes, datagrams float64) {
+		fromBytes, fromCount := rly.bytes.Load(), rly.count.Load()
+		for range count {
+			gom.Expect(call()).To(gomega.Succeed())
+		}
+		time.Sleep(50 * time.Millisecond)
+		return float64(rly.bytes.Load()-fromBytes) / float64(count), float64(rly.count.Load()-fromCount) / float64(count)
+	}
+	poll := func() error {
+		ask.Kind = TakeSlot
+		_, err := one.Call(ctx, rly.sock.LocalAddr().String(), ask)
+		return err
+	}
+	join := func() error {
+		ask.Kind = JoinQueue
+		_, err := one.CallLong(ctx, rly.sock.LocalAddr().String(), ask)
+		return err
+	}
+	gom.Expect(poll()).To(gomega.Succeed())
+	pollBytes, pollCount := measure(20, poll)
+	joinBytes, joinCount := measure(8, join)
+	t.Logf("a wait of %v: %.0f B in %.1f datagrams; a poll: %.0f B in %.1f", wait, joinBytes, joinCount, pollBytes, pollCount)
+	for _, instances := range []int{8, 66, 195, 390} {
+		polls := float64(wait.Milliseconds()) / (5 + 0.5*float64(instances))
+		t.Logf("at %d instances, an instance that polls for as long: %.1f polls, %.0f B in %.1f datagrams", instances, polls, polls*pollBytes, polls*pollCount)
+	}
+	gom.Expect(joinBytes).To(gomega.BeNumerically("<", 2500))
+	gom.Expect(joinCount).To(gomega.BeNumerically("<", 25))
+}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -65,6 +65,14 @@
 	return &cpy
 }
 
+// WithCoordinators returns a copy of the view in which pools have these coordinators, the first of them for long,
+// for decisions made without a control loop.
+func (vw *View) WithCoordinators(pools []string, coordinators ...ident.Incarnation) *View {
+	cpy := vw.WithBrittlePools(pools, coordinators...)
+	cpy.brittlePools = nil
+	return cpy
+}
+
 // WithCoordinatorSince returns a copy of the view in which this instance coordinates a pool since the given
 // time, for decisions made without a control loop.
 func (vw *View) WithCoordinatorSince(pool string, since clock.Milli) *View {
@@ -73,6 +81,18 @@
 	return &cpy
 }
 
+// WithRates returns a copy of the view in which endpoints declare rates, in requests a second, for decisions made
+// without a control loop.
+func (vw *View) WithRates(perSecond map[ident.Process]float64) *View {
+	cpy := *vw
+	rates := declaredBy{}
+	for id, rate := range perSecond {
+		rates[id] = declared{value: rate}
+	}
+	cpy.declared = map[gossip.Kind]declaredBy{gossip.DeclaredRate: rates}
+	return &cpy
+}
+
 // WithMembers returns a copy of the view with these members, for decisions made without a control loop.
 func (vw *View) WithMembers(members ...member.Member) *View {
 	cpy := *vw
