--- a/internal/coord/rates.go
+++ b/internal/coord/rates.go
@@ -73,7 +73,7 @@
 // RateShare returns the fraction of the declared rates of a pool's endpoints that this instance may
 // use by the current view.
 func (crd *Coordinator) RateShare(pool string) float64 {
-	return crd.rateShareIn(crd.set.Control.View(), pool)
+	return crd.rateShareIn(crd.view(), pool)
 }
 
 // permit is a coordinator's answer: the endpoint that may be sent a request, or the time until one
@@ -125,6 +125,9 @@
 // there is none.
 func (crd *Coordinator) acquirePermit(ctx context.Context, vw *state.View, pool string) string {
 	if share := crd.rateShareIn(vw, pool); share > 0 {
+		if crd.isContended(pool) {
+			return ""
+		}
 		id, _ := crd.set.Pools.TakePermit(pool, share)
 		return id
 	}
@@ -161,8 +164,10 @@
 	if share == 0 {
 		return ans
 	}
-	var prm permit
-	prm.ID, prm.Wait = crd.set.Pools.TakePermit(string(msg.Body), share)
+	prm := permit{Wait: pollWait}
+	if !crd.isContended(string(msg.Body)) {
+		prm.ID, prm.Wait = crd.set.Pools.TakePermit(string(msg.Body), share)
+	}
 	if body, err := cbor.Marshal(prm); err == nil {
 		ans.Kind, ans.Body = peer.OK, body
 	}
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -89,15 +89,20 @@
 	return slw.lostSince[pool]
 }
 
-// placeBrittle chooses a brittle plain endpoint that has a free slot.
-func (crd *Coordinator) placeBrittle(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
+// timeLeft returns the time in which a request ends, and its slot if that is not released.
+func (crd *Coordinator) timeLeft(ctx context.Context) clock.Milli {
 	left := slotGrace
 	if until, ok := ctx.Deadline(); ok {
 		left += crd.set.Clock.Until(until)
 	}
+	return left
+}
+
+// placeBrittle chooses a brittle plain endpoint that has a free slot.
+func (crd *Coordinator) placeBrittle(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
 	// A coordinator may not know of an evacuation yet.
 	avoid := slices.Concat(ask.Avoid, vw.Withheld(pool))
-	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: avoid, Left: left})
+	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: avoid, Left: crd.timeLeft(ctx)})
 	if id == "" {
 		return Placement{}, false
 	}
@@ -117,6 +122,10 @@
 func (crd *Coordinator) acquireSlot(ctx context.Context, vw *state.View, srq slotRequest) (id string, by ident.Incarnation) {
 	now := crd.set.Clock.Now()
 	if share := crd.shareIn(vw, srq.Pool, limit.SlotShare); share > 0 {
+		if crd.isContended(srq.Pool) {
+			plc, _ := crd.poll("", srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
+			return string(plc.ID), ""
+		}
 		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, now+srq.Left), ""
 	}
 	inc := crd.coordinator(vw, srq.Pool)
@@ -137,6 +146,23 @@
 	return "", ""
 }
 
+// placeOneSlot places a request at a brittle pool by the records of this instance, which isn't its
+// coordinator: one slot of each endpoint may be used.
+func (crd *Coordinator) placeOneSlot(pool, ticket string, ask place.Ask, expires clock.Milli) (Placement, bool) {
+	ask.Avoid = crd.withResting(ask.Avoid)
+	if crd.set.Pools.HasBrittleEngines(pool) {
+		ask.Share = limit.OneSlot
+		return crd.pick(pool, ticket, ask, 0)
+	}
+	jrq := joinRequest{Pool: pool, Ticket: ticket, Ask: ask}
+	avoid := slices.Concat(ask.Avoid, crd.set.Pools.OtherBuilds(pool, ask.Build))
+	id := crd.set.Pools.TakeSlot(pool, ticket, avoid, limit.OneSlot, expires)
+	if id == "" {
+		return Placement{}, false
+	}
+	return crd.beginPlain(pool, jrq, id, "")
+}
+
 // requestSlot requests a slot from a coordinator. It returns an empty ID if there is none, and false if
 // the coordinator did not answer.
 func (crd *Coordinator) requestSlot(ctx context.Context, vw *state.View, inc ident.Incarnation, srq slotRequest) (string, bool) {
@@ -165,11 +191,16 @@
 	if cbor.Unmarshal(msg.Body, &srq) != nil {
 		return ans
 	}
-	share := crd.shareIn(crd.set.Control.View(), srq.Pool, limit.SlotShare)
+	share := crd.shareIn(crd.view(), srq.Pool, limit.SlotShare)
 	if share == 0 {
 		return ans
 	}
 	ans.Kind = peer.OK
+	if crd.isContended(srq.Pool) {
+		plc, _ := crd.poll(msg.From, srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
+		ans.Body = []byte(plc.ID)
+		return ans
+	}
 	ans.Body = []byte(crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.set.Clock.Now()+min(srq.Left, maxSlotTime)))
 	return ans
 }
@@ -184,5 +215,6 @@
 		return
 	}
 	crd.set.Pools.ReleaseSlot(plc.ID, plc.slot.ticket, rejected)
+	crd.dispatch(pool)
 	crd.reports.add(crd, plc.slot.coordinator, report{Pool: pool, Ticket: plc.slot.ticket, Ended: true, Slot: plc.ID, Rejected: rejected})
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -96,6 +96,10 @@
 	GaugeBlind      = "blind"
 	GaugeEvacuated  = "evacuated_data_centres"
 	GaugeCold       = "endpoints_cold"
+	// GaugeGrantQueue is the number of requests of all instances that wait here for slots, GaugeGrantWait the
+	// longest time that one of them has waited, in milliseconds.
+	GaugeGrantQueue = "requests_waiting_for_grant"
+	GaugeGrantWait  = "grant_oldest_wait_ms"
 )
 
 // New returns a meter whose counters are zero.
