--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -13,6 +13,14 @@
 // of its stages exceeds the deadline, and in the queue as soon as the remaining time
 // is shorter than that estimate. Serving it anyway would spend endpoint time on an
 // unused answer and delay the next request as well.
+//
+// # Chains of stages
+//
+// A request that passes through the pools of several stages is admitted once, on arrival, over the
+// whole chain ([Budget]). Where routes of different priorities share such a pool, the waits are those
+// of the request's rank ([WaitTable]), so that the least urgent requests are refused first. [Recent]
+// notices routes, workspaces and sizes of requests that are served far less often than all; these
+// are admitted at the most urgent rank.
 package admit
 
 import (
