--- a/internal/batch/evac_test.go
+++ b/internal/batch/evac_test.go
@@ -81,8 +81,10 @@
 	evc := newEvacuating()
 	evc.sync("z1")
 	gom.Expect(evc.fill(t, 8).Results).To(gomega.HaveLen(8))
-	gom.Eventually(evc.queried, soon).Should(gomega.Receive(gomega.Equal("z2")))
-	gom.Expect(evc.queried).NotTo(gomega.Receive())
+	var queried string
+	gom.Eventually(evc.queried, soon).Should(gomega.Receive(&queried))
+	gom.Expect(queried).To(gomega.Equal("z2"))
+	gom.Consistently(evc.queried, 200*time.Millisecond).ShouldNot(gomega.Receive())
 	for range 8 {
 		gom.Expect(evc.calls).To(gomega.Receive(gomega.Equal("z2")))
 	}
