internal/bounds, internal/relay, platform: bound answers of endpoints in size and time

An endpoint in trouble may send bytes without end. A head could take 10 MB (the default of net/http), the answer to a stage call or query 32 MB, a stage's result of the own protocol 8 MB; a head or an event that trickles held its call until the deadline and counted as neutral.

Each reader has a bound from what its exchange may hold, and an error that names what was exceeded. The connection is closed, the endpoint counts as failing, and the answer is counted and logged.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"amaranthvalve/internal/bounds"
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
@@ -235,6 +238,7 @@
 		pol.recordCrash(bat)
 	}
 	pol.logCall(bat, made, took, err)
+	pol.countUnbounded(err)
 	pol.handleResponse(bat, made, err)
 	pol.dispatch()
 }
@@ -378,6 +382,26 @@
 	}
 }
 
+// countUnbounded counts an answer that exceeded a bound.
+func (pol *pool) countUnbounded(err error) {
+	if bounds.Exceeded(err) {
+		pol.set.Meter.CountEvent(meter.EventUnbounded)
+	}
+}
+
+// failIfUnbounded ejects an endpoint of the pool if its answer to a call that is no batch exceeded a bound.
+func (pol *pool) failIfUnbounded(err error, is func(ep gather.Endpoint) bool) {
+	if !bounds.Exceeded(err) {
+		return
+	}
+	pol.countUnbounded(err)
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	if i := slices.IndexFunc(pol.endpoints, is); i >= 0 {
+		pol.sched.MarkFailed(pol.endpoints[i].ID, pol.set.Clock.Now())
+	}
+}
+
 // queueRelease collects the handles to be released at one endpoint for a single call. A failed call
 // is not retried: the endpoint drops the results when they expire.
 func (pol *pool) queueRelease(res Handle) {
@@ -402,6 +426,7 @@
 	defer cancel()
 	if err := pol.set.Dialect.Free(ctx, pol.set.Client, addr, list); err != nil {
 		pol.set.Log.Warn().Err(err).Str("pool", pol.name).Str("addr", addr).Int("results", len(list)).Msg("releasing results failed")
+		pol.failIfUnbounded(err, func(ep gather.Endpoint) bool { return ep.Addr == addr })
 		return
 	}
 	pol.mtx.Lock()
--- a/internal/batch/storage.go
+++ b/internal/batch/storage.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
@@ -97,6 +98,10 @@
 	defer cancel()
 	free, err := pol.set.Dialect.FreeStorage(ctx, pol.set.Client, proto.Endpoint{ID: ident.Process(ep.ID), Pool: pol.name, Addr: ep.Addr, Zone: ep.Zone})
 	if err != nil {
+		if bounds.Exceeded(err) {
+			pol.set.Log.Warn().Err(err).Str("pool", pol.name).Str("endpoint", ep.ID).Msg("answer of endpoint exceeds a bound")
+		}
+		pol.failIfUnbounded(err, func(oth gather.Endpoint) bool { return oth.ID == ep.ID })
 		return 0, err
 	}
 	pol.mtx.Lock()
--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -60,6 +60,8 @@
 	// CachedParts queries the prompt parts in the cache of a model engine; nil if engines can't be
 	// queried.
 	CachedParts func(ctx context.Context, ep proto.Endpoint) ([]place.Part, error)
+	// OnUnbounded is called when an engine's answer exceeds a bound of size or time; it may be nil.
+	OnUnbounded func()
 	// Origins returns the instances for which this one relays connections to an endpoint; nil for none.
 	Origins func(id ident.Process) []ident.Incarnation
 	// Ranking returns the instances in the order in which they coordinate a pool; nil selects that of the
--- a/internal/coord/tenures.go
+++ b/internal/coord/tenures.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/internal/state"
 )
@@ -90,6 +91,13 @@
 	defer cancel()
 	parts, err := crd.set.CachedParts(ctx, ep)
 	if err != nil {
+		if bounds.Exceeded(err) {
+			crd.set.Pools.QueryFailed(ep.Pool, ep.ID)
+			if crd.set.OnUnbounded != nil {
+				crd.set.OnUnbounded()
+			}
+			crd.set.Log.Warn().Err(err).Str("pool", ep.Pool).Str("endpoint", string(ep.ID)).Msg("answer of endpoint exceeds a bound")
+		}
 		return 0, err
 	}
 	crd.set.Pools.SetCached(ep.Pool, ep.ID, parts)
--- a/internal/engin/engin.go
+++ b/internal/engin/engin.go
@@ -21,19 +21,36 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/platf"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/ending"
 )
 
-// maxAnswer bounds the answer of an endpoint, in bytes.
-const maxAnswer = 8 << 20
+const (
+	// maxAnswer bounds the result of a stage, in bytes. Results are texts that the next stage takes as input. Ten of
+	// 2 MB at a time fit an instance with 144 MB.
+	maxAnswer = 2 << 20
+	// maxReport bounds the report of an endpoint, which lists the hashes of evicted prefixes, in bytes: some
+	// thousands of 20 digits each.
+	maxReport = 128 << 10
+)
 
 // Client is a client of endpoints.
 type Client struct {
+	// OnUnbounded is called with the address of an endpoint whose answer exceeded a bound; it may be nil.
+	OnUnbounded func(addr string, err error)
+
 	svc httpc.Service
 }
 
+// report reports an answer that exceeded a bound.
+func (cli *Client) report(addr string, err error) {
+	if bounds.Exceeded(err) && cli.OnUnbounded != nil {
+		cli.OnUnbounded(addr, err)
+	}
+}
+
 // New returns a client.
 func New() *Client { return &Client{svc: platf.NewService("endpoint")} }
 
@@ -67,7 +84,11 @@
 		return wire.RunResult{}, rep, end
 	}
 	var ran wire.RunResult
-	text, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	text, err := bounds.ReadAll(res.Body, maxAnswer, "the result of a stage")
+	cli.report(addr, err)
+	if bounds.Exceeded(err) {
+		return wire.RunResult{}, rep, ending.Cut
+	}
 	if err != nil || json.Unmarshal(text, &ran) != nil {
 		return wire.RunResult{}, rep, ending.Broken(ctx)
 	}
@@ -85,14 +106,14 @@
 // a closing event with the right count.
 func (cli *Client) Generate(ctx context.Context, addr string, run wire.Run, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
 	res, end := cli.post(ctx, addr, "/v1/generate", run)
-	return readStream(ctx, res, end, run.Attempt, run.From, take)
+	return cli.readStream(ctx, addr, res, end, run.Attempt, run.From, take)
 }
 
 // Resume continues the stream of an engine at an index.
 func (cli *Client) Resume(ctx context.Context, addr, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
 	path := "/v1/streams/" + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
 	res, end := cli.do(ctx, http.MethodGet, addr, path, nil, attempt)
-	return readStream(ctx, res, end, attempt, from, take)
+	return cli.readStream(ctx, addr, res, end, attempt, from, take)
 }
 
 // Cancel cancels an abandoned stream at its engine.
@@ -110,9 +131,16 @@
 		return wire.Load{}, false
 	}
 	defer func() { _ = res.Body.Close() }()
+	if end != ending.Answered {
+		return wire.Load{}, false
+	}
+	text, err := bounds.ReadAll(res.Body, maxReport, "the report of an endpoint")
+	cli.report(addr, err)
 	var rep wire.Load
-	ok := end == ending.Answered && json.NewDecoder(io.LimitReader(res.Body, maxAnswer)).Decode(&rep) == nil
-	return rep, ok
+	if err != nil || json.Unmarshal(text, &rep) != nil {
+		return wire.Load{}, false
+	}
+	return rep, true
 }
 
 // Order sends an order to an endpoint. The ending is Refused if the fencing token was outdated.
@@ -159,7 +187,8 @@
 		req.Header.Set(wire.HeaderAttempt, attempt)
 	}
 	res, err := cli.svc.DoRequest(req)
-	if err != nil {
+	if err = bounds.Head(err); err != nil {
+		cli.report(addr, err)
 		return nil, endingOf(ctx, err, connected.Load())
 	}
 	return res, endingOfStatus(res)
@@ -184,7 +213,7 @@
 	return ending.Errored
 }
 
-func readStream(ctx context.Context, res *http.Response, end ending.Ending, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
+func (cli *Client) readStream(ctx context.Context, addr string, res *http.Response, end ending.Ending, attempt string, from int, take func(wire.Token) error) (int, wire.End, Report, ending.Ending) {
 	if res == nil {
 		return from, wire.End{}, Report{}, end
 	}
@@ -193,43 +222,47 @@
 	if end != ending.Answered {
 		return from, wire.End{}, rep, end
 	}
-	next, last, end := readTokens(ctx, wire.NewEventReader(res.Body), attempt, from, take)
+	next, last, end, err := readTokens(ctx, wire.NewEventReader(res.Body), attempt, from, take)
+	cli.report(addr, err)
 	return next, last, rep, end
 }
 
-func readTokens(ctx context.Context, erd *wire.EventReader, attempt string, from int, take func(wire.Token) error) (int, wire.End, ending.Ending) {
+func readTokens(ctx context.Context, erd *wire.EventReader, attempt string, from int, take func(wire.Token) error) (int, wire.End, ending.Ending, error) {
 	for {
 		name, data, err := erd.Next()
+		if bounds.Exceeded(err) {
+			return from, wire.End{}, ending.Cut, err
+		}
 		if err != nil {
-			return from, wire.End{}, ending.Broken(ctx)
+			return from, wire.End{}, ending.Broken(ctx), err
 		}
 		switch name {
 		case wire.EventToken:
 			var tok wire.Token
 			if json.Unmarshal(data, &tok) != nil || tok.Attempt != attempt {
-				return from, wire.End{}, ending.Foreign
+				return from, wire.End{}, ending.Foreign, nil
 			}
 			if tok.Index < from {
 				continue
 			}
 			if tok.Index > from {
-				return from, wire.End{}, ending.Cut
+				return from, wire.End{}, ending.Cut, nil
 			}
 			if take(tok) != nil {
-				return from, wire.End{}, ending.GaveUp
+				return from, wire.End{}, ending.GaveUp, nil
 			}
 			from++
 		case wire.EventEnd:
 			var last wire.End
 			if json.Unmarshal(data, &last) != nil || last.Attempt != attempt {
-				return from, wire.End{}, ending.Foreign
+				return from, wire.End{}, ending.Foreign, nil
 			}
 			// A stream that closes before its last token is cut, whatever its closing event
 			// states.
 			if last.Count != from {
-				return from, wire.End{}, ending.Cut
+				return from, wire.End{}, ending.Cut, nil
 			}
-			return from, last, ending.Answered
+			return from, last, ending.Answered, nil
 		}
 	}
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -216,6 +216,7 @@
 	if end == ending.Answered {
 		return run.answered(ctx, tgt, rsp, began, took, cancel)
 	}
+	run.countUnbounded(tgt, err)
 	run.rejected = end == ending.Refused && isRejection(rsp)
 	run.release(tgt, end.RouteOutcome(slow), took)
 	if end == ending.Cut {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -7,7 +7,9 @@
 	"mime"
 	"net/http"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/coord"
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ending"
@@ -35,7 +37,7 @@
 	switch {
 	case err != nil:
 		run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
-		return run.bodyFailed(ctx, tgt, took)
+		return run.bodyFailed(ctx, tgt, took, err, true)
 	case len(body) > maxBufferedBody:
 		return run.forwardLarge(ctx, tgt, rsp, body, began), false
 	}
@@ -71,20 +73,37 @@
 }
 
 // bodyFailed ends an attempt whose response body broke off.
-func (run *finalRun) bodyFailed(ctx context.Context, tgt coord.Placement, took clock.Milli) (outcm.Result, bool) {
-	return run.afterFailure(ctx, run.releaseBroken(ctx, tgt, took))
+func (run *finalRun) bodyFailed(ctx context.Context, tgt coord.Placement, took clock.Milli, err error, inside bool) (outcm.Result, bool) {
+	return run.afterFailure(ctx, run.releaseBroken(ctx, tgt, took, err, inside))
 }
 
-// releaseBroken frees the slot of an attempt whose response body broke off, and returns its ending.
-func (run *finalRun) releaseBroken(ctx context.Context, tgt coord.Placement, took clock.Milli) ending.Ending {
+// releaseBroken frees the slot of an attempt whose response body broke off, and returns its ending. inside is set if
+// the endpoint had begun something, the body or an event, that it did not complete: if the deadline ends it, the
+// endpoint is too slow or sends without end, and counts as failing.
+func (run *finalRun) releaseBroken(ctx context.Context, tgt coord.Placement, took clock.Milli, err error, inside bool) ending.Ending {
 	end := ending.Broken(ctx)
-	run.release(tgt, end.RouteOutcome(false), took)
+	if bounds.Exceeded(err) {
+		end = ending.Cut
+	}
+	run.countUnbounded(tgt, err)
+	outlasted := inside && run.cl.http.Context().Err() == nil && run.fr.set.Clock.Now() >= run.cl.deadline
+	run.release(tgt, end.RouteOutcome(outlasted), took)
 	if end == ending.Cut {
 		run.fr.checkCrash(run.cl, tgt, false)
 	}
 	return end
 }
 
+// countUnbounded counts and logs an answer that exceeded a bound of size or time.
+func (run *finalRun) countUnbounded(tgt coord.Placement, err error) {
+	fr, cl := run.fr, run.cl
+	if !bounds.Exceeded(err) {
+		return
+	}
+	fr.set.Meter.CountEvent(meter.EventUnbounded)
+	fr.set.Log.Warn().Err(err).Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Msg("answer of endpoint exceeds a bound")
+}
+
 // forwardLarge forwards a response that is too long to be buffered, of which the first part has been read.
 func (run *finalRun) forwardLarge(ctx context.Context, tgt coord.Placement, rsp *relay.Response, part []byte, began clock.Milli) outcm.Result {
 	fr, out := run.fr, run.cl.out
@@ -111,7 +130,7 @@
 		return outcm.OK()
 	}
 	run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
-	run.releaseBroken(ctx, tgt, took)
+	run.releaseBroken(ctx, tgt, took, err, true)
 	return outcm.New(outcm.Unknown, outcm.ConnectionCut, "the response body was cut off")
 }
 
@@ -163,7 +182,7 @@
 		end = ending.InsideEvent
 	}
 	run.bodyEnded(tgt, rsp, end, evs.Tail())
-	res, again := run.bodyFailed(ctx, tgt, fr.set.Clock.Since(began))
+	res, again := run.bodyFailed(ctx, tgt, fr.set.Clock.Since(began), err, evs.Tail() > 0)
 	if again {
 		fr.set.Meter.CountRetry(retry.Resumed)
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -68,11 +68,13 @@
 	EventRestOfNone    = "endpoint_rest_of_none"
 	// EventPartQuarantined: a part of prompts is refused because endpoints crashed with it in flight.
 	EventPartQuarantined = "part_quarantined"
+	// EventUnbounded: an answer of an endpoint exceeded a bound of size or time, and its connection was closed.
+	EventUnbounded = "endpoint_answer_unbounded"
 )
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined, EventUnbounded,
 }
 
 // Names of the gauges.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,7 +203,7 @@
 			}
 		},
 	})
-	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli), Origins: nod.dialer.Origins})
+	nod.coord = coord.New(coord.Setup{Control: nod.ctl, Batcher: btr, Pools: pls, Link: nod.link, Clock: nod.clk, Log: nod.log, CachedParts: cachedParts(dia, cli), OnUnbounded: func() { nod.mtr.CountEvent(meter.EventUnbounded) }, Origins: nod.dialer.Origins})
 	nod.front = front.New(front.Setup{
 		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, nod.dialer.DialContext, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
 		Meter: nod.mtr, Log: nod.log, CheckProcess: nod.dialer.CheckProcess,
--- a/internal/platf/platf.go
+++ b/internal/platf/platf.go
@@ -22,6 +22,7 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/oplog"
@@ -78,6 +79,8 @@
 			IdleConnTimeout:       30 * time.Second,
 			ResponseHeaderTimeout: 0,
 			DisableCompression:    true,
+
+			MaxResponseHeaderBytes: bounds.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	})
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -299,6 +299,15 @@
 	}
 }
 
+// QueryFailed records that a model engine failed a query.
+func (pls *Pools) QueryFailed(pool string, id ident.Process) {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	if pst := pls.byName[pool]; pst != nil && pst.engines != nil {
+		pst.engines.MarkFailed(string(id), pls.set.Clock.Now())
+	}
+}
+
 // FirstEvent records the first event of a request at a model engine, and the time from the sending of
 // the request to this event.
 func (pls *Pools) FirstEvent(pool, ticket string, took clock.Milli) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"amaranthvalve/internal/bounds"
 )
 
 // maxEventBytes bounds one event; a stream with a longer event counts as cut there.
@@ -15,8 +17,9 @@
 type EventReader struct {
 	rdr io.Reader
 	buf []byte
-	// lines is the length of the whole lines at the beginning of buf, none of which is empty.
-	lines int
+	// lines is the length of the whole lines at the beginning of buf, none of which is empty; seen is the
+	// length of what is known to have no end of a line after them.
+	lines, seen int
 	err   error
 }
 
@@ -33,7 +36,7 @@
 	for {
 		if end := evr.eventEnd(); end > 0 {
 			event := bytes.Clone(evr.buf[:end])
-			evr.buf, evr.lines = evr.buf[end:], 0
+			evr.buf, evr.lines, evr.seen = evr.buf[end:], 0, 0
 			return event, nil
 		}
 		if evr.err != nil {
@@ -54,7 +57,7 @@
 		return nil, ErrInsideEvent
 	}
 	rest := evr.buf
-	evr.buf, evr.lines = nil, 0
+	evr.buf, evr.lines, evr.seen = nil, 0, 0
 	return rest, nil
 }
 
@@ -64,7 +67,7 @@
 	evr.buf = append(evr.buf, part[:n]...)
 	evr.err = err
 	if len(evr.buf) > maxEventBytes && evr.err == nil {
-		evr.err = io.ErrShortBuffer
+		evr.err = &bounds.Error{What: "an event of the answer", Bytes: maxEventBytes}
 	}
 }
 
@@ -72,10 +75,14 @@
 // a carriage return or both; an event ends with an empty line.
 func (evr *EventReader) eventEnd() int {
 	for {
-		line := lineEnd(evr.buf[evr.lines:])
+		from := max(evr.lines, evr.seen)
+		line := lineEnd(evr.buf[from:])
 		if line == 0 {
+			// Otherwise a long line that comes byte by byte would be searched again at each of them.
+			evr.seen = len(evr.buf)
 			return 0
 		}
+		line += from - evr.lines
 		if first := evr.buf[evr.lines]; first == '\r' || first == '\n' {
 			return evr.lines + line
 		}
--- a/internal/relay/observe.go
+++ b/internal/relay/observe.go
@@ -22,7 +22,7 @@
 // Observer is called with each request that was answered.
 type Observer func(xch Exchange)
 
-// observedTransport passes the answers of a transport to an [Observer].
+// observedTransport bounds the heads of answers in time and number, and passes them to an [Observer].
 type observedTransport struct {
 	next    http.RoundTripper
 	observe Observer
@@ -34,20 +34,27 @@
 }
 
 func (obt *observedTransport) RoundTrip(req *http.Request) (*http.Response, error) {
-	if obt.observe == nil {
-		return obt.next.RoundTrip(req)
-	}
 	sent := time.Now()
 	var relay atomic.Value
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(inf httptrace.GotConnInfo) {
-		if con, ok := inf.Conn.(relayedConn); ok {
-			relay.Store(con.Relay())
-		}
-	}})
+	var hwt headWatch
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(inf httptrace.GotConnInfo) {
+			hwt.setConn(inf.Conn)
+			if con, ok := inf.Conn.(relayedConn); ok {
+				relay.Store(con.Relay())
+			}
+		},
+		GotFirstResponseByte: hwt.begin,
+		Got1xxResponse:       hwt.interim,
+	})
 	res, err := obt.next.RoundTrip(req.WithContext(ctx))
-	if err == nil {
+	hwt.stop()
+	if err != nil {
+		return nil, hwt.explain(req.Context(), err)
+	}
+	if obt.observe != nil {
 		by, _ := relay.Load().(ident.Incarnation)
 		obt.observe(Exchange{Request: req, Response: res, Ago: time.Since(sent), Relay: by})
 	}
-	return res, err
+	return res, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/dial"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/ending"
@@ -25,7 +26,7 @@
 	return &http.Client{
 		Transport: &observedTransport{observe: obs, next: &http.Transport{
 			DialContext: dlf, DisableCompression: true,
-			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle,
+			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: bounds.MaxHeadBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -38,16 +39,22 @@
 type Relay struct {
 	dia *proto.Dialect
 	trn http.RoundTripper
+	// maxBody bounds the body of an answer, in bytes.
+	maxBody int64
 }
 
+// maxBodyBytes bounds the body of an answer. It is passed on as it comes and takes no memory, but an endless one
+// takes the network of its instance until the request's deadline: a link of 200 Mbit/s carries this in 10 s.
+const maxBodyBytes = 256 << 20
+
 // New returns a relay for a dialect. obs is called with each answer; it may be nil.
 func New(dia *proto.Dialect, dlf dial.Func, obs Observer) *Relay {
-	return &Relay{dia: dia, trn: &observedTransport{observe: obs, next: &http.Transport{
+	return &Relay{dia: dia, maxBody: maxBodyBytes, trn: &observedTransport{observe: obs, next: &http.Transport{
 		DialContext: dialTracked(dlf), DisableCompression: true,
 		// No connection is reused. DisableKeepAlives would achieve that too, but sends "Connection:
 		// close" to endpoints; they would then answer the same, which could not be told from an
 		// endpoint that is leaving.
-		MaxIdleConnsPerHost: -1,
+		MaxIdleConnsPerHost: -1, MaxResponseHeaderBytes: bounds.MaxHeadBytes,
 	}}}
 }
 
@@ -99,7 +106,11 @@
 	rsp := &Response{
 		Status: res.StatusCode, Header: res.Header, Reply: rel.dia.Reply(res), Length: res.ContentLength, Framing: ending.FramingOf(res),
 	}
-	rsp.Body = guardEnd(res.Body, rsp.Framing, wrt)
+	if res.ContentLength > rel.maxBody {
+		_ = res.Body.Close()
+		return nil, ending.Cut, bodyExceeded(rel.maxBody)
+	}
+	rsp.Body = bounds.NewBody(guardEnd(res.Body, rsp.Framing, wrt), bodyExceeded(rel.maxBody))
 	end := rel.classify(rqs.ID, rsp)
 	if end != ending.Answered && end != ending.Refused {
 		_ = res.Body.Close()
@@ -110,9 +121,15 @@
 	return rsp, end, nil
 }
 
+func bodyExceeded(limit int64) *bounds.Error {
+	return &bounds.Error{What: "the body of the answer", Bytes: limit}
+}
+
 // endingOf returns the ending of an attempt without a response.
 func endingOf(ctx context.Context, err error, connected bool) ending.Ending {
 	switch {
+	case bounds.Exceeded(err):
+		return ending.Cut
 	case errors.Is(err, errWithheld):
 		return ending.Withheld
 	case !connected:
--- a/internal/wire/event.go
+++ b/internal/wire/event.go
@@ -4,13 +4,21 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+
+	"amaranthvalve/internal/bounds"
 )
 
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event, maxLines the lines between the ends of two: comments and unknown fields take no
+// memory, but must not go on for ever.
+const (
+	maxEventBytes = 1 << 20
+	maxLines      = 4096
+)
 
 // WriteEvent writes one server-sent event (WHATWG HTML, section 9.2) and
 // flushes it, so that no token is delayed until the next one.
@@ -43,8 +51,15 @@
 // Next returns the next event, or io.EOF at the end. For an event that is truncated
 // before its terminating empty line it returns io.ErrUnexpectedEOF.
 func (erd *EventReader) Next() (name string, data []byte, err error) {
-	begun := false
+	begun, lines, size := false, 0, 0
 	for erd.scn.Scan() {
+		lines++
+		if size += len(erd.scn.Bytes()); size > maxEventBytes {
+			return "", nil, &bounds.Error{What: "an event of the answer", Bytes: maxEventBytes}
+		}
+		if lines > maxLines {
+			return "", nil, &bounds.Error{What: "the lines of an event of the answer", Count: maxLines}
+		}
 		line := erd.scn.Text()
 		if line == "" && begun {
 			return name, data, nil
@@ -56,7 +71,9 @@
 			data, begun = bytes.Clone(rest), true
 		}
 	}
-	if err := erd.scn.Err(); err != nil {
+	if err := erd.scn.Err(); errors.Is(err, bufio.ErrTooLong) {
+		return "", nil, &bounds.Error{What: "an event of the answer", Bytes: maxEventBytes}
+	} else if err != nil {
 		return "", nil, err
 	}
 	if begun {
--- a/pkg/gather/learn.go
+++ b/pkg/gather/learn.go
@@ -38,12 +38,24 @@
 		// A missing answer implies that the batch takes at least this long.
 		ep.setSlowness(max(ep.slowness(now), float64(now-ob.began)/float64(max(sch.spec.Time(ob.count), 1))), now)
 		ep.inferred = true
-		ep.blockedUntil = now + min(minEject<<min(ep.failures, 5), maxEject)
-		ep.failures++
+		ep.fail(now)
 	case Canceled:
 	}
 }
 
+// fail ejects an endpoint, for longer after each failure in a row.
+func (ep *endpoint) fail(now clock.Milli) {
+	ep.blockedUntil = now + min(minEject<<min(ep.failures, 5), maxEject)
+	ep.failures++
+}
+
+// MarkFailed records that an endpoint failed a call that is no batch, as [Scheduler.End] does for a failed one.
+func (sch *Scheduler) MarkFailed(id string, now clock.Milli) {
+	if ep, ok := sch.byID[id]; ok {
+		ep.fail(now)
+	}
+}
+
 // MarkFull records that an endpoint refused an item for lack of result storage. It gets no batch
 // until a result is released or fullRetryDelay has passed, even if storage is free by this
 // scheduler's count: sizes are estimates, and other schedulers may have results there.
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -251,11 +251,23 @@
 	if end != Failed && end != Rejected {
 		return
 	}
+	eng.fail(now)
+}
+
+// fail counts a failure of an engine, and ejects it after several in a row.
+func (eng *engine) fail(now clock.Milli) {
 	if eng.failures++; eng.failures >= failuresToEject {
 		eng.ejectedUntil = now + min(minEject<<min(eng.failures-failuresToEject, 5), maxEject)
 	}
 }
 
+// MarkFailed records that an engine failed a query, as [Placer.End] does for a failed request.
+func (plc *Placer) MarkFailed(id string, now clock.Milli) {
+	if eng, ok := plc.byID[id]; ok {
+		eng.fail(now)
+	}
+}
+
 func (plc *Placer) remove(rn *run, now clock.Milli) {
 	delete(plc.runs, rn.ticket)
 	rn.eng.runs = slices.DeleteFunc(rn.eng.runs, func(oth *run) bool { return oth == rn })
