--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 )
@@ -11,7 +12,7 @@
 // Error reports that an answer exceeded a bound: of time if Time is set, of number if Count is, or else of size.
 type Error struct {
 	// What names the bounded part of the exchange.
-	What string
+	What  string
 	Bytes int64
 	Count int
 	Time  time.Duration
@@ -58,7 +59,7 @@
 	if err == nil && int64(len(text)) > limit {
 		return nil, &Error{What: what, Bytes: limit}
 	}
-	return text, err
+	return text, framing(err)
 }
 
 // Discard reads an answer of at most limit bytes without keeping it.
@@ -67,7 +68,7 @@
 	if err == nil && n > limit {
 		return &Error{What: what, Bytes: limit}
 	}
-	return err
+	return framing(err)
 }
 
 // Body is an answer's body that fails when more than its bound is read.
@@ -95,5 +96,27 @@
 	if bdy.left -= int64(n); bdy.left < 0 {
 		return n - 1, bdy.err
 	}
-	return n, err
+	return n, framing(err)
+}
+
+// Bounds of net/http for the framing of chunked bodies, in bytes: of a line with the size of a chunk, of what such
+// lines carry beyond their chunks, and of trailers.
+const (
+	maxChunkLine  = 4 << 10
+	maxChunkExtra = 16 << 10
+	maxTrailers   = 4 << 10
+)
+
+// framing returns the error of a body, as an [Error] if the framing of its chunks exceeded a bound of net/http.
+func framing(err error) error {
+	switch {
+	case err == nil || err == io.EOF:
+	case errors.Is(err, http.ErrLineTooLong):
+		return &Error{What: "a line with the size of a chunk", Bytes: maxChunkLine}
+	case strings.Contains(err.Error(), "too much non-data"):
+		return &Error{What: "the framing of the chunks", Bytes: maxChunkExtra}
+	case strings.Contains(err.Error(), "suspiciously long trailer"):
+		return &Error{What: "the trailers of the answer", Bytes: maxTrailers}
+	}
+	return err
 }
