--- a/internal/bounds/bounds.go
+++ b/internal/bounds/bounds.go
@@ -59,7 +59,7 @@
 	if err == nil && int64(len(text)) > limit {
 		return nil, &Error{What: what, Bytes: limit}
 	}
-	return text, framing(err)
+	return text, Framing(err)
 }
 
 // Discard reads an answer of at most limit bytes without keeping it.
@@ -68,7 +68,7 @@
 	if err == nil && n > limit {
 		return &Error{What: what, Bytes: limit}
 	}
-	return framing(err)
+	return Framing(err)
 }
 
 // Body is an answer's body that fails when more than its bound is read.
@@ -96,7 +96,7 @@
 	if bdy.left -= int64(n); bdy.left < 0 {
 		return n - 1, bdy.err
 	}
-	return n, framing(err)
+	return n, Framing(err)
 }
 
 // Bounds of net/http for the framing of chunked bodies, in bytes: of a line with the size of a chunk, of what such
@@ -107,8 +107,8 @@
 	maxTrailers   = 4 << 10
 )
 
-// framing returns the error of a body, as an [Error] if the framing of its chunks exceeded a bound of net/http.
-func framing(err error) error {
+// Framing returns the error of a body, as an [Error] if the framing of its chunks exceeded a bound of net/http.
+func Framing(err error) error {
 	switch {
 	case err == nil || err == io.EOF:
 	case errors.Is(err, http.ErrLineTooLong):
--- a/internal/contr/endpts.go
+++ b/internal/contr/endpts.go
@@ -155,7 +155,7 @@
 // endpoint that has not received work recently, which is then reported to the other instances
 // with the next probes. Loads are not shared: routing does not need them, see package route.
 func (ect *endptsCtl) pollLoads(ctx context.Context) {
-	cli := engin.New()
+	cli := ect.ctl.newClient()
 	tkr := time.NewTicker(loadInterval)
 	defer tkr.Stop()
 	for {
--- a/internal/contr/leases.go
+++ b/internal/contr/leases.go
@@ -147,10 +147,20 @@
 	}
 }
 
+// newClient returns a client of endpoints that counts and logs answers that exceed a bound.
+func (ctl *Control) newClient() *engin.Client {
+	cli := engin.New()
+	cli.OnUnbounded = func(addr string, err error) {
+		ctl.set.Meter.CountEvent(meter.EventUnbounded)
+		ctl.set.Log.Warn().Err(err).Str("addr", addr).Msg("answer of endpoint exceeds a bound")
+	}
+	return cli
+}
+
 // order reads the state of each endpoint and corrects it. The grant is checked immediately
 // before each order, because the process may have been paused in any step before.
 func (lct *leasesCtl) order(ctx context.Context, grt lease.Grant, tgts []target) {
-	cli := engin.New()
+	cli := lct.ctl.newClient()
 	for _, tgt := range tgts {
 		octx, cancel := context.WithTimeout(ctx, orderTimeout)
 		rep, ok := cli.Load(octx, tgt.addr)
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -105,6 +105,10 @@
 		}
 	}
 	nod.rnr = stage.New(nod.clk, nod.set.Zone(), nod.mtr, func(pool, id string) { nod.ctl.ReportLeaving(pool, id) })
+	nod.rnr.OnUnbounded(func(addr string, err error) {
+		nod.mtr.CountEvent(meter.EventUnbounded)
+		nod.log.Warn().Err(err).Str("addr", addr).Msg("answer of endpoint exceeds a bound")
+	})
 	nod.ctl = contr.New(contr.Setup{
 		Self: ident.NewIncarnation(addr), Zone: nod.set.Zone(), CallerAddr: nod.callerLsn.Addr().String(),
 		Peers: nod.set.Peers(), MaxLogAge: nod.set.MaxLogAge(), LogRetention: nod.set.LogRetention(), Clock: nod.clk,
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -55,6 +55,7 @@
 	{"store from a copy", (*soakRun).restoreStore},
 	{"engines of another build", (*soakRun).rollOutBuild},
 	{"part of prompts", (*soakRun).sendParts},
+	{"answers without end", (*soakRun).floodAnswers},
 }
 
 // Runs that draw from at least variedFromKinds kinds may have answers of varied length. In such a
@@ -131,6 +132,9 @@
 	if sr.params.parts && sr.drawInt(calmAnyFaultOneIn) > 0 {
 		return partFaults[sr.drawInt(len(partFaults))]
 	}
+	if sr.params.floods && sr.drawInt(calmAnyFaultOneIn) > 0 {
+		return floodFaults[sr.drawInt(len(floodFaults))]
+	}
 	return faultKinds[sr.drawInt(sr.faultKinds)]
 }
 
@@ -374,5 +378,6 @@
 	for _, ep := range sr.eps {
 		ep.proxy.set(stateForward)
 		ep.ClearFaults()
+		ep.SetFlood(fake.NoFlood, 0)
 	}
 }
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -85,6 +85,9 @@
 // a seed are independent of them.
 func newRunParams(spc runSpec) runParams {
 	rng := rand.New(rand.NewPCG(spc.seed, 2))
+	if spc.faultKinds >= floodsFromKinds && rng.IntN(2) == 0 {
+		return runParams{shutdownTimeout: defaultShutdownTimeout, entryTTL: defaultEntryTTL, floods: true}
+	}
 	if spc.faultKinds >= partsFromKinds && rng.IntN(2) == 0 {
 		return runParams{shutdownTimeout: defaultShutdownTimeout, entryTTL: defaultEntryTTL, parts: true}
 	}
--- a/internal/stage/runner.go
+++ b/internal/stage/runner.go
@@ -51,6 +51,10 @@
 	}
 }
 
+// OnUnbounded sets the function that is called with the address of an endpoint whose answer exceeded a bound. It must
+// be called before the first request.
+func (rnr *Runner) OnUnbounded(call func(addr string, err error)) { rnr.cli.OnUnbounded = call }
+
 // Tick checks the queues of all pools periodically until the context ends.
 func (rnr *Runner) Tick(ctx context.Context) {
 	tkr := time.NewTicker(tickInterval)
--- a/internal/wire/event.go
+++ b/internal/wire/event.go
@@ -74,7 +74,7 @@
 	if err := erd.scn.Err(); errors.Is(err, bufio.ErrTooLong) {
 		return "", nil, &bounds.Error{What: "an event of the answer", Bytes: maxEventBytes}
 	} else if err != nil {
-		return "", nil, err
+		return "", nil, bounds.Framing(err)
 	}
 	if begun {
 		return "", nil, io.ErrUnexpectedEOF
