--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -257,23 +257,12 @@
 	return quic.StatelessResetKey(sha256.Sum256([]byte(protocol + addr)))
 }
 
-// maxStreamWindow and maxConnWindow bound what a connection buffers of bytes that are not read yet, such as an
-// answer that another instance relays while its caller is slow. The defaults of 6 and 15 MB for each peer are
-// too much for instances with 144 MB. A stream still carries 40 Mbit/s with round trips of 100 ms.
-const (
-	maxStreamWindow = 512 << 10
-	maxConnWindow   = 4 << 20
-)
-
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:       idleTimeout,
 		HandshakeIdleTimeout: 2 * time.Second,
 		MaxIncomingStreams:   maxStreams,
 
-		MaxStreamReceiveWindow:     maxStreamWindow,
-		MaxConnectionReceiveWindow: maxConnWindow,
-
 		EnableStreamResetPartialDelivery: true,
 	}
 }
--- a/internal/relay/flood_test.go
+++ b/internal/relay/flood_test.go
@@ -178,3 +178,17 @@
 		}
 	}
 }
+
+// Guards against an answer that is passed on although it claims a length beyond any bound: its caller could only be cut
+// off then.
+func TestEndlessLengthIsNoAnswer(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	fdr, err := fake.ServeFlood(fake.LengthBody, 0)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	defer fdr.Close()
+	rel := New(platform.Dialect(), dial.Direct(dial.EndpointSilence).DialContext, nil)
+	rsp, end, err := rel.Do(t.Context(), fdr.Addr(), Request{ID: "one", Method: "POST", Host: "x", Target: "/", Header: http.Header{fake.HeaderRequestID: {"one"}}}, proto.SendMeta{Remaining: 1000})
+	gom.Expect(rsp).To(gomega.BeNil())
+	gom.Expect(end).To(gomega.Equal(ending.Cut))
+	gom.Expect(err).To(gomega.MatchError("the body of the answer exceeds 268435456 bytes"))
+}
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -64,6 +64,8 @@
 	// parts reports that prompts with a part that crashes engines are sent all the time, and that most faults are
 	// restarts and losses of instances.
 	parts bool
+	// floods reports that most faults are answers without end, and faults that move requests to their endpoints.
+	floods bool
 	// rollOuts reports that most faults are roll-outs of builds and ends of instances, so that many streams
 	// are taken up.
 	rollOuts bool
