--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -24,7 +24,7 @@
 	// lines is the length of the whole lines at the beginning of buf, none of which is empty; seen is the
 	// length of what is known to have no end of a line after them.
 	lines, seen int
-	err   error
+	err         error
 }
 
 // ErrInsideEvent means that a stream ended inside an event, whatever its framing says.
