pkg/evac: the position of the last release is part of a set's mark

Cause: an instance that missed an evacuation and its release has the same data centres as the others, so its mark was the same and it asked for nothing; it knew an earlier release or none. Change: the mark also covers the position at which a data centre was last released, which travels with the records.

--- a/pkg/evac/evac.go
+++ b/pkg/evac/evac.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -24,7 +25,8 @@
 	return cmp.Or(cmp.Compare(pos.Era, oth.Era), cmp.Compare(pos.End, oth.End)) < 0
 }
 
-// Mark identifies a set: its position, and a digest of the names of its data centres, zero for none.
+// Mark identifies a set: its position, and a digest of the names of its data centres and of the position at which
+// one was last released, zero if there never were any.
 type Mark struct {
 	Position
 	Sum uint64 `cbor:"3,keyasint,omitempty"`
@@ -43,6 +45,9 @@
 	// Evacuated are the data centres with a record, Released those that were released before.
 	Evacuated []Zone `cbor:"3,keyasint,omitempty"`
 	Released  []Zone `cbor:"4,keyasint,omitempty"`
+	// LastRelease is the position of the set in which a data centre was last released, zero for none and in
+	// what the store returns.
+	LastRelease Position `cbor:"5,keyasint,omitempty"`
 }
 
 // Named returns the records of a read that found the given data centres.
@@ -65,6 +70,10 @@
 	held map[string]hold
 	// released has the instant at which each data centre was last released.
 	released map[string]clock.Milli
+	// lastRelease is the position at which one was last released. Without it in the mark, an instance that
+	// missed both an evacuation and its release would not ask for them, and would take the data centre's
+	// endpoints for warm.
+	lastRelease Position
 }
 
 // hold is an evacuation without a record, which ends at an instant unless a record appears.
@@ -88,7 +97,7 @@
 	if !set.pos.Before(rec.Position) {
 		return set, nil
 	}
-	next := Set{pos: rec.Position, zones: map[string]clock.Milli{}, held: maps.Clone(set.held), released: maps.Clone(set.released)}
+	next := Set{pos: rec.Position, zones: map[string]clock.Milli{}, held: maps.Clone(set.held), released: maps.Clone(set.released), lastRelease: set.lastRelease}
 	for _, zon := range rec.Evacuated {
 		next.zones[zon.Name] = now - max(zon.Age, 0)
 		if since, ok := set.since(zon.Name); ok {
@@ -107,6 +116,9 @@
 	for _, zon := range rec.Released {
 		next.release(zon.Name, now-max(zon.Age, 0))
 	}
+	if next.lastRelease.Before(rec.LastRelease) {
+		next.lastRelease = rec.LastRelease
+	}
 	return next, set.changes(&next, now)
 }
 
@@ -128,6 +140,7 @@
 	for _, name := range set.names() {
 		if since, _ := set.since(name); !next.Has(name) {
 			next.release(name, now)
+			next.lastRelease = next.pos
 			list = append(list, Change{Zone: name, Released: true, Since: since})
 		}
 	}
@@ -206,10 +219,11 @@
 // holds these by itself.
 func (set Set) Mark() Mark {
 	mrk := Mark{Position: set.pos}
-	if len(set.zones) == 0 {
+	if len(set.zones) == 0 && set.lastRelease == (Position{}) {
 		return mrk
 	}
 	sum := xxhash.New()
+	_, _ = fmt.Fprintf(sum, "%d %d\x00", set.lastRelease.Era, set.lastRelease.End)
 	for _, name := range slices.Sorted(maps.Keys(set.zones)) {
 		_, _ = sum.WriteString(name)
 		_, _ = sum.WriteString("\x00")
@@ -219,10 +233,10 @@
 }
 
 // Lacks reports whether another instance, whose set has the given mark, has a later one with other
-// data centres, so that it must be fetched.
+// data centres or releases, so that it must be fetched.
 func (set Set) Lacks(mrk Mark) bool { return set.pos.Before(mrk.Position) && set.Mark().Sum != mrk.Sum }
 
-// Advance returns the set at the later position of one with the same data centres. It changes
+// Advance returns the set at the later position of one with the same data centres and releases. It changes
 // nothing if the marks differ otherwise, or if data centres are held.
 func (set Set) Advance(mrk Mark) Set {
 	if set.pos.Before(mrk.Position) && set.Mark().Sum == mrk.Sum && (mrk.Era == set.pos.Era || len(set.held) == 0) {
@@ -233,7 +247,7 @@
 
 // Records returns what another instance needs to have the same set.
 func (set Set) Records(now clock.Milli) Records {
-	rec := Records{Position: set.pos}
+	rec := Records{Position: set.pos, LastRelease: set.lastRelease}
 	for _, name := range slices.Sorted(maps.Keys(set.zones)) {
 		rec.Evacuated = append(rec.Evacuated, Zone{Name: name, Age: now - set.zones[name]})
 	}
--- a/pkg/evac/evac_test.go
+++ b/pkg/evac/evac_test.go
@@ -164,3 +164,20 @@
 	_, ok := next.Released("a")
 	gom.Expect(ok).To(gomega.BeFalse())
 }
+
+// Guards against an instance that missed both an evacuation and its release: it has the same data centres as the
+// others, and would take the endpoints that were released for warm.
+func TestMissedReleaseIsFetched(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ahead, _ := Set{}.Apply(Named(Position{End: 1}), settle, 1000)
+	behind := ahead
+	ahead, _ = ahead.Apply(Named(Position{End: 2}, "a"), settle, 2000)
+	ahead, _ = ahead.Apply(Named(Position{End: 3}), settle, 3000)
+	gom.Expect(behind.Advance(ahead.Mark()).Position()).To(gomega.Equal(Position{End: 1}))
+	gom.Expect(behind.Lacks(ahead.Mark())).To(gomega.BeTrue())
+	behind, _ = behind.Apply(ahead.Records(3500), settle, 4000)
+	at, ok := behind.Released("a")
+	gom.Expect(ok).To(gomega.BeTrue())
+	gom.Expect(at).To(gomega.Equal(clock.Milli(3500)))
+	gom.Expect(behind.Mark()).To(gomega.Equal(ahead.Mark()))
+}
