pkg/grant: a burst's first requests do not take all room in the queue

Requests are now refused as they join only beyond twice their time, and by the order of all that wait within 20 ms; deadlines count to 100 ms.

--- a/pkg/grant/grant.go
+++ b/pkg/grant/grant.go
@@ -19,13 +19,14 @@
 	// maxPaceAge is the time of waiting after which a grant says nothing about the current pace any more.
 	maxPaceAge = 5 * clock.Second
 	// deadlineGrain is the precision of deadlines in the order; requests within it are in no particular order.
-	// The time of a message between data centres lies between them: in the order of arrival the requests of
-	// the coordinator's own callers would go first in every burst.
-	deadlineGrain = 20 * clock.Milli(1)
-	// dropMargin is the multiple of its time left by which a waiting request's expected wait must exceed it
-	// for the request to be refused. The estimate errs by a factor of about two when slots are released in
-	// bursts, and a slot without a request that waits for it is lost.
-	dropMargin = 2
+	// It is longer than a message takes between busy instances: in the order of arrival the requests of the
+	// coordinator's own callers would go first in every burst, and the others would find the queue too long.
+	deadlineGrain = 100 * clock.Milli(1)
+	// joinMargin is the multiple of the time that a request may wait by which its expected wait must exceed that
+	// for the request to be refused as it joins. Requests above five quarters of that are refused within
+	// estimateInterval, by the order of all that have joined by then: refused as they join, those of a burst
+	// that arrive first, which are the coordinator's own, would take all room in the queue.
+	joinMargin = 2
 	// estimateInterval is the interval at which the expected waits of all waiting requests are examined. That
 	// takes 80 µs for 500 requests, too much for each of a thousand slots a second on a small machine.
 	estimateInterval = 20 * clock.Milli(1)
@@ -221,7 +222,7 @@
 // expected.
 func (que *Queue) Join(ask Ask, now clock.Milli) (ent *Entry, wait clock.Milli) {
 	wait, ahead := que.Estimate(ask, now)
-	if ahead > 0 && now+wait > ask.Until {
+	if ahead > 0 && wait > joinMargin*(ask.Until-now) {
 		return nil, wait
 	}
 	if que.count >= maxWaiting && !que.displace(ask.Rank) {
@@ -407,7 +408,7 @@
 	for _, lvl := range que.levels {
 		for ent := range lvl.inOrder() {
 			wait := clock.Milli(float64(place) * pace)
-			if now > ent.ask.Until || final && (now == ent.ask.Until || place > 0 && wait > dropMargin*(ent.ask.Until-now)) {
+			if now > ent.ask.Until || final && (now == ent.ask.Until || place > 0 && 4*wait > 5*(ent.ask.Until-now)) {
 				list = append(list, Refusal{Entry: ent, Wait: wait})
 				continue
 			}
