--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -1,5 +1,6 @@
 // Package coord finds the coordinator of a pool, the instance that batches the pool's items or
-// places its prompts, and sends orders and placement requests to it.
+// places its prompts, and sends orders and placement requests to it. At pools whose endpoints are brittle or declare
+// rates, the requests of all instances wait for slots in one queue at the coordinator (package grant).
 //
 // The ranking of the coordinators follows from the membership. If one sends no keep-alive, the
 // order goes to the next one, and after three failures this instance batches locally: a request
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -453,6 +453,12 @@
 	bed.crds[1].ReleaseSlot("bookings", held[0], true)
 	bed.gom.Eventually(func() clock.Milli { return bed.crds[0].set.Pools.UntilOpen("bookings") }, time.Second).Should(gomega.BeNumerically("<=", clock.Second))
 	began := time.Now()
+	for ins := range 2 {
+		// A refused request is told when the pause ends.
+		_, wait, acq := bed.crds[ins].Acquire(context.Background(), "bookings", fmt.Sprint("refused", ins, "/0"), place.Ask{}, Wish{})
+		bed.gom.Expect(acq).To(gomega.Equal(Refused))
+		bed.gom.Expect(wait).To(gomega.BeNumerically("~", 900, 110))
+	}
 	_, acq := bed.acquire(context.Background(), 0, "bookings", Wish{}, 3*time.Second)
 	bed.gom.Expect(acq).To(gomega.Equal(Granted))
 	bed.gom.Expect(time.Since(began)).To(gomega.BeNumerically("~", time.Second, 200*time.Millisecond))
