internal/coord: two tests connect before they count

With the race detector beside other work, a poll of 30 ms was too short for the handshake of the first connection (once in one run).

--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -313,6 +313,8 @@
 func TestPollsAreServedBesideTheQueue(t *testing.T) {
 	forPools(t, func(t *testing.T, pool string) {
 		bed := newQueueBed(t, 2, 1)
+		// A poll is too short for the handshake of a new connection on a busy machine.
+		bed.release(1, pool, bed.hold(1, pool, 1)[0])
 		ctx, cancel := context.WithCancel(context.Background())
 		var grp sync.WaitGroup
 		for range 4 {
@@ -482,6 +484,8 @@
 	forPools(t, func(t *testing.T, pool string) {
 		bed := newQueueBed(t, 2, 9)
 		rates := map[ident.Process]float64{"b1": 10, "e1": 10}
+		// A request for a permit is too short for the handshake of a new connection on a busy machine.
+		bed.release(1, pool, bed.hold(1, pool, 1)[0])
 		for i := range bed.views {
 			vw := bed.base.WithCoordinators(queuePools, bed.ids...).WithRates(rates)
 			bed.views[i].Store(vw)
