internal/front, platform: admission by rank where the settings ask for it

Change: the setting rank_admission, off by default, or the platform's policy of scarce capacity turns it on. Result: the earlier deployments are admitted as before.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -50,6 +50,8 @@
 	RetryReserve   float64  `toml:"retry_reserve"`
 	RetryWindowMs  int64    `toml:"retry_window_ms"`
 	StopMs         int64    `toml:"stop_ms"`
+	RankAdmission  bool     `toml:"rank_admission"`
+	Policies       []string `toml:"policies"`
 	MemoryMB       int64    `toml:"memory_mb"`
 	CapacityCores  float64  `toml:"capacity_cores"`
 	TLS            rawTLS   `toml:"tls"`
@@ -172,6 +174,14 @@
 	return set.raw.RetryShare, set.raw.RetryReserve, clock.Milli(set.raw.RetryWindowMs)
 }
 
+// RankAdmission reports whether requests are admitted by rank where routes of different priorities share
+// stage pools.
+func (set *Settings) RankAdmission() bool { return set.raw.RankAdmission }
+
+// Policies returns the names of the platform's policies in force, some of which turn on features; unknown
+// ones are ignored.
+func (set *Settings) Policies() []string { return set.raw.Policies }
+
 // ShutdownTimeout returns the maximum duration of a planned shutdown.
 func (set *Settings) ShutdownTimeout() clock.Milli { return clock.Milli(set.raw.StopMs) }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,6 +38,8 @@
 	Clock        clock.Clock
 	Meter        *meter.Meter
 	Log          zerolog.Logger
+	// RankAdmission turns on admission by rank where routes of different priorities share stage pools.
+	RankAdmission bool
 	// TokenMaxViewAge is the maximum age of a view whose tokens are accepted.
 	TokenMaxViewAge clock.Milli
 }
--- a/internal/front/ranks.go
+++ b/internal/front/ranks.go
@@ -62,7 +62,7 @@
 // rankForStages sets the rank at which the request's stages are admitted and queued.
 func (fr *Front) rankForStages(cl *call) {
 	cl.stageRank = cl.rank
-	if cl.ranked = cl.view.Plan().Ranked(cl.route); !cl.ranked {
+	if cl.ranked = fr.set.RankAdmission && cl.view.Plan().Ranked(cl.route); !cl.ranked {
 		return
 	}
 	if cl.starved = fr.service.starved(cl.groups(), fr.set.Clock.Now()); cl.starved != admit.NoClass {
--- a/internal/node/rank_test.go
+++ b/internal/node/rank_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
 
@@ -20,7 +21,10 @@
 		lbf := &logBuffer{}
 		nodeLog = zerolog.New(lbf).With().Timestamp().Logger()
 		ginkgo.DeferCleanup(func() { nodeLog = zerolog.Nop() })
-		tbd := newTestbed(2)
+		tbd := setUp(&testbed{
+			shutdownTimeout: 8 * clock.Second, tokenMaxViewAge: 2 * clock.Second, moreSettings: `policies = ["base", "pressure"]`,
+			cleanup: func(work func()) { ginkgo.DeferCleanup(work) },
+		}, 2)
 		tbd.publish(func(doc *fake.Document) {
 			doc.ExtraStaged = []string{"digest-staged"}
 			doc.Priorities = map[string]int{"digest-staged": 3}
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -244,6 +244,10 @@
 	// CachedParts asks a model engine which parts of prompts it has cached.
 	CachedParts func(ctx context.Context, cli *http.Client, ep Endpoint) ([]place.Part, error)
 
+	// WantsRankAdmission reports whether the platform's policies in force ask for admission by rank; nil for
+	// never.
+	WantsRankAdmission func(policies []string) bool
+
 	// Compile compiles a document into a plan.
 	Compile func(text []byte) (*plan.Plan, []error)
 	// Store returns the client of the store at an address.
