internal/coord: evacuations, cold endpoints and ranks hold in the queue

Found by reading where evacuation, cold endpoints and the queue meet: - A request that was granted an endpoint which only its own instance knew to be evacuated was refused. It now asks again without that endpoint. - Requests waited as long as they may after all endpoints of their pool were evacuated. They are refused as soon as the coordinator knows. - Brittle plain endpoints got requests by the share of slots while they were cold, also from instances that only replaced the coordinator. The share of rates is passed apart from that of slots. - A placement request that came before the request joined the queue went ahead of more urgent ones (3 overtook 8 urgent ones in a test). It says now that it will join, and gets nothing while others wait. - Permits were recorded as grants, and each was logged as lost when the time of its request had passed. - A full queue whose coordinator changed while a request gave way to a more urgent one refused that request twice: nil dereference. - Lost grants were looked for at each examination of a queue, up to once a millisecond; now at most each 50 ms.

--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -120,7 +120,7 @@
 func (crd *Coordinator) Acquire(ctx context.Context, pool, ticket string, ask place.Ask, wish Wish) (plc Placement, wait clock.Milli, acq Acquired) {
 	began := crd.set.Clock.Now()
 	if !crd.isBrittle(pool) {
-		plc, ok := crd.Place(ctx, crd.view(), pool, ticket, ask)
+		plc, ok := crd.place(ctx, crd.view(), pool, ticket, ask, true)
 		switch {
 		case ok:
 			return plc, 0, Granted
@@ -138,6 +138,11 @@
 			if out.ok {
 				return out.plc, 0, Granted
 			}
+			if out.unused != "" && !slices.Contains(ask.Avoid, string(out.unused)) && ctx.Err() == nil {
+				// The endpoint may have been evacuated, which the coordinator doesn't know yet.
+				ask.Avoid = append(slices.Clone(ask.Avoid), string(out.unused))
+				continue
+			}
 			return Placement{}, out.wait, Refused
 		case errors.Is(err, errEarlier):
 			if plc, ok := crd.Place(ctx, crd.view(), pool, ticket, ask); ok {
@@ -190,7 +195,10 @@
 		}
 		out := crd.join(ctx, "", jrq)
 		if out.ok {
-			out.plc, out.ok = crd.beginLocal(vw, pool, jrq, out.plc)
+			id := out.plc.ID
+			if out.plc, out.ok = crd.beginLocal(vw, pool, jrq, out.plc); !out.ok {
+				out.unused = id
+			}
 		}
 		return out, self, nil
 	}
@@ -205,7 +213,9 @@
 	crd.slotWaits.answered(pool, true, now)
 	out := joinOutcome{wait: jrp.Wait, ahead: jrp.Ahead}
 	if jrp.ID != "" {
-		out.plc, out.ok = crd.beginGranted(vw, jrq, ask, jrp, inc)
+		if out.plc, out.ok = crd.beginGranted(vw, jrq, ask, jrp, inc); !out.ok {
+			out.unused = ident.Process(jrp.ID)
+		}
 	}
 	return out, inc, nil
 }
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -46,6 +46,8 @@
 	Ask    place.Ask `cbor:"3,keyasint"`
 	// Predict requests a prediction of the engine only: no slot is taken.
 	Predict bool `cbor:"4,keyasint,omitempty"`
+	// Queues is set if the request joins the queue of the coordinator when it gets no placement.
+	Queues bool `cbor:"5,keyasint,omitempty"`
 }
 
 // placeReply answers a placeRequest with the engine, the address from which it can fetch cached
@@ -88,6 +90,12 @@
 
 // Place chooses the endpoint of a final call and counts the request there.
 func (crd *Coordinator) Place(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
+	return crd.place(ctx, vw, pool, ticket, ask, false)
+}
+
+// place is Place. With queues the request joins the queue if it gets no endpoint, and must not go before those that
+// wait there.
+func (crd *Coordinator) place(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask, queues bool) (Placement, bool) {
 	ask.Avoid = crd.withResting(ask.Avoid)
 	if pol, ok := vw.Plan().Pool(pool); ok && pol.Engine() == nil {
 		ask.Avoid = slices.Concat(ask.Avoid, crd.set.Pools.OtherBuilds(pool, ask.Build))
@@ -100,19 +108,22 @@
 			return Placement{}, false
 		}
 		if crd.isContended(pool) {
+			if queues {
+				return Placement{}, false
+			}
 			return crd.poll("", pool, ticket, ask, slotGrace)
 		}
 		return crd.pick(pool, ticket, ask, crd.rateShareIn(vw, pool))
 	}
 	// Placements whose answer is lost are ended one by one.
 	ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
-	prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+	prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask, Queues: queues})
 	if prp.ID != "" && vw.IsWithheld(ident.Process(prp.ID)) {
 		// The coordinator doesn't know of the evacuation yet.
 		crd.endLate(inc, pool, ticket)
 		ask.Avoid = slices.Concat(ask.Avoid, vw.Withheld(pool))
 		ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
-		prp, err = crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask})
+		prp, err = crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask, Queues: queues})
 	}
 	if prp.ID != "" {
 		if tgt, ok := crd.set.Pools.Assign(pool, prp.ID, prp.From, ticket, ask); ok {
@@ -304,6 +315,9 @@
 		return placeReply{}, false
 	}
 	if crd.isContended(prq.Pool) {
+		if prq.Queues {
+			return placeReply{}, true
+		}
 		plc, _ := crd.poll(holder, prq.Pool, prq.Ticket, prq.Ask, maxSlotTime)
 		return placeReply{ID: string(plc.ID), From: plc.FetchFrom}, true
 	}
--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -51,6 +51,8 @@
 	wait clock.Milli
 	// moved is set if this instance does not grant the pool's slots any more.
 	moved bool
+	// unused is the endpoint that was granted but can't be used by this instance, empty for none.
+	unused ident.Process
 	// ahead is the number of requests that went first, waited how long the request waited.
 	ahead  int
 	waited clock.Milli
@@ -79,6 +81,8 @@
 	mtx    sync.Mutex
 	byPool map[string]*poolQueue
 	held   map[string]holding
+	// lostAt is when the grants were last examined for lost ones without an event.
+	lostAt clock.Milli
 	// refused has the requests that were refused, by their keys.
 	refused arrivals
 }
@@ -127,6 +131,18 @@
 	return pool
 }
 
+// lostDue reports whether the grants are to be examined for lost ones, at most once in a sweepInterval. A queue
+// at many endpoints with rates is examined each millisecond, while other instances hold thousands of grants.
+func (qus *queues) lostDue(now clock.Milli) bool {
+	qus.mtx.Lock()
+	defer qus.mtx.Unlock()
+	if now < qus.lostAt+sweepInterval {
+		return false
+	}
+	qus.lostAt = now
+	return true
+}
+
 // takeLost removes and returns the grants that have expired, and those whose holders have died, by ticket. Dead
 // members are not listed; one that was never listed may be about to be.
 func (qus *queues) takeLost(vw *state.View, now clock.Milli) map[string]holding {
@@ -223,6 +239,10 @@
 	}
 	pqu := crd.queues.get(jrq.Pool, true)
 	pqu.mtx.Lock()
+	if crd.view().IsStranded(jrq.Pool, jrq.Ask.Build) {
+		pqu.mtx.Unlock()
+		return joinOutcome{}
+	}
 	if jrq.polls {
 		ask.Rank, _ = pqu.que.FirstRank()
 	}
@@ -287,8 +307,25 @@
 // or the membership have changed.
 func (crd *Coordinator) DispatchAll(vw *state.View) {
 	crd.endLost(vw)
-	for pool := range crd.queues.all() {
-		crd.dispatch(pool)
+	for pool, pqu := range crd.queues.all() {
+		pqu.mtx.Lock()
+		pqu.refuseStranded(vw, pool, crd.set.Clock.Now())
+		crd.dispatchLocked(pool, pqu)
+		pqu.mtx.Unlock()
+	}
+}
+
+// refuseStranded refuses the requests whose endpoints are all in evacuated data centres.
+func (pqu *poolQueue) refuseStranded(vw *state.View, pool string, now clock.Milli) {
+	stranded := map[string]bool{}
+	for ent, wtr := range pqu.waiters {
+		build := wtr.jrq.Ask.Build
+		if _, ok := stranded[build]; !ok {
+			stranded[build] = vw.IsStranded(pool, build)
+		}
+		if stranded[build] && pqu.que.Leave(ent, now) {
+			pqu.finish(ent, joinOutcome{ahead: ent.Ahead(), waited: now - ent.JoinedAt()})
+		}
 	}
 }
 
@@ -309,8 +346,8 @@
 	now := crd.set.Clock.Now()
 	vw := crd.view()
 	if !crd.grants(vw, pool) {
-		for ent, wtr := range pqu.waiters {
-			pqu.que.Leave(ent, now)
+		pqu.que.Clear(now)
+		for _, wtr := range pqu.waiters {
 			wtr.done <- joinOutcome{moved: true}
 		}
 		clear(pqu.waiters)
@@ -347,22 +384,23 @@
 
 // take takes a free slot of a pool for a request that waits, or a permit.
 func (crd *Coordinator) take(vw *state.View, pool string, wtr *waiter, now clock.Milli) (Placement, bool) {
-	jrq, expires := wtr.jrq, now+min(wtr.jrq.Left, maxSlotTime)
+	jrq, expires, isPermit := wtr.jrq, now+min(wtr.jrq.Left, maxSlotTime), false
 	var plc Placement
 	switch {
 	case crd.set.Pools.IsBrittle(pool):
-		id := crd.set.Pools.TakeSlot(pool, jrq.Ticket, wtr.avoid(now), crd.shareIn(vw, pool, limit.SlotShare), expires)
+		id := crd.set.Pools.TakeSlot(pool, jrq.Ticket, wtr.avoid(now), crd.shareIn(vw, pool, limit.SlotShare), crd.rateShareIn(vw, pool), expires)
 		plc.ID = ident.Process(id)
 	case crd.isPlain(vw, pool):
 		id, _ := crd.set.Pools.TakePermit(pool, crd.rateShareIn(vw, pool), wtr.avoid(now)...)
-		plc.ID = ident.Process(id)
+		plc.ID, isPermit = ident.Process(id), true
 	default:
 		ask := jrq.Ask
 		ask.Avoid = wtr.avoid(now)
 		ask.Share, _ = crd.engineShare(vw, pool)
 		plc, _ = crd.pick(pool, jrq.Ticket, ask, crd.rateShareIn(vw, pool))
 	}
-	if plc.ID != "" && wtr.holder != "" {
+	// A permit is used up when it is given; nobody releases it.
+	if plc.ID != "" && wtr.holder != "" && !isPermit {
 		crd.queues.hold(jrq.Ticket, holding{pool: pool, holder: wtr.holder, expires: expires, listed: isMember(vw, wtr.holder)})
 	}
 	return plc, plc.ID != ""
@@ -392,7 +430,9 @@
 	}
 	pqu.wakeAt = at
 	crd.set.After(at-now, func() {
-		crd.endLost(crd.view())
+		if crd.queues.lostDue(crd.set.Clock.Now()) {
+			crd.endLost(crd.view())
+		}
 		pqu.mtx.Lock()
 		defer pqu.mtx.Unlock()
 		if pqu.wakeAt == at {
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -126,7 +126,7 @@
 			plc, _ := crd.poll("", srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
 			return string(plc.ID), ""
 		}
-		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, now+srq.Left), ""
+		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.rateShareIn(vw, srq.Pool), now+srq.Left), ""
 	}
 	inc := crd.coordinator(vw, srq.Pool)
 	if crd.set.Link == nil || inc == crd.set.Control.Self() || crd.slotWaits.blocked(srq.Pool, now) {
@@ -140,7 +140,7 @@
 	case ctx.Err() != nil:
 		return "", ""
 	case !ok && now-lostSince >= slotFallbackAfter:
-		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, limit.OneSlot, now+srq.Left), ""
+		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, limit.OneSlot, 0, now+srq.Left), ""
 	}
 	crd.slotWaits.block(srq.Pool, now+slotRetryDelay+clock.Milli(slotRetryStep*float64(len(vw.Members()))))
 	return "", ""
@@ -156,7 +156,7 @@
 	}
 	jrq := joinRequest{Pool: pool, Ticket: ticket, Ask: ask}
 	avoid := slices.Concat(ask.Avoid, crd.set.Pools.OtherBuilds(pool, ask.Build))
-	id := crd.set.Pools.TakeSlot(pool, ticket, avoid, limit.OneSlot, expires)
+	id := crd.set.Pools.TakeSlot(pool, ticket, avoid, limit.OneSlot, 0, expires)
 	if id == "" {
 		return Placement{}, false
 	}
@@ -191,7 +191,8 @@
 	if cbor.Unmarshal(msg.Body, &srq) != nil {
 		return ans
 	}
-	share := crd.shareIn(crd.view(), srq.Pool, limit.SlotShare)
+	vw := crd.view()
+	share := crd.shareIn(vw, srq.Pool, limit.SlotShare)
 	if share == 0 {
 		return ans
 	}
@@ -201,7 +202,7 @@
 		ans.Body = []byte(plc.ID)
 		return ans
 	}
-	ans.Body = []byte(crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.set.Clock.Now()+min(srq.Left, maxSlotTime)))
+	ans.Body = []byte(crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.rateShareIn(vw, srq.Pool), crd.set.Clock.Now()+min(srq.Left, maxSlotTime)))
 	return ans
 }
 
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -129,6 +129,9 @@
 		if acq == coord.Granted {
 			return tgt, outcm.Result{}
 		}
+		if fr.set.Control.View().IsStranded(cl.pool.Name(), cl.bound.build) {
+			return coord.Placement{}, fr.refuseEvacuated(cl.pool.Name())
+		}
 		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until {
 			return coord.Placement{}, fr.refuseResting(end)
 		}
--- a/internal/pools/evac_test.go
+++ b/internal/pools/evac_test.go
@@ -44,9 +44,9 @@
 	gom.Expect(pls.HasUsable("plain", 1)).To(gomega.BeTrue())
 	pls.Sync(all.WithBrittlePool("plain").WithEvacuated("z1"))
 	for i := range 4 {
-		gom.Expect(pls.TakeSlot("plain", string(rune('a'+i)), nil, 1, clock.Clock{}.Now()+clock.Minute)).To(gomega.Equal("plain-z2"))
+		gom.Expect(pls.TakeSlot("plain", string(rune('a'+i)), nil, 1, 1, clock.Clock{}.Now()+clock.Minute)).To(gomega.Equal("plain-z2"))
 	}
-	gom.Expect(pls.TakeSlot("plain", "t", nil, 1, clock.Clock{}.Now()+clock.Minute)).To(gomega.BeEmpty())
+	gom.Expect(pls.TakeSlot("plain", "t", nil, 1, 1, clock.Clock{}.Now()+clock.Minute)).To(gomega.BeEmpty())
 	gom.Expect(pls.HasBuild("plain", "v1")).To(gomega.BeTrue())
 	pls.Sync(all)
 	_, ok = pls.Assign("engines", "engine-z1", "", "t", place.Ask{})
--- a/internal/pools/slots.go
+++ b/internal/pools/slots.go
@@ -29,9 +29,9 @@
 }
 
 // TakeSlot grants a slot of the least used endpoint of a brittle plain pool to a request, until the
-// ticket is released or expires. share is the part of the slots and rates that this instance may use. It
-// returns no ID if there is no slot.
-func (pls *Pools) TakeSlot(pool, ticket string, avoid []string, share float64, expires clock.Milli) (id string) {
+// ticket is released or expires. share is the part of the slots that this instance may use, rateShare that of the
+// rates. It returns no ID if there is no slot.
+func (pls *Pools) TakeSlot(pool, ticket string, avoid []string, share, rateShare float64, expires clock.Milli) (id string) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	now := pls.set.Clock.Now()
@@ -40,7 +40,7 @@
 		return ""
 	}
 	pls.slots.Expire(now)
-	avoid = slices.Concat(avoid, pls.rateLimited(pst, share, now))
+	avoid = slices.Concat(avoid, pls.rateLimited(pst, rateShare, now))
 	least, ejected := 0.0, false
 	for _, ep := range pst.plain.EndpointStates() {
 		usage, ok := pls.slots.Usage(ep.ID, share, now)
@@ -53,7 +53,7 @@
 	}
 	if id != "" {
 		pls.slots.Take(id, ticket, expires)
-		pls.rates.Take(id, share, now)
+		pls.rates.Take(id, rateShare, now)
 	}
 	return id
 }
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -112,6 +112,18 @@
 	return &cpy
 }
 
+// WithCold returns a copy of the view in which endpoints are cold until the given time and tolerate perSecond requests
+// a second, for decisions made without a control loop.
+func (vw *View) WithCold(until clock.Milli, perSecond float64, ids ...ident.Process) *View {
+	cpy := *vw
+	cpy.cold = map[ident.Process]coldEnd{}
+	for _, id := range ids {
+		cpy.cold[id] = coldEnd{until: until, perSecond: perSecond}
+	}
+	cpy.coldPools = findColdPools(cpy.endpoints, cpy.cold)
+	return &cpy
+}
+
 // WithMembers returns a copy of the view with these members, for decisions made without a control loop.
 func (vw *View) WithMembers(members ...member.Member) *View {
 	cpy := *vw
--- a/pkg/grant/bench_test.go
+++ b/pkg/grant/bench_test.go
@@ -27,3 +27,17 @@
 		join(i)
 	}
 }
+
+// BenchmarkRefuseAll measures the refusal of a full queue of one workspace, whose requests have waited as long as
+// they may.
+func BenchmarkRefuseAll(b *testing.B) {
+	for b.Loop() {
+		var que Queue
+		for i := range maxWaiting {
+			que.Join(Ask{Until: 10, Deadline: clock.Milli(i % 97 * 20)}, 0)
+		}
+		if len(que.Expire(20, true)) != maxWaiting {
+			b.Fatal("not all were refused")
+		}
+	}
+}
--- a/pkg/grant/grant.go
+++ b/pkg/grant/grant.go
@@ -291,11 +291,23 @@
 	return true
 }
 
+// Clear removes all requests, also those that gave way to others and were not refused yet.
+func (que *Queue) Clear(now clock.Milli) {
+	que.advance(now)
+	for ent := range que.all() {
+		ent.queued = false
+	}
+	que.levels, que.count, que.classes, que.displaced = nil, 0, nil, nil
+}
+
 func (que *Queue) remove(ent *Entry) {
 	ent.queued = false
 	lvl := que.level(ent.ask.Rank)
 	flw := lvl.flows[ent.ask.Workspace]
-	flw.list = slices.DeleteFunc(flw.list, func(oth *Entry) bool { return oth == ent })
+	// Thousands of requests may be refused at once: a search through all of them for each takes milliseconds.
+	if at, ok := slices.BinarySearchFunc(flw.list, ent, (*Entry).compare); ok {
+		flw.list = slices.Delete(flw.list, at, at+1)
+	}
 	lvl.count--
 	que.count--
 	if que.classes[ent.ask.Class]--; que.classes[ent.ask.Class] == 0 {
--- a/pkg/grant/grant_test.go
+++ b/pkg/grant/grant_test.go
@@ -115,7 +115,8 @@
 	gom.Expect(list).To(gomega.HaveLen(1))
 	gom.Expect(list[0].Entry).To(gomega.BeIdenticalTo(ent))
 	gom.Expect(list[0].Wait).To(gomega.BeNumerically(">", 1000))
-	for que.Next(now, always) != nil {
+	for ent := que.Next(now, always); ent != nil; {
+		ent = que.Next(now, always)
 	}
 	ent, _ = que.Join(Ask{Until: now + 1}, now+clock.Second)
 	gom.Expect(ent).NotTo(gomega.BeNil())
