internal/coord: a new coordinator's share of rates at brittle endpoints

A new coordinator grants one slot of each endpoint for a second, and took that share (0.001) for its share of a declared rate too: the third request within this second put off the next one by a thousand intervals.

--- a/internal/coord/meet_test.go
+++ b/internal/coord/meet_test.go
@@ -200,3 +200,13 @@
 	gom.Expect(qus.lostDue(1000 + sweepInterval - 1)).To(gomega.BeFalse())
 	gom.Expect(qus.lostDue(1000 + sweepInterval)).To(gomega.BeTrue())
 }
+
+// Guards against a new coordinator that takes the single slot which it grants at first for its share of a rate: a
+// third request to an endpoint with 20 requests a second would wait for 50 s.
+func TestNewCoordinatorUsesTheRateOfBrittleEndpoints(t *testing.T) {
+	bed := newQueueBed(t, 1, 4)
+	bed.put(0, bed.viewOf(0).WithRates(map[ident.Process]float64{"b1": 20}).WithCoordinatorSince("bookings", clock.Clock{}.Now()))
+	for range 4 {
+		bed.release(0, "bookings", bed.hold(0, "bookings", 1)[0])
+	}
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -247,7 +247,7 @@
 	ath := newAuthority(t)
 	one := openLink(t, ath, "one#1")
 	two := openLink(t, ath, "two#1", func(lnk *Link) {
-		lnk.HandleLong = func(_ context.Context, msg Message) Message {
+		lnk.HandleLong = func(_ context.Context, _ Message) Message {
 			time.Sleep(3 * queueKeepAliveInterval)
 			return Message{Kind: OK, Body: []byte("whole")}
 		}
