--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -211,8 +211,7 @@
 	if req.Evacuations == nil {
 		return false
 	}
-	mrk := vw.evacuations.Mark()
-	return req.Evacuations.Before(mrk.Position) && req.Evacuations.Sum != mrk.Sum
+	return vw.evacuations.Mark().Outdates(*req.Evacuations)
 }
 
 // waitFor waits up to a span for a view that satisfies a condition, and returns the latest view.
--- a/pkg/evac/evac.go
+++ b/pkg/evac/evac.go
@@ -24,16 +24,26 @@
 	return cmp.Or(cmp.Compare(pos.Era, oth.Era), cmp.Compare(pos.End, oth.End)) < 0
 }
 
-// Mark identifies a set: its position, and a digest of the names of its data centres, zero for none.
+// Mark identifies a set: its position, and a digest of the names of its data centres, zero for none. Releases is
+// the number of releases that the sender knows of: a data centre that was evacuated and released meanwhile leaves
+// no other trace.
 type Mark struct {
 	Position
-	Sum uint64 `cbor:"3,keyasint,omitempty"`
+	Sum      uint64 `cbor:"3,keyasint,omitempty"`
+	Releases int    `cbor:"4,keyasint,omitempty"`
 }
 
-// Zone is a data centre with the time since an event, in milliseconds.
+// Outdates reports whether the set with this mark is later than the one with another mark and has other data
+// centres, or more releases.
+func (mrk Mark) Outdates(oth Mark) bool {
+	return oth.Before(mrk.Position) && (oth.Sum != mrk.Sum || oth.Releases < mrk.Releases)
+}
+
+// Zone is a data centre with the time since an event, in milliseconds. Count is the number of its releases.
 type Zone struct {
-	Name string      `cbor:"1,keyasint"`
-	Age  clock.Milli `cbor:"2,keyasint,omitempty"`
+	Name  string      `cbor:"1,keyasint"`
+	Age   clock.Milli `cbor:"2,keyasint,omitempty"`
+	Count int         `cbor:"3,keyasint,omitempty"`
 }
 
 // Records are what one read of the store found, as instances send them to each other. Ages are
@@ -65,6 +75,8 @@
 	held map[string]hold
 	// released has the instant at which each data centre was last released.
 	released map[string]clock.Milli
+	// releases counts them by data centre.
+	releases map[string]int
 }
 
 // hold is an evacuation without a record, which ends at an instant unless a record appears.
@@ -88,7 +100,7 @@
 	if !set.pos.Before(rec.Position) {
 		return set, nil
 	}
-	next := Set{pos: rec.Position, zones: map[string]clock.Milli{}, held: maps.Clone(set.held), released: maps.Clone(set.released)}
+	next := Set{pos: rec.Position, zones: map[string]clock.Milli{}, held: maps.Clone(set.held), released: maps.Clone(set.released), releases: maps.Clone(set.releases)}
 	for _, zon := range rec.Evacuated {
 		next.zones[zon.Name] = now - max(zon.Age, 0)
 		if since, ok := set.since(zon.Name); ok {
@@ -105,7 +117,7 @@
 		}
 	}
 	for _, zon := range rec.Released {
-		next.release(zon.Name, now-max(zon.Age, 0))
+		next.release(zon.Name, now-max(zon.Age, 0), zon.Count)
 	}
 	return next, set.changes(&next, now)
 }
@@ -117,7 +129,7 @@
 		return set, nil
 	}
 	next := set
-	next.held, next.released = maps.Clone(set.held), maps.Clone(set.released)
+	next.held, next.released, next.releases = maps.Clone(set.held), maps.Clone(set.released), maps.Clone(set.releases)
 	maps.DeleteFunc(next.held, func(_ string, hld hold) bool { return now >= hld.until })
 	return next, set.changes(&next, now)
 }
@@ -127,7 +139,7 @@
 	var list []Change
 	for _, name := range set.names() {
 		if since, _ := set.since(name); !next.Has(name) {
-			next.release(name, now)
+			next.release(name, now, set.releases[name]+1)
 			list = append(list, Change{Zone: name, Released: true, Since: since})
 		}
 	}
@@ -147,11 +159,15 @@
 	set.held[name] = hld
 }
 
-// release records a release, unless a later one is known.
-func (set *Set) release(name string, at clock.Milli) {
+// release records a release, unless a later one is known, and how many there were at least.
+func (set *Set) release(name string, at clock.Milli, count int) {
 	if set.released == nil {
 		set.released = map[string]clock.Milli{}
 	}
+	if set.releases == nil {
+		set.releases = map[string]int{}
+	}
+	set.releases[name] = max(set.releases[name], count)
 	if last, ok := set.released[name]; !ok || at > last {
 		set.released[name] = at
 	}
@@ -206,6 +222,9 @@
 // holds these by itself.
 func (set Set) Mark() Mark {
 	mrk := Mark{Position: set.pos}
+	for _, count := range set.releases {
+		mrk.Releases += count
+	}
 	if len(set.zones) == 0 {
 		return mrk
 	}
@@ -219,13 +238,13 @@
 }
 
 // Lacks reports whether another instance, whose set has the given mark, has a later one with other
-// data centres, so that it must be fetched.
-func (set Set) Lacks(mrk Mark) bool { return set.pos.Before(mrk.Position) && set.Mark().Sum != mrk.Sum }
+// data centres or more releases, so that it must be fetched.
+func (set Set) Lacks(mrk Mark) bool { return mrk.Outdates(set.Mark()) }
 
-// Advance returns the set at the later position of one with the same data centres. It changes
-// nothing if the marks differ otherwise, or if data centres are held.
+// Advance returns the set at the later position of one with the same data centres and no more releases. It
+// changes nothing if the marks differ otherwise, or if data centres are held.
 func (set Set) Advance(mrk Mark) Set {
-	if set.pos.Before(mrk.Position) && set.Mark().Sum == mrk.Sum && (mrk.Era == set.pos.Era || len(set.held) == 0) {
+	if own := set.Mark(); set.pos.Before(mrk.Position) && own.Sum == mrk.Sum && own.Releases >= mrk.Releases && (mrk.Era == set.pos.Era || len(set.held) == 0) {
 		set.pos = mrk.Position
 	}
 	return set
@@ -238,7 +257,7 @@
 		rec.Evacuated = append(rec.Evacuated, Zone{Name: name, Age: now - set.zones[name]})
 	}
 	for _, name := range slices.Sorted(maps.Keys(set.released)) {
-		rec.Released = append(rec.Released, Zone{Name: name, Age: now - set.released[name]})
+		rec.Released = append(rec.Released, Zone{Name: name, Age: now - set.released[name], Count: set.releases[name]})
 	}
 	return rec
 }
