internal/node: the spec of a released data centre starts after its document

The instances start when the document with the cold times is in the store: published to instances that have just started, it was waited for before they had a plan, and the spec panicked in one of three runs.

--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -22,10 +22,10 @@
 		for _, ep := range tbd.engines {
 			tbd.store.PutEndpoint(ep.ID(), fake.EntryIn(evacuatedZone, "engines", tbd.servers[ep.ID()].Addr()))
 		}
+		tbd.publishCold()
 		for range 4 {
 			tbd.start()
 		}
-		tbd.publishCold()
 		for _, nod := range tbd.nodes {
 			eventually(func() int {
 				count := 0
