--- a/pkg/evac/evac_test.go
+++ b/pkg/evac/evac_test.go
@@ -164,3 +164,18 @@
 	_, ok := next.Released("a")
 	gom.Expect(ok).To(gomega.BeFalse())
 }
+
+// Guards against an instance that missed an evacuation and its release, and takes over the later position without
+// the release: its data centres are those of the others, and only the number of releases differs.
+func TestMissedReleaseIsFetched(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	behind, _ := Set{}.Apply(Named(Position{End: 1}), settle, 1000)
+	ahead, _ := behind.Apply(Named(Position{End: 2}, "a"), settle, 2000)
+	ahead, _ = ahead.Apply(Named(Position{End: 3}), settle, 3000)
+	behind = behind.Advance(ahead.Mark())
+	gom.Expect(behind.Lacks(ahead.Mark())).To(gomega.BeTrue())
+	behind, _ = behind.Apply(ahead.Records(4000), settle, 4000)
+	at, _ := behind.Released("a")
+	gom.Expect(at).To(gomega.Equal(clock.Milli(3000)))
+	gom.Expect(behind.Mark()).To(gomega.Equal(ahead.Mark()))
+}
