pkg/pace: the pace that endpoints report scales their expected times

Endpoints on shared machines slow down for some hundred milliseconds. The fourth figure of the load header is read, scales the cost of plain endpoints and the read and queue times of model engines, and goes to the coordinator with the reports of first events and ends. Measured latencies exclude it.

--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -17,6 +17,7 @@
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/limit"
+	"amaranthvalve/pkg/pace"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/sticky"
 )
@@ -73,6 +74,12 @@
 	Bindings []sticky.Binding `cbor:"8,keyasint,omitempty"`
 	// Withdrawn is set if the request may have been granted an endpoint, but does not use it.
 	Withdrawn bool `cbor:"9,keyasint,omitempty"`
+	// Pace is how long work takes at the endpoint in percent of the usual, zero if it doesn't report it, and
+	// PaceAge the age of this figure when the message is sent.
+	Pace    int         `cbor:"10,keyasint,omitempty"`
+	PaceAge clock.Milli `cbor:"11,keyasint,omitempty"`
+	// paceAt is when the figure came.
+	paceAt clock.Milli
 	// repeated is set once the report is sent again.
 	repeated bool
 }
@@ -84,6 +91,8 @@
 	promptCoordinator ident.Incarnation
 	// slot is the slot of a request to a brittle plain endpoint, nil for none.
 	slot *slot
+	// Pace is what the endpoint reported of its pace with its answer, the zero value for nothing.
+	Pace pace.Figure
 }
 
 // Place chooses the endpoint of a final call and counts the request there.
@@ -166,7 +175,7 @@
 			request = ticket[:at]
 		}
 		crd.set.Log.Info().Str("request", request).Str("pool", pool).Str("endpoint", string(tgt.ID)).Str("build", tgt.Build).Int("tokens", ask.Prompt.InTokens).Int("held_tokens", why.CachedTokens).
-			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Int("ejected", why.Ejected).Msg("engine chosen")
+			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Int("ejected", why.Ejected).Int("pace_pct", why.Pace).Msg("engine chosen")
 	}
 	return Placement{Target: tgt}, ok
 }
@@ -319,7 +328,7 @@
 		return
 	}
 	crd.set.Pools.FirstEvent(pool, plc.Ticket, took)
-	crd.reports.add(crd, plc.promptCoordinator, report{Pool: pool, Ticket: plc.Ticket, Span: took})
+	crd.reports.add(crd, plc.promptCoordinator, report{Pool: pool, Ticket: plc.Ticket, Span: took}.withPace(plc.Pace))
 }
 
 // RecordEnd records the end of a request at a model engine, and the longest pause between its
@@ -330,7 +339,7 @@
 	}
 	crd.set.Pools.End(pool, plc.Ticket, end, pause)
 	crd.dispatch(pool)
-	crd.reports.add(crd, plc.promptCoordinator, report{Pool: pool, Ticket: plc.Ticket, Ended: true, End: end, Span: pause})
+	crd.reports.add(crd, plc.promptCoordinator, report{Pool: pool, Ticket: plc.Ticket, Ended: true, End: end, Span: pause}.withPace(plc.Pace))
 }
 
 // HandleReports handles reports on requests that were placed here; it is registered with the link.
@@ -351,6 +360,7 @@
 			crd.copyBindings(rpt.Pool, rpt.Bindings)
 			continue
 		}
+		crd.learnPace(rpt)
 		if rpt.Ended {
 			ended[rpt.Pool] = true
 			crd.queues.drop(rpt.Ticket)
@@ -368,6 +378,27 @@
 	return peer.Message{Kind: peer.OK, From: crd.set.Control.Self()}
 }
 
+// withPace returns the report with a figure of the endpoint's pace, if there is one.
+func (rpt report) withPace(fig pace.Figure) report {
+	if fig.IsValid() {
+		rpt.Pace, rpt.paceAt = fig.Percent, fig.At
+	}
+	return rpt
+}
+
+// learnPace records the pace that another instance reports of an endpoint. Its age excludes the way of the
+// message, which is short against the time in which figures fade.
+func (crd *Coordinator) learnPace(rpt report) {
+	fig := pace.Figure{Percent: rpt.Pace, At: crd.set.Clock.Now() - max(rpt.PaceAge, 0)}
+	switch {
+	case !fig.IsValid():
+	case rpt.Slot != "":
+		crd.set.Pools.ReportPace(rpt.Pool, rpt.Slot, fig)
+	default:
+		crd.set.Pools.ReportPaceOf(rpt.Pool, rpt.Ticket, fig)
+	}
+}
+
 // reports collects the reports for each coordinator.
 type reports struct {
 	mtx           sync.Mutex
@@ -397,6 +428,12 @@
 	if len(list) == 0 {
 		return
 	}
+	now := crd.set.Clock.Now()
+	for i := range list {
+		if list[i].Pace != 0 {
+			list[i].PaceAge = now - list[i].paceAt
+		}
+	}
 	body, err := cbor.Marshal(list)
 	if err != nil {
 		return
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -242,7 +242,7 @@
 	}
 	if rsp != nil {
 		defer func() { _ = rsp.Body.Close() }()
-		fr.pools.ReportLoad(cl.pool.Name(), tgt.ID, rsp.Reply)
+		tgt.Pace = fr.pools.ReportLoad(cl.pool.Name(), tgt.ID, rsp.Reply)
 	}
 	if slow && end == ending.Answered {
 		// The attempt was canceled just as the response began.
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/pace"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/retry"
@@ -278,15 +279,55 @@
 	return pst != nil && pst.plain != nil && pst.plain.Usable() == count
 }
 
-// ReportLoad records the load that an endpoint reported.
-func (pls *Pools) ReportLoad(pool string, id ident.Process, rep proto.ReplyMeta) {
+// ReportLoad records the load that an endpoint reported, and returns the figure of its pace, zero for none. The
+// pace that another process at its address reports is ignored.
+func (pls *Pools) ReportLoad(pool string, id ident.Process, rep proto.ReplyMeta) pace.Figure {
 	if !rep.HasLoad {
-		return
+		return pace.Figure{}
 	}
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
-	if pst := pls.byName[pool]; pst != nil && pst.engines != nil {
-		pst.engines.ReportLoad(string(id), rep.Load, pls.set.Clock.Now())
+	now := pls.set.Clock.Now()
+	pst := pls.byName[pool]
+	if pst != nil && pst.engines != nil {
+		pst.engines.ReportLoad(string(id), rep.Load, now)
+	}
+	fig := pace.Figure{Percent: rep.Pace, At: now}
+	if pst == nil || rep.Misdirected || !fig.IsValid() {
+		return pace.Figure{}
+	}
+	pst.reportPace(id, fig)
+	return fig
+}
+
+func (pst *poolState) reportPace(id ident.Process, fig pace.Figure) {
+	if pst.plain != nil {
+		pst.plain.ReportPace(string(id), fig)
+	}
+	if pst.engines != nil {
+		pst.engines.ReportPace(string(id), fig)
+	}
+}
+
+// ReportPace records the pace of an endpoint that another instance got.
+func (pls *Pools) ReportPace(pool string, id ident.Process, fig pace.Figure) {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	if pst := pls.byName[pool]; pst != nil {
+		pst.reportPace(id, fig)
+	}
+}
+
+// ReportPaceOf records the pace of the model engine that a request was sent to, which another instance got.
+func (pls *Pools) ReportPaceOf(pool, ticket string, fig pace.Figure) {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	pst := pls.byName[pool]
+	if pst == nil || pst.engines == nil {
+		return
+	}
+	if id, ok := pst.engines.EngineOf(ticket); ok {
+		pst.engines.ReportPace(id, fig)
 	}
 }
 
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -77,6 +77,9 @@
 	// Load is the load that the endpoint reports, if HasLoad.
 	Load    int
 	HasLoad bool
+	// Pace is how long work takes on the endpoint's machine at the moment, in percent of the usual; zero
+	// if the endpoint doesn't report it.
+	Pace int
 }
 
 // Notice is what an answer says of its endpoint, whatever the request. All notices reach the control
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -82,6 +82,8 @@
 	CachedTokens int
 	// Ejected is the number of engines of the pool that are ejected.
 	Ejected int
+	// Pace is by how much the engine's pace scaled the times, in percent; 100 without a report.
+	Pace int
 }
 
 // evaluation is an [Ask] with the values derived from it that are common to all engines.
@@ -147,6 +149,7 @@
 	plm := Placement{
 		Engine: eng.Engine, Wait: clock.Milli(eng.queueTime(evl.now)), Read: clock.Milli(plc.readTime(eng, evl.Prompt.InTokens-cached, evl.now)),
 		Streams: int(eng.streams(evl.now)), CachedTokens: cached, Ejected: plc.countEjected(evl.now),
+		Pace: eng.pace.Percent(evl.now),
 	}
 	if pfx := evl.fetchable[eng.Build]; eng.Fetches && pfx.at != nil && pfx.at != eng && pfx.tokens >= cached+minFetchTokens {
 		plm.FetchAddr = pfx.at.Addr
@@ -229,6 +232,11 @@
 
 // readTime returns the time in which an engine reads a number of tokens.
 func (plc *Placer) readTime(eng *engine, tokens int, now clock.Milli) float64 {
+	return eng.pace.Factor(now) * plc.usualReadTime(eng, tokens, now)
+}
+
+// usualReadTime returns the time in which an engine reads a number of tokens at its usual pace.
+func (plc *Placer) usualReadTime(eng *engine, tokens int, now clock.Milli) float64 {
 	return eng.slow.current(now) * plc.firstEvent.at(tokens, defaultFixedMs+defaultMsPerToken*float64(tokens))
 }
 
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/pace"
 )
 
 const (
@@ -56,7 +57,7 @@
 	eng    *engine
 	prompt Prompt
 	// readTokens is the number of uncached tokens of the prompt, readMs the expected time to read
-	// them.
+	// them at the engine's usual pace.
 	readTokens int
 	readMs     float64
 	// streaming is set by its first event.
@@ -86,6 +87,8 @@
 	// disruptions is how often prompts arrive that make its streams late.
 	disruptions  frequency
 	slow         slowness
+	// pace is what the engine reports of its machine; slow excludes it.
+	pace         pace.Pace
 	failures     int
 	ejectedUntil clock.Milli
 	probing      bool
@@ -177,7 +180,7 @@
 		return
 	}
 	read := max(prm.InTokens-eng.cache.prefixTokens(prm, eng.Memory), 1)
-	rn := &run{ticket: ticket, eng: eng, prompt: prm, readTokens: read, readMs: plc.readTime(eng, read, now), sentAt: now, uncontended: true}
+	rn := &run{ticket: ticket, eng: eng, prompt: prm, readTokens: read, readMs: plc.usualReadTime(eng, read, now), sentAt: now, uncontended: true}
 	for _, oth := range eng.runs {
 		if !oth.streaming {
 			oth.uncontended, rn.uncontended = false, false
@@ -218,10 +221,11 @@
 	if !rn.uncontended {
 		return
 	}
+	atUsual := float64(took) / rn.eng.pace.Factor(now)
 	if usual := plc.firstEvent.at(rn.readTokens, 0); usual > 0 {
-		rn.eng.slow.sample(float64(took)/usual, now)
+		rn.eng.slow.sample(atUsual/usual, now)
 	}
-	plc.firstEvent.sample(rn.readTokens, float64(took))
+	plc.firstEvent.sample(rn.readTokens, atUsual)
 }
 
 // Ending is how a request at an engine ended.
@@ -312,6 +316,23 @@
 	}
 }
 
+// ReportPace records how long work takes at an engine. A figure older than the last one is ignored. The
+// figure that came with a first event is recorded before [Placer.FirstEvent].
+func (plc *Placer) ReportPace(id string, fig pace.Figure) {
+	if eng, ok := plc.byID[id]; ok {
+		eng.pace.Report(fig)
+	}
+}
+
+// EngineOf returns the ID of the engine that a request was sent to; false if the request is unknown.
+func (plc *Placer) EngineOf(ticket string) (id string, ok bool) {
+	rn, ok := plc.runs[ticket]
+	if !ok {
+		return "", false
+	}
+	return rn.eng.ID, true
+}
+
 // Leave marks an engine as leaving.
 func (plc *Placer) Leave(id string) {
 	if eng, ok := plc.byID[id]; ok {
@@ -356,16 +377,18 @@
 // engine that accepts prompts and starts none would look idle.
 func (eng *engine) queueTime(now clock.Milli) float64 {
 	sum, first := 0.0, true
+	factor := eng.pace.Factor(now)
 	for _, rn := range eng.runs {
 		if rn.streaming {
 			continue
 		}
 		if first {
 			since := float64(now - eng.headSince)
-			sum, first = max(rn.readMs-since, since-rn.readMs), false
+			read := factor * rn.readMs
+			sum, first = max(read-since, since-read), false
 			continue
 		}
-		sum += rn.readMs
+		sum += factor * rn.readMs
 	}
 	return sum
 }
--- a/pkg/route/learn.go
+++ b/pkg/route/learn.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/pace"
 )
 
 // Outcome is the outcome of an attempt with regard to the health of its endpoint.
@@ -48,10 +49,9 @@
 	pr.limiter.Succeeded(now, took, pr.inFlight+1)
 	if probe {
 		// The old average dates from before the ejection.
-		pr.latency, pr.samples = float64(took), 1
-	} else {
-		pr.addLatency(float64(took))
+		pr.samples = 0
 	}
+	pr.addLatency(float64(took), pl.factor(pr, now))
 	switch {
 	case pl.isSlow(pr):
 		pl.eject(pr, now)
@@ -60,13 +60,31 @@
 	}
 }
 
-func (pr *peer) addLatency(took float64) {
+// addLatency adds a sample that was measured while work took factor times as long as usual.
+func (pr *peer) addLatency(took, factor float64) {
 	pr.samples++
 	if pr.samples == 1 {
-		pr.latency = took
+		pr.latency, pr.usual = took, took/factor
 		return
 	}
 	pr.latency += ewmaWeight * (took - pr.latency)
+	pr.usual += ewmaWeight * (took/factor - pr.usual)
+}
+
+// factor returns by which factor the time at an endpoint differs from the usual, by its reported pace.
+func (pl *Pool) factor(pr *peer, now clock.Milli) float64 {
+	if pl.policy == NoPace {
+		return 1
+	}
+	return pr.pace.Factor(now)
+}
+
+// ReportPace records how long work takes at an endpoint. A figure older than the last one is ignored. The
+// figure that came with an answer is recorded before [Pool.Finish].
+func (pl *Pool) ReportPace(id string, fig pace.Figure) {
+	if pr, ok := pl.byID[id]; ok {
+		pr.pace.Report(fig)
+	}
 }
 
 func (pl *Pool) onFailure(pr *peer, now clock.Milli, probe bool) {
--- a/pkg/route/pool.go
+++ b/pkg/route/pool.go
@@ -6,6 +6,7 @@
 
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/limit"
+	"amaranthvalve/pkg/pace"
 )
 
 // Parameters of the selection.
@@ -53,7 +54,12 @@
 	inFlight int
 	limiter  limit.Adaptive
 	// latency is the moving average in milliseconds.
-	latency  float64
+	latency float64
+	// usual is the moving average without what the endpoint's pace added to each sample, so that the cost
+	// doesn't count a slow period both by its latencies and by the pace. It equals latency if the
+	// endpoint reports no pace.
+	usual    float64
+	pace     pace.Pace
 	samples  int
 	failures int
 	// ejectedUntil is the time of the next probe, zero if the endpoint isn't ejected;
@@ -102,6 +108,8 @@
 	NoPrefix
 	// Within selects any endpoint that is below its limit.
 	Within
+	// NoPace is Full without regard to the reported pace.
+	NoPace
 )
 
 // New returns an empty pool for an instance in a zone. rng makes the selection
@@ -310,7 +318,8 @@
 	if pr.ep.Zone != pl.zone {
 		load += remotePenalty
 	}
-	cost := (load + 1) * max(pr.latency, 1)
+	cost := (load + 1) * max(pr.usual, 1)
+	cost *= pl.factor(pr, now)
 	if ask.Prefix != 0 && pr.warm(ask.Prefix) && pl.policy != NoPrefix {
 		cost *= 1 - warmSaving
 	}
