--- a/internal/model/engine.go
+++ b/internal/model/engine.go
@@ -77,6 +77,9 @@
 // NewEngine returns an idle engine.
 func NewEngine(spec Spec) *Engine { return &Engine{spec: spec} }
 
+// SetSlowFactor sets the factor on the duration of further steps.
+func (eng *Engine) SetSlowFactor(factor float64) { eng.spec.SlowFactor = factor }
+
 // Add submits a request at a given time, not before the end of the last step.
 func (eng *Engine) Add(req Request, now float64) {
 	if len(eng.prefilling)+len(eng.decoding) == 0 {
