pkg/place, internal/pools: the pace scales expected pauses, and is shown in the status

A prompt beside streams at an engine that is slow at the moment makes them pause for longer than the maximum gap. Measured pauses are not divided by the pace, since it is not known when in its stream a pause was.

--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -74,7 +74,7 @@
 	Bindings []sticky.Binding `cbor:"8,keyasint,omitempty"`
 	// Withdrawn is set if the request may have been granted an endpoint, but does not use it.
 	Withdrawn bool `cbor:"9,keyasint,omitempty"`
-	// Pace is how long work takes at the endpoint in percent of the usual, zero if it doesn't report it, and
+	// Pace is how long work takes at the model engine in percent of the usual, zero if it doesn't report it, and
 	// PaceAge the age of this figure when the message is sent.
 	Pace    int         `cbor:"10,keyasint,omitempty"`
 	PaceAge clock.Milli `cbor:"11,keyasint,omitempty"`
@@ -386,16 +386,11 @@
 	return rpt
 }
 
-// learnPace records the pace that another instance reports of an endpoint. Its age excludes the way of the
+// learnPace records the pace that another instance reports of a model engine. Its age excludes the way of the
 // message, which is short against the time in which figures fade.
 func (crd *Coordinator) learnPace(rpt report) {
-	fig := pace.Figure{Percent: rpt.Pace, At: crd.set.Clock.Now() - max(rpt.PaceAge, 0)}
-	switch {
-	case !fig.IsValid():
-	case rpt.Slot != "":
-		crd.set.Pools.ReportPace(rpt.Pool, rpt.Slot, fig)
-	default:
-		crd.set.Pools.ReportPaceOf(rpt.Pool, rpt.Ticket, fig)
+	if fig := (pace.Figure{Percent: rpt.Pace, At: crd.set.Clock.Now() - max(rpt.PaceAge, 0)}); fig.IsValid() {
+		crd.set.Pools.ReportPace(rpt.Pool, rpt.Ticket, fig)
 	}
 }
 
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -216,5 +216,5 @@
 	}
 	crd.set.Pools.ReleaseSlot(plc.ID, plc.slot.ticket, rejected)
 	crd.dispatch(pool)
-	crd.reports.add(crd, plc.slot.coordinator, report{Pool: pool, Ticket: plc.slot.ticket, Ended: true, Slot: plc.ID, Rejected: rejected}.withPace(plc.Pace))
+	crd.reports.add(crd, plc.slot.coordinator, report{Pool: pool, Ticket: plc.slot.ticket, Ended: true, Slot: plc.ID, Rejected: rejected})
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,6 +7,7 @@
 
 	"amaranthvalve/internal/wire"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/pace"
 )
 
 // Reasons why an instance is not ready, as the operators' page lists them.
@@ -48,6 +49,9 @@
 		if until, ok := vw.ColdUntil(ep.ID); ok {
 			ste.State, ste.ColdLeftMs = "cold", max(int64(until-now), 0)
 		}
+		if pct := nod.pools.Pace(ep.Pool, ep.ID); pct != pace.Usual {
+			ste.PacePct = pct
+		}
 		switch {
 		case ep.Leaving:
 			ste.State = "leaving"
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -296,30 +296,31 @@
 	if pst == nil || rep.Misdirected || !fig.IsValid() {
 		return pace.Figure{}
 	}
-	pst.reportPace(id, fig)
-	return fig
-}
-
-func (pst *poolState) reportPace(id ident.Process, fig pace.Figure) {
 	if pst.plain != nil {
 		pst.plain.ReportPace(string(id), fig)
-	}
-	if pst.engines != nil {
+	} else {
 		pst.engines.ReportPace(string(id), fig)
 	}
+	return fig
 }
 
-// ReportPace records the pace of an endpoint that another instance got.
-func (pls *Pools) ReportPace(pool string, id ident.Process, fig pace.Figure) {
+// Pace returns by how much the reported pace of an endpoint scales its expected times at the moment, in percent;
+// 100 without a report.
+func (pls *Pools) Pace(pool string, id ident.Process) int {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
-	if pst := pls.byName[pool]; pst != nil {
-		pst.reportPace(id, fig)
+	pst, now := pls.byName[pool], pls.set.Clock.Now()
+	switch {
+	case pst == nil:
+		return pace.Usual
+	case pst.plain != nil:
+		return pst.plain.Pace(string(id), now)
 	}
+	return pst.engines.Pace(string(id), now)
 }
 
-// ReportPaceOf records the pace of the model engine that a request was sent to, which another instance got.
-func (pls *Pools) ReportPaceOf(pool, ticket string, fig pace.Figure) {
+// ReportPace records the pace of the model engine that a request was sent to, which another instance got.
+func (pls *Pools) ReportPace(pool, ticket string, fig pace.Figure) {
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
 	pst := pls.byName[pool]
--- a/internal/shell/status.go
+++ b/internal/shell/status.go
@@ -47,6 +47,9 @@
 		if ept.ColdLeftMs > 0 {
 			state = fmt.Sprintf("%s, %d ms left", state, ept.ColdLeftMs)
 		}
+		if ept.PacePct > 0 {
+			state = fmt.Sprintf("%s, pace %d %%", state, ept.PacePct)
+		}
 		con.printf("%-16s %-20s %-22s %6d %6d %10.1f %s\n", ept.Pool, ept.ID, ept.Addr, ept.InFlight, ept.Limit, ept.Latency, state)
 	}
 	printEvacuated(con, st.Evacuated)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -333,6 +333,9 @@
 	State    string  `json:"state"`
 	// ColdLeftMs is how much longer the endpoint is cold, in milliseconds.
 	ColdLeftMs int64 `json:"cold_left_ms,omitempty"`
+	// PacePct is by how much the endpoint's reported pace scales its expected times, in percent; zero if it
+	// doesn't.
+	PacePct int `json:"pace_pct,omitempty"`
 }
 
 // StatusLease is one lease in a [Status].
--- a/pkg/place/pick.go
+++ b/pkg/place/pick.go
@@ -227,7 +227,7 @@
 // disrupts reports whether streams of an engine would exceed the maximum gap while it reads a
 // prompt, by the measured pauses.
 func (plc *Placer) disrupts(eng *engine, prm Prompt, gap, now clock.Milli) bool {
-	return gap > 0 && plc.pauses.at(prm.InTokens, 0)*eng.slow.current(now) > pauseMargin*float64(gap)
+	return gap > 0 && plc.pauses.at(prm.InTokens, 0)*eng.slow.current(now)*eng.pace.Factor(now) > pauseMargin*float64(gap)
 }
 
 // readTime returns the time in which an engine reads a number of tokens.
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -85,8 +85,8 @@
 	headSince clock.Milli
 	cache     prefixCache
 	// disruptions is how often prompts arrive that make its streams late.
-	disruptions  frequency
-	slow         slowness
+	disruptions frequency
+	slow        slowness
 	// pace is what the engine reports of its machine; slow excludes it.
 	pace         pace.Pace
 	failures     int
@@ -258,6 +258,7 @@
 			plc.streamMs = plc.msPerOutToken() + streamMsWeight*(float64(now-rn.firstAt)/float64(rn.prompt.MaxOutTokens)-plc.msPerOutToken())
 		}
 		if rn.overlapTokens > 0 && pause > 0 {
+			// The pace at the time of the pause is not known: it may have been at any time of the stream.
 			plc.pauses.sample(rn.overlapTokens, float64(pause)/eng.slow.current(now))
 		}
 	}
@@ -324,6 +325,15 @@
 	}
 }
 
+// Pace returns by how much the reported pace of an engine scales its expected times, in percent; 100 without
+// a report.
+func (plc *Placer) Pace(id string, now clock.Milli) int {
+	if eng, ok := plc.byID[id]; ok {
+		return eng.pace.Percent(now)
+	}
+	return pace.Usual
+}
+
 // EngineOf returns the ID of the engine that a request was sent to; false if the request is unknown.
 func (plc *Placer) EngineOf(ticket string) (id string, ok bool) {
 	rn, ok := plc.runs[ticket]
--- a/pkg/route/learn.go
+++ b/pkg/route/learn.go
@@ -137,6 +137,14 @@
 	pr.reportAt = at
 }
 
+// Pace returns by how much the reported pace of an endpoint scales its cost, in percent; 100 without a report.
+func (pl *Pool) Pace(id string, now clock.Milli) int {
+	if pr, ok := pl.byID[id]; ok {
+		return pr.pace.Percent(now)
+	}
+	return pace.Usual
+}
+
 // Leave marks an endpoint as leaving, whatever the source of the notice. It gets no
 // new requests. Leave reports whether this is a change.
 func (pl *Pool) Leave(id string) bool {
