--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -206,7 +206,7 @@
 	fr, cl := run.fr, run.cl
 	cl.attempts++
 	cl.endpoint = string(tgt.ID)
-	cl.headAt, run.rejected = 0, false
+	cl.headAt, cl.pace, run.rejected = 0, 0, false
 	run.avoid = append(run.avoid, string(tgt.ID))
 	actx, cancel := context.WithDeadline(cl.http.Context(), fr.set.Clock.Deadline(cl.deadline+answerGrace))
 	defer cancel()
@@ -243,6 +243,7 @@
 	if rsp != nil {
 		defer func() { _ = rsp.Body.Close() }()
 		tgt.Pace = fr.pools.ReportLoad(cl.pool.Name(), tgt.ID, rsp.Reply)
+		cl.pace = tgt.Pace.Percent
 	}
 	if slow && end == ending.Answered {
 		// The attempt was canceled just as the response began.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -116,6 +116,8 @@
 	recomputes int
 	recomputed []int
 	endpoint   string
+	// pace is what the endpoint of the last attempt reported of its pace, zero for nothing.
+	pace       int
 	stagesTook clock.Milli
 	firstByte  clock.Milli
 	// headAt is when the answer to the last attempt began, zero if it has not.
@@ -165,7 +167,7 @@
 	evt := fr.set.Log.Info()
 	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Int("rank", cl.rank).Str("outcome", res.Outcome().String()).
 		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
-		Int64("spent_ms", int64(cl.sinceFirst)).Int64("staged_ms", int64(cl.stagesTook)).Int64("first_ms", int64(cl.firstByte)).Int64("pause_ms", int64(cl.maxPause)).Int("tokens", cl.tokens()).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).
+		Int64("spent_ms", int64(cl.sinceFirst)).Int64("staged_ms", int64(cl.stagesTook)).Int64("first_ms", int64(cl.firstByte)).Int64("pause_ms", int64(cl.maxPause)).Int("tokens", cl.tokens()).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).Int("reported_pace_pct", cl.pace).
 		Int64("offset", cl.view.Offset()).Int64("view_age_ms", int64(cl.viewAge)).Msg("request ended")
 	if res.Outcome() != outcm.Done {
 		cl.out.writeFailure(res)
