--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -17,8 +17,9 @@
 	halfAge = 300.0
 	// Usual is the figure of an endpoint on which work takes as long as usual.
 	Usual = 100
-	// MinFigure and MaxFigure are the limits of a figure; others are ignored.
+	// MinFigure is the lowest figure that is used.
 	MinFigure = 10
+	// MaxFigure is the highest figure that is used.
 	MaxFigure = 10_000
 )
 
