--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/member"
+	"amaranthvalve/pkg/pace"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/plan"
 	"amaranthvalve/pkg/retry"
@@ -278,15 +279,56 @@
 	return pst != nil && pst.plain != nil && pst.plain.Usable() == count
 }
 
-// ReportLoad records the load that an endpoint reported.
-func (pls *Pools) ReportLoad(pool string, id ident.Process, rep proto.ReplyMeta) {
+// ReportLoad records the load that an endpoint reported, and returns the figure of its pace, zero for none. The
+// pace that another process at its address reports is ignored.
+func (pls *Pools) ReportLoad(pool string, id ident.Process, rep proto.ReplyMeta) pace.Figure {
 	if !rep.HasLoad {
-		return
+		return pace.Figure{}
 	}
 	pls.mtx.Lock()
 	defer pls.mtx.Unlock()
-	if pst := pls.byName[pool]; pst != nil && pst.engines != nil {
-		pst.engines.ReportLoad(string(id), rep.Load, pls.set.Clock.Now())
+	now := pls.set.Clock.Now()
+	pst := pls.byName[pool]
+	if pst != nil && pst.engines != nil {
+		pst.engines.ReportLoad(string(id), rep.Load, now)
+	}
+	fig := pace.Figure{Percent: rep.Pace, At: now}
+	if pst == nil || rep.Misdirected || !fig.IsValid() {
+		return pace.Figure{}
+	}
+	if pst.plain != nil {
+		pst.plain.ReportPace(string(id), fig)
+	} else {
+		pst.engines.ReportPace(string(id), fig)
+	}
+	return fig
+}
+
+// Pace returns by how much the reported pace of an endpoint scales its expected times at the moment, in percent;
+// 100 without a report.
+func (pls *Pools) Pace(pool string, id ident.Process) int {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	pst, now := pls.byName[pool], pls.set.Clock.Now()
+	switch {
+	case pst == nil:
+		return pace.Usual
+	case pst.plain != nil:
+		return pst.plain.Pace(string(id), now)
+	}
+	return pst.engines.Pace(string(id), now)
+}
+
+// ReportPace records the pace of the model engine that a request was sent to, which another instance got.
+func (pls *Pools) ReportPace(pool, ticket string, fig pace.Figure) {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	pst := pls.byName[pool]
+	if pst == nil || pst.engines == nil {
+		return
+	}
+	if id, ok := pst.engines.EngineOf(ticket); ok {
+		pst.engines.ReportPace(id, fig)
 	}
 }
 
