pkg/hedge, internal/front: repeatable requests are hedged within a share of extra work

Endpoints that are slow for moments, or hang, hold a request until the first byte is far later than usual. With hedge_share above 0, a second attempt is sent to another endpoint after a quantile of the route's and pool's times to the first byte; the answer that begins first is forwarded, the other attempt is cancelled. Hedges are paid from the share and from the retry budget of the pool, and sent only where an endpoint has a free slot at once. The default is 0: no hedges.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -18,6 +18,7 @@
 	"amaranthvalve/internal/tomlx"
 	"amaranthvalve/pkg/claim"
 	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/hedge"
 )
 
 // Settings are the validated settings of an instance; see [Parse].
@@ -49,6 +50,7 @@
 	RetryShare     float64  `toml:"retry_share"`
 	RetryReserve   float64  `toml:"retry_reserve"`
 	RetryWindowMs  int64    `toml:"retry_window_ms"`
+	HedgeShare     float64  `toml:"hedge_share"`
 	StopMs         int64    `toml:"stop_ms"`
 	MemoryMB       int64    `toml:"memory_mb"`
 	CapacityCores  float64  `toml:"capacity_cores"`
@@ -172,6 +174,10 @@
 	return set.raw.RetryShare, set.raw.RetryReserve, clock.Milli(set.raw.RetryWindowMs)
 }
 
+// HedgeShare returns the extra work that hedged requests may cause, as a share of the
+// requests; zero for none.
+func (set *Settings) HedgeShare() float64 { return set.raw.HedgeShare }
+
 // ShutdownTimeout returns the maximum duration of a planned shutdown.
 func (set *Settings) ShutdownTimeout() clock.Milli { return clock.Milli(set.raw.StopMs) }
 
@@ -273,6 +279,11 @@
 	if set.raw.RetryReserve < 0 {
 		fts.Add("retry_reserve", "%g is below 0", set.raw.RetryReserve)
 	}
+	if !hedge.ValidShare(set.raw.HedgeShare) {
+		fts.Add("hedge_share", "%g is not in 0 to %g", set.raw.HedgeShare, hedge.MaxShare)
+	} else if set.raw.HedgeShare > 0 && set.raw.Dialect == DialectOwn {
+		fts.Warn("hedge_share", "it has no effect with dialect %s", DialectOwn)
+	}
 	if set.raw.CapacityCores < 0 {
 		fts.Add("capacity_cores", "%g is below 0", set.raw.CapacityCores)
 	}
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -61,3 +61,23 @@
 		}
 	}
 }
+
+// TestHedgeShareIsBounded guards against a share of extra work above what operators were promised, and against one that
+// is not a number; the fault names its line.
+func TestHedgeShareIsBounded(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	const rest = "dialect = \"platform\"\ncaller_addr = \"127.0.0.1:1\"\nentries_addr = \"127.0.0.1:2\"\nready_addr = \"127.0.0.1:3\"\nzone = \"dc1\"\nplatform = \"http://127.0.0.1:4\"\n"
+	set, fts := Parse([]byte(rest))
+	gom.Expect(set).NotTo(gomega.BeNil(), "%v", fts)
+	gom.Expect(set.HedgeShare()).To(gomega.BeZero())
+	set, fts = Parse([]byte(rest + "hedge_share = 0.2"))
+	gom.Expect(set).NotTo(gomega.BeNil(), "%v", fts)
+	gom.Expect(set.HedgeShare()).To(gomega.Equal(0.2))
+	for _, share := range []string{"0.21", "-0.1", "nan", "inf"} {
+		set, fts = Parse([]byte(rest + "hedge_share = " + share))
+		gom.Expect(set).To(gomega.BeNil(), share)
+		gom.Expect(fts.All()).To(gomega.HaveLen(1), share)
+		gom.Expect(fts.All()[0].Path()).To(gomega.Equal("hedge_share"))
+		gom.Expect(fts.All()[0].String()).To(gomega.ContainSubstring("7"), "the line")
+	}
+}
--- a/internal/front/cancel.go
+++ b/internal/front/cancel.go
@@ -9,6 +9,8 @@
 	mtx      sync.Mutex
 	settled  bool
 	canceled bool
+	// held is set while a hedge is in flight: the attempt is then not canceled for being slow.
+	held bool
 }
 
 // cancelPending cancels the attempt if it is still in flight and may allows it, and reports
@@ -16,7 +18,7 @@
 func (cgd *cancelGuard) cancelPending(may func() bool, cancel func()) bool {
 	cgd.mtx.Lock()
 	defer cgd.mtx.Unlock()
-	if cgd.settled || !may() {
+	if cgd.settled || cgd.canceled || cgd.held || !may() {
 		return false
 	}
 	cgd.canceled = true
@@ -24,6 +26,31 @@
 	return true
 }
 
+// hold keeps the attempt from being canceled by cancelPending, and reports whether it is still in flight.
+func (cgd *cancelGuard) hold() bool {
+	cgd.mtx.Lock()
+	defer cgd.mtx.Unlock()
+	cgd.held = !cgd.settled && !cgd.canceled
+	return cgd.held
+}
+
+// unhold ends hold.
+func (cgd *cancelGuard) unhold() {
+	cgd.mtx.Lock()
+	defer cgd.mtx.Unlock()
+	cgd.held = false
+}
+
+// cancelLost cancels an attempt whose answer is of no use any longer, unless it has ended.
+func (cgd *cancelGuard) cancelLost(cancel func()) {
+	cgd.mtx.Lock()
+	defer cgd.mtx.Unlock()
+	if !cgd.settled {
+		cgd.canceled = true
+		cancel()
+	}
+}
+
 // settle prevents the attempt from being canceled, and reports whether it already has been.
 func (cgd *cancelGuard) settle() bool {
 	cgd.mtx.Lock()
--- a/internal/front/crash.go
+++ b/internal/front/crash.go
@@ -50,8 +50,14 @@
 // not only closed the connection, the request and the parts of its prompt become suspects at all instances. An
 // attempt is whole if its answer ended as a complete one without framing does.
 func (fr *Front) checkCrash(cl *call, tgt coord.Placement, whole bool) {
+	fr.checkCrashSince(cl, tgt, whole, cl.headAt, cl.answering(fr.set.Clock.Now()))
+}
+
+// checkCrashSince is checkCrash for an attempt whose answer began at a time and has lasted for a span; see
+// [call.answering].
+func (fr *Front) checkCrashSince(cl *call, tgt coord.Placement, whole bool, began, answering clock.Milli) {
 	fpr, leaving := cl.fingerprint(), fr.set.Control.View().IsLeaving(tgt.ID)
-	parts, began, answering := cl.parts(), cl.headAt, cl.answering(fr.set.Clock.Now())
+	parts := cl.parts()
 	settled := answering >= poison.SettledAnswer
 	go func() {
 		process := fr.set.CheckProcess(context.Background(), tgt.Addr)
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"amaranthvalve/internal/coord"
-	"amaranthvalve/internal/proto"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ending"
@@ -46,6 +46,7 @@
 		return fr.refuseQuarantined(cl)
 	}
 	fr.pools.CountAttempt(cl.pool.Name())
+	fr.hedges.countRequest(fr.set.HedgeShare, cl)
 	run := &finalRun{fr: fr, cl: cl, lastEvent: cl.ask.LastEvent}
 	if !cl.route.Resumable() {
 		run.lastEvent = ""
@@ -168,10 +169,15 @@
 
 // release frees the slot of an attempt and records how the attempt ended.
 func (run *finalRun) release(tgt coord.Placement, out route.Outcome, took clock.Milli) {
-	fr, cl := run.fr, run.cl
+	run.fr.releaseEnded(run.cl.pool.Name(), tgt, out, took, run.rejected, run.cl.maxPause)
+}
+
+// releaseEnded frees the slot of an attempt at a pool and records how the attempt ended. rejected is set if the
+// endpoint had no room for the request; pause is the longest time between two events.
+func (fr *Front) releaseEnded(pool string, tgt coord.Placement, out route.Outcome, took clock.Milli, rejected bool, pause clock.Milli) {
 	if tgt.Ticket == "" {
-		fr.pools.Finish(cl.pool.Name(), tgt.ID, out, took)
-		fr.coord.ReleaseSlot(cl.pool.Name(), tgt, run.rejected)
+		fr.pools.Finish(pool, tgt.ID, out, took)
+		fr.coord.ReleaseSlot(pool, tgt, rejected)
 		return
 	}
 	end := place.Failed
@@ -180,10 +186,10 @@
 		end = place.Succeeded
 	case out == route.Cancelled:
 		end = place.Neutral
-	case run.rejected:
+	case rejected:
 		end = place.Rejected
 	}
-	fr.coord.RecordEnd(cl.pool.Name(), tgt, end, cl.maxPause)
+	fr.coord.RecordEnd(pool, tgt, end, pause)
 }
 
 // finalResult returns the result of a request for which no further endpoint was found.
@@ -200,69 +206,43 @@
 	return res
 }
 
-// attempt sends the request once. It reports whether another endpoint may be tried; the result is
-// then what the caller gets if there is none.
+// attempt sends the request once, and perhaps a hedge. It reports whether another endpoint may be tried; the
+// result is then what the caller gets if there is none.
 func (run *finalRun) attempt(ctx context.Context, tgt coord.Placement) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
-	cl.attempts++
-	cl.endpoint = string(tgt.ID)
 	cl.headAt, run.rejected = 0, false
-	run.avoid = append(run.avoid, string(tgt.ID))
-	actx, cancel := context.WithDeadline(cl.http.Context(), fr.set.Clock.Deadline(cl.deadline+answerGrace))
-	defer cancel()
-	defer fr.pools.Watch(cl.pool.Name(), tgt.ID, cancel)()
-	began := fr.set.Clock.Now()
-	rqs, stop := fr.withInputRelease(cl, tgt)
-	defer stop()
-	// The coordinator that chose the engine may not know of an evacuation yet.
-	fetch := tgt.FetchFrom
-	if fr.set.Control.View().IsWithheldAt(fetch) {
-		fetch = ""
-	}
-	// The endpoint may have announced its end or asked for rest since it was chosen, perhaps by another
-	// instance, or its data centre may have been evacuated.
-	bound := cl.bound
-	rqs.Allowed = func() bool {
-		return fr.set.Control.MaySend(tgt.ID, "") && fr.set.Control.MaySendTo(fetch, "") && fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
-			!fr.set.Control.Resting(tgt.ID) && bound.allows(fr.set.Control.View().Build(tgt.ID))
-	}
-	var cgd cancelGuard
-	timer := run.cancelIfSlow(actx, &cgd, cancel)
-	rsp, end, err := fr.set.Relay.Do(actx, tgt.Addr, rqs, proto.SendMeta{
-		Endpoint: tgt.ID, Workspace: cl.wsp, Remaining: cl.deadline - began, Priority: cl.rank, Inputs: cl.inputs, Fetch: fetch, LastEvent: run.lastEvent,
-	})
-	timer.Stop()
-	slow := cgd.settle()
-	run.repeatPaid = slow
-	took := fr.set.Clock.Since(began)
-	if slow || end == ending.Answered {
-		// Slow attempts are sampled too: without them, a pool that becomes slow as a whole would
-		// get each request twice, measured against its old times.
-		fr.firstByteTimes.sample(cl.route.Name(), took, fr.set.Clock.Now())
-	}
-	if rsp != nil {
-		defer func() { _ = rsp.Body.Close() }()
-		fr.pools.ReportLoad(cl.pool.Name(), tgt.ID, rsp.Reply)
-	}
-	if slow && end == ending.Answered {
-		// The attempt was canceled just as the response began.
-		end = ending.GaveUp
+	snd := run.begin(tgt)
+	snd.timer = run.cancelIfSlow(snd.ctx, &snd.cgd, snd.cancel)
+	if delay, ok := run.hedgeDelay(); ok {
+		snd = run.race(snd, delay)
+	} else {
+		snd.send(fr)
 	}
-	if end == ending.Answered {
-		return run.answered(ctx, tgt, rsp, began, took, cancel)
+	defer snd.close()
+	cl.endpoint = string(snd.tgt.ID)
+	run.repeatPaid = snd.canceled
+	fr.sampleTimes(cl, snd)
+	if snd.end == ending.Answered {
+		return run.answered(ctx, snd.tgt, snd.rsp, snd.began, snd.took, snd.cancel)
 	}
-	run.countUnbounded(tgt, err)
-	run.rejected = end == ending.Refused && isRejection(rsp)
-	run.release(tgt, end.RouteOutcome(slow), took)
-	if end == ending.Cut {
-		fr.checkCrash(cl, tgt, false)
+	run.failed(snd)
+	return run.afterFailure(ctx, snd.end)
+}
+
+// failed records that an attempt ended without an answer.
+func (run *finalRun) failed(snd *sending) {
+	fr, cl := run.fr, run.cl
+	run.countUnbounded(snd.tgt, snd.err)
+	run.rejected = snd.isRejected()
+	run.release(snd.tgt, snd.end.RouteOutcome(snd.canceled), snd.took)
+	if snd.end == ending.Cut {
+		fr.checkCrash(cl, snd.tgt, false)
 	}
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).
-		Str("ending", end.String()).AnErr("error", err).Bool("outlasted", slow).Int64("took_ms", int64(took)).Msg("attempt failed")
-	if rsp != nil && rsp.Reply.Misdirected {
-		fr.set.Control.EndpointLeaving(tgt.ID, "another endpoint answers at its address")
+	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(snd.tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).Bool("hedge", snd.hedge).
+		Str("ending", snd.end.String()).AnErr("error", snd.err).Bool("outlasted", snd.canceled).Int64("took_ms", int64(snd.took)).Msg("attempt failed")
+	if snd.rsp != nil && snd.rsp.Reply.Misdirected {
+		fr.set.Control.EndpointLeaving(snd.tgt.ID, "another endpoint answers at its address")
 	}
-	return run.afterFailure(ctx, end)
 }
 
 // answered records that an endpoint has begun to answer, and forwards its response. cancel ends the attempt.
@@ -307,7 +287,7 @@
 			}
 		}()
 	}
-	return rqs, func() { close(ended) }
+	return rqs, sync.OnceFunc(func() { close(ended) })
 }
 
 // afterFailure returns the result of an attempt without a response, and whether another attempt is
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,8 @@
 	Log          zerolog.Logger
 	// TokenMaxViewAge is the maximum age of a view whose tokens are accepted.
 	TokenMaxViewAge clock.Milli
+	// HedgeShare is the extra work that hedged requests may cause, as a share of the requests; zero for none.
+	HedgeShare float64
 }
 
 // Front serves callers' requests. It is created by [New].
@@ -53,6 +55,8 @@
 	stopEnd atomic.Int64
 	// firstByteTimes has the measured times from a final call to its first byte.
 	firstByteTimes routeTimes
+	// hedges has what hedges depend on, by route and pool.
+	hedges hedges
 	// service has the recent admissions of ranked routes.
 	service service
 }
--- a/internal/front/slow.go
+++ b/internal/front/slow.go
@@ -31,9 +31,8 @@
 	if !cl.route.Repeatable() || run.mayHaveRun+1 >= cl.route.Attempts() || len(cl.inputs) > 0 || cl.trial {
 		return time.NewTimer(maxRequestTime.Duration())
 	}
-	bound := fr.firstByteTimes.upperBound(cl.route.Name(), cl.route.TargetLatency(), fr.set.Clock.Now())
 	ticket, ask := cl.ticket(), cl.placeAsk(slices.Clone(run.avoid))
-	return time.AfterFunc(max(minSlowDelay, slowFactor*bound).Duration(), func() {
+	return time.AfterFunc(run.slowDelay().Duration(), func() {
 		next, ok := run.reserveNext(ctx, ticket, ask)
 		if !ok {
 			return
@@ -51,6 +50,12 @@
 	})
 }
 
+// slowDelay returns how long a repeatable final call waits for its first byte.
+func (run *finalRun) slowDelay() clock.Milli {
+	fr, cl := run.fr, run.cl
+	return max(minSlowDelay, slowFactor*fr.firstByteTimes.upperBound(cl.route.Name(), cl.route.TargetLatency(), fr.set.Clock.Now()))
+}
+
 // maySend reports whether the request may still be sent to an endpoint.
 func (run *finalRun) maySend() bool {
 	return run.fr.tokenValid(run.cl) && !run.fr.isQuarantined(run.cl)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -18,6 +18,7 @@
 
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ending"
+	"amaranthvalve/pkg/hedge"
 	"amaranthvalve/pkg/outcm"
 	"amaranthvalve/pkg/reach"
 	"amaranthvalve/pkg/retry"
@@ -37,6 +38,7 @@
 	wastedMs    *prometheus.CounterVec
 	events      *prometheus.CounterVec
 	dials       *prometheus.CounterVec
+	hedges      *prometheus.CounterVec
 	answers     *prometheus.CounterVec
 	gauges      *prometheus.GaugeVec
 	shed        *prometheus.CounterVec
@@ -112,6 +114,7 @@
 	mtr.retries = mtr.counter("retries_total", "Stage attempts after the first, by cause.", "cause")
 	mtr.engineMs = mtr.counter("stage_engine_ms_total", "Endpoint time spent, milliseconds.", "service", "stage")
 	mtr.wastedMs = mtr.counter("stage_wasted_ms_total", "Endpoint time spent on attempts whose result nobody used, milliseconds.", "service", "stage")
+	mtr.hedges = mtr.counter("hedges_total", "Hedged requests, by result: sent, won, lost, failed, or the reason for which none was sent.", "result")
 	mtr.dials = mtr.counter("endpoint_dials_total", "Connections opened to endpoints, by path and result.", "path", "result")
 	mtr.answers = mtr.counter("endpoint_answers_total", "Answers of endpoints to final calls, by the framing and the end of their bodies.", "framing", "end")
 	mtr.events = mtr.counter("events_total", "Notable events by kind.", "kind")
@@ -145,6 +148,12 @@
 	for _, cause := range retry.Causes() {
 		mtr.retries.WithLabelValues(cause.String())
 	}
+	for _, result := range []string{HedgeSent, HedgeWon, HedgeLost, HedgeFailed} {
+		mtr.hedges.WithLabelValues(result)
+	}
+	for _, reason := range hedge.Reasons() {
+		mtr.hedges.WithLabelValues(reason.String())
+	}
 	for _, path := range reach.Paths() {
 		for _, res := range reach.Results() {
 			mtr.dials.WithLabelValues(path.String(), res.String())
@@ -216,6 +225,17 @@
 	mtr.dials.WithLabelValues(path.String(), res.String()).Inc()
 }
 
+// Results of hedges that were sent; those that were not are counted by the names of their reasons.
+const (
+	HedgeSent   = "sent"
+	HedgeWon    = "won"
+	HedgeLost   = "lost"
+	HedgeFailed = "failed"
+)
+
+// CountHedge counts a hedge by its result.
+func (mtr *Meter) CountHedge(result string) { mtr.hedges.WithLabelValues(result).Inc() }
+
 // CountAnswer counts an answer of an endpoint to a final call.
 func (mtr *Meter) CountAnswer(frm ending.Framing, end ending.BodyEnd) {
 	mtr.answers.WithLabelValues(frm.String(), end.String()).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,6 +218,7 @@
 	nod.front = front.New(front.Setup{
 		Control: nod.ctl, Dialect: dia, Relay: relay.New(dia, nod.dialer.DialContext, onReply), Pools: pls, Coordinator: nod.coord, Clock: nod.clk,
 		Meter: nod.mtr, Log: nod.log, CheckProcess: nod.dialer.CheckProcess,
+		HedgeShare:      nod.set.HedgeShare(),
 		TokenMaxViewAge: clock.Milli(tokenAgeShare * float64(nod.set.TokenMaxViewAge())),
 	})
 }
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -56,6 +56,8 @@
 	FetchFrom string
 	// Full is set if all slots of a model engine are taken, as far as is known.
 	Full bool
+	// Waits is set if the request would wait at a model engine, for a slot or for memory.
+	Waits bool
 	// Build is the build of the endpoint's software, empty if it is unknown.
 	Build string
 	// Placement describes the choice of a model engine; empty if another instance made it.
@@ -234,7 +236,7 @@
 }
 
 func (pst *poolState) begin(eng place.Engine, from, ticket string, ask place.Ask, now clock.Milli) Target {
-	tgt := Target{ID: ident.Process(eng.ID), Addr: eng.Addr, Build: eng.Build, Ticket: ticket, FetchFrom: from, Full: pst.engines.Full(eng.ID, now)}
+	tgt := Target{ID: ident.Process(eng.ID), Addr: eng.Addr, Build: eng.Build, Ticket: ticket, FetchFrom: from, Full: pst.engines.Full(eng.ID, now), Waits: pst.engines.Waits(eng.ID, now)}
 	pst.engines.Begin(eng.ID, ticket, ask.Prompt, ask.MaxGap, now)
 	return tgt
 }
@@ -269,6 +271,36 @@
 	return pst.engines.Len() > 0
 }
 
+// Ejected lists the endpoints of a pool that are ejected for their failures, also if a probe of them is due.
+func (pls *Pools) Ejected(pool string) []string {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	pst := pls.byName[pool]
+	switch {
+	case pst == nil:
+		return nil
+	case pst.engines != nil:
+		return pst.engines.Ejected()
+	}
+	var list []string
+	for _, ep := range pst.plain.EndpointStates() {
+		if ep.Ejected {
+			list = append(list, ep.ID)
+		}
+	}
+	return list
+}
+
+// InFlight returns the number of requests of this instance in flight at a plain pool, for tests that wait for them.
+func (pls *Pools) InFlight(pool string) int {
+	pls.mtx.Lock()
+	defer pls.mtx.Unlock()
+	if pst := pls.byName[pool]; pst != nil && pst.plain != nil {
+		return pst.plain.InFlight()
+	}
+	return 0
+}
+
 // HasUsable reports whether a plain pool has exactly this number of usable endpoints, for tests
 // that wait for it.
 func (pls *Pools) HasUsable(pool string, count int) bool {
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -159,6 +159,23 @@
 	return ok && eng.Slots > 0 && eng.streams(now) >= float64(eng.Slots)
 }
 
+// Waits reports whether a request would wait at an engine for a slot or for memory, as far as known.
+func (plc *Placer) Waits(id string, now clock.Milli) bool {
+	eng, ok := plc.byID[id]
+	return ok && eng.isFull(now)
+}
+
+// Ejected lists the engines that get no requests for their failures, and those that are to be probed.
+func (plc *Placer) Ejected() []string {
+	var list []string
+	for _, eng := range plc.list {
+		if eng.ejectedUntil > 0 {
+			list = append(list, eng.ID)
+		}
+	}
+	return list
+}
+
 // PauseEnd returns the time at which a brittle engine gets requests again that has rejected one; false if it
 // has not, or gets them.
 func (plc *Placer) PauseEnd(id string, now clock.Milli) (at clock.Milli, ok bool) {
