internal/batch: the test of endless queries has the last check

TestUnboundedQueryEjects makes a pool without New, which sets the defaults, and dereferenced nil at the last check since evacuations were joined with bounded answers.

--- a/internal/batch/unbounded_test.go
+++ b/internal/batch/unbounded_test.go
@@ -13,6 +13,7 @@
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gather"
+	"amaranthvalve/pkg/ident"
 	"amaranthvalve/pkg/plan"
 )
 
@@ -36,7 +37,7 @@
 				Free:        func(context.Context, *http.Client, string, []string) error { return failed },
 				FreeStorage: func(context.Context, *http.Client, proto.Endpoint) (int64, error) { return 1000, failed },
 			}
-			pol := newPool("ranks", Setup{Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Window: clock.Second, After: func(clock.Milli, func()) {}})
+			pol := newPool("ranks", Setup{Dialect: dia, Meter: meter.New(), Log: zerolog.Nop(), Window: clock.Second, After: func(clock.Milli, func()) {}, MaySend: func(ident.Process, string) bool { return true }, MaySendTo: func(string, string) bool { return true }})
 			pol.sync(plan.DraftBatch{Slots: 1, MaxItems: 1, BatchMs: 10, ItemMs: 1}, []gather.Endpoint{{ID: "rank-1", Addr: "a:1"}}, nil, false)
 			ask(pol)
 			now := pol.set.Clock.Now()
