internal/node: the spec of an ejected flooder has tokens that last

Cause: with the race detector the flood, the fake store and the instance share one process; for a moment the instance couldn't confirm its documents within the 2 s of the testbed's tokens, and 21 of 40 requests, sent within some 20 ms of one another, were refused as stale_view (traced from their bodies). The endpoint had got 4 requests and was ejected. Ruled out: ejection, slots and the other endpoint. Change: tokens are honoured for a minute in this spec; its checks and bounds are the same.

--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -16,6 +16,7 @@
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/meter"
+	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
 
@@ -105,7 +106,9 @@
 	// the other endpoints.
 	ginkgo.It("ejects its endpoint", func() {
 		for _, fld := range []fake.Flood{fake.HeadLine, fake.InterimHeads, fake.LengthBody, fake.OneEvent} {
-			tbd := newTestbed(1)
+			// Tokens are honoured for longer than a flood can keep this process, in which everything runs, from
+			// confirming its documents.
+			tbd := newTokenTestbed(1, clock.Minute)
 			flood([]*fake.Endpoint{tbd.engines[0], tbd.plain[0], tbd.stages[0]}, fld, 0)
 			for path, ep := range map[string]*fake.Endpoint{"/log/x": tbd.plain[0], "/stream/x": tbd.engines[0]} {
 				served := 0
