pkg/cold, pkg/gather, internal: names of the field for what the new parts keep

Cause: a reading of the whole change found Book, Wish and stranded, which need explaining. Change: cold.Tracker, coord.WaitTerms, AllWithheld; nothing else.

--- a/internal/batch/evac_test.go
+++ b/internal/batch/evac_test.go
@@ -122,7 +122,7 @@
 }
 
 // Guards against items that wait until they expire although no endpoint is left, those that were waiting too.
-func TestStrandedItemsFailAtOnce(t *testing.T) {
+func TestWithheldItemsFailAtOnce(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	evc := newEvacuating()
 	evc.sync("z1", "z2")
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -189,7 +189,7 @@
 	now := pol.set.Clock.Now()
 	share := pol.holdRateLimited(now)
 	pol.holdResting()
-	pol.failStranded()
+	pol.failWithheld()
 	for {
 		bat, ok := pol.sched.Next(now)
 		if !ok {
@@ -298,9 +298,9 @@
 	pol.dispatch()
 }
 
-// failStranded fails all waiting items if no endpoint is left because of evacuations.
-func (pol *pool) failStranded() {
-	if !pol.sched.Stranded() {
+// failWithheld fails all waiting items if no endpoint is left because of evacuations.
+func (pol *pool) failWithheld() {
+	if !pol.sched.AllWithheld() {
 		return
 	}
 	for _, itm := range pol.sched.TakeAll() {
--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -65,8 +65,8 @@
 	Ahead int `cbor:"4,keyasint,omitempty"`
 }
 
-// Wish describes a request that may wait for an endpoint.
-type Wish struct {
+// WaitTerms describes a request that may wait for an endpoint.
+type WaitTerms struct {
 	Rank      int
 	Workspace string
 	// Until is when it must have an endpoint; an immediate try is made in any case.
@@ -117,24 +117,24 @@
 // Acquire chooses the endpoint of a final call and counts the request there. If none is free, the request
 // waits in the queue of the pool's coordinator. wait is the time after which a slot is expected if it was
 // refused. At pools without a queue, Acquire tries once, like [Coordinator.Place].
-func (crd *Coordinator) Acquire(ctx context.Context, pool, ticket string, ask place.Ask, wish Wish) (plc Placement, wait clock.Milli, acq Acquired) {
+func (crd *Coordinator) Acquire(ctx context.Context, pool, ticket string, ask place.Ask, trm WaitTerms) (plc Placement, wait clock.Milli, acq Acquired) {
 	began := crd.set.Clock.Now()
 	if !crd.isBrittle(pool) {
 		plc, ok := crd.place(ctx, crd.view(), pool, ticket, ask, true)
 		switch {
 		case ok:
 			return plc, 0, Granted
-		case !crd.set.Pools.HasRates(pool) || wish.Until <= crd.set.Clock.Now():
+		case !crd.set.Pools.HasRates(pool) || trm.Until <= crd.set.Clock.Now():
 			return Placement{}, 0, Unqueued
 		}
 	}
 	var failed []ident.Incarnation
 	for {
-		out, inc, err := crd.tryJoin(ctx, pool, ticket, ask, wish, failed)
+		out, inc, err := crd.tryJoin(ctx, pool, ticket, ask, trm, failed)
 		now, repeated := crd.set.Clock.Now(), slices.Contains(failed, inc)
 		switch {
 		case err == nil && !out.moved:
-			crd.logWait(pool, ticket, inc, wish, out, now-began)
+			crd.logWait(pool, ticket, inc, trm, out, now-began)
 			if out.ok {
 				return out.plc, 0, Granted
 			}
@@ -165,7 +165,7 @@
 				return plc, 0, Granted
 			}
 		}
-		if now >= wish.Until {
+		if now >= trm.Until {
 			return Placement{}, 0, Refused
 		}
 		if repeated || err == nil || errors.Is(err, errRefused) {
@@ -176,11 +176,11 @@
 
 // tryJoin sends a request to the coordinator of a pool, which may be this instance, and returns the outcome
 // and the instance that was asked. Instances that have failed before are passed over.
-func (crd *Coordinator) tryJoin(ctx context.Context, pool, ticket string, ask place.Ask, wish Wish, failed []ident.Incarnation) (joinOutcome, ident.Incarnation, error) {
+func (crd *Coordinator) tryJoin(ctx context.Context, pool, ticket string, ask place.Ask, trm WaitTerms, failed []ident.Incarnation) (joinOutcome, ident.Incarnation, error) {
 	vw, now, self := crd.view(), crd.set.Clock.Now(), crd.set.Control.Self()
 	jrq := joinRequest{
-		Pool: pool, Ticket: ticket, Ask: ask, Rank: wish.Rank, Workspace: wish.Workspace, Wait: max(wish.Until-now, 0), Left: crd.timeLeft(ctx),
-		Since: wish.Since, Key: wish.Key, Rests: crd.restsOf(vw, pool, now),
+		Pool: pool, Ticket: ticket, Ask: ask, Rank: trm.Rank, Workspace: trm.Workspace, Wait: max(trm.Until-now, 0), Left: crd.timeLeft(ctx),
+		Since: trm.Since, Key: trm.Key, Rests: crd.restsOf(vw, pool, now),
 	}
 	// The coordinator may not know of an evacuation yet.
 	jrq.Ask.Avoid = slices.Concat(ask.Avoid, vw.Withheld(pool))
@@ -347,7 +347,7 @@
 }
 
 // logWait logs a request that has waited for a slot, or was refused one.
-func (crd *Coordinator) logWait(pool, ticket string, inc ident.Incarnation, wish Wish, out joinOutcome, waited clock.Milli) {
+func (crd *Coordinator) logWait(pool, ticket string, inc ident.Incarnation, trm WaitTerms, out joinOutcome, waited clock.Milli) {
 	if out.ok && waited < minLoggedWait {
 		return
 	}
@@ -355,7 +355,7 @@
 	if !out.ok {
 		outcome = "refused"
 	}
-	crd.set.Log.Info().Str("request", ticket).Str("pool", pool).Str("workspace", wish.Workspace).Int("rank", wish.Rank).Int("ahead", out.ahead).
+	crd.set.Log.Info().Str("request", ticket).Str("pool", pool).Str("workspace", trm.Workspace).Int("rank", trm.Rank).Int("ahead", out.ahead).
 		Int64("waited_ms", int64(waited)).Int64("expected_ms", int64(out.wait)).Str("endpoint", string(out.plc.ID)).Str("placer", string(inc)).
 		Str("outcome", outcome).Msg("waited for a slot")
 }
--- a/internal/coord/meet_test.go
+++ b/internal/coord/meet_test.go
@@ -45,7 +45,7 @@
 		held := bed.hold(0, pool, 2)
 		done := make(chan Placement, 1)
 		go func() {
-			plc, acq := bed.acquire(context.Background(), 1, pool, Wish{}, 4*time.Second)
+			plc, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, 4*time.Second)
 			if acq != Granted {
 				plc = Placement{}
 			}
@@ -77,7 +77,7 @@
 		done := make(chan Acquired, 2)
 		for ins := range 2 {
 			go func() {
-				_, acq := bed.acquire(context.Background(), ins, pool, Wish{}, 4*time.Second)
+				_, acq := bed.acquire(context.Background(), ins, pool, WaitTerms{}, 4*time.Second)
 				done <- acq
 			}()
 		}
@@ -100,7 +100,7 @@
 	var urgent sync.WaitGroup
 	for i := range 8 {
 		urgent.Go(func() {
-			plc, acq := bed.acquire(context.Background(), i%2, "models", Wish{Workspace: "w"}, 4*time.Second)
+			plc, acq := bed.acquire(context.Background(), i%2, "models", WaitTerms{Workspace: "w"}, 4*time.Second)
 			bed.gom.Expect(acq).To(gomega.Equal(Granted))
 			bed.release(i%2, "models", plc)
 		})
@@ -111,7 +111,7 @@
 	for ins := range 2 {
 		others.Go(func() {
 			for bed.waiting(0, "models")() >= 2 {
-				if plc, acq := bed.acquire(context.Background(), ins, "models", Wish{Rank: 1, Workspace: "x"}, 5*time.Millisecond); acq == Granted {
+				if plc, acq := bed.acquire(context.Background(), ins, "models", WaitTerms{Rank: 1, Workspace: "x"}, 5*time.Millisecond); acq == Granted {
 					overtook.Add(1)
 					bed.release(ins, "models", plc)
 				}
@@ -133,7 +133,7 @@
 	var grp sync.WaitGroup
 	for range 6 {
 		grp.Go(func() {
-			plc, acq := bed.acquire(context.Background(), 1, "bookings", Wish{}, 4*time.Second)
+			plc, acq := bed.acquire(context.Background(), 1, "bookings", WaitTerms{}, 4*time.Second)
 			bed.gom.Expect(acq).To(gomega.Equal(Granted))
 			bed.release(1, "bookings", plc)
 		})
@@ -155,7 +155,7 @@
 			bed.put(i, vw)
 		}
 		bed.crds[1].markUnresponsive(bed.ids[0])
-		_, acq := bed.acquire(context.Background(), 1, pool, Wish{}, 50*time.Millisecond)
+		_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, 50*time.Millisecond)
 		bed.gom.Expect(acq).To(gomega.Equal(Refused))
 		_, ok := bed.crds[1].placeOneSlot(pool, "r/0", place.Ask{}, now+clock.Minute)
 		bed.gom.Expect(ok).To(gomega.BeFalse())
@@ -188,7 +188,7 @@
 	grp.Wait()
 	bed.gom.Expect(moved.Load()).To(gomega.BeEquivalentTo(2049))
 	bed.setCoordinator(0)
-	_, acq := bed.acquire(context.Background(), 0, "bookings", Wish{}, 20*time.Millisecond)
+	_, acq := bed.acquire(context.Background(), 0, "bookings", WaitTerms{}, 20*time.Millisecond)
 	bed.gom.Expect(acq).To(gomega.Equal(Refused))
 }
 
--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -239,7 +239,7 @@
 	}
 	pqu := crd.queues.get(jrq.Pool, true)
 	pqu.mtx.Lock()
-	if crd.view().IsStranded(jrq.Pool, jrq.Ask.Build) {
+	if crd.view().AllWithheld(jrq.Pool, jrq.Ask.Build) {
 		pqu.mtx.Unlock()
 		return joinOutcome{}
 	}
@@ -309,21 +309,21 @@
 	crd.endLost(vw)
 	for pool, pqu := range crd.queues.all() {
 		pqu.mtx.Lock()
-		pqu.refuseStranded(vw, pool, crd.set.Clock.Now())
+		pqu.refuseWithheld(vw, pool, crd.set.Clock.Now())
 		crd.dispatchLocked(pool, pqu)
 		pqu.mtx.Unlock()
 	}
 }
 
-// refuseStranded refuses the requests whose endpoints are all in evacuated data centres.
-func (pqu *poolQueue) refuseStranded(vw *state.View, pool string, now clock.Milli) {
-	stranded := map[string]bool{}
+// refuseWithheld refuses the requests whose endpoints are all in evacuated data centres.
+func (pqu *poolQueue) refuseWithheld(vw *state.View, pool string, now clock.Milli) {
+	withheld := map[string]bool{}
 	for ent, wtr := range pqu.waiters {
 		build := wtr.jrq.Ask.Build
-		if _, ok := stranded[build]; !ok {
-			stranded[build] = vw.IsStranded(pool, build)
+		if _, ok := withheld[build]; !ok {
+			withheld[build] = vw.AllWithheld(pool, build)
 		}
-		if stranded[build] && pqu.que.Leave(ent, now) {
+		if withheld[build] && pqu.que.Leave(ent, now) {
 			pqu.finish(ent, joinOutcome{ahead: ent.Ahead(), waited: now - ent.JoinedAt()})
 		}
 	}
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -114,9 +114,9 @@
 var testTickets atomic.Int64
 
 // acquire lets a request of an instance wait for a slot.
-func (bed *queueBed) acquire(ctx context.Context, ins int, pool string, wish Wish, wait time.Duration) (Placement, Acquired) {
-	wish.Until = clock.Clock{}.Now() + clock.FromDuration(wait)
-	plc, _, acq := bed.crds[ins].Acquire(ctx, pool, fmt.Sprint("r", testTickets.Add(1), "/0"), place.Ask{}, wish)
+func (bed *queueBed) acquire(ctx context.Context, ins int, pool string, trm WaitTerms, wait time.Duration) (Placement, Acquired) {
+	trm.Until = clock.Clock{}.Now() + clock.FromDuration(wait)
+	plc, _, acq := bed.crds[ins].Acquire(ctx, pool, fmt.Sprint("r", testTickets.Add(1), "/0"), place.Ask{}, trm)
 	return plc, acq
 }
 
@@ -133,7 +133,7 @@
 // hold takes all slots of a pool through an instance.
 func (bed *queueBed) hold(ins int, pool string, slots int) (list []Placement) {
 	for range slots {
-		plc, acq := bed.acquire(context.Background(), ins, pool, Wish{}, time.Second)
+		plc, acq := bed.acquire(context.Background(), ins, pool, WaitTerms{}, time.Second)
 		bed.gom.Expect(acq).To(gomega.Equal(Granted))
 		list = append(list, plc)
 	}
@@ -172,7 +172,7 @@
 		var grp sync.WaitGroup
 		for ins, rank := range []int{2, 1, 0} {
 			grp.Go(func() {
-				plc, acq := bed.acquire(context.Background(), ins, pool, Wish{Rank: rank}, 5*time.Second)
+				plc, acq := bed.acquire(context.Background(), ins, pool, WaitTerms{Rank: rank}, 5*time.Second)
 				bed.gom.Expect(acq).To(gomega.Equal(Granted))
 				served <- rank
 				bed.release(ins, pool, plc)
@@ -192,7 +192,7 @@
 		bed.hold(0, pool, 1)
 		done := make(chan Acquired, 1)
 		go func() {
-			_, acq := bed.acquire(context.Background(), 1, pool, Wish{}, 2*time.Second)
+			_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, 2*time.Second)
 			done <- acq
 		}()
 		bed.gom.Eventually(bed.waiting(0, pool), 5*time.Second).Should(gomega.Equal(1))
@@ -212,7 +212,7 @@
 	bed.views[1].Store(bed.base.WithBrittlePools(queuePools, bed.ids[0], bed.ids[2], bed.ids[1]))
 	bed.cut[0].Store(true)
 	began := time.Now()
-	_, acq := bed.acquire(context.Background(), 1, "bookings", Wish{}, 250*time.Millisecond)
+	_, acq := bed.acquire(context.Background(), 1, "bookings", WaitTerms{}, 250*time.Millisecond)
 	bed.gom.Expect(acq).To(gomega.Equal(Granted))
 	bed.gom.Expect(time.Since(began)).To(gomega.BeNumerically("<", 250*time.Millisecond))
 }
@@ -224,7 +224,7 @@
 		bed.hold(0, pool, 4)
 		bed.crds[1].markUnresponsive(bed.ids[0])
 		bed.hold(1, pool, 1)
-		_, acq := bed.acquire(context.Background(), 1, pool, Wish{}, 100*time.Millisecond)
+		_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, 100*time.Millisecond)
 		bed.gom.Expect(acq).To(gomega.Equal(Refused))
 	})
 }
@@ -237,7 +237,7 @@
 		done := make(chan Acquired, 2)
 		for ins := range 2 {
 			go func() {
-				_, acq := bed.acquire(context.Background(), ins, pool, Wish{}, 4*time.Second)
+				_, acq := bed.acquire(context.Background(), ins, pool, WaitTerms{}, 4*time.Second)
 				done <- acq
 			}()
 		}
@@ -254,11 +254,11 @@
 		bed := newQueueBed(t, 2, 1)
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 		defer cancel()
-		plc, acq := bed.acquire(ctx, 1, pool, Wish{}, 200*time.Millisecond)
+		plc, acq := bed.acquire(ctx, 1, pool, WaitTerms{}, 200*time.Millisecond)
 		bed.gom.Expect(acq).To(gomega.Equal(Granted))
 		bed.cut[1].Store(true)
 		bed.release(1, pool, plc)
-		_, acq = bed.acquire(context.Background(), 0, pool, Wish{}, 3*time.Second)
+		_, acq = bed.acquire(context.Background(), 0, pool, WaitTerms{}, 3*time.Second)
 		bed.gom.Expect(acq).To(gomega.Equal(Granted))
 	})
 }
@@ -272,12 +272,12 @@
 		bed.views[0].Store(bed.viewOf(0).WithMembers(lst.All()...))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
-		_, acq := bed.acquire(ctx, 1, pool, Wish{}, time.Second)
+		_, acq := bed.acquire(ctx, 1, pool, WaitTerms{}, time.Second)
 		bed.gom.Expect(acq).To(gomega.Equal(Granted))
 		bed.stops[1]()
 		done := make(chan Acquired, 1)
 		go func() {
-			_, acq := bed.acquire(context.Background(), 0, pool, Wish{}, 4*time.Second)
+			_, acq := bed.acquire(context.Background(), 0, pool, WaitTerms{}, 4*time.Second)
 			done <- acq
 		}()
 		bed.gom.Eventually(bed.waiting(0, pool), 5*time.Second).Should(gomega.Equal(1))
@@ -294,15 +294,15 @@
 	forPools(t, func(t *testing.T, pool string) {
 		bed := newQueueBed(t, 2, 1)
 		bed.earlier[0].Store(true)
-		plc, acq := bed.acquire(context.Background(), 1, pool, Wish{}, time.Second)
+		plc, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, time.Second)
 		bed.gom.Expect(acq).To(gomega.Equal(Granted))
 		for range 5 {
-			_, acq = bed.acquire(context.Background(), 1, pool, Wish{}, time.Second)
+			_, acq = bed.acquire(context.Background(), 1, pool, WaitTerms{}, time.Second)
 			bed.gom.Expect(acq).To(gomega.Equal(Unqueued))
 		}
 		bed.release(1, pool, plc)
 		bed.gom.Eventually(func() Acquired {
-			_, acq := bed.acquire(context.Background(), 1, pool, Wish{}, time.Second)
+			_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, time.Second)
 			return acq
 		}, time.Second).Should(gomega.Equal(Granted))
 		bed.gom.Expect(bed.joins[0].Load()).To(gomega.BeEquivalentTo(1))
@@ -320,7 +320,7 @@
 		for range 4 {
 			grp.Go(func() {
 				for ctx.Err() == nil {
-					if plc, acq := bed.acquire(ctx, 0, pool, Wish{Workspace: "w"}, time.Second); acq == Granted {
+					if plc, acq := bed.acquire(ctx, 0, pool, WaitTerms{Workspace: "w"}, time.Second); acq == Granted {
 						time.Sleep(2 * time.Millisecond)
 						bed.release(0, pool, plc)
 					}
@@ -351,7 +351,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan Acquired, 1)
 			go func() {
-				_, acq := bed.acquire(ctx, ins, pool, Wish{}, 5*time.Second)
+				_, acq := bed.acquire(ctx, ins, pool, WaitTerms{}, 5*time.Second)
 				done <- acq
 			}()
 			bed.gom.Eventually(bed.waiting(0, pool), 5*time.Second).Should(gomega.Equal(1))
@@ -381,7 +381,7 @@
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
-				if plc, acq := bed.acquire(ctx, 1, pool, Wish{}, 5*time.Second); acq == Granted {
+				if plc, acq := bed.acquire(ctx, 1, pool, WaitTerms{}, 5*time.Second); acq == Granted {
 					bed.release(1, pool, plc)
 				}
 			}()
@@ -413,7 +413,7 @@
 	forPools(t, func(t *testing.T, pool string) {
 		bed := newQueueBed(t, 2, 1)
 		held := bed.hold(0, pool, 1)
-		_, acq := bed.acquire(context.Background(), 1, pool, Wish{Key: 7}, 10*time.Millisecond)
+		_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{Key: 7}, 10*time.Millisecond)
 		bed.gom.Expect(acq).To(gomega.Equal(Refused))
 		served := make(chan uint64, 9)
 		var grp sync.WaitGroup
@@ -421,7 +421,7 @@
 			grp.Go(func() {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i+1)*5*time.Second)
 				defer cancel()
-				plc, acq := bed.acquire(ctx, i%2, pool, Wish{Key: key}, 5*time.Second)
+				plc, acq := bed.acquire(ctx, i%2, pool, WaitTerms{Key: key}, 5*time.Second)
 				bed.gom.Expect(acq).To(gomega.Equal(Granted))
 				served <- key
 				bed.release(i%2, pool, plc)
@@ -441,7 +441,7 @@
 		bed.hold(0, pool, 1)
 		for ins := range 2 {
 			began := time.Now()
-			_, acq := bed.acquire(context.Background(), ins, pool, Wish{}, 200*time.Millisecond)
+			_, acq := bed.acquire(context.Background(), ins, pool, WaitTerms{}, 200*time.Millisecond)
 			bed.gom.Expect(acq).To(gomega.Equal(Refused))
 			bed.gom.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically(">=", 190*time.Millisecond), gomega.BeNumerically("<", 320*time.Millisecond)))
 		}
@@ -457,11 +457,11 @@
 	began := time.Now()
 	for ins := range 2 {
 		// A refused request is told when the pause ends.
-		_, wait, acq := bed.crds[ins].Acquire(context.Background(), "bookings", fmt.Sprint("refused", ins, "/0"), place.Ask{}, Wish{})
+		_, wait, acq := bed.crds[ins].Acquire(context.Background(), "bookings", fmt.Sprint("refused", ins, "/0"), place.Ask{}, WaitTerms{})
 		bed.gom.Expect(acq).To(gomega.Equal(Refused))
 		bed.gom.Expect(wait).To(gomega.BeNumerically("~", 900, 110))
 	}
-	_, acq := bed.acquire(context.Background(), 0, "bookings", Wish{}, 3*time.Second)
+	_, acq := bed.acquire(context.Background(), 0, "bookings", WaitTerms{}, 3*time.Second)
 	bed.gom.Expect(acq).To(gomega.Equal(Granted))
 	bed.gom.Expect(time.Since(began)).To(gomega.BeNumerically("~", time.Second, 200*time.Millisecond))
 }
@@ -474,7 +474,7 @@
 	bed := newQueueBed(t, 1, 2)
 	bed.views[0].Store(bed.viewOf(0).WithCoordinatorSince("bookings", clock.Clock{}.Now()))
 	bed.hold(0, "bookings", 1)
-	_, acq := bed.acquire(context.Background(), 0, "bookings", Wish{}, 3*time.Second)
+	_, acq := bed.acquire(context.Background(), 0, "bookings", WaitTerms{}, 3*time.Second)
 	gom.Expect(acq).To(gomega.Equal(Granted))
 }
 
@@ -496,14 +496,14 @@
 		var granted atomic.Int64
 		for i := range 10 {
 			grp.Go(func() {
-				if plc, acq := bed.acquire(context.Background(), i%2, pool, Wish{}, 2*time.Second); acq == Granted {
+				if plc, acq := bed.acquire(context.Background(), i%2, pool, WaitTerms{}, 2*time.Second); acq == Granted {
 					granted.Add(1)
 					bed.release(i%2, pool, plc)
 				}
 			})
 		}
 		bed.gom.Eventually(bed.waiting(0, pool), time.Second).Should(gomega.BeNumerically(">", 5))
-		_, acq := bed.acquire(context.Background(), 0, pool, Wish{}, 0)
+		_, acq := bed.acquire(context.Background(), 0, pool, WaitTerms{}, 0)
 		bed.gom.Expect(acq).NotTo(gomega.Equal(Granted))
 		grp.Wait()
 		bed.gom.Expect(granted.Load()).To(gomega.BeEquivalentTo(10))
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -114,23 +114,23 @@
 	}
 	until := fr.set.Clock.Now() + cl.slotWait()
 	for {
-		if fr.set.Control.View().IsStranded(cl.pool.Name(), cl.bound.build) {
+		if fr.set.Control.View().AllWithheld(cl.pool.Name(), cl.bound.build) {
 			return coord.Placement{}, fr.refuseEvacuated(cl.pool.Name())
 		}
 		ask := cl.placeAsk(run.avoid)
 		ask.Zone, ask.Bytes = cl.inputZone()
-		wish := cl.wish(fr.coord, until)
+		trm := cl.waitTerms(fr.coord, until)
 		if len(run.avoid) > 0 {
-			wish.Until = 0
+			trm.Until = 0
 		}
-		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until && wish.Key != 0 {
+		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until && trm.Key != 0 {
 			return coord.Placement{}, fr.refuseResting(end)
 		}
-		tgt, wait, acq := fr.coord.Acquire(ctx, cl.pool.Name(), cl.ticket(), ask, wish)
+		tgt, wait, acq := fr.coord.Acquire(ctx, cl.pool.Name(), cl.ticket(), ask, trm)
 		if acq == coord.Granted {
 			return tgt, outcm.Result{}
 		}
-		if fr.set.Control.View().IsStranded(cl.pool.Name(), cl.bound.build) {
+		if fr.set.Control.View().AllWithheld(cl.pool.Name(), cl.bound.build) {
 			return coord.Placement{}, fr.refuseEvacuated(cl.pool.Name())
 		}
 		if end, all := fr.coord.RestEnd(cl.pool.Name(), cl.bound.build); all && end > until {
@@ -149,14 +149,14 @@
 	}
 }
 
-// wish returns what the wait of a request for an endpoint depends on. At a pool without a queue, where it is not
+// waitTerms returns what the wait of a request for an endpoint depends on. At a pool without a queue, where it is not
 // used, it has no key: the fingerprint takes a while to compute.
-func (cl *call) wish(crd *coord.Coordinator, until clock.Milli) coord.Wish {
-	wish := coord.Wish{Rank: cl.rank, Workspace: cl.wsp, Until: until, Since: cl.sinceFirst}
+func (cl *call) waitTerms(crd *coord.Coordinator, until clock.Milli) coord.WaitTerms {
+	trm := coord.WaitTerms{Rank: cl.rank, Workspace: cl.wsp, Until: until, Since: cl.sinceFirst}
 	if crd.Queues(cl.pool.Name()) {
-		wish.Key = max(cl.retryKey(), 1)
+		trm.Key = max(cl.retryKey(), 1)
 	}
-	return wish
+	return trm
 }
 
 // refuseResting returns the refusal for a pool whose endpoints have all asked this instance for rest, the
@@ -337,7 +337,7 @@
 	switch {
 	case run.mayHaveRun == 0 && passed:
 		return outcm.Refuse(outcm.DeadlinePassed, minRetryAfter, "no endpoint accepted the request before its deadline")
-	case run.mayHaveRun == 0 && fr.set.Control.View().IsStranded(cl.pool.Name(), cl.bound.build):
+	case run.mayHaveRun == 0 && fr.set.Control.View().AllWithheld(cl.pool.Name(), cl.bound.build):
 		return fr.refuseEvacuated(cl.pool.Name())
 	case run.mayHaveRun == 0 && all:
 		return fr.refuseResting(rested)
--- a/internal/front/stages.go
+++ b/internal/front/stages.go
@@ -85,7 +85,7 @@
 func (fr *Front) target(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	name := cmp.Or(cl.bound.pool, cl.route.Target(rand.Float64()))
 	pol, ok := cl.view.Plan().Pool(name)
-	if ok && fr.set.Control.View().IsStranded(name, cl.bound.build) {
+	if ok && fr.set.Control.View().AllWithheld(name, cl.bound.build) {
 		return fr.refuseEvacuated(name)
 	}
 	if !ok || !fr.pools.Usable(name) {
@@ -109,7 +109,7 @@
 		return outcm.New(outcm.NotRun, outcm.BadRequest, "pieces for more stages than the route has, or too many pieces of a stage")
 	}
 	for _, pool := range cl.pools() {
-		if fr.set.Control.View().IsStranded(pool, "") {
+		if fr.set.Control.View().AllWithheld(pool, "") {
 			return fr.refuseEvacuated(pool)
 		}
 	}
--- a/internal/state/cold.go
+++ b/internal/state/cold.go
@@ -32,8 +32,8 @@
 
 // coldCtl owns the cold endpoints.
 type coldCtl struct {
-	ctl  *Control
-	book cold.Book
+	ctl     *Control
+	tracker cold.Tracker
 	// released returns when a data centre was last released from an evacuation, false if it never
 	// was; nil for none.
 	released func(zone string) (at clock.Milli, ok bool)
@@ -48,7 +48,7 @@
 	for i, ep := range eps {
 		ids[i] = string(ep.ID)
 	}
-	ccl.book.List(ids, now)
+	ccl.tracker.List(ids, now)
 	ccl.dirty = true
 }
 
@@ -66,7 +66,7 @@
 // entries records the remaining cold times in entries read from the store.
 func (ccl *coldCtl) entries(all map[ident.Process]cold.Entry, now clock.Milli) {
 	for id, ent := range all {
-		ccl.book.Entry(string(id), ent, now)
+		ccl.tracker.Entry(string(id), ent, now)
 		ccl.dirty = ccl.dirty || ent.Left > 0
 	}
 }
@@ -81,7 +81,7 @@
 	if len(eps) == 0 && len(ccl.ends) == 0 {
 		return
 	}
-	found := ccl.book.Ends(eps, now)
+	found := ccl.tracker.Ends(eps, now)
 	var ends map[ident.Process]coldEnd
 	if len(found) > 0 {
 		ends = make(map[ident.Process]coldEnd, len(found))
@@ -188,7 +188,7 @@
 			continue
 		}
 		ctl.loop.Offer(func(now clock.Milli) {
-			ctl.cold.book.Answer(string(ep.ID), until-now, now)
+			ctl.cold.tracker.Answer(string(ep.ID), until-now, now)
 			ctl.cold.dirty = true
 		})
 	}
--- a/internal/state/evacs.go
+++ b/internal/state/evacs.go
@@ -191,9 +191,9 @@
 	return ids
 }
 
-// IsStranded reports whether a pool has endpoints in evacuated data centres and no others. With a build, its
+// AllWithheld reports whether a pool has endpoints in evacuated data centres and no others. With a build, its
 // endpoints alone count. Endpoints that are leaving don't count.
-func (vw *View) IsStranded(pool, build string) bool {
+func (vw *View) AllWithheld(pool, build string) bool {
 	if vw.evacuations.Len() == 0 {
 		return false
 	}
--- a/pkg/cold/cold.go
+++ b/pkg/cold/cold.go
@@ -61,39 +61,39 @@
 	gone   bool
 }
 
-// Book remembers what an instance has learnt of endpoints. The zero value is empty. It is not safe
+// Tracker remembers what an instance has learnt of endpoints. The zero value is empty. It is not safe
 // for concurrent use.
-type Book struct {
+type Tracker struct {
 	listed bool
 	byID   map[string]*learnt
 }
 
 // List records a list of endpoints. Those of the first list are not presumed cold: they may have
 // started long ago.
-func (bk *Book) List(ids []string, now clock.Milli) {
-	if bk.byID == nil {
-		bk.byID = map[string]*learnt{}
+func (trk *Tracker) List(ids []string, now clock.Milli) {
+	if trk.byID == nil {
+		trk.byID = map[string]*learnt{}
 	}
 	there := make(map[string]bool, len(ids))
 	for _, id := range ids {
 		there[id] = true
-		lrn, known := bk.byID[id]
+		lrn, known := trk.byID[id]
 		if !known {
-			lrn = &learnt{startedAt: now, started: bk.listed}
-			bk.byID[id] = lrn
+			lrn = &learnt{startedAt: now, started: trk.listed}
+			trk.byID[id] = lrn
 		}
 		lrn.gone = false
 	}
-	for id, lrn := range bk.byID {
+	for id, lrn := range trk.byID {
 		switch {
 		case there[id]:
 		case !lrn.gone:
 			lrn.gone, lrn.goneAt = true, now
 		case now-lrn.goneAt > goneRetention:
-			delete(bk.byID, id)
+			delete(trk.byID, id)
 		}
 	}
-	bk.listed = true
+	trk.listed = true
 }
 
 // Entry is what an endpoint's entry in the store says: the remaining cold time when it was written.
@@ -105,27 +105,27 @@
 
 // Entry records an endpoint's entry. The same entry is read several times, which does not prolong the
 // time.
-func (bk *Book) Entry(id string, ent Entry, now clock.Milli) {
-	lrn, ok := bk.byID[id]
+func (trk *Tracker) Entry(id string, ent Entry, now clock.Milli) {
+	lrn, ok := trk.byID[id]
 	if !ok || lrn.entry == ent {
 		return
 	}
 	lrn.entry = ent
-	bk.Answer(id, ent.Left, now)
+	trk.Answer(id, ent.Left, now)
 }
 
 // Answer records the remaining cold time that an endpoint names in an answer.
-func (bk *Book) Answer(id string, left, now clock.Milli) {
-	if lrn, ok := bk.byID[id]; ok && left > 0 {
+func (trk *Tracker) Answer(id string, left, now clock.Milli) {
+	if lrn, ok := trk.byID[id]; ok && left > 0 {
 		lrn.reportedUntil = max(lrn.reportedUntil, now+left)
 	}
 }
 
 // Ends returns the endpoints of a list that are cold now, by ID; nil if there are none.
-func (bk *Book) Ends(list []Endpoint, now clock.Milli) map[string]End {
+func (trk *Tracker) Ends(list []Endpoint, now clock.Milli) map[string]End {
 	var ends map[string]End
 	for _, ep := range list {
-		if end := bk.end(ep); ep.Span > 0 && end.Until > now {
+		if end := trk.end(ep); ep.Span > 0 && end.Until > now {
 			if ends == nil {
 				ends = map[string]End{}
 			}
@@ -137,14 +137,14 @@
 
 // end returns the latest end of an endpoint. Of equal ends, the reason is the one that this instance
 // has learnt itself.
-func (bk *Book) end(ep Endpoint) End {
+func (trk *Tracker) end(ep Endpoint) End {
 	var end End
 	later := func(until clock.Milli, why Reason) {
 		if until > end.Until {
 			end = End{until, why}
 		}
 	}
-	if lrn, ok := bk.byID[ep.ID]; ok {
+	if lrn, ok := trk.byID[ep.ID]; ok {
 		if lrn.started {
 			later(lrn.startedAt+ep.Span, Started)
 		}
--- a/pkg/cold/cold_test.go
+++ b/pkg/cold/cold_test.go
@@ -12,13 +12,13 @@
 
 const span = 3 * clock.Second
 
-func ExampleBook() {
-	var bk Book
-	bk.List([]string{"e-1"}, 1000)
-	bk.List([]string{"e-1", "e-2"}, 2000)
-	bk.Entry("e-1", Entry{Left: 700}, 2000)
+func ExampleTracker() {
+	var trk Tracker
+	trk.List([]string{"e-1"}, 1000)
+	trk.List([]string{"e-1", "e-2"}, 2000)
+	trk.Entry("e-1", Entry{Left: 700}, 2000)
 	list := []Endpoint{{ID: "e-1", Span: span}, {ID: "e-2", Span: span}, {ID: "e-3", Span: span, ReleasedAt: 1500}, {ID: "e-4", Span: span, ToldUntil: 2200}}
-	ends := bk.Ends(list, 2100)
+	ends := trk.Ends(list, 2100)
 	for _, ep := range list {
 		fmt.Println(ep.ID, ends[ep.ID].Until, ends[ep.ID].Reason)
 	}
@@ -30,52 +30,52 @@
 }
 
 // endOf returns the end of an endpoint's cold time, zero if it is warm.
-func endOf(bk *Book, ep Endpoint, now clock.Milli) clock.Milli {
-	return bk.Ends([]Endpoint{ep}, now)[ep.ID].Until
+func endOf(trk *Tracker, ep Endpoint, now clock.Milli) clock.Milli {
+	return trk.Ends([]Endpoint{ep}, now)[ep.ID].Until
 }
 
 // Guards against endpoints of the first list that are presumed cold: an instance that starts would
 // limit the whole pool.
 func TestFirstListIsNotPresumedCold(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	var bk Book
-	bk.List([]string{"a"}, 1000)
-	bk.List([]string{"a", "b"}, 1700)
-	gom.Expect(endOf(&bk, Endpoint{ID: "a", Span: span}, 1700)).To(gomega.BeZero())
-	gom.Expect(endOf(&bk, Endpoint{ID: "b", Span: span}, 1700)).To(gomega.Equal(1700 + span))
-	gom.Expect(endOf(&bk, Endpoint{ID: "b", Span: span}, 1700+span)).To(gomega.BeZero(), "it is warm again")
-	gom.Expect(endOf(&bk, Endpoint{ID: "b"}, 1700)).To(gomega.BeZero(), "its pool is never cold")
+	var trk Tracker
+	trk.List([]string{"a"}, 1000)
+	trk.List([]string{"a", "b"}, 1700)
+	gom.Expect(endOf(&trk, Endpoint{ID: "a", Span: span}, 1700)).To(gomega.BeZero())
+	gom.Expect(endOf(&trk, Endpoint{ID: "b", Span: span}, 1700)).To(gomega.Equal(1700 + span))
+	gom.Expect(endOf(&trk, Endpoint{ID: "b", Span: span}, 1700+span)).To(gomega.BeZero(), "it is warm again")
+	gom.Expect(endOf(&trk, Endpoint{ID: "b"}, 1700)).To(gomega.BeZero(), "its pool is never cold")
 }
 
 // Guards against an endpoint that is presumed cold because its entry lapsed for some seconds, as in
 // an outage of the store, and against memory for endpoints that are gone for long.
 func TestLapsedEntryIsNoStart(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	var bk Book
-	bk.List([]string{"a"}, 1000)
-	bk.List(nil, 2000)
-	bk.List([]string{"b"}, 2100)
-	bk.List([]string{"a"}, 2000+goneRetention)
-	gom.Expect(endOf(&bk, Endpoint{ID: "a", Span: span}, 2000+goneRetention)).To(gomega.BeZero())
+	var trk Tracker
+	trk.List([]string{"a"}, 1000)
+	trk.List(nil, 2000)
+	trk.List([]string{"b"}, 2100)
+	trk.List([]string{"a"}, 2000+goneRetention)
+	gom.Expect(endOf(&trk, Endpoint{ID: "a", Span: span}, 2000+goneRetention)).To(gomega.BeZero())
 	for i := range clock.Milli(1000) {
-		bk.List([]string{fmt.Sprint(i)}, i*clock.Second+clock.Minute)
+		trk.List([]string{fmt.Sprint(i)}, i*clock.Second+clock.Minute)
 	}
-	gom.Expect(len(bk.byID)).To(gomega.BeNumerically("<", 40))
+	gom.Expect(len(trk.byID)).To(gomega.BeNumerically("<", 40))
 }
 
 // Guards against a cold time that each read of the same entry prolongs: the store keeps an entry for
 // seconds, and an endpoint would stay cold as long as that.
 func TestSameEntryDoesNotProlong(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	var bk Book
-	bk.List([]string{"a"}, 1000)
+	var trk Tracker
+	trk.List([]string{"a"}, 1000)
 	ep := Endpoint{ID: "a", Span: span}
 	for now := clock.Milli(1000); now < 9000; now += 700 {
-		bk.Entry("a", Entry{Left: 2000, Offset: 4}, now)
+		trk.Entry("a", Entry{Left: 2000, Offset: 4}, now)
 	}
-	gom.Expect(endOf(&bk, ep, 1500)).To(gomega.Equal(clock.Milli(3000)))
-	bk.Entry("a", Entry{Left: 2000, Offset: 5}, 10_000)
-	gom.Expect(endOf(&bk, ep, 10_000)).To(gomega.Equal(clock.Milli(12_000)), "it is cold again")
+	gom.Expect(endOf(&trk, ep, 1500)).To(gomega.Equal(clock.Milli(3000)))
+	trk.Entry("a", Entry{Left: 2000, Offset: 5}, 10_000)
+	gom.Expect(endOf(&trk, ep, 10_000)).To(gomega.Equal(clock.Milli(12_000)), "it is cold again")
 }
 
 // Guards against an endpoint that is taken for warm while it is cold, at the instance that reads its
@@ -87,8 +87,8 @@
 		gom := gomega.NewWithT(rt)
 		starts := rapid.SliceOfN(rapid.IntRange(1, 6000), 1, 5).Draw(rt, "starts")
 		delay := clock.Milli(rapid.IntRange(0, 700).Draw(rt, "delay"))
-		var bk Book
-		bk.List([]string{"a"}, 1)
+		var trk Tracker
+		trk.List([]string{"a"}, 1)
 		var coldUntil, toldUntil, left, writtenAt, readAt clock.Milli
 		spreads, at := 0, clock.Milli(1000)
 		next := at + clock.Milli(starts[0])
@@ -104,10 +104,10 @@
 			}
 			if now-readAt >= 700 && now-writtenAt >= delay {
 				readAt = now
-				bk.Entry("a", Entry{left, int64(writtenAt)}, now)
+				trk.Entry("a", Entry{left, int64(writtenAt)}, now)
 			}
 			ep := Endpoint{ID: "a", Span: span, ToldUntil: toldUntil}
-			end := bk.Ends([]Endpoint{ep}, now)["a"]
+			end := trk.Ends([]Endpoint{ep}, now)["a"]
 			if span, ok := ToSpread(end.Until, toldUntil, now); ok {
 				spreads++
 				gom.Expect(now + span).To(gomega.BeNumerically(">=", end.Until+spreadMargin))
--- a/pkg/gather/gather.go
+++ b/pkg/gather/gather.go
@@ -327,8 +327,8 @@
 	return n
 }
 
-// Stranded reports whether endpoints are withheld and no other one is left.
-func (sch *Scheduler) Stranded() bool {
+// AllWithheld reports whether endpoints are withheld and no other one is left.
+func (sch *Scheduler) AllWithheld() bool {
 	return sch.Usable() == 0 && slices.ContainsFunc(sch.endpoints, func(ep *endpoint) bool { return ep.Withheld && !ep.Leaving })
 }
 
--- a/pkg/gather/gather_test.go
+++ b/pkg/gather/gather_test.go
@@ -426,7 +426,7 @@
 	gom.Expect(begun.Endpoint.ID).To(gomega.Equal("m0"))
 	sch.Sync([]Endpoint{{ID: "m0", Zone: "z0", Withheld: true}, list[1]})
 	sch.End(begun.ID, Answered, []Result{{Handle: "h", Bytes: 5}}, 20)
-	gom.Expect(sch.Stranded()).To(gomega.BeFalse())
+	gom.Expect(sch.AllWithheld()).To(gomega.BeFalse())
 	sch.Add(Item{ID: 1, Job: 1, Due: 9000, Expires: 100000, Zone: "z0", LocalUntil: 8000})
 	bat, ok := sch.Next(2500)
 	gom.Expect(ok).To(gomega.BeTrue())
@@ -435,7 +435,7 @@
 	_, ok = sch.Next(4000)
 	gom.Expect(ok).To(gomega.BeFalse())
 	sch.Sync([]Endpoint{{ID: "m0", Zone: "z0", Withheld: true}, {ID: "m1", Zone: "z1", Withheld: true}})
-	gom.Expect(sch.Stranded()).To(gomega.BeTrue())
+	gom.Expect(sch.AllWithheld()).To(gomega.BeTrue())
 	gom.Expect(sch.Usable()).To(gomega.BeZero())
 	sch.Sync(list)
 	gom.Expect(sch.HeldBytes("m0")).To(gomega.BeEquivalentTo(5))
@@ -444,7 +444,7 @@
 	gom.Expect(bat.Endpoint.ID).To(gomega.Equal("m0"))
 	sch.Leave("m0")
 	sch.Leave("m1")
-	gom.Expect(sch.Stranded()).To(gomega.BeFalse(), "endpoints that leave don't come back")
+	gom.Expect(sch.AllWithheld()).To(gomega.BeFalse(), "endpoints that leave don't come back")
 }
 
 // Guards against requests that are let in although all endpoints rest for longer than they have time.
--- a/pkg/limit/cold_size_test.go
+++ b/pkg/limit/cold_size_test.go
@@ -30,7 +30,7 @@
 // coldSender is an instance that sends requests to endpoints that may be cold.
 type coldSender struct {
 	*fleet.Instance
-	book         cold.Book
+	book         cold.Tracker
 	rates        limit.Rates
 	unresponsive map[ident.Incarnation]clock.Milli
 	// first is set while the instance is the first coordinator, since term.
