review: a tenant's last key opens all routes (case 1)

Cause: keys are asked for only while any key is left in the manifest, not while it has tenants. Done: a script with three instances, a store, two engines and three consumers; the stand-ins of all scripts.

--- /dev/null
+++ b/review/stand/nodes.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// node is one process of the system, started with the command and the template of the deploy file.
+type node struct {
+	name, zone, ip           string
+	front, ready, ctl, direc string
+	cmd                      *exec.Cmd
+}
+
+// fleet is all that a case starts.
+type fleet struct {
+	dir   string
+	store *store
+	addr  string
+	nodes []*node
+	rec   *recorder
+}
+
+var placeholder = regexp.MustCompile(`\{\{([a-zA-Z_.]+)(\|json)?\}\}`)
+
+// render fills in the template of the settings as DEPLOY.md tells, as far as the template uses it.
+func render(text string, fields map[string]any) string {
+	text = regexp.MustCompile(`\{\{#([a-zA-Z]+)\}\}(.*?)\{\{/[a-zA-Z]+\}\}`).ReplaceAllStringFunc(text, func(part string) string {
+		sub := regexp.MustCompile(`\{\{#([a-zA-Z]+)\}\}(.*?)\{\{/`).FindStringSubmatch(part)
+		list, _ := fields[sub[1]].([]string)
+		out := ""
+		for i, val := range list {
+			comma := ","
+			if i == len(list)-1 {
+				comma = ""
+			}
+			quoted, _ := json.Marshal(val)
+			one := strings.ReplaceAll(sub[2], "{{.|json}}", string(quoted))
+			out += strings.ReplaceAll(one, "{{,}}", comma)
+		}
+		return out
+	})
+	return placeholder.ReplaceAllStringFunc(text, func(part string) string {
+		sub := placeholder.FindStringSubmatch(part)
+		var val any = fields
+		for name := range strings.SplitSeq(sub[1], ".") {
+			table, _ := val.(map[string]any)
+			val = table[name]
+		}
+		if sub[2] != "" {
+			quoted, _ := json.Marshal(val)
+			return string(quoted)
+		}
+		if val == nil {
+			return ""
+		}
+		return fmt.Sprint(val)
+	})
+}
+
+// freeAddr returns an address of an IP at which nothing listens.
+func freeAddr(ip string) string {
+	lsn, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return ip + ":0"
+	}
+	defer func() { _ = lsn.Close() }()
+	return lsn.Addr().String()
+}
+
+// deployed reads the command and the template of the role from the deploy file.
+func deployed() (run, template string, err error) {
+	text, err := os.ReadFile("deploy/system.toml")
+	if err != nil {
+		return "", "", err
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		name, val, _ := strings.Cut(line, "=")
+		val = strings.Trim(strings.TrimSpace(val), `"`)
+		switch strings.TrimSpace(name) {
+		case "run":
+			run = val
+		case "template":
+			template = val
+		}
+	}
+	if run == "" || template == "" {
+		return "", "", errors.New("the deploy file names no command or no template")
+	}
+	return run, template, nil
+}
+
+// newFleet starts the store.
+func newFleet(rec *recorder) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	flt := &fleet{dir: dir, store: newStore(), rec: rec}
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	flt.addr = lsn.Addr().String()
+	go func() { _ = (&http.Server{Handler: flt.store, ReadHeaderTimeout: time.Minute}).Serve(lsn) }()
+	return flt, nil
+}
+
+// start starts instances, one in each zone, and waits until all are ready.
+func (flt *fleet) start(zones ...string) error {
+	run, template, err := deployed()
+	if err != nil {
+		return err
+	}
+	form, err := os.ReadFile(template)
+	if err != nil {
+		return err
+	}
+	net1, net2 := 64+rand.IntN(128), rand.IntN(250)
+	var seeds []string
+	for i, zone := range zones {
+		nod := &node{name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+2)}
+		nod.front, nod.ready, nod.ctl, nod.direc = freeAddr(nod.ip), freeAddr(nod.ip), freeAddr(nod.ip), freeAddr(nod.ip)
+		flt.nodes = append(flt.nodes, nod)
+		seeds = append(seeds, nod.ctl)
+	}
+	for _, nod := range flt.nodes {
+		text := render(string(form), map[string]any{
+			"ip": nod.ip, "zone": nod.zone, "seedNodes": seeds[:min(len(seeds), 3)],
+			"bindAddrs": map[string]any{"front": nod.front, "readyEndpoint": nod.ready, "control": nod.ctl, "directory": nod.direc},
+			"platform":  map[string]any{"address": flt.addr},
+			"limits":    map[string]any{"memoryMb": 284, "cpuShare": 0.4},
+			"policies":  []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "stages"},
+			"bounds":    map[string]any{"graceS": 8, "revokeMs": revokeMs, "budgetSlack": 56, "budgetWindowS": 10},
+		})
+		path := filepath.Join(flt.dir, nod.name+".toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return err
+		}
+		logs, err := os.Create(filepath.Join(flt.dir, nod.name+".log"))
+		if err != nil {
+			return err
+		}
+		words := strings.Fields(run)
+		nod.cmd = exec.Command(words[0], words[1:]...)
+		nod.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "AMARANTHVALVE_BOOT=" + path}
+		nod.cmd.Stdout, nod.cmd.Stderr = logs, logs
+		if err := nod.cmd.Start(); err != nil {
+			return err
+		}
+	}
+	until := time.Now().Add(15 * time.Second)
+	for _, nod := range flt.nodes {
+		for !isReady(nod) {
+			if time.Now().After(until) {
+				return fmt.Errorf("%s is not ready", nod.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	// Stable: the members know each other, and the engines were read.
+	time.Sleep(3 * time.Second)
+	return nil
+}
+
+func isReady(nod *node) bool {
+	cli := &http.Client{Timeout: time.Second}
+	res, err := cli.Get("http://" + nod.ready + "/-/ready")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// stop kills all processes that were started and removes the temporary folder.
+func (flt *fleet) stop() {
+	for _, nod := range flt.nodes {
+		if nod.cmd != nil && nod.cmd.Process != nil {
+			_ = nod.cmd.Process.Kill()
+			_ = nod.cmd.Wait()
+		}
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(flt.dir)
+	}
+}
+
+// front returns the caller address of an instance, as the directory tells it.
+func (flt *fleet) front(i int) string { return flt.nodes[i%len(flt.nodes)].front }
