--- a/review/stand/nodes.go
+++ b/review/stand/nodes.go
@@ -68,14 +68,19 @@
 	})
 }
 
-// freeAddr returns an address of an IP at which nothing listens.
-func freeAddr(ip string) string {
-	lsn, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return ip + ":0"
+// freeAddrs returns different addresses of an IP at which nothing listens, below the ports that the kernel gives out.
+func freeAddrs(ip string, count int) []string {
+	var list []string
+	for port := 20000 + rand.IntN(9000); len(list) < count; port++ {
+		addr := fmt.Sprintf("%s:%d", ip, port)
+		lsn, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		_ = lsn.Close()
+		list = append(list, addr)
 	}
-	defer func() { _ = lsn.Close() }()
-	return lsn.Addr().String()
+	return list
 }
 
 // deployed reads the command and the template of the role from the deploy file.
@@ -130,7 +135,8 @@
 	var seeds []string
 	for i, zone := range zones {
 		nod := &node{name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+2)}
-		nod.front, nod.ready, nod.ctl, nod.direc = freeAddr(nod.ip), freeAddr(nod.ip), freeAddr(nod.ip), freeAddr(nod.ip)
+		addrs := freeAddrs(nod.ip, 4)
+		nod.front, nod.ready, nod.ctl, nod.direc = addrs[0], addrs[1], addrs[2], addrs[3]
 		flt.nodes = append(flt.nodes, nod)
 		seeds = append(seeds, nod.ctl)
 	}
