--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -10,8 +10,11 @@
 	"syscall"
 )
 
-// revokeMs is a bound of possessiondesk, in milliseconds.
-const revokeMs = 5000
+// Bounds of possessiondesk.
+const (
+	revokeMs = 5000
+	graceS   = 8
+)
 
 // Exit codes of a case.
 const (
@@ -21,7 +24,7 @@
 )
 
 var cases = map[string]func(flt *fleet, trouble bool) (int, error){
-	"keys": lastKeys, "inputs": foreignInputs, "paths": changedPaths,
+	"keys": lastKeys, "inputs": foreignInputs, "paths": changedPaths, "leaving": leavingEngines,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/stand/nodes.go
+++ b/review/stand/nodes.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -19,16 +20,23 @@
 type node struct {
 	name, zone, ip           string
 	front, ready, ctl, direc string
-	cmd                      *exec.Cmd
+	// store is the instance's own address of the platform's store, by which its calls are told from others'.
+	store string
+	// command is what starts the instance.
+	command func() (*exec.Cmd, error)
+	cmd     *exec.Cmd
 }
 
 // fleet is all that a case starts.
 type fleet struct {
 	dir   string
 	store *store
-	addr  string
 	nodes []*node
 	rec   *recorder
+
+	mtx sync.Mutex
+	// reader is the instance that read the list of engines last.
+	reader *node
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-zA-Z_.]+)(\|json)?\}\}`)
@@ -105,20 +113,55 @@
 	return run, template, nil
 }
 
-// newFleet starts the store.
-func newFleet(rec *recorder) (*fleet, error) {
-	dir, err := os.MkdirTemp("", "review-")
+// openStore opens an address of the store for an instance.
+func (flt *fleet) openStore(nod *node) error {
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	flt := &fleet{dir: dir, store: newStore(), rec: rec}
-	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	nod.store = lsn.Addr().String()
+	handler := http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/-/log-newest" && req.URL.Query().Get("topic") == "keyed.servers" {
+			flt.mtx.Lock()
+			flt.reader = nod
+			flt.mtx.Unlock()
+		}
+		flt.store.ServeHTTP(wrt, req)
+	})
+	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(lsn) }()
+	return nil
+}
+
+// lastReader returns the instance that read the list of engines last.
+func (flt *fleet) lastReader() *node {
+	flt.mtx.Lock()
+	defer flt.mtx.Unlock()
+	return flt.reader
+}
+
+// restart waits for the end of an instance that was told to stop, kills it after graceS and starts it again.
+func (flt *fleet) restart(nod *node) {
+	timer := time.AfterFunc(graceS*time.Second, func() { _ = nod.cmd.Process.Kill() })
+	_ = nod.cmd.Wait()
+	timer.Stop()
+	cmd, err := nod.command()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		flt.rec.say("%s does not start: %v", nod.name, err)
+		return
+	}
+	nod.cmd = cmd
+}
+
+// newFleet makes the store.
+func newFleet(rec *recorder) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	flt.addr = lsn.Addr().String()
-	go func() { _ = (&http.Server{Handler: flt.store, ReadHeaderTimeout: time.Minute}).Serve(lsn) }()
-	return flt, nil
+	return &fleet{dir: dir, store: newStore(), rec: rec}, nil
 }
 
 // start starts instances, one in each zone, and waits until all are ready.
@@ -137,6 +180,9 @@
 		nod := &node{name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+2)}
 		addrs := freeAddrs(nod.ip, 4)
 		nod.front, nod.ready, nod.ctl, nod.direc = addrs[0], addrs[1], addrs[2], addrs[3]
+		if err := flt.openStore(nod); err != nil {
+			return err
+		}
 		flt.nodes = append(flt.nodes, nod)
 		seeds = append(seeds, nod.ctl)
 	}
@@ -144,23 +190,29 @@
 		text := render(string(form), map[string]any{
 			"ip": nod.ip, "zone": nod.zone, "seedNodes": seeds[:min(len(seeds), 3)],
 			"bindAddrs": map[string]any{"front": nod.front, "readyEndpoint": nod.ready, "control": nod.ctl, "directory": nod.direc},
-			"platform":  map[string]any{"address": flt.addr},
+			"platform":  map[string]any{"address": nod.store},
 			"limits":    map[string]any{"memoryMb": 284, "cpuShare": 0.4},
 			"policies":  []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "stages"},
-			"bounds":    map[string]any{"graceS": 8, "revokeMs": revokeMs, "budgetSlack": 56, "budgetWindowS": 10},
+			"bounds":    map[string]any{"graceS": graceS, "revokeMs": revokeMs, "budgetSlack": 56, "budgetWindowS": 10},
 		})
 		path := filepath.Join(flt.dir, nod.name+".toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return err
 		}
-		logs, err := os.Create(filepath.Join(flt.dir, nod.name+".log"))
-		if err != nil {
+		words := strings.Fields(run)
+		nod.command = func() (*exec.Cmd, error) {
+			logs, err := os.OpenFile(filepath.Join(flt.dir, nod.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+			if err != nil {
+				return nil, err
+			}
+			cmd := exec.Command(words[0], words[1:]...)
+			cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "AMARANTHVALVE_BOOT=" + path}
+			cmd.Stdout, cmd.Stderr = logs, logs
+			return cmd, nil
+		}
+		if nod.cmd, err = nod.command(); err != nil {
 			return err
 		}
-		words := strings.Fields(run)
-		nod.cmd = exec.Command(words[0], words[1:]...)
-		nod.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "AMARANTHVALVE_BOOT=" + path}
-		nod.cmd.Stdout, nod.cmd.Stderr = logs, logs
 		if err := nod.cmd.Start(); err != nil {
 			return err
 		}
