--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
-#!/usr/bin/env bash
-# Builds the stand-ins of the review's scripts, into target/ beside the programs of the deploy file.
-set -euo pipefail
+#!/bin/sh
+# Builds the stand-ins of the review's scripts, after the build of the deploy file.
+set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-stand ./review/stand
+go build -o target/standin ./review/standin
