--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -40,10 +41,12 @@
 // instance is one process of the system.
 type instance struct {
 	name, ip, zone string
-	ports          [4]int
-	config         string
-	cmd            *exec.Cmd
-	exited         chan struct{}
+	// store is the address of the store that the instance is told.
+	store  string
+	ports  [4]int
+	config string
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 func newDeployment(rec *record) (*deployment, error) {
@@ -107,6 +110,11 @@
 		seeds = append(seeds, nod.addr(3))
 	}
 	for _, nod := range nodes {
+		addr, err := dep.sto.listenFor()
+		if err != nil {
+			return err
+		}
+		nod.store = addr
 		if err := dep.configure(nod, seeds); err != nil {
 			return err
 		}
@@ -156,7 +164,7 @@
 			"stableMs": 3000, "drainMs": 2000, "graceS": 8, "lossSlackMs": 200, "configApplyMs": 2000, "revokeMs": 5000,
 			"retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 56, "ttl_max_s": 5,
 		},
-		"platform": obj{"address": dep.sto.addr, "form": "log"},
+		"platform": obj{"address": nod.store, "form": "log"},
 	}
 	settings, err := render(string(text), fields)
 	if err != nil {
@@ -213,7 +221,7 @@
 
 // launch starts the process of an instance.
 func (dep *deployment) launch(nod *instance) error {
-	log, err := os.Create(filepath.Join(dep.dir, nod.name+".log"))
+	log, err := os.OpenFile(filepath.Join(dep.dir, nod.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -235,7 +243,9 @@
 		_ = cmd.Wait()
 		close(exited)
 	}(nod.cmd, nod.exited)
-	dep.nodes = append(dep.nodes, nod)
+	if !slices.Contains(dep.nodes, nod) {
+		dep.nodes = append(dep.nodes, nod)
+	}
 	dep.rec.printf("started %s %s in %s, pid %d", program, nod.name, nod.zone, nod.cmd.Process.Pid)
 	return nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,8 +22,10 @@
 type script func(dep *deployment, trouble bool) (held bool, err error)
 
 var scripts = map[string]script{
-	"revoked-keys":  revokedKeys,
-	"second-answer": secondAnswer,
+	"revoked-keys":    revokedKeys,
+	"second-answer":   secondAnswer,
+	"dead-readers":    deadReaders,
+	"stopped-readers": stoppedReaders,
 }
 
 func main() {
--- a/review/standin/plain.go
+++ b/review/standin/plain.go
@@ -18,9 +18,9 @@
 
 // plainEngine is an engine of an application service.
 type plainEngine struct {
-	id, service, addr string
-	work              time.Duration
-	srv               *http.Server
+	id, service, addr, zone string
+	work                    time.Duration
+	srv                     *http.Server
 
 	mtx  sync.Mutex
 	runs []ran
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	eng := &plainEngine{id: id, service: service, addr: lsn.Addr().String(), work: work}
+	eng := &plainEngine{id: id, service: service, addr: lsn.Addr().String(), zone: zone, work: work}
 	eng.srv = &http.Server{Handler: http.HandlerFunc(eng.serve)}
 	go func() { _ = eng.srv.Serve(lsn) }()
 	dep.sto.put(topicServers, id, entry(service, eng.addr, zone, 6))
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,6 +31,8 @@
 	mtx    sync.Mutex
 	topics map[string][]logRecord
 	grown  chan struct{}
+	// listed is when each caller last read the list of the engines.
+	listed map[string]time.Time
 }
 
 func newStore() (*store, error) {
@@ -37,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	sto := &store{addr: lsn.Addr().String(), topics: map[string][]logRecord{}, grown: make(chan struct{})}
+	sto := &store{addr: lsn.Addr().String(), topics: map[string][]logRecord{}, grown: make(chan struct{}), listed: map[string]time.Time{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/log-newest", sto.newest)
 	mux.HandleFunc("GET /-/log-read", sto.read)
@@ -47,6 +50,23 @@
 	return sto, nil
 }
 
+// listenFor opens another address of the store, by which it knows its caller.
+func (sto *store) listenFor() (string, error) {
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = sto.srv.Serve(lsn) }()
+	return lsn.Addr().String(), nil
+}
+
+// lastLists returns when each caller, by the address of the store that it uses, last read the list of the engines.
+func (sto *store) lastLists() map[string]time.Time {
+	sto.mtx.Lock()
+	defer sto.mtx.Unlock()
+	return maps.Clone(sto.listed)
+}
+
 // put writes a record of the operator or of an engine; a nil value removes it.
 func (sto *store) put(topic, key string, val any) {
 	var text []byte
@@ -67,8 +87,12 @@
 }
 
 func (sto *store) newest(wrt http.ResponseWriter, req *http.Request) {
+	topic := req.URL.Query().Get("topic")
 	sto.mtx.Lock()
-	recs := sto.topics[req.URL.Query().Get("topic")]
+	recs := sto.topics[topic]
+	if topic == topicServers {
+		sto.listed[req.Host] = time.Now()
+	}
 	sto.mtx.Unlock()
 	last := map[string]int{}
 	for i, rec := range recs {
