review/4: engines that are gone get work after the readers of the store were killed

Cause: survivors that lost their readers take it for an outage of the store, and keep engines that are missing from its list for 2.8 s.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/standin dead-readers review/4
