--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,22 +29,21 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin SCRIPT FOLDER")
+	if len(os.Args) != 4 || scripts[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin SCRIPT FOLDER TROUBLE, where TROUBLE is 0 to leave out the disruption")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(scripts[os.Args[1]], os.Args[2]))
+	os.Exit(run(scripts[os.Args[1]], os.Args[2], os.Args[3] != "0"))
 }
 
 // run runs a script and returns its exit status.
-func run(scr script, folder string) int {
+func run(scr script, folder string, trouble bool) int {
 	rec, err := openRecord(folder + "/record.txt")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	defer rec.close()
-	trouble := os.Getenv("TROUBLE") != "0"
 	rec.printf("trouble: %v", trouble)
 	dep, err := newDeployment(rec)
 	if err != nil {
