--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,4 @@
 #!/bin/sh
-# Builds the stand-ins of the review's scripts, after the build of the deploy file.
-set -e
-cd "$(dirname "$0")/.."
-go build -o target/standin ./review/standin
+# Builds the stand-ins that the scripts of the review start, after the build of the deploy file.
+cd "$(dirname "$0")/.." || exit 2
+exec go build -o target/review/ ./review/...
--- /dev/null
+++ b/review/rig/main.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit statuses.
+const (
+	held     = 0
+	broke    = 1
+	noResult = 2
+)
+
+// scenario plays a case, and reports whether its rule was broken.
+type scenario func(trouble bool, rec *record) (broken bool, err error)
+
+var scenarios = map[string]scenario{"last-key": lastKey, "late-extra": lateExtra, "lost-machines": lostMachines}
+
+func main() { os.Exit(play(os.Args[1:])) }
+
+// play runs the case that the first argument names, and writes its record to the file that the second names.
+func play(args []string) int {
+	if len(args) != 2 || scenarios[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+		return noResult
+	}
+	rec, err := newRecord(args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return noResult
+	}
+	broken, err := scenarios[args[0]](os.Getenv("TROUBLE") != "0", rec)
+	switch {
+	case err != nil:
+		rec.printf("could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return noResult
+	case broken:
+		rec.printf("the rule was broken")
+		return broke
+	}
+	rec.printf("the rule held")
+	return held
+}
