--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -21,8 +21,6 @@
 	mtx   sync.Mutex
 	addrs []string
 	until time.Time
-	// heard is called with each answer of a directory; it may be nil.
-	heard func(from string, addrs []string)
 }
 
 func newConsumer(flt *fleet) *consumer {
@@ -60,9 +58,6 @@
 	if json.NewDecoder(res.Body).Decode(&list) != nil || len(list.Addresses) == 0 {
 		return false
 	}
-	if con.heard != nil {
-		con.heard(directory, list.Addresses)
-	}
 	con.addrs, con.until = list.Addresses, time.Now().Add(time.Duration(min(list.TTLS, 5)*float64(time.Second)))
 	return true
 }
@@ -79,12 +74,20 @@
 
 // send sends one request, one attempt.
 func (con *consumer) send(method, path, key, body string, deadline time.Duration, more http.Header) reply {
-	rep := reply{id: fmt.Sprintf("%08x%08x", rand.Uint32(), requests.Add(1)), sent: time.Now()}
+	return con.sendTo(con.address(), newID(), method, path, key, body, deadline, more)
+}
+
+// newID returns the id of an attempt.
+func newID() string { return fmt.Sprintf("%08x%08x", rand.Uint32(), requests.Add(1)) }
+
+// sendTo is send to a node.
+func (con *consumer) sendTo(addr, id, method, path, key, body string, deadline time.Duration, more http.Header) reply {
+	rep := reply{id: id, sent: time.Now()}
 	var rdr io.Reader
 	if body != "" {
 		rdr = bytes.NewReader([]byte(body))
 	}
-	req, err := http.NewRequest(method, "http://"+con.address()+path, rdr)
+	req, err := http.NewRequest(method, "http://"+addr+path, rdr)
 	if err != nil {
 		rep.err = err
 		return rep
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -42,6 +42,8 @@
 	sequence atomic.Int64
 	mtx      sync.Mutex
 	gone     bool
+	draining bool
+	conns    map[net.Conn]bool
 }
 
 // startEngine starts an engine and registers it in the store.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	eng.lsn = lsn
+	eng.lsn, eng.conns = lsn, map[net.Conn]bool{}
 	go func() {
 		for {
 			con, err := lsn.Accept()
@@ -80,16 +82,61 @@
 	if eng.gone {
 		return false
 	}
+	state := "ready"
+	if eng.draining {
+		state = "draining"
+	}
 	sto.put(topicServers, eng.id, obj{
-		"service": eng.service, "address": eng.addr(), "zone": eng.zone, "version": "v1", "slots": eng.slots, "state": "ready",
+		"service": eng.service, "address": eng.addr(), "zone": eng.zone, "version": "v1", "slots": eng.slots, "state": state,
 		"coldLeftMs": 0, "sequence": eng.sequence.Add(1),
 	})
 	return true
 }
 
+// drain reports in the store that the engine leaves, and returns the store's ack.
+func (eng *engine) drain(sto *store) time.Time {
+	eng.mtx.Lock()
+	eng.draining = true
+	eng.mtx.Unlock()
+	eng.beat(sto)
+	return time.Now()
+}
+
+// remove removes the entry of an engine that leaves without having reported it, and returns the store's ack.
+func (eng *engine) remove(sto *store) time.Time {
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	eng.gone = true
+	return sto.drop(topicServers, eng.id)
+}
+
+// exit ends an engine: its listener and its channels are closed.
+func (eng *engine) exit(sto *store) {
+	eng.remove(sto)
+	_ = eng.lsn.Close()
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	for con := range eng.conns {
+		_ = con.Close()
+	}
+}
+
+// track notes a channel until the returned function is called.
+func (eng *engine) track(con net.Conn) (end func()) {
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	eng.conns[con] = true
+	return func() {
+		eng.mtx.Lock()
+		defer eng.mtx.Unlock()
+		delete(eng.conns, con)
+	}
+}
+
 // serve serves a channel.
 func (eng *engine) serve(con net.Conn) {
 	defer func() { _ = con.Close() }()
+	defer eng.track(con)()
 	rdr := bufio.NewReader(con)
 	var late []byte
 	for {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -15,7 +15,7 @@
 // scenario plays a case, and reports whether its rule was broken.
 type scenario func(trouble bool, rec *record) (broken bool, err error)
 
-var scenarios = map[string]scenario{"last-key": lastKey, "late-extra": lateExtra, "lost-machines": lostMachines, "two-slashes": twoSlashes}
+var scenarios = map[string]scenario{"last-key": lastKey, "late-extra": lateExtra, "stopped-readers": stoppedReaders, "dead-readers": deadReaders, "two-slashes": twoSlashes}
 
 func main() { os.Exit(play(os.Args[1:])) }
 
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -33,10 +33,12 @@
 	front     string
 	directory string
 	ready     string
-	boot      string
-	log       *os.File
-	cmd       *exec.Cmd
-	ended     chan struct{}
+	// store is the address of the store that the node is told.
+	store string
+	boot  string
+	log   *os.File
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 // fleet is a deployment: the store, the nodes and their folder.
@@ -62,9 +64,7 @@
 	}
 	pid := os.Getpid()
 	flt := &fleet{net: fmt.Sprintf("127.%d.%d.", 64+pid/256%64, pid%256), root: root, dir: dir, zones: zones}
-	if flt.store, err = newStore(flt.ip()); err != nil {
-		return nil, err
-	}
+	flt.store = newStore(flt.ip())
 	var seeds []string
 	for i := range count {
 		nod := &node{name: fmt.Sprintf("edge-%d", i+1), ip: flt.ip()}
@@ -105,10 +105,15 @@
 	if len(*seeds) < 3 {
 		*seeds = append(*seeds, bind["control"])
 	}
+	storeAddr, err := flt.store.listen()
+	if err != nil {
+		return err
+	}
+	nod.store = storeAddr
 	nod.front, nod.directory, nod.ready = bind["front"], bind["directory"], bind["readyEndpoint"]
 	fields := obj{
 		"ip": nod.ip, "zone": zone, "bindAddrs": bind, "seedNodes": *seeds,
-		"platform": obj{"address": flt.store.addr()}, "limits": obj{"memoryMb": 284, "cpuShare": 0.4},
+		"platform": obj{"address": nod.store}, "limits": obj{"memoryMb": 284, "cpuShare": 0.4},
 		"bounds":   obj{"graceS": 8, "revokeMs": 5000, "budgetSlack": 56, "budgetWindowS": 10},
 		"policies": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "stages"},
 	}
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -28,25 +28,37 @@
 	mtx     sync.Mutex
 	topics  map[string][]logRecord
 	changed chan struct{}
-	lsn     net.Listener
+	ip      string
+	mux     *http.ServeMux
+	// lists has the time of the last read of the engines' entries, by the address at which it came.
+	lists map[string]time.Time
 }
 
-// newStore starts a store at an IP.
-func newStore(ip string) (*store, error) {
-	lsn, err := net.Listen("tcp", ip+":0")
+// newStore returns a store at an IP.
+func newStore(ip string) *store {
+	sto := &store{topics: map[string][]logRecord{}, changed: make(chan struct{}), ip: ip, mux: http.NewServeMux(), lists: map[string]time.Time{}}
+	sto.mux.HandleFunc("GET /-/log-newest", sto.newest)
+	sto.mux.HandleFunc("GET /-/log-read", sto.read)
+	sto.mux.HandleFunc("POST /-/log-append", sto.append)
+	return sto
+}
+
+// listen returns a new address of the store. Each node has one of its own, by which its calls are told apart.
+func (sto *store) listen() (addr string, err error) {
+	lsn, err := net.Listen("tcp", sto.ip+":0")
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	sto := &store{topics: map[string][]logRecord{}, changed: make(chan struct{}), lsn: lsn}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/log-newest", sto.newest)
-	mux.HandleFunc("GET /-/log-read", sto.read)
-	mux.HandleFunc("POST /-/log-append", sto.append)
-	go func() { _ = http.Serve(lsn, mux) }()
-	return sto, nil
+	go func() { _ = http.Serve(lsn, sto.mux) }()
+	return lsn.Addr().String(), nil
 }
 
-func (sto *store) addr() string { return sto.lsn.Addr().String() }
+// lastList returns when the entries of the engines were last read at an address.
+func (sto *store) lastList(addr string) time.Time {
+	sto.mtx.Lock()
+	defer sto.mtx.Unlock()
+	return sto.lists[addr]
+}
 
 // put writes the newest record of a key, and returns when the store has accepted it.
 func (sto *store) put(topic, key string, value any) time.Time {
@@ -77,6 +89,9 @@
 func (sto *store) newest(wrt http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
 	sto.mtx.Lock()
+	if query.Get("topic") == topicServers {
+		sto.lists[req.Host] = time.Now()
+	}
 	recs := sto.topics[query.Get("topic")]
 	end := len(recs)
 	last := map[string]int{}
