--- a/review/rig/consumer.go
+++ b/review/rig/consumer.go
@@ -12,6 +12,9 @@
 	"time"
 )
 
+// requestTimeout is longer than any deadline.
+const requestTimeout = 30 * time.Second
+
 var requests atomic.Int64
 
 // consumer asks the directory where to connect, and keeps its channels.
@@ -24,7 +27,7 @@
 }
 
 func newConsumer(flt *fleet) *consumer {
-	return &consumer{flt: flt, cli: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}}
+	return &consumer{flt: flt, cli: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}}
 }
 
 // address returns one of the addresses that the directory named.
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit statuses.
@@ -12,6 +13,9 @@
 	noResult = 2
 )
 
+// timeLimit ends a case that hangs.
+const timeLimit = 117 * time.Second
+
 // scenario plays a case, and reports whether its rule was broken.
 type scenario func(trouble bool, rec *record) (broken bool, err error)
 
@@ -30,6 +34,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return noResult
 	}
+	// The nodes end with this process.
+	time.AfterFunc(timeLimit, func() {
+		rec.printf("could not run: over the time limit")
+		os.Exit(noResult)
+	})
 	broken, err := scenarios[args[0]](os.Getenv("TROUBLE") != "0", rec)
 	switch {
 	case err != nil:
