--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -41,6 +41,8 @@
 	mtx sync.Mutex
 	// left is when the store accepted that the engine leaves, zero if it doesn't.
 	left time.Time
+	// open has the open channels.
+	open map[net.Conn]bool
 }
 
 // beat writes that the engine is ready, and reports whether it still is.
@@ -83,8 +85,28 @@
 	}
 }
 
-// end closes the engine's listener: it has exited.
-func (eng *engine) end() { _ = eng.lsn.Close() }
+// end closes the engine's listener and its channels: it has exited.
+func (eng *engine) end() {
+	_ = eng.lsn.Close()
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	for con := range eng.open {
+		_ = con.Close()
+	}
+}
+
+// track records that a channel is open, or is no longer.
+func (eng *engine) track(con net.Conn, is bool) {
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	if eng.open == nil {
+		eng.open = map[net.Conn]bool{}
+	}
+	eng.open[con] = true
+	if !is {
+		delete(eng.open, con)
+	}
+}
 
 // arrival is a request that an engine has read.
 type arrival struct {
@@ -142,7 +164,11 @@
 }
 
 func (eng *engine) serve(con net.Conn) {
-	defer func() { _ = con.Close() }()
+	eng.track(con, true)
+	defer func() {
+		eng.track(con, false)
+		_ = con.Close()
+	}()
 	raw := &lineReader{rdr: con}
 	rdr := bufio.NewReader(raw)
 	chn := &channel{}
--- a/review/bed/rolling.go
+++ b/review/bed/rolling.go
@@ -15,8 +15,12 @@
 	stableTime = 3 * time.Second
 	graceTime  = 8 * time.Second
 	releaseGap = time.Second
-	// lingerTime is how much longer than drainTime a leaving engine serves: "a little longer (at times many seconds)".
-	lingerTime = 1500 * time.Millisecond
+	// lingerTime is how much longer than drainTime a leaving engine serves before it exits, up to lingerSteps times:
+	// "a little longer (at times many seconds)".
+	lingerTime  = 500 * time.Millisecond
+	lingerSteps = 3
+	// bookTime is how long a booking takes.
+	bookTime   = 60 * time.Millisecond
 	rollingRun = 95 * time.Second
 	// rollingNodes and rollingEngines are the numbers of machines and of engines.
 	rollingNodes   = 6
@@ -88,7 +92,7 @@
 			flt.mtx.Unlock()
 		}
 	}
-	time.Sleep(30 * time.Millisecond)
+	time.Sleep(bookTime)
 	return eng.signed(arv, 200, "text/plain", "booked "+id)
 }
 
@@ -100,8 +104,9 @@
 	}
 	time.Sleep(releaseGap / 2)
 	old.leave(flt.sto, flt.next%leavesSilently == 0)
-	time.AfterFunc(drainTime+lingerTime, func() {
+	time.AfterFunc(drainTime+lingerTime*time.Duration(1+flt.next%lingerSteps), func() {
 		flt.sto.add("keyed.servers", entry{key: old.id})
+		flt.bed.note("engine %s exits", old.id)
 		old.end()
 	})
 	return fresh, nil
