internal/state, internal/front, internal/coord, platform: log lines tell the source and age of lists of endpoints

Nothing told which list of endpoints a request was sent by. A listing carries the end of its log and the era, the same for all readers; instances pass that on with the instant of the read. No decision uses it yet.

Tests of Store.Endpoints and applyRead have the new signatures, their checks are as they were.

--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -181,12 +181,13 @@
 func (crd *Coordinator) pick(pool, ticket string, ask place.Ask, share float64) (Placement, bool) {
 	tgt, ok := crd.set.Pools.Pick(pool, ticket, ask, share)
 	if ok && tgt.Ticket != "" {
-		why, request := tgt.Placement, ticket
+		why, request, vw := tgt.Placement, ticket, crd.set.Control.View()
 		if at := strings.LastIndexByte(ticket, '/'); at >= 0 {
 			request = ticket[:at]
 		}
 		crd.set.Log.Info().Str("request", request).Str("pool", pool).Str("endpoint", string(tgt.ID)).Str("build", tgt.Build).Int("tokens", ask.Prompt.InTokens).Int("held_tokens", why.CachedTokens).
-			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Int("ejected", why.Ejected).Int("pace_pct", why.Pace).Msg("engine chosen")
+			Int64("wait_ms", int64(why.Wait)).Int64("read_ms", int64(why.Read)).Int("streams", why.Streams).Str("fetch_from", tgt.FetchFrom).Int("avoided", len(ask.Avoid)).Int("ejected", why.Ejected).Int("pace_pct", why.Pace).
+			Str("list_from", vw.ListSource()).Int64("list_age_ms", int64(vw.ListAge(crd.set.Clock.Now()))).Msg("engine chosen")
 	}
 	return Placement{Target: tgt}, ok
 }
--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -222,7 +222,7 @@
 		snd.send(fr)
 	}
 	defer snd.close()
-	cl.endpoint = string(snd.tgt.ID)
+	cl.endpoint, cl.check = string(snd.tgt.ID), snd.checked.Load()
 	run.repeatPaid = snd.canceled
 	fr.sampleTimes(cl, snd)
 	cl.pace = snd.tgt.Pace.Percent
@@ -242,7 +242,7 @@
 	if snd.end == ending.Cut {
 		fr.checkCrash(cl, snd.tgt, false)
 	}
-	fr.set.Log.Info().Str("request", cl.ask.ID).Str("endpoint", string(snd.tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).Bool("hedge", snd.hedge).
+	cl.check.log(fr.set.Log.Info()).Str("request", cl.ask.ID).Str("endpoint", string(snd.tgt.ID)).Str("pool", cl.pool.Name()).Int("attempt", cl.attempts).Bool("hedge", snd.hedge).
 		Str("ending", snd.end.String()).AnErr("error", snd.err).Bool("outlasted", snd.canceled).Int64("took_ms", int64(snd.took)).Msg("attempt failed")
 	if snd.rsp != nil && snd.rsp.Reply.Misdirected {
 		fr.set.Control.EndpointLeaving(snd.tgt.ID, "another endpoint answers at its address")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -122,6 +122,8 @@
 	recomputes int
 	recomputed []int
 	endpoint   string
+	// check is the last check before the last attempt was sent, nil for none.
+	check *check
 	// pace is what the endpoint of the last attempt reported of its pace, zero for nothing.
 	pace       int
 	stagesTook clock.Milli
@@ -170,7 +172,7 @@
 		name = cl.route.Name()
 	}
 	fr.set.Meter.CountRequest(name, res, took)
-	evt := fr.set.Log.Info()
+	evt := cl.check.log(fr.set.Log.Info())
 	evt.Str("request", cl.ask.ID).Str("route", name).Str("workspace", cl.wsp).Int("rank", cl.rank).Str("outcome", res.Outcome().String()).
 		Str("reason", res.Reason().String()).Str("detail", res.Detail()).Int64("took_ms", int64(took)).
 		Int64("spent_ms", int64(cl.sinceFirst)).Int64("staged_ms", int64(cl.stagesTook)).Int64("first_ms", int64(cl.firstByte)).Int64("pause_ms", int64(cl.maxPause)).Int("tokens", cl.tokens()).Int("attempts", cl.attempts).Str("endpoint", cl.endpoint).Int("reported_pace_pct", cl.pace).
--- a/internal/front/sending.go
+++ b/internal/front/sending.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"amaranthvalve/internal/coord"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/internal/relay"
@@ -22,6 +25,8 @@
 	rqs   relay.Request
 	meta  proto.SendMeta
 	cgd   cancelGuard
+	// checked is the last check whether the attempt may be sent.
+	checked atomic.Pointer[check]
 	// timer cancels the attempt if it is slow; it may be nil.
 	timer *time.Timer
 	// keepInputs stops the hook that releases the request's inputs; cancel and stop end the attempt.
@@ -56,6 +61,7 @@
 	// instance, or its data centre may have been evacuated.
 	bound := cl.bound
 	snd.rqs.Allowed = func() bool {
+		snd.checked.Store(fr.newCheck(snd.began))
 		return fr.set.Control.MaySend(tgt.ID, "") && fr.set.Control.MaySendTo(fetch, "") && fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
 			!fr.set.Control.Resting(tgt.ID) && bound.allows(fr.set.Control.View().Build(tgt.ID))
 	}
@@ -65,6 +71,27 @@
 	return snd
 }
 
+// check is a check whether an attempt may be sent: the time since its endpoint was chosen, and the source and
+// the age of the list of endpoints by which this was decided.
+type check struct {
+	after    clock.Milli
+	listFrom string
+	listAge  clock.Milli
+}
+
+func (fr *Front) newCheck(chosen clock.Milli) *check {
+	now, vw := fr.set.Clock.Now(), fr.set.Control.View()
+	return &check{after: now - chosen, listFrom: vw.ListSource(), listAge: vw.ListAge(now)}
+}
+
+// log adds the check to a log line; an attempt that was never connected has none.
+func (chk *check) log(evt *zerolog.Event) *zerolog.Event {
+	if chk == nil {
+		return evt
+	}
+	return evt.Int64("checked_ms", int64(chk.after)).Str("list_from", chk.listFrom).Int64("list_age_ms", int64(chk.listAge))
+}
+
 // send sends the attempt and waits until its answer begins or it ends.
 func (snd *sending) send(fr *Front) {
 	snd.rsp, snd.end, snd.err = fr.set.Relay.Do(snd.ctx, snd.tgt.Addr, snd.rqs, snd.meta)
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -210,6 +210,14 @@
 	Faults    []error
 }
 
+// Listing is the endpoints' entries as the store listed them, and an error for each entry that can't be
+// used. Its position is the end of their log at that time, which orders listings.
+type Listing struct {
+	Position
+	Endpoints []Endpoint
+	Faults    []error
+}
+
 // Dialect implements the protocols of callers, endpoints and the store.
 type Dialect struct {
 	// Read reads the metadata of a caller's request.
@@ -273,10 +281,10 @@
 	// back from a copy, without what was written since the copy was made. Nil stands for a store that
 	// never does.
 	Era func() int64
-	// Endpoints lists the endpoints' entries, and an error for each entry that can't be used.
+	// Endpoints lists the endpoints' entries.
 	// Instances lists the instances' entries, oldest first, together with the record that the
 	// instances share, nil for none.
-	Endpoints func(ctx context.Context) ([]Endpoint, []error, error)
+	Endpoints func(ctx context.Context) (Listing, error)
 	Instances func(ctx context.Context) (list []Instance, shared []byte, err error)
 	// Announce writes the instance's own entry, Withdraw removes entries by name.
 	Announce func(ctx context.Context, inst Instance) error
--- a/internal/state/cold_test.go
+++ b/internal/state/cold_test.go
@@ -42,7 +42,7 @@
 		event()
 		ctl.publish(now)
 	}
-	at(1000, func() { ctl.endpts.applyRead(list(first...), nil, nil, 1000) })
+	at(1000, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: list(first...)}, nil, 1000, 1000) })
 	return ctl, at
 }
 
@@ -61,11 +61,13 @@
 	gom.Expect(ctl.View().Rates()).To(gomega.BeEmpty(), "those of the first list may have started long ago")
 	changed := 0
 	ctl.set.OnChange = func(*View) { changed++ }
-	at(2000, func() { ctl.endpts.applyRead(list("a", "b@2000", "c", "d", "new"), nil, nil, 2000) })
+	at(2000, func() {
+		ctl.endpts.applyRead(proto.Listing{Endpoints: list("a", "b@2000", "c", "d", "new")}, nil, 2000, 2000)
+	})
 	gom.Expect(ctl.View().Rates()).To(gomega.Equal(map[string]float64{"b@2000": coldRate, "new": coldRate}))
 	told := list("a", "b@2000", "c", "d", "new")
 	told[0].ColdLeft = 800
-	at(2700, func() { ctl.endpts.applyRead(told, nil, nil, 2700) })
+	at(2700, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: told}, nil, 2700, 2700) })
 	gom.Expect(rate(ctl, "a")).To(gomega.Equal(coldRate))
 	at(2800, func() {
 		fct := gossip.Fact{Kind: gossip.Cold, Key: "c", Value: formatLeft(2000), Version: 1, Age: 500}
@@ -102,7 +104,7 @@
 	gom := gomega.NewWithT(t)
 	ctl, at := coldEndpts("a")
 	more := append(list("a"), proto.Endpoint{ID: "x", Addr: "x", Pool: "q", ColdLeft: 3000})
-	at(2000, func() { ctl.endpts.applyRead(more, nil, nil, 2000) })
+	at(2000, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: more}, nil, 2000, 2000) })
 	gom.Expect(ctl.View().Rates()).To(gomega.BeEmpty())
 	gom.Expect(ctl.facts.spread.Len()).To(gomega.BeZero())
 }
@@ -125,7 +127,7 @@
 	ctl, at := coldEndpts("a", "b")
 	eps := list("a", "b")
 	eps[0].ColdLeft = 3000
-	at(2000, func() { ctl.endpts.applyRead(eps, nil, nil, 2000) })
+	at(2000, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: eps}, nil, 2000, 2000) })
 	before, facts := ctl.View().digest, ctl.facts.spread.Digest()
 	gom.Expect(facts).NotTo(gomega.BeZero())
 	changed := 0
@@ -133,7 +135,7 @@
 	for now := clock.Milli(2700); now < 5000; now += 700 {
 		eps := list("a", "b")
 		eps[0].ColdLeft, eps[0].EntryOffset = 5000-now+150, int64(now)
-		at(now, func() { ctl.endpts.applyRead(eps, nil, nil, now) })
+		at(now, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: eps}, nil, now, now) })
 		gom.Expect(ctl.View().Endpoints()).To(gomega.Equal(list("a", "b")))
 	}
 	gom.Expect(ctl.View().digest).To(gomega.Equal(before))
@@ -141,7 +143,7 @@
 	gom.Expect(changed).To(gomega.BeZero())
 	again := list("a", "b")
 	again[0].ColdLeft = 3000
-	at(5100, func() { ctl.endpts.applyRead(again, nil, nil, 5100) })
+	at(5100, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: again}, nil, 5100, 5100) })
 	gom.Expect(ctl.facts.spread.Digest()).NotTo(gomega.Equal(facts), "it is cold again")
 }
 
@@ -150,8 +152,8 @@
 	gom := gomega.NewWithT(t)
 	here, hereAt := coldEndpts("a")
 	there, thereAt := coldEndpts("a")
-	hereAt(2000, func() { here.endpts.applyRead(list("a", "b"), nil, nil, 2000) })
-	thereAt(2200, func() { there.endpts.applyRead(list("a", "b"), nil, nil, 2200) })
+	hereAt(2000, func() { here.endpts.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 2000, 2000) })
+	thereAt(2200, func() { there.endpts.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 2200, 2200) })
 	exchange := func(now clock.Milli) {
 		here.stepped, there.stepped = true, true
 		hereAt(now, func() { here.facts.take(there.facts.spread.All(gossip.Cold, now), now) })
@@ -173,7 +175,7 @@
 func TestStartingInstanceLearnsWhatIsCold(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	here, at := coldEndpts("a")
-	at(2000, func() { here.endpts.applyRead(list("a", "b"), nil, nil, 2000) })
+	at(2000, func() { here.endpts.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 2000, 2000) })
 	var upd update
 	upd.fillEndpoints(here.View(), updateRequest{})
 	upd.Cold = here.cold.current(2500)
@@ -231,7 +233,7 @@
 	for i, now := range []clock.Milli{2000, 3500} {
 		eps := list("a")
 		eps[0].ColdLeft, eps[0].EntryOffset = coldTime, int64(i+5)
-		at(now, func() { ctl.endpts.applyRead(eps, nil, nil, now) })
+		at(now, func() { ctl.endpts.applyRead(proto.Listing{Endpoints: eps}, nil, now, now) })
 	}
 	at(3500+coldTime-1, func() { ctl.stepped = true })
 	gom.Expect(rate(ctl, "a")).To(gomega.Equal(coldRate))
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -36,6 +36,11 @@
 type endptsCtl struct {
 	ctl  *Control
 	list []proto.Endpoint
+	// listed tells where the list comes from, outdated whether it was older than the one it replaced.
+	listed   provenance
+	outdated bool
+	// kept is the number of entries that the store did not list and that were kept.
+	kept int
 	// leaving has the endpoints that announced their end, or are gone, with the time at which that was
 	// learned.
 	leaving map[ident.Process]clock.Milli
@@ -66,8 +71,9 @@
 			pause(ctx, pollInterval)
 			continue
 		}
-		list, faults, err := ect.fetch(ctx)
-		if !ect.ctl.loop.Do(ctx, func(now clock.Milli) { ect.applyRead(list, faults, err, now) }) {
+		sent := ect.ctl.set.Clock.Now()
+		lst, err := ect.fetch(ctx)
+		if !ect.ctl.loop.Do(ctx, func(now clock.Milli) { ect.applyRead(lst, err, sent, now) }) {
 			return
 		}
 		pause(ctx, pollInterval)
@@ -76,9 +82,9 @@
 
 // fetch reads the entries, unless the store is down. While no reader has updates, an instance that
 // has had no answer itself does not know whether the store is up.
-func (ect *endptsCtl) fetch(ctx context.Context) ([]proto.Endpoint, []error, error) {
+func (ect *endptsCtl) fetch(ctx context.Context) (proto.Listing, error) {
 	if ect.ctl.storeDown(ctx) || ect.ctl.View().storeSilence(ect.ctl.set.Clock.Now()) > maxStoreSilence {
-		return nil, nil, errStoreDown
+		return proto.Listing{}, errStoreDown
 	}
 	rctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -121,7 +127,8 @@
 	return following
 }
 
-func (ect *endptsCtl) applyRead(list []proto.Endpoint, faults []error, err error, now clock.Milli) {
+// applyRead applies the answer to a read of the entries that was sent at an instant.
+func (ect *endptsCtl) applyRead(lst proto.Listing, err error, sent, now clock.Milli) {
 	ect.ctl.docs.fromReader = endpointList{}
 	if ect.ctl.set.Store.Era != nil {
 		ect.ctl.docs.enterEra(ect.ctl.set.Store.Era(), now)
@@ -140,12 +147,14 @@
 	// Requests may wait for the first list, also for an empty one.
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
 	ect.down, ect.loaded = false, true
-	ect.logFaults(faults)
+	ect.logFaults(lst.Faults)
+	list := lst.Endpoints
 	entries := takeEntries(list)
 	if now-min(ect.upSince, ect.otherUpSince) < lapsedGrace || now-ect.missingSince < lapsedGrace {
 		list = ect.withLapsed(list)
 	}
-	ect.apply(list, now)
+	ect.logKept(len(list)-len(lst.Endpoints), now)
+	ect.receive(list, provenance{pos: lst.Position, asOf: sent, from: listedByStore}, now)
 	ect.ctl.cold.entries(entries, now)
 }
 
@@ -179,6 +188,14 @@
 	return ok
 }
 
+// receive applies a list that was read from the store, by this instance or another one.
+func (ect *endptsCtl) receive(list []proto.Endpoint, listed provenance, now clock.Milli) {
+	ect.outdated = listed.isBefore(ect.listed)
+	ect.listed = listed
+	ect.apply(list, now)
+	ect.outdated = false
+}
+
 // apply replaces the list of endpoints. An endpoint that was leaving still is: a list may be older than
 // what is known, and processes don't come back.
 func (ect *endptsCtl) apply(list []proto.Endpoint, now clock.Milli) {
@@ -212,9 +229,9 @@
 }
 
 // applySnapshot uses another instance's list if this one has none yet.
-func (ect *endptsCtl) applySnapshot(list []proto.Endpoint) {
+func (ect *endptsCtl) applySnapshot(list []proto.Endpoint, listed provenance, now clock.Milli) {
 	if !ect.loaded && len(ect.list) == 0 {
-		ect.apply(list, ect.ctl.set.Clock.Now())
+		ect.receive(list, listed, now)
 	}
 }
 
@@ -229,13 +246,25 @@
 		delete(before, ep.ID)
 		if !ok || old.Leaving != ep.Leaving {
 			ect.ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("addr", ep.Addr).Str("build", ep.Build).
-				Bool("new", !ok).Bool("started_again", !ok && names[ep.ID.Name()]).Bool("leaving", ep.Leaving).Msg("endpoint changed")
+				Bool("new", !ok).Bool("started_again", !ok && names[ep.ID.Name()]).Bool("leaving", ep.Leaving).
+				Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Bool("outdated", ect.outdated).Msg("endpoint changed")
 		}
 	}
 	for id, ep := range before {
 		ect.ctl.set.Log.Info().Str("endpoint", string(id)).Str("pool", ep.Pool).Str("addr", ep.Addr).
-			Int64("store_up_ms", int64(now-ect.upSince)).Msg("endpoint gone")
+			Int64("store_up_ms", int64(now-ect.upSince)).
+			Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Bool("outdated", ect.outdated).Msg("endpoint gone")
+	}
+}
+
+// logKept logs when the number of entries changes that the store did not list and that are kept.
+func (ect *endptsCtl) logKept(count int, now clock.Milli) {
+	if count == ect.kept {
+		return
 	}
+	ect.kept = count
+	ect.ctl.set.Log.Info().Int("kept", count).Int64("store_up_ms", int64(now-ect.upSince)).Int64("other_up_ms", int64(now-min(ect.otherUpSince, now))).
+		Int64("list_age_ms", int64(now-ect.listed.asOf)).Msg("missing entries kept as after an outage of the store")
 }
 
 // logFaults counts each invalid entry once, and logs the first few.
--- a/internal/state/endpts_test.go
+++ b/internal/state/endpts_test.go
@@ -45,7 +45,7 @@
 	gom.Expect(ect.followingAt(10000)).To(gomega.BeTrue())
 	ect.followedAt = 0
 	gom.Expect(ect.followingAt(10100)).To(gomega.BeFalse())
-	ect.applyRead(list("a"), nil, nil, 10200)
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10200, 10200)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
 }
 
@@ -54,14 +54,14 @@
 func TestLapsedEntriesAreKept(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead(list("a", "b", "c"), nil, nil, 0)
-	ect.applyRead(list("a", "b", "c"), nil, nil, lapsedGrace)
-	ect.applyRead(nil, nil, errors.New("down"), 5000)
-	ect.applyRead(list("a"), nil, nil, 10000)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b", "c")}, nil, 0, 0)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b", "c")}, nil, lapsedGrace, lapsedGrace)
+	ect.applyRead(proto.Listing{}, errors.New("down"), 5000, 5000)
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10000, 10000)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b", "c"}))
-	ect.applyRead(list("a", "b"), nil, nil, 12000)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 12000, 12000)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b", "c"}))
-	ect.applyRead(list("a", "b"), nil, nil, 10000+lapsedGrace)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 10000+lapsedGrace, 10000+lapsedGrace)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b"}))
 }
 
@@ -71,13 +71,13 @@
 func TestOwnOutageKeepsNoEndpoints(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead(list("a", "b"), nil, nil, 0)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 0, 0)
 	ect.recordOtherUptime(1000, 4000)
-	ect.applyRead(nil, nil, errors.New("cut off"), 5000)
-	ect.applyRead(list("a"), nil, nil, 10000)
+	ect.applyRead(proto.Listing{}, errors.New("cut off"), 5000, 5000)
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10000, 10000)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b"}), "an uptime reported before the outage says nothing about it")
 	ect.recordOtherUptime(9000, 10100)
-	ect.applyRead(list("a"), nil, nil, 10200)
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10200, 10200)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
 }
 
@@ -86,9 +86,9 @@
 func TestReplacedDontComeBack(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead(list("a"), nil, nil, 0)
-	ect.applyRead(nil, nil, errors.New("down"), 5000)
-	ect.applyRead([]proto.Endpoint{{ID: "new", Addr: "a", Pool: "q"}}, nil, nil, 6000)
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 0, 0)
+	ect.applyRead(proto.Listing{}, errors.New("down"), 5000, 5000)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{{ID: "new", Addr: "a", Pool: "q"}}}, nil, 6000, 6000)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"new"}))
 }
 
@@ -97,21 +97,21 @@
 func TestLeavingStays(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead(list("a", "b"), nil, nil, 0)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 0, 0)
 	ect.markLeaving("a", "test", 100)
 	later := 100 + 10*leavingRetention
 	for _, now := range []clock.Milli{700, later} {
-		ect.applyRead(list("a", "b"), nil, nil, now)
+		ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, now, now)
 		ect.step(now)
 		gom.Expect(ect.list[0].Leaving).To(gomega.BeTrue())
 		gom.Expect(ect.leavingIDs()).To(gomega.Equal([]string{"a"}))
 	}
 	left := list("a", "b")
 	left[1].Leaving = true
-	ect.applyRead(left, nil, nil, later+10)
-	ect.applyRead(list("a", "b"), nil, nil, later+20)
+	ect.applyRead(proto.Listing{Endpoints: left}, nil, later+10, later+10)
+	ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, later+20, later+20)
 	gom.Expect(ect.list[1].Leaving).To(gomega.BeTrue())
-	ect.applyRead(list("b"), nil, nil, later+2*runRetention)
+	ect.applyRead(proto.Listing{Endpoints: list("b")}, nil, later+2*runRetention, later+2*runRetention)
 	ect.step(later + 2*runRetention)
 	gom.Expect(ect.leavingIDs()).To(gomega.BeEmpty())
 }
--- a/internal/state/evacs_test.go
+++ b/internal/state/evacs_test.go
@@ -75,10 +75,10 @@
 	return false, ctx.Err()
 }
 
-func zonedEndpoints(context.Context) ([]proto.Endpoint, []error, error) {
-	return []proto.Endpoint{
+func zonedEndpoints(context.Context) (proto.Listing, error) {
+	return proto.Listing{Endpoints: []proto.Endpoint{
 		{ID: "e1", Addr: "10.1.0.1:1", Pool: "p", Zone: "north"}, {ID: "e2", Addr: "10.1.0.2:1", Pool: "p", Zone: "south"},
-	}, nil, nil
+	}}, nil
 }
 
 func (sto *evacStore) client() proto.Store {
@@ -192,7 +192,7 @@
 // away is a store that never answers.
 var away = proto.Store{
 	Document:  func(context.Context) (proto.Document, error) { return proto.Document{}, errStoreAway },
-	Endpoints: func(context.Context) ([]proto.Endpoint, []error, error) { return nil, nil, errStoreAway },
+	Endpoints: func(context.Context) (proto.Listing, error) { return proto.Listing{}, errStoreAway },
 }
 
 // Guards against followers that don't learn of an evacuation or of its end from their reader, or only when the
@@ -288,7 +288,8 @@
 	var log bytes.Buffer
 	ctl := newEndpts().ctl
 	ctl.set.Log = zerolog.New(&log)
-	ctl.endpts.list, _, _ = zonedEndpoints(t.Context())
+	lst, _ := zonedEndpoints(t.Context())
+	ctl.endpts.list = lst.Endpoints
 	count := func(text string) int { return strings.Count(log.String(), text) }
 	doc := proto.Document{Position: proto.Position{Offset: -1}, End: 4, Evacuated: []string{"north", "nowhere"}, Faults: []error{errors.New("a bad key")}}
 	for now := range clock.Milli(3) {
--- a/internal/state/exchange.go
+++ b/internal/state/exchange.go
@@ -74,6 +74,8 @@
 	Era     int64           `cbor:"6,keyasint,omitempty"`
 	// Evacuations is the set of evacuated data centres, nil from senders of earlier builds.
 	Evacuations *evac.Records `cbor:"7,keyasint,omitempty"`
+	// List tells where the endpoints come from; nil from senders of earlier builds.
+	List *listMark `cbor:"8,keyasint,omitempty"`
 	// Cold are the facts on endpoints that are cold.
 	Cold []gossip.Fact `cbor:"15,keyasint,omitempty"`
 }
@@ -99,7 +101,7 @@
 				dct.ctl.evacs.apply(*snp.Evacuations, sent-snp.Age, now, string(from))
 			}
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: snp.Era, Offset: snp.Offset}, Text: snp.Text}, sent-snp.Age, now, string(from))
-			dct.ctl.endpts.applySnapshot(snp.Endpoints)
+			dct.ctl.endpts.applySnapshot(snp.Endpoints, snp.List.provenance(provenance{}, sent, listedByState), now)
 			dct.ctl.facts.take(snp.Cold, now)
 			dct.ctl.list.Merge(snp.Members, now)
 			dct.ctl.membersLoaded.fire()
@@ -149,7 +151,7 @@
 	rec := ctl.evacs.set.Records(now)
 	body, err := cbor.Marshal(snapshot{
 		Offset: ctl.docs.doc.Offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec, Cold: ctl.cold.current(now),
+		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec, List: ctl.endpts.listed.mark(now), Cold: ctl.cold.current(now),
 	})
 	if err != nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -67,6 +67,8 @@
 	// earlier and differs.
 	Mark        *evac.Mark    `cbor:"14,keyasint,omitempty"`
 	Evacuations *evac.Records `cbor:"15,keyasint,omitempty"`
+	// List tells where the reader's list comes from; nil from readers of earlier builds.
+	List *listMark `cbor:"16,keyasint,omitempty"`
 	// Cold are the facts on endpoints that are cold, for a follower without a list or with a full one.
 	Cold []gossip.Fact `cbor:"20,keyasint,omitempty"`
 }
@@ -134,8 +136,11 @@
 			ctl.set.Log.Info().Str("reader", string(who)).Int("changes", len(upd.Endpoints)+len(upd.Gone)).Msg("endpoint changes relative to another list dropped")
 			return
 		}
-		if upd.Listed {
-			ctl.endpts.apply(slices.Clone(dct.fromReader.List), now)
+		switch listed := upd.List.provenance(ctl.endpts.listed, sent+upd.Held, string(who)); {
+		case upd.Listed:
+			ctl.endpts.receive(slices.Clone(dct.fromReader.List), listed, now)
+		case upd.List != nil && dct.fromReader.Digest != 0 && !listed.isBefore(ctl.endpts.listed):
+			ctl.endpts.listed = listed
 		}
 		ctl.endpts.followedAt = now
 	})
@@ -166,7 +171,7 @@
 	if vw.answeredAt == 0 && vw.plan == nil {
 		return ans
 	}
-	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, StoreEra: vw.storeEra, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now)}
+	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, StoreEra: vw.storeEra, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now), List: vw.listed.mark(now)}
 	if vw.hasNewer(req) {
 		upd.Text = vw.text
 	}
--- a/internal/state/lists_test.go
+++ b/internal/state/lists_test.go
@@ -102,7 +102,7 @@
 	upd.fillEndpoints(rdr.View(), updateRequest{})
 	gom.Expect(fol.ctl.docs.fromReader.apply(upd)).To(gomega.BeTrue())
 	gom.Expect(fol.ctl.docs.updateRequest().Digest).To(gomega.Equal(rdr.View().digest))
-	fol.applyRead(list("a"), nil, nil, 10*clock.Second)
+	fol.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10*clock.Second, 10*clock.Second)
 	gom.Expect(fol.ctl.docs.updateRequest().Digest).To(gomega.BeZero())
 }
 
@@ -124,7 +124,7 @@
 	var change update
 	change.fillEndpoints(rdr.View(), sent)
 	gom.Expect(change.Changed).To(gomega.BeTrue())
-	fol.applyRead(list("a", "b", "c"), nil, nil, 10*clock.Second)
+	fol.applyRead(proto.Listing{Endpoints: list("a", "b", "c")}, nil, 10*clock.Second, 10*clock.Second)
 	gom.Expect(fol.ctl.docs.fromReader.apply(change)).To(gomega.BeFalse())
 	gom.Expect(fol.list).To(gomega.HaveLen(3))
 
--- a/internal/state/notices_test.go
+++ b/internal/state/notices_test.go
@@ -18,8 +18,8 @@
 // Guards against a rate that is assigned to an endpoint which had the address before.
 func TestRateOfReusedAddress(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	ctl := started(t, proto.Store{Endpoints: func(context.Context) ([]proto.Endpoint, []error, error) {
-		return []proto.Endpoint{{ID: "ended", Addr: "a", Pool: "p"}, {ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}, nil, nil
+	ctl := started(t, proto.Store{Endpoints: func(context.Context) (proto.Listing, error) {
+		return proto.Listing{Endpoints: []proto.Endpoint{{ID: "ended", Addr: "a", Pool: "p"}, {ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}}, nil
 	}})
 	gom.Eventually(func() int { return len(ctl.View().Endpoints()) }, soon).Should(gomega.Equal(3))
 	ctl.RecordNotice("a", proto.Notice{Rate: proto.Declared{Value: 3, Is: true}}, clock.Clock{}.Now(), "")
--- a/internal/state/rests_test.go
+++ b/internal/state/rests_test.go
@@ -66,8 +66,8 @@
 func TestRestIsRecordedForItsEndpoint(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	told := make(chan string, 9)
-	sto := proto.Store{Endpoints: func(context.Context) ([]proto.Endpoint, []error, error) {
-		return []proto.Endpoint{{ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}, nil, nil
+	sto := proto.Store{Endpoints: func(context.Context) (proto.Listing, error) {
+		return proto.Listing{Endpoints: []proto.Endpoint{{ID: "there", Addr: "a", Pool: "p"}, {ID: "other", Addr: "b", Pool: "p"}}}, nil
 	}}
 	ctl := startedWith(t, sto, Setup{OnRest: func(id ident.Process, span clock.Milli, relay ident.Incarnation) {
 		told <- fmt.Sprint(id, " ", int64(span), " ", relay)
--- a/internal/state/runs_test.go
+++ b/internal/state/runs_test.go
@@ -25,9 +25,9 @@
 func TestLaterRunStays(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead([]proto.Endpoint{runOf("a", 1000, false), runOf("b", 1000, false)}, nil, nil, 0)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 1000, false), runOf("b", 1000, false)}}, nil, 0, 0)
 	ect.markLeaving("a@1000", "it said so", 100)
-	ect.applyRead([]proto.Endpoint{runOf("a", 2000, false), runOf("b", 1000, false)}, nil, nil, 700)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 2000, false), runOf("b", 1000, false)}}, nil, 700, 700)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a@2000", "b@1000"}))
 	gom.Expect(ect.list[0].Leaving).To(gomega.BeFalse(), "the leaving run has ended")
 
@@ -47,9 +47,9 @@
 func TestRunWithoutStartTime(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead([]proto.Endpoint{runOf("a", 0, false)}, nil, nil, 0)
-	ect.applyRead([]proto.Endpoint{runOf("a", 1000, false)}, nil, nil, 700)
-	ect.applyRead([]proto.Endpoint{runOf("a", 0, true)}, nil, nil, 1400)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 0, false)}}, nil, 0, 0)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 1000, false)}}, nil, 700, 700)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 0, true)}}, nil, 1400, 1400)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a@1000"}))
 	gom.Expect(ect.list[0].Leaving).To(gomega.BeFalse())
 }
@@ -59,11 +59,11 @@
 func TestEndedRunIsNotKeptAsLapsed(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
-	ect.applyRead([]proto.Endpoint{runOf("a", 1000, false), runOf("b", 1000, false)}, nil, nil, 0)
-	ect.applyRead(nil, nil, errStoreDown, 700)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 1000, false), runOf("b", 1000, false)}}, nil, 0, 0)
+	ect.applyRead(proto.Listing{}, errStoreDown, 700, 700)
 	moved := runOf("a", 2000, false)
 	moved.Addr = "elsewhere"
-	ect.applyRead([]proto.Endpoint{moved}, nil, nil, 1400)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{moved}}, nil, 1400, 1400)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a@2000", "b@1000"}))
 }
 
@@ -85,12 +85,12 @@
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{Name: "p"}, {Name: "q"}}})
 	ect.ctl.docs.plan = pln
 	foreign := proto.Endpoint{ID: "x", Addr: "a", Pool: "nobody's"}
-	ect.applyRead([]proto.Endpoint{runOf("a", 1000, false)}, nil, nil, 0)
-	ect.applyRead(nil, nil, errStoreDown, 700)
-	ect.applyRead([]proto.Endpoint{foreign}, nil, nil, 1400)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{runOf("a", 1000, false)}}, nil, 0, 0)
+	ect.applyRead(proto.Listing{}, errStoreDown, 700, 700)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{foreign}}, nil, 1400, 1400)
 	gom.Expect(names(ect.list)).To(gomega.ConsistOf("a@1000", "x"))
 	foreign.Pool = "q"
-	ect.applyRead([]proto.Endpoint{foreign}, nil, nil, 1500)
+	ect.applyRead(proto.Listing{Endpoints: []proto.Endpoint{foreign}}, nil, 1500, 1500)
 	gom.Expect(names(ect.list)).To(gomega.ConsistOf("x"), "another endpoint has the address")
 }
 
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -40,7 +40,7 @@
 		}
 	}
 	if sto.Endpoints == nil {
-		sto.Endpoints = func(context.Context) ([]proto.Endpoint, []error, error) { return list("e1"), nil, nil }
+		sto.Endpoints = func(context.Context) (proto.Listing, error) { return proto.Listing{Endpoints: list("e1")}, nil }
 	}
 	if sto.Instances == nil {
 		sto.Instances = func(context.Context) ([]proto.Instance, []byte, error) { return nil, nil, nil }
@@ -121,9 +121,9 @@
 // come after startupWait are refused at once.
 func TestFirstRequestsWait(t *testing.T) {
 	gom := gomega.NewWithT(t)
-	ctl := started(t, proto.Store{Endpoints: func(context.Context) ([]proto.Endpoint, []error, error) {
+	ctl := started(t, proto.Store{Endpoints: func(context.Context) (proto.Listing, error) {
 		time.Sleep(100 * time.Millisecond)
-		return list("e1"), nil, nil
+		return proto.Listing{Endpoints: list("e1")}, nil
 	}})
 	gom.Expect(ctl.WaitServable(context.Background()).Endpoints()).To(gomega.HaveLen(1))
 	down := started(t, proto.Store{Document: func(context.Context) (proto.Document, error) { return proto.Document{}, errors.New("down") }})
@@ -180,12 +180,12 @@
 func TestNewReaderSendsNoEmptyList(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	held := make(chan struct{})
-	ctl := started(t, proto.Store{Endpoints: func(ctx context.Context) ([]proto.Endpoint, []error, error) {
+	ctl := started(t, proto.Store{Endpoints: func(ctx context.Context) (proto.Listing, error) {
 		select {
 		case <-held:
 		case <-ctx.Done():
 		}
-		return list("e1"), nil, nil
+		return proto.Listing{Endpoints: list("e1")}, nil
 	}})
 	gom.Eventually(func() *plan.Plan { return ctl.View().Plan() }, soon).ShouldNot(gomega.BeNil())
 	ask := func() update {
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -19,6 +19,8 @@
 	storeEra  int64
 	asOf      clock.Milli
 	endpoints []proto.Endpoint
+	// listed tells where the endpoints come from.
+	listed provenance
 	// evacuations are the evacuated data centres, and eligible are the endpoints with those there withheld,
 	// nil if there are none.
 	evacuations evac.Set
