internal/state: failing tests of lists whose age nobody knows

An older list replaces a newer one, and an instance whose readers are silent doesn't read the store in time.

--- a/internal/state/evacs_test.go
+++ b/internal/state/evacs_test.go
@@ -166,6 +166,12 @@
 // linked returns a control state with a link of its own, by whose address others reach it, and the number of
 // snapshots that it sent.
 func linked(t *testing.T, sto proto.Store) (ctl *Control, who ident.Incarnation, snapshots *atomic.Int64) {
+	return linkedWith(t, sto, Setup{}, func(addr string) string { return addr })
+}
+
+// linkedWith is like linked, with a setup that is completed. Others reach the control state by the address that
+// via returns for that of its link.
+func linkedWith(t *testing.T, sto proto.Store, set Setup, via func(addr string) string) (ctl *Control, who ident.Incarnation, snapshots *atomic.Int64) {
 	gom := gomega.NewWithT(t)
 	server, client, err := peer.EphemeralTLS()
 	gom.Expect(err).NotTo(gomega.HaveOccurred())
@@ -184,9 +190,10 @@
 		return ctl.ServeFollower(ctx, msg)
 	}
 	go lnk.Serve(t.Context())
-	ctl = startedWith(t, sto, Setup{Link: lnk})
+	set.Self, set.Link = ident.NewIncarnation(via(lnk.Addr())), lnk
+	ctl = startedWith(t, sto, set)
 	close(ready)
-	return ctl, ident.NewIncarnation(lnk.Addr()), snapshots
+	return ctl, set.Self, snapshots
 }
 
 // away is a store that never answers.
--- /dev/null
+++ b/internal/state/listing_test.go
@@ -0,0 +1,172 @@
+package state
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/proto"
+	"amaranthvalve/pkg/clock"
+	"amaranthvalve/pkg/ident"
+	"amaranthvalve/pkg/member"
+)
+
+// drainBound is the users' bound on requests to an endpoint after the store has acknowledged that it
+// leaves.
+const drainBound = 2 * time.Second
+
+// listStore is a store whose list of endpoints changes.
+type listStore struct {
+	mtx sync.Mutex
+	lst proto.Listing
+}
+
+func (sto *listStore) set(offset int64, eps ...proto.Endpoint) {
+	sto.mtx.Lock()
+	defer sto.mtx.Unlock()
+	sto.lst = proto.Listing{Position: proto.Position{Offset: offset}, Endpoints: eps}
+}
+
+func (sto *listStore) endpoints(context.Context) (proto.Listing, error) {
+	sto.mtx.Lock()
+	defer sto.mtx.Unlock()
+	return sto.lst, nil
+}
+
+func (sto *listStore) client() proto.Store {
+	return proto.Store{Endpoints: sto.endpoints, Watch: func(ctx context.Context, _ proto.Position, wait clock.Milli) (bool, error) {
+		pause(ctx, wait.Duration())
+		return false, ctx.Err()
+	}}
+}
+
+func newListStore(offset int64, eps ...proto.Endpoint) *listStore {
+	sto := &listStore{}
+	sto.set(offset, eps...)
+	return sto
+}
+
+// leaving returns endpoints that announced their end.
+func leaving(ids ...string) []proto.Endpoint {
+	eps := list(ids...)
+	for i := range eps {
+		eps[i].Leaving = true
+	}
+	return eps
+}
+
+// Guards against endpoints that come back, or are ready again, when an instance turns to another reader, which has
+// read the store less recently.
+func TestOlderListReplacesNoNewerOne(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	_, ahead, _ := linked(t, newListStore(9, append(list("a"), leaving("b")...)...).client())
+	late := newListStore(7, list("a", "b", "gone")...)
+	behind, lateWho, _ := linked(t, late.client())
+	gom.Eventually(func() bool { return behind.View().servable() }, soon).Should(gomega.BeTrue())
+	follower, _, _ := linked(t, away)
+	follow := func(who ident.Incarnation) {
+		gom.Eventually(func() error { return follower.docs.follow(t.Context(), who, true) }, soon).Should(gomega.Succeed())
+	}
+	seen := func() string {
+		vw := follower.View()
+		return fmt.Sprint(names(vw.Endpoints()), vw.IsLeaving("b"))
+	}
+	follow(ahead)
+	gom.Eventually(seen, soon).Should(gomega.Equal("[a b] true"))
+	follow(lateWho)
+	gom.Consistently(seen, 100*time.Millisecond).Should(gomega.Equal("[a b] true"))
+
+	late.set(11, list("a", "c")...)
+	gom.Eventually(func() string {
+		follow(lateWho)
+		return seen()
+	}, soon).Should(gomega.Equal("[a c] true"), "the reader has read the store since")
+}
+
+// Guards against requests to endpoints that left, or are gone, while all readers of an instance are killed: it must
+// notice that its list gets old, and read the store itself, which has been up all the while.
+func TestDeadReadersDontHideEnds(t *testing.T) {
+	for _, wait := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond} {
+		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
+			gom := gomega.NewWithT(t)
+			sto := newListStore(1, list("a", "leaves", "goes")...)
+			frozen := newListStore(1, list("a", "leaves", "goes")...)
+			ctx, kill := context.WithCancel(t.Context())
+			defer kill()
+			// An instance that reaches no endpoint is the last one to read the store for others.
+			blind := Setup{Blind: func() (blind, recovering bool) { return true, false }}
+			follower, _, _ := linkedWith(t, sto.client(), blind, func(addr string) string { return addr })
+			for range minReaders {
+				addReader(ctx, t, follower, frozen.client())
+			}
+			gom.Eventually(follower.IsFollower, soon).Should(gomega.BeTrue())
+			gom.Eventually(func() int { return len(follower.View().Endpoints()) }, soon).Should(gomega.Equal(3))
+			gom.Consistently(follower.IsFollower, drainBound).Should(gomega.BeTrue())
+
+			// The readers don't read the store again before they are killed.
+			acked := time.Now()
+			sto.set(2, append(list("a"), leaving("leaves")...)...)
+			time.AfterFunc(wait, kill)
+			gom.Eventually(func() string {
+				vw := follower.View()
+				return fmt.Sprint(names(vw.Endpoints()), vw.IsLeaving("leaves"))
+			}, soon, 10*time.Millisecond).Should(gomega.Equal("[a leaves] true"))
+			gom.Expect(time.Since(acked)).To(gomega.BeNumerically("<", drainBound))
+		})
+	}
+}
+
+// addReader runs a reader of a store, and makes it known to a follower. After the context has ended it is silent.
+func addReader(ctx context.Context, t *testing.T, follower *Control, sto proto.Store) {
+	t.Helper()
+	_, who, _ := linkedWith(t, sto, Setup{}, func(addr string) string { return forwarded(ctx, t, addr) })
+	follower.loop.Do(t.Context(), func(now clock.Milli) {
+		follower.list.Merge([]member.Update{{ID: who, Zone: "z", Caller: who.Addr(), Seq: 1}}, now)
+	})
+}
+
+// forwarded returns an address whose packets are forwarded to another one, and back, until the context ends.
+func forwarded(ctx context.Context, t *testing.T, addr string) string {
+	gom := gomega.NewWithT(t)
+	target, err := net.ResolveUDPAddr("udp", addr)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = front.Close() })
+	go func() {
+		backs := map[string]*net.UDPConn{}
+		eachPacket(ctx, front, func(packet []byte, from *net.UDPAddr) {
+			back := backs[from.String()]
+			if back == nil {
+				if back, err = net.DialUDP("udp", nil, target); err != nil {
+					return
+				}
+				t.Cleanup(func() { _ = back.Close() })
+				backs[from.String()] = back
+				go eachPacket(ctx, back, func(packet []byte, _ *net.UDPAddr) { _, _ = front.WriteToUDP(packet, from) })
+			}
+			_, _ = back.Write(packet)
+		})
+	}()
+	return front.LocalAddr().String()
+}
+
+// eachPacket calls do with each packet that a socket receives until the context ends.
+func eachPacket(ctx context.Context, con *net.UDPConn, do func(packet []byte, from *net.UDPAddr)) {
+	buf := make([]byte, 64<<10)
+	for {
+		size, from, err := con.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if ctx.Err() == nil {
+			do(buf[:size], from)
+		}
+	}
+}
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -63,7 +63,10 @@
 func startedWith(t *testing.T, sto proto.Store, set Setup) *Control {
 	pln, _ := plan.Compile(plan.Draft{})
 	dia := &proto.Dialect{Compile: func([]byte) (*plan.Plan, []error) { return pln, nil }}
-	set.Self, set.Meter, set.Log, set.Dialect, set.Store = ident.NewIncarnation("10.0.0.1:1"), meter.New(), zerolog.Nop(), dia, storeOf(sto)
+	if set.Self == "" {
+		set.Self = ident.NewIncarnation("10.0.0.1:1")
+	}
+	set.Meter, set.Log, set.Dialect, set.Store = meter.New(), zerolog.Nop(), dia, storeOf(sto)
 	ctl := New(set)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
