internal/state: a list of endpoints replaces no newer one

What callers saw: requests reached endpoints that had left or were gone, since these came back. A list had a digest only; an instance that turned to a reader which had read the store less recently took over its list. Lists are ordered by era and end of the log, which all readers see alike, also after an outage, a copy or a restart. An older list is ignored, and a reader doesn't send one to a follower that names a newer one. A reader that finds the same list again confirms it, so that a list which came late isn't lost. The other causes remain.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -66,6 +66,7 @@
 	EventLateRelease   = "claim_released_late"
 	EventForeignAnswer = "foreign_answer_dropped"
 	EventEntrySkipped  = "endpoint_entry_skipped"
+	EventListIgnored   = "endpoint_list_ignored"
 	EventFactEvicted   = "fact_evicted"
 	EventStoreRestored = "store_came_back_from_copy"
 	EventRest          = "endpoint_rest"
@@ -82,7 +83,7 @@
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventListIgnored, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
 	EventWithheld, EventRecordSkipped, EventUnbounded,
 }
 
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -36,9 +36,11 @@
 type endptsCtl struct {
 	ctl  *Control
 	list []proto.Endpoint
-	// listed tells where the list comes from, outdated whether it was older than the one it replaced.
-	listed   provenance
-	outdated bool
+	// listed tells where the list comes from, ignored from where the last older one came.
+	listed  provenance
+	ignored string
+	// digest identifies the list as it was received from a reader, zero for none.
+	digest uint64
 	// kept is the number of entries that the store did not list and that were kept.
 	kept int
 	// leaving has the endpoints that announced their end, or are gone, with the time at which that was
@@ -188,12 +190,40 @@
 	return ok
 }
 
-// receive applies a list that was read from the store, by this instance or another one.
+// receive applies a list that was read from the store, by this instance or another one, unless it
+// is older than the list held: it would bring back endpoints that are gone.
 func (ect *endptsCtl) receive(list []proto.Endpoint, listed provenance, now clock.Milli) {
-	ect.outdated = listed.isBefore(ect.listed)
-	ect.listed = listed
+	if listed.isBefore(ect.listed) {
+		ect.logIgnored(listed, now)
+		return
+	}
+	listed.asOf = max(listed.asOf, ect.listed.asOf)
+	ect.listed, ect.ignored, ect.digest = listed, "", 0
 	ect.apply(list, now)
-	ect.outdated = false
+}
+
+// receiveFrom applies a reader's list.
+func (ect *endptsCtl) receiveFrom(lst endpointList, listed provenance, now clock.Milli) {
+	if ect.digest == lst.Digest && !listed.isBefore(ect.listed) {
+		listed.asOf = max(listed.asOf, ect.listed.asOf)
+		ect.listed = listed
+		return
+	}
+	ect.receive(slices.Clone(lst.List), listed, now)
+	if !listed.isBefore(ect.listed) {
+		ect.digest = lst.Digest
+	}
+}
+
+// logIgnored logs an older list, once for each source until another list is applied.
+func (ect *endptsCtl) logIgnored(listed provenance, now clock.Milli) {
+	ect.ctl.set.Meter.CountEvent(meter.EventListIgnored)
+	if ect.ignored == listed.from {
+		return
+	}
+	ect.ignored = listed.from
+	ect.ctl.set.Log.Info().Str("from", listed.from).Int64("era", listed.pos.Era).Int64("end", listed.pos.Offset).Int64("list_age_ms", int64(now-listed.asOf)).
+		Int64("end_held", ect.listed.pos.Offset).Int64("held_age_ms", int64(now-ect.listed.asOf)).Msg("older list of endpoints ignored")
 }
 
 // apply replaces the list of endpoints. An endpoint that was leaving still is: a list may be older than
@@ -247,13 +277,13 @@
 		if !ok || old.Leaving != ep.Leaving {
 			ect.ctl.set.Log.Info().Str("endpoint", string(ep.ID)).Str("pool", ep.Pool).Str("addr", ep.Addr).Str("build", ep.Build).
 				Bool("new", !ok).Bool("started_again", !ok && names[ep.ID.Name()]).Bool("leaving", ep.Leaving).
-				Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Bool("outdated", ect.outdated).Msg("endpoint changed")
+				Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Msg("endpoint changed")
 		}
 	}
 	for id, ep := range before {
 		ect.ctl.set.Log.Info().Str("endpoint", string(id)).Str("pool", ep.Pool).Str("addr", ep.Addr).
 			Int64("store_up_ms", int64(now-ect.upSince)).
-			Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Bool("outdated", ect.outdated).Msg("endpoint gone")
+			Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Msg("endpoint gone")
 	}
 }
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -55,9 +54,10 @@
 	// StoreSilence is how long the store has not answered the reader, beyond the usual delay of a
 	// slow store.
 	StoreSilence clock.Milli `cbor:"7,keyasint"`
-	// Listed is set if the reader's endpoints differ from those that the follower last received.
-	// Endpoints then holds all of them or, if Changed is set, only new and modified ones, and Gone
-	// the names of removed ones. Digest identifies the full list.
+	// Listed is set if the reader's endpoints differ from those that the follower last received, and
+	// aren't older than those that it has. Endpoints then holds all of them or, if Changed is set, only
+	// new and modified ones, and Gone the names of removed ones. Digest identifies the full list; readers
+	// of earlier builds send it with a list only.
 	Listed    bool             `cbor:"5,keyasint,omitempty"`
 	Endpoints []proto.Endpoint `cbor:"6,keyasint,omitempty"`
 	Changed   bool             `cbor:"8,keyasint,omitempty"`
@@ -87,6 +87,9 @@
 	Patient bool `cbor:"3,keyasint,omitempty"`
 	// Builds identifies the builds of the list last received; zero from followers that know none.
 	Builds uint64 `cbor:"5,keyasint,omitempty"`
+	// List tells where the follower's own list comes from; nil if it has none, and from followers of
+	// earlier builds.
+	List *listMark `cbor:"7,keyasint,omitempty"`
 	// Evacuations identifies the follower's set of evacuated data centres; nil from followers of earlier
 	// builds, which know none.
 	Evacuations *evac.Mark `cbor:"6,keyasint,omitempty"`
@@ -136,11 +139,10 @@
 			ctl.set.Log.Info().Str("reader", string(who)).Int("changes", len(upd.Endpoints)+len(upd.Gone)).Msg("endpoint changes relative to another list dropped")
 			return
 		}
-		switch listed := upd.List.provenance(ctl.endpts.listed, sent+upd.Held, string(who)); {
-		case upd.Listed:
-			ctl.endpts.receive(slices.Clone(dct.fromReader.List), listed, now)
-		case upd.List != nil && dct.fromReader.Digest != 0 && !listed.isBefore(ctl.endpts.listed):
-			ctl.endpts.listed = listed
+		// Also without changes: the list may have been older than ours when it was received, and has been
+		// read again since.
+		if upd.Digest != 0 && upd.Digest == dct.fromReader.Digest {
+			ctl.endpts.receiveFrom(dct.fromReader, upd.List.provenance(ctl.endpts.listed, sent+upd.Held, string(who)), now)
 		}
 		ctl.endpts.followedAt = now
 	})
@@ -149,7 +151,10 @@
 
 func (dct *docsCtl) updateRequest() updateRequest {
 	mrk := dct.ctl.evacs.set.Mark()
-	return updateRequest{Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest, Builds: dct.fromReader.Builds, Evacuations: &mrk}
+	return updateRequest{
+		Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest, Builds: dct.fromReader.Builds, Evacuations: &mrk,
+		List: dct.ctl.endpts.listed.mark(dct.ctl.set.Clock.Now()),
+	}
 }
 
 // ServeFollower answers a follower; it is registered with the link.
@@ -172,6 +177,9 @@
 		return ans
 	}
 	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, StoreEra: vw.storeEra, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now), List: vw.listed.mark(now)}
+	if vw.endpointsKnown {
+		upd.Digest = vw.digest
+	}
 	if vw.hasNewer(req) {
 		upd.Text = vw.text
 	}
@@ -202,12 +210,16 @@
 	return versionOf(vw.plan) > req.Version
 }
 
-// hasUpdate reports whether the view has another list of endpoints than a follower last received. A
+// hasUpdate reports whether the view has another list of endpoints than a follower last received, which
+// isn't older than the follower's own. A
 // reader that has just started has no list yet, which does not mean that there are no endpoints:
 // sent an empty list, a follower that had read the endpoints itself lost all of them and refused
 // requests.
 func (vw *View) hasUpdate(req updateRequest) bool {
-	return vw.endpointsKnown && (vw.digest != req.Digest || req.Builds != 0 && vw.builds != req.Builds)
+	if !vw.endpointsKnown || req.List != nil && vw.listed.isBefore(req.List.provenance(provenance{}, 0, "")) {
+		return false
+	}
+	return vw.digest != req.Digest || req.Builds != 0 && vw.builds != req.Builds
 }
 
 // hasEvacuations reports whether the view has a later set of evacuated data centres than a follower, with
--- a/internal/state/listing.go
+++ b/internal/state/listing.go
@@ -22,16 +22,9 @@
 	from string
 }
 
-// isBefore reports whether a list is older than another one. Two readers may read at the same
-// position; the list that was read later is then taken.
+// isBefore reports whether a list is older than another one.
 func (prv provenance) isBefore(oth provenance) bool {
-	switch {
-	case prv.pos.Era != oth.pos.Era:
-		return prv.pos.Era < oth.pos.Era
-	case prv.pos.Offset != oth.pos.Offset:
-		return prv.pos.Offset < oth.pos.Offset
-	}
-	return prv.asOf < oth.asOf
+	return prv.pos.Era < oth.pos.Era || prv.pos.Before(oth.pos)
 }
 
 // listMark is a [provenance] on the wire.
--- a/internal/state/listing_test.go
+++ b/internal/state/listing_test.go
@@ -88,6 +88,43 @@
 	}, soon).Should(gomega.Equal("[a c] true"), "the reader has read the store since")
 }
 
+// Guards against an older list that arrives late, as when a newer one came from elsewhere while a request was held at
+// a reader, and against losing it for good: the reader finds the same list when it reads the store again.
+func TestLateListIsAppliedOnceItIsConfirmed(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ect := newEndpts()
+	at := func(offset int64, from string) provenance {
+		return provenance{pos: proto.Position{Offset: offset}, asOf: clock.Milli(offset), from: from}
+	}
+	ect.receive(list("a"), at(9, listedByStore), 9)
+	late := endpointList{Digest: digest(list("a", "b")), List: list("a", "b")}
+	ect.receiveFrom(late, at(8, "reader"), 10)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
+	gom.Expect(ect.listed).To(gomega.Equal(at(9, listedByStore)))
+	ect.receiveFrom(late, at(10, "reader"), 11)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b"}))
+	gom.Expect(ect.listed).To(gomega.Equal(at(10, "reader")))
+	ect.receiveFrom(late, at(12, "reader"), 13)
+	gom.Expect(ect.listed).To(gomega.Equal(at(12, "reader")), "an unchanged list is younger once it has been read again")
+	newEra := at(1, listedByStore)
+	newEra.pos.Era = 1
+	ect.receive(list("a", "c"), newEra, 14)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "c"}), "offsets begin anew in a copy of the store")
+	ect.receive(list("a", "b"), at(15, "reader"), 15)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "c"}))
+}
+
+// Guards against a reader that sends its list again and again to a follower with a newer one, which ignores it.
+func TestReaderSendsNoOlderList(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl, _, _ := linked(t, newListStore(7, list("a", "b")...).client())
+	gom.Eventually(func() bool { return ctl.View().servable() }, soon).Should(gomega.BeTrue())
+	vw := ctl.View()
+	gom.Expect(vw.hasUpdate(updateRequest{List: &listMark{Offset: 8}})).To(gomega.BeFalse())
+	gom.Expect(vw.hasUpdate(updateRequest{List: &listMark{Offset: 7}})).To(gomega.BeTrue())
+	gom.Expect(vw.hasUpdate(updateRequest{})).To(gomega.BeTrue(), "followers of earlier builds say nothing of their list")
+}
+
 // Guards against requests to endpoints that left, or are gone, while all readers of an instance are killed: it must
 // notice that its list gets old, and read the store itself, which has been up all the while.
 func TestDeadReadersDontHideEnds(t *testing.T) {
