internal/state: an instance's list of endpoints is never older than 1.7 s while the store answers it

What callers saw: requests reached endpoints that left up to 3.9 s before. A list had no age: an instance that became a reader read it 2.5 s after its last update at the earliest, one whose readers were dead tried them in turn, and one whose reader answered without reading the list stayed as it was. A reader reads at its interval, whoever it followed before; a follower reads the store itself once its list is 1.5 s old, spread over 0.2 s. Readers confirm unchanged lists with each answer, so that followers rarely do.

--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -123,7 +124,7 @@
 		Now: set.Clock.Now, Attach: ctl.attachState, OnMessage: ctl.receive,
 	}
 	ctl.docs.ctl, ctl.docs.doc.Position, ctl.docs.ignored = ctl, unread, unread
-	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace}
+	ctl.endpts = endptsCtl{ctl: ctl, leaving: map[ident.Process]clock.Milli{}, otherUpSince: never, missingSince: -lapsedGrace, readAt: -never, ageSpread: rand.N(maxListAgeSpread)}
 	ctl.facts = newFacts(ctl)
 	ctl.evacs.ctl = ctl
 	ctl.cold.ctl = ctl
--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -142,7 +142,6 @@
 	}
 	now := dct.ctl.set.Clock.Now()
 	dct.backoff.add(who, now+readerBackoff)
-	dct.ctl.loop.Do(ctx, func(clock.Milli) { dct.ctl.endpts.followedAt = 0 })
 	dct.ctl.set.Log.Info().Err(err).Str("reader", string(who)).Int64("view_age_ms", int64(dct.ctl.View().Age(now))).Msg("store reader failed")
 	return err
 }
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -16,8 +16,14 @@
 	// pollInterval is the time between two reads of the endpoint entries: two seconds after an
 	// endpoint announced that it is leaving, it must get no more requests.
 	pollInterval = 700 * time.Millisecond
-	// followGrace is how long after the last update of a reader the store is not read directly.
-	followGrace = 2500 * clock.Milli(1)
+	// maxListAge is the age from which a follower reads its list from the store itself, whatever became
+	// of its readers. A list that it gets from a reader is at most as old as that reader's interval and
+	// the hold of a request; half a second is left for the read and for requests that are being sent.
+	maxListAge = 1500 * clock.Milli(1)
+	// maxListAgeSpread spreads the reads of followers that lose a reader at the same time.
+	maxListAgeSpread = 200 * clock.Milli(1)
+	// dueInterval is how often an instance checks whether its list must be read.
+	dueInterval = 100 * clock.Milli(1)
 	// lapsedGrace is how long after an outage of the store entries that expired during it are kept:
 	// endpoints renew them within two seconds, and our own read may come one interval later.
 	lapsedGrace = 2800 * clock.Milli(1)
@@ -41,6 +47,8 @@
 	ignored string
 	// digest identifies the list as it was received from a reader, zero for none.
 	digest uint64
+	// ageSpread is this instance's part of maxListAgeSpread.
+	ageSpread clock.Milli
 	// kept is the number of entries that the store did not list and that were kept.
 	kept int
 	// leaving has the endpoints that announced their end, or are gone, with the time at which that was
@@ -57,8 +65,8 @@
 	down         bool
 	loaded       bool
 	faults       map[string]bool
-	// followedAt is when the last update of a reader arrived.
-	followedAt clock.Milli
+	// readAt is when the last read of the store by this instance ended.
+	readAt clock.Milli
 }
 
 // poll reads the endpoint entries. It starts once documents are known: both reads at once would
@@ -69,23 +77,39 @@
 		continue
 	}
 	for ctx.Err() == nil {
-		if ect.isFollowing(ctx) {
-			pause(ctx, pollInterval)
+		_, src := ect.ctl.source(ect.ctl.set.Clock.Now())
+		wait, ok := loop.Get(ctx, ect.ctl.loop, func(now clock.Milli) clock.Milli { return ect.untilDue(src, now) })
+		if !ok {
+			return
+		}
+		if wait > 0 {
+			pause(ctx, min(wait, dueInterval).Duration())
 			continue
 		}
 		sent := ect.ctl.set.Clock.Now()
-		lst, err := ect.fetch(ctx)
+		lst, err := ect.fetch(ctx, src)
 		if !ect.ctl.loop.Do(ctx, func(now clock.Milli) { ect.applyRead(lst, err, sent, now) }) {
 			return
 		}
-		pause(ctx, pollInterval)
 	}
 }
 
+// untilDue returns the time until the list must be read from the store. A reader reads it at an
+// interval, also if it has followed another one until now; its followers do once their list is too
+// old, since their readers may be dead, or cut off.
+func (ect *endptsCtl) untilDue(src source, now clock.Milli) clock.Milli {
+	due := ect.readAt + clock.FromDuration(pollInterval)
+	if src == fromOther && ect.loaded {
+		due = max(due, ect.listed.asOf+maxListAge+ect.ageSpread)
+	}
+	return due - now
+}
+
 // fetch reads the entries, unless the store is down. While no reader has updates, an instance that
 // has had no answer itself does not know whether the store is up.
-func (ect *endptsCtl) fetch(ctx context.Context) (proto.Listing, error) {
-	if ect.ctl.storeDown(ctx) || ect.ctl.View().storeSilence(ect.ctl.set.Clock.Now()) > maxStoreSilence {
+func (ect *endptsCtl) fetch(ctx context.Context, src source) (proto.Listing, error) {
+	vw := ect.ctl.View()
+	if ect.ctl.storeDown(ctx) || src == fromStoreRarely && vw.storeSilence(ect.ctl.set.Clock.Now()) > maxStoreSilence {
 		return proto.Listing{}, errStoreDown
 	}
 	rctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -113,25 +137,10 @@
 	}
 }
 
-// isFollowing reports whether a reader has sent an update recently. That this instance does not
-// read the store meanwhile does not count as an outage: endpoints missing from a reader's list are
-// gone, and must not come back with the first list that this instance reads itself.
-func (ect *endptsCtl) isFollowing(ctx context.Context) bool {
-	following, _ := loop.Get(ctx, ect.ctl.loop, ect.followingAt)
-	return following
-}
-
-func (ect *endptsCtl) followingAt(now clock.Milli) bool {
-	following := now-ect.followedAt < followGrace
-	if following {
-		ect.loaded, ect.down = true, false
-	}
-	return following
-}
-
 // applyRead applies the answer to a read of the entries that was sent at an instant.
 func (ect *endptsCtl) applyRead(lst proto.Listing, err error, sent, now clock.Milli) {
 	ect.ctl.docs.fromReader = endpointList{}
+	ect.readAt = now
 	if ect.ctl.set.Store.Era != nil {
 		ect.ctl.docs.enterEra(ect.ctl.set.Store.Era(), now)
 	}
@@ -202,8 +211,12 @@
 	ect.apply(list, now)
 }
 
-// receiveFrom applies a reader's list.
+// receiveFrom applies a reader's list. That this instance does not read the store meanwhile does not
+// count as an outage: endpoints missing from a reader's list are gone, and must not come back with the
+// first list that this instance reads itself.
 func (ect *endptsCtl) receiveFrom(lst endpointList, listed provenance, now clock.Milli) {
+	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
+	ect.loaded, ect.down = true, false
 	if ect.digest == lst.Digest && !listed.isBefore(ect.listed) {
 		listed.asOf = max(listed.asOf, ect.listed.asOf)
 		ect.listed = listed
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -144,7 +144,6 @@
 		if upd.Digest != 0 && upd.Digest == dct.fromReader.Digest {
 			ctl.endpts.receiveFrom(dct.fromReader, upd.List.provenance(ctl.endpts.listed, sent+upd.Held, string(who)), now)
 		}
-		ctl.endpts.followedAt = now
 	})
 	return nil
 }
