internal/state: an outage of the store is told by its answers, not by silence

An instance took its own first read, the loss of its readers and reads that it had not even sent for the return of the store. Instances tell one another over which time the store has answered reads of the list, and join what they know; only a failed read ends it, unless the store answered others since. Entries are kept by the instant of the read, and read again as soon as live endpoints have renewed theirs, 2.3 s after the store's return, where one interval was added. A failed read no longer makes a follower fetch the whole list. The uptimes in TestOwnOutageKeepsNoEndpoints are given as reads, its checks stand.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -146,8 +146,10 @@
 	Known   bool        `cbor:"9,keyasint,omitempty"`
 	Applied int64       `cbor:"10,keyasint,omitempty"`
 	Age     clock.Milli `cbor:"11,keyasint,omitempty"`
-	// StoreUptime is how long the store has answered the sender without a failure.
-	StoreUptime clock.Milli `cbor:"12,keyasint,omitempty"`
+	// StoreUptime is how long the store has answered the sender, or instances that it has heard of, without
+	// a gap, zero if it may be down. StoreReadAge is how long ago the last of these answered reads was sent.
+	StoreUptime  clock.Milli `cbor:"12,keyasint,omitempty"`
+	StoreReadAge clock.Milli `cbor:"17,keyasint,omitempty"`
 	// Facts are facts that the receiver may lack, and Digest is the digest of all facts of the
 	// sender.
 	Facts  []gossip.Fact `cbor:"13,keyasint,omitempty"`
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -24,9 +25,9 @@
 	maxListAgeSpread = 200 * clock.Milli(1)
 	// dueInterval is how often an instance checks whether its list must be read.
 	dueInterval = 100 * clock.Milli(1)
-	// lapsedGrace is how long after an outage of the store entries that expired during it are kept:
-	// endpoints renew them within two seconds, and our own read may come one interval later.
-	lapsedGrace = 2800 * clock.Milli(1)
+	// lapsedGrace is how long after an outage of the store a read may miss entries that expired during
+	// it: endpoints renew them within about two seconds.
+	lapsedGrace = 2300 * clock.Milli(1)
 	// leavingRetention is how long an endpoint is remembered as leaving that is not listed.
 	leavingRetention = 30 * clock.Second
 	// maxFaultLogs bounds the log lines on invalid entries for each read.
@@ -38,6 +39,9 @@
 // never is later than any instant.
 const never = clock.Milli(1 << 62)
 
+// errStoreUnknown is returned in place of a read that would be one of too many.
+var errStoreUnknown = errors.New("the store is read by other instances, if it is up")
+
 // endptsCtl owns the endpoints.
 type endptsCtl struct {
 	ctl  *Control
@@ -56,15 +60,14 @@
 	leaving map[ident.Process]clock.Milli
 	// runs has the latest run of each endpoint that was listed recently.
 	runs runs
-	// upSince is the time since which the store has answered without a failure.
-	upSince clock.Milli
-	// otherUpSince is the same for another instance, as last reported by one.
-	otherUpSince clock.Milli
+	// reads is since when the store has answered.
+	reads reads
 	// missingSince is when the store came back from a copy, which may lack entries.
 	missingSince clock.Milli
-	down         bool
-	loaded       bool
-	faults       map[string]bool
+	// keptUntil is when a read of the store no longer misses entries that expired, zero if none are kept.
+	keptUntil clock.Milli
+	loaded    bool
+	faults    map[string]bool
 	// readAt is when the last read of the store by this instance ended.
 	readAt clock.Milli
 }
@@ -102,6 +105,9 @@
 	if src == fromOther && ect.loaded {
 		due = max(due, ect.listed.asOf+maxListAge+ect.ageSpread)
 	}
+	if src == fromStore && ect.keptUntil > 0 {
+		due = min(due, ect.keptUntil)
+	}
 	return due - now
 }
 
@@ -109,8 +115,11 @@
 // has had no answer itself does not know whether the store is up.
 func (ect *endptsCtl) fetch(ctx context.Context, src source) (proto.Listing, error) {
 	vw := ect.ctl.View()
-	if ect.ctl.storeDown(ctx) || src == fromStoreRarely && vw.storeSilence(ect.ctl.set.Clock.Now()) > maxStoreSilence {
+	switch {
+	case ect.ctl.storeDown(ctx):
 		return proto.Listing{}, errStoreDown
+	case src == fromStoreRarely && vw.storeSilence(ect.ctl.set.Clock.Now()) > maxStoreSilence:
+		return proto.Listing{}, errStoreUnknown
 	}
 	rctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -120,49 +129,31 @@
 // endpointsKnown reports whether endpoints were read, or received from another instance.
 func (ect *endptsCtl) endpointsKnown() bool { return ect.loaded || len(ect.list) > 0 }
 
-// uptime returns for how long the store has answered without a failure, zero if it does not answer.
-func (ect *endptsCtl) uptime(now clock.Milli) clock.Milli {
-	if ect.down || !ect.loaded {
-		return 0
-	}
-	return now - ect.upSince
-}
-
-// recordOtherUptime records for how long the store has answered another instance. An outage that
-// the other one did not see was our own: endpoints missing after it are gone, and would otherwise
-// get requests for seconds more.
-func (ect *endptsCtl) recordOtherUptime(span, now clock.Milli) {
-	if span > 0 {
-		ect.otherUpSince = now - span
-	}
-}
-
 // applyRead applies the answer to a read of the entries that was sent at an instant.
 func (ect *endptsCtl) applyRead(lst proto.Listing, err error, sent, now clock.Milli) {
-	ect.ctl.docs.fromReader = endpointList{}
 	ect.readAt = now
 	if ect.ctl.set.Store.Era != nil {
 		ect.ctl.docs.enterEra(ect.ctl.set.Store.Era(), now)
 	}
 	if err != nil {
-		if !ect.down {
-			// Uptimes reported earlier say nothing about an outage that begins now.
-			ect.otherUpSince = never
+		if !errors.Is(err, errStoreUnknown) {
+			ect.reads.failed(now)
 		}
-		ect.down = true
 		return
 	}
-	if ect.down || !ect.loaded {
-		ect.upSince = now
-	}
+	ect.ctl.docs.fromReader = endpointList{}
+	ect.reads.answered(sent)
 	// Requests may wait for the first list, also for an empty one.
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
-	ect.down, ect.loaded = false, true
+	ect.loaded = true
 	ect.logFaults(lst.Faults)
 	list := lst.Endpoints
 	entries := takeEntries(list)
-	if now-min(ect.upSince, ect.otherUpSince) < lapsedGrace || now-ect.missingSince < lapsedGrace {
-		list = ect.withLapsed(list)
+	ect.keptUntil = 0
+	if until := max(ect.reads.since, ect.missingSince) + lapsedGrace; sent < until {
+		if list = ect.withLapsed(list); len(list) > len(lst.Endpoints) {
+			ect.keptUntil = until
+		}
 	}
 	ect.logKept(len(list)-len(lst.Endpoints), now)
 	ect.receive(list, provenance{pos: lst.Position, asOf: sent, from: listedByStore}, now)
@@ -211,12 +202,10 @@
 	ect.apply(list, now)
 }
 
-// receiveFrom applies a reader's list. That this instance does not read the store meanwhile does not
-// count as an outage: endpoints missing from a reader's list are gone, and must not come back with the
-// first list that this instance reads itself.
+// receiveFrom applies a reader's list.
 func (ect *endptsCtl) receiveFrom(lst endpointList, listed provenance, now clock.Milli) {
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
-	ect.loaded, ect.down = true, false
+	ect.loaded = true
 	if ect.digest == lst.Digest && !listed.isBefore(ect.listed) {
 		listed.asOf = max(listed.asOf, ect.listed.asOf)
 		ect.listed = listed
@@ -295,7 +284,7 @@
 	}
 	for id, ep := range before {
 		ect.ctl.set.Log.Info().Str("endpoint", string(id)).Str("pool", ep.Pool).Str("addr", ep.Addr).
-			Int64("store_up_ms", int64(now-ect.upSince)).
+			Int64("store_up_ms", int64(now-ect.reads.since)).
 			Str("from", ect.listed.from).Int64("list_age_ms", int64(now-ect.listed.asOf)).Msg("endpoint gone")
 	}
 }
@@ -306,7 +295,7 @@
 		return
 	}
 	ect.kept = count
-	ect.ctl.set.Log.Info().Int("kept", count).Int64("store_up_ms", int64(now-ect.upSince)).Int64("other_up_ms", int64(now-min(ect.otherUpSince, now))).
+	ect.ctl.set.Log.Info().Int("kept", count).Int64("store_up_ms", int64(now-ect.reads.since)).Bool("copy", ect.missingSince > ect.reads.since).
 		Int64("list_age_ms", int64(now-ect.listed.asOf)).Msg("missing entries kept as after an outage of the store")
 }
 
--- a/internal/state/endpts_test.go
+++ b/internal/state/endpts_test.go
@@ -42,6 +42,7 @@
 	ect := newEndpts()
 	ect.apply(list("a", "b"), 0)
 	ect.receiveFrom(endpointList{Digest: 1, List: list("a", "b")}, provenance{asOf: 9000, from: "reader"}, 9000)
+	ect.reads.merge(reads{known: true, since: 0, until: 9000})
 	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10200, 10200)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
 }
@@ -69,11 +70,11 @@
 	gom := gomega.NewWithT(t)
 	ect := newEndpts()
 	ect.applyRead(proto.Listing{Endpoints: list("a", "b")}, nil, 0, 0)
-	ect.recordOtherUptime(1000, 4000)
+	ect.reads.merge(reads{known: true, since: 3000, until: 4000})
 	ect.applyRead(proto.Listing{}, errors.New("cut off"), 5000, 5000)
 	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10000, 10000)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "b"}), "an uptime reported before the outage says nothing about it")
-	ect.recordOtherUptime(9000, 10100)
+	ect.reads.merge(reads{known: true, since: 1100, until: 10100})
 	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 10200, 10200)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
 }
--- a/internal/state/exchange.go
+++ b/internal/state/exchange.go
@@ -19,7 +19,10 @@
 // the store, digest of the facts, position of the evacuations, and offset and age of the documents.
 func (ctl *Control) attachState(msg *peer.Message) {
 	msg.Leaving = ctl.endpts.leavingIDs()
-	msg.StoreUptime = ctl.endpts.uptime(ctl.set.Clock.Now())
+	now, rds := ctl.set.Clock.Now(), ctl.endpts.reads
+	if msg.StoreUptime = rds.uptime(now); msg.StoreUptime > 0 {
+		msg.StoreReadAge = now - rds.until
+	}
 	msg.Digest = ctl.facts.spread.Digest()
 	msg.Evacuations = ctl.evacs.attached()
 	if ctl.docs.plan != nil {
@@ -34,8 +37,8 @@
 		ctl.endpts.markLeaving(ident.Process(id), "reported by another instance", now)
 	}
 	ctl.facts.receive(msg, sent > 0, now)
-	if sent > 0 {
-		ctl.endpts.recordOtherUptime(msg.StoreUptime, sent)
+	if sent > 0 && msg.StoreUptime > 0 {
+		ctl.endpts.reads.merge(reads{known: true, since: sent - msg.StoreUptime, until: sent - msg.StoreReadAge})
 	}
 	lacks := ctl.evacs.receive(msg.Evacuations)
 	switch {
@@ -101,6 +104,7 @@
 				dct.ctl.evacs.apply(*snp.Evacuations, sent-snp.Age, now, string(from))
 			}
 			dct.applyPeer(proto.Document{Position: proto.Position{Era: snp.Era, Offset: snp.Offset}, Text: snp.Text}, sent-snp.Age, now, string(from))
+			dct.ctl.endpts.reads.merge(snp.List.reads(sent))
 			dct.ctl.endpts.applySnapshot(snp.Endpoints, snp.List.provenance(provenance{}, sent, listedByState), now)
 			dct.ctl.facts.take(snp.Cold, now)
 			dct.ctl.list.Merge(snp.Members, now)
@@ -151,7 +155,7 @@
 	rec := ctl.evacs.set.Records(now)
 	body, err := cbor.Marshal(snapshot{
 		Offset: ctl.docs.doc.Offset, Text: ctl.docs.doc.Text, Age: now - ctl.docs.asOf, Endpoints: ctl.endpts.list,
-		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec, List: ctl.endpts.listed.mark(now), Cold: ctl.cold.current(now),
+		Members: ctl.list.AllUpdates(), Era: ctl.docs.doc.Era, Evacuations: &rec, List: ctl.endpts.listed.mark(ctl.endpts.reads, now), Cold: ctl.cold.current(now),
 	})
 	if err != nil {
 		return peer.Message{Kind: peer.Nack, From: ctl.set.Self}
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -141,6 +141,7 @@
 		}
 		// Also without changes: the list may have been older than ours when it was received, and has been
 		// read again since.
+		ctl.endpts.reads.merge(upd.List.reads(sent + upd.Held))
 		if upd.Digest != 0 && upd.Digest == dct.fromReader.Digest {
 			ctl.endpts.receiveFrom(dct.fromReader, upd.List.provenance(ctl.endpts.listed, sent+upd.Held, string(who)), now)
 		}
@@ -152,7 +153,7 @@
 	mrk := dct.ctl.evacs.set.Mark()
 	return updateRequest{
 		Offset: dct.doc.Offset, Version: dct.version(), Digest: dct.fromReader.Digest, Builds: dct.fromReader.Builds, Evacuations: &mrk,
-		List: dct.ctl.endpts.listed.mark(dct.ctl.set.Clock.Now()),
+		List: dct.ctl.endpts.listed.mark(reads{}, dct.ctl.set.Clock.Now()),
 	}
 }
 
@@ -175,7 +176,7 @@
 	if vw.answeredAt == 0 && vw.plan == nil {
 		return ans
 	}
-	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, StoreEra: vw.storeEra, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now), List: vw.listed.mark(now)}
+	upd := update{Offset: vw.position.Offset, Version: max(versionOf(vw.plan), 0), Era: vw.position.Era, StoreEra: vw.storeEra, Age: vw.Age(now), Held: now - began, StoreSilence: vw.storeSilence(now), List: vw.listed.mark(vw.reads, now)}
 	if vw.endpointsKnown {
 		upd.Digest = vw.digest
 	}
--- a/internal/state/listing.go
+++ b/internal/state/listing.go
@@ -27,19 +27,34 @@
 	return prv.pos.Era < oth.pos.Era || prv.pos.Before(oth.pos)
 }
 
-// listMark is a [provenance] on the wire.
+// listMark is a [provenance] on the wire, with the [reads] that the sender knows of.
 type listMark struct {
 	Era    int64       `cbor:"1,keyasint"`
 	Offset int64       `cbor:"2,keyasint"`
 	Age    clock.Milli `cbor:"3,keyasint"`
+	// Since and Until are how long ago the first and the last of the reads were sent.
+	Since clock.Milli `cbor:"4,keyasint,omitempty"`
+	Until clock.Milli `cbor:"5,keyasint,omitempty"`
 }
 
 // mark returns the provenance for another instance, nil if no list is known.
-func (prv provenance) mark(now clock.Milli) *listMark {
+func (prv provenance) mark(rds reads, now clock.Milli) *listMark {
 	if prv.from == "" {
 		return nil
 	}
-	return &listMark{Era: prv.pos.Era, Offset: prv.pos.Offset, Age: now - prv.asOf}
+	mrk := &listMark{Era: prv.pos.Era, Offset: prv.pos.Offset, Age: now - prv.asOf}
+	if rds.known {
+		mrk.Since, mrk.Until = now-rds.since, now-rds.until
+	}
+	return mrk
+}
+
+// reads returns the reads that a mark tells of which was made at an instant or later.
+func (mrk *listMark) reads(made clock.Milli) reads {
+	if mrk == nil || mrk.Since == 0 {
+		return reads{}
+	}
+	return reads{known: true, since: made - mrk.Since, until: made - mrk.Until}
 }
 
 // provenance returns what a mark says that was made at an instant or later. Instances of earlier
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -21,6 +21,7 @@
 	endpoints []proto.Endpoint
 	// listed tells where the endpoints come from.
 	listed provenance
+	reads  reads
 	// evacuations are the evacuated data centres, and eligible are the endpoints with those there withheld,
 	// nil if there are none.
 	evacuations evac.Set
