internal/state: a new reader of the store is not taken for one that the store doesn't answer

What callers saw: with each change of readers followers turned away from the new one for three seconds (the record's lines on readers without a recent answer, of instances whose documents were confirmed 0.7 s before). An instance that has followed another one has no answer of its own, and said so as if it had asked. The silence of the store counts from its last answer or from the first read that it was asked for, whichever is later. TestNewReaderIsNotSilent: 2,105 ms of silence told before, under 1,000 ms now; its mutant fails it.

--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -60,8 +60,10 @@
 	// has read the store itself.
 	fromReader endpointList
 	// lastAnswer is when the store last answered, storeDelay how much longer than the requested
-	// hold that took.
+	// hold that took. askedSince is when this instance began to read the store itself, never while it
+	// follows another one.
 	lastAnswer clock.Milli
+	askedSince clock.Milli
 	storeDelay clock.Milli
 	// ignored is the position of the older documents that were last ignored.
 	ignored proto.Position
@@ -74,6 +76,7 @@
 	for ctx.Err() == nil {
 		who, src := dct.ctl.source(dct.ctl.set.Clock.Now())
 		if src == fromOther && unanswered < maxUnanswered {
+			dct.setAsking(ctx, false)
 			// When the store is read directly again, that begins with a full read.
 			from = unread
 			switch err := dct.followOnce(ctx, who, false); {
@@ -87,6 +90,7 @@
 		if src == fromStoreRarely && from == unread && dct.followAny(ctx) {
 			continue
 		}
+		dct.setAsking(ctx, true)
 		next, err := dct.read(ctx, from)
 		unanswered = 0
 		dct.recordContact(ctx, err)
@@ -109,6 +113,19 @@
 	}
 }
 
+// setAsking records whether this instance reads the store itself. What it has not asked for proves no
+// silence of the store: others would leave a new reader for it.
+func (dct *docsCtl) setAsking(ctx context.Context, asks bool) {
+	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
+		switch {
+		case !asks:
+			dct.askedSince = never
+		case dct.askedSince == never:
+			dct.askedSince = now
+		}
+	})
+}
+
 // retryPause returns the pause after a number of consecutive failures.
 func retryPause(fails int) time.Duration {
 	return retry.Jittered(min(minRetryPause<<min(fails, maxRetryDoublings), maxRetryPause) / 2).Duration()
--- a/internal/state/listing_test.go
+++ b/internal/state/listing_test.go
@@ -204,12 +204,13 @@
 }
 
 // addReader runs a reader of a store, and makes it known to a follower. After the context has ended it is silent.
-func addReader(ctx context.Context, t *testing.T, follower *Control, sto proto.Store) {
+func addReader(ctx context.Context, t *testing.T, follower *Control, sto proto.Store) ident.Incarnation {
 	t.Helper()
 	_, who, _ := linkedWith(t, sto, Setup{}, func(addr string) string { return forwarded(ctx, t, addr) })
 	follower.loop.Do(t.Context(), func(now clock.Milli) {
 		follower.list.Merge([]member.Update{{ID: who, Zone: "z", Caller: who.Addr(), Seq: 1}}, now)
 	})
+	return who
 }
 
 // forwarded returns an address whose packets are forwarded to another one, and back, until the context ends.
--- a/internal/state/start_test.go
+++ b/internal/state/start_test.go
@@ -178,6 +178,35 @@
 	gom.Expect((&View{answeredAt: 1000}).storeSilence(1000 + between)).To(gomega.BeNumerically(">", maxStoreSilence))
 }
 
+// Guards against followers that leave a new reader, and keep away from it for seconds, since it says that the store is
+// silent: it has followed another instance until now, and the store is just answering its first read.
+func TestNewReaderIsNotSilent(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var slow atomic.Bool
+	sto := newListStore(1, list("a")...).client()
+	sto.Document = func(ctx context.Context) (proto.Document, error) {
+		if slow.Load() {
+			pause(ctx, 300*time.Millisecond)
+		}
+		return proto.Document{Position: proto.Position{Offset: 1}, End: 2}, nil
+	}
+	follower, _, _ := linkedWith(t, sto, blindSetup, sameAddr)
+	readers := []ident.Incarnation{addReader(t.Context(), t, follower, newListStore(1, list("a")...).client()), addReader(t.Context(), t, follower, newListStore(1, list("a")...).client())}
+	gom.Eventually(func() clock.Milli { return follower.View().askedSince }, soon).Should(gomega.Equal(never))
+	time.Sleep(maxStoreSilence.Duration() + 500*time.Millisecond)
+	slow.Store(true)
+	follower.loop.Do(t.Context(), func(now clock.Milli) {
+		for _, who := range readers {
+			follower.list.MarkEnded(who, now)
+		}
+	})
+	gom.Eventually(func() clock.Milli { return follower.View().askedSince }, soon, time.Millisecond).ShouldNot(gomega.Equal(never))
+	body, _ := cbor.Marshal(updateRequest{Offset: 1})
+	var upd update
+	gom.Expect(cbor.Unmarshal(follower.ServeFollower(t.Context(), peer.Message{Body: body}).Body, &upd)).To(gomega.Succeed())
+	gom.Expect(upd.StoreSilence).To(gomega.BeNumerically("<", maxStoreSilence))
+}
+
 // Guards against a reader that has documents but not yet endpoints and sends an empty list: a
 // follower that had read the endpoints itself was left with none for half a second.
 func TestNewReaderSendsNoEmptyList(t *testing.T) {
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -42,6 +42,7 @@
 	// that took.
 	answeredAt  clock.Milli
 	storeDelay  clock.Milli
+	askedSince  clock.Milli
 	sources     sources
 	text        []byte
 	leaving     bool
@@ -201,9 +202,14 @@
 // knows the documents before the endpoints, and both before the requests that are quarantined.
 func (vw *View) servable() bool { return vw.plan != nil && vw.endpointsKnown && vw.factsKnown }
 
-// storeSilence returns how long the store has not answered, beyond its usual delay.
+// storeSilence returns how long the store has not answered this instance, beyond its usual delay. What the
+// instance had not asked for counts only while it follows another one.
 func (vw *View) storeSilence(now clock.Milli) clock.Milli {
-	return max(now-vw.answeredAt-vw.storeDelay, 0)
+	since := vw.answeredAt
+	if vw.askedSince != never {
+		since = max(since, vw.askedSince)
+	}
+	return max(now-since-vw.storeDelay, 0)
 }
 
 // Ready reports whether callers should be sent here. An instance whose documents may be outdated is
