internal/node: calls of an instance go to no endpoint that left while their connection was opened

Looked for elsewhere, the same cause: requests are checked again once they are connected, batches and queries were checked for evacuations only, and an attempt to connect takes up to a second.

--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -276,7 +276,7 @@
 func (pol *pool) withdrawBatch(bat gather.Batch) {
 	pol.mtx.Lock()
 	defer pol.mtx.Unlock()
-	pol.set.Log.Info().Str("pool", pol.name).Str("endpoint", bat.Endpoint.ID).Int("pieces", len(bat.Items)).Msg("batch withheld from an evacuated data centre")
+	pol.set.Log.Info().Str("pool", pol.name).Str("endpoint", bat.Endpoint.ID).Int("pieces", len(bat.Items)).Msg("batch withheld, its endpoint has left or is in an evacuated data centre")
 	pol.sched.End(bat.ID, gather.Canceled, nil, pol.set.Clock.Now())
 	for _, itm := range bat.Items {
 		ref, ok := pol.refs[itm.ID]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -225,10 +225,10 @@
 }
 
 // dialAllowed opens a connection for calls of this instance itself. Opening one takes up to a second, in which
-// the data centre may be evacuated.
+// the data centre may be evacuated, or the endpoint become known to leave.
 func (nod *Node) dialAllowed(ctx context.Context, network, addr string) (net.Conn, error) {
 	con, err := nod.dialer.DialContext(ctx, network, addr)
-	if err == nil && !nod.ctl.MaySendTo(addr, "") {
+	if err == nil && (!nod.ctl.MaySendTo(addr, "") || nod.ctl.View().HasLeft(addr)) {
 		_ = con.Close()
 		return nil, proto.ErrWithheld
 	}
--- a/internal/node/notice_test.go
+++ b/internal/node/notice_test.go
@@ -5,13 +5,17 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/dial"
+	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
@@ -129,6 +133,57 @@
 	})
 })
 
+var _ = ginkgo.Describe("a batch whose endpoint announces its end", func() {
+	// Guards against a batch that is sent over a connection which was being opened when its endpoint became known to
+	// leave.
+	ginkgo.It("while the connection is opened goes to another endpoint", func() {
+		tbd := newTestbed(0)
+		first := tbd.stages[0]
+		var held atomic.Bool
+		dialling, proceed := make(chan string, 99), make(chan struct{})
+		nod := tbd.startWithLink(func(nod *Node) {
+			direct := dial.Direct(dial.EndpointSilence)
+			nod.SetDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+				con, err := direct.DialContext(ctx, network, addr)
+				if held.Load() && addr == tbd.servers[first.ID()].Addr() {
+					dialling <- addr
+					<-proceed
+				}
+				return con, err
+			})
+		})
+		tbd.waitJoined()
+		eventually(func() bool {
+			return slices.ContainsFunc(nod.ctl.View().Endpoints(), func(ep proto.Endpoint) bool { return ep.ID.Name() == first.ID() })
+		}, pollTimeout).Should(gomega.BeTrue())
+		began := time.Now()
+		held.Store(true)
+		answers := make(chan response, 12)
+		for i := range 12 {
+			go func() {
+				rqt := stageRequest
+				rqt.id, rqt.body = fmt.Sprint("batched-", i), fmt.Sprint("body ", i)
+				answers <- tbd.send(0, rqt)
+			}()
+		}
+		eventually(dialling, pollTimeout).Should(gomega.Receive())
+		for _, ep := range nod.ctl.View().Endpoints() {
+			if ep.ID.Name() == first.ID() {
+				nod.ctl.EndpointLeaving(ep.ID, "test")
+				eventually(func() bool { return nod.ctl.View().IsLeaving(ep.ID) }, pollTimeout).Should(gomega.BeTrue())
+			}
+		}
+		held.Store(false)
+		close(proceed)
+		for range 12 {
+			var rsp response
+			eventually(answers, pollTimeout).Should(gomega.Receive(&rsp))
+			expect(rsp.status).To(equal(http.StatusOK), rsp.body)
+		}
+		expect(slices.DeleteFunc(arrivedAfter(began, first), func(text string) bool { return strings.Contains(text, fake.PathRelease) })).To(gomega.BeEmpty())
+	})
+})
+
 var _ = ginkgo.Describe("an endpoint that asks an instance for rest", func() {
 	// Guards against requests that an endpoint gets from an instance to which it has given a time to come
 	// back.
--- a/internal/proto/proto.go
+++ b/internal/proto/proto.go
@@ -268,8 +268,9 @@
 // ErrFull is returned for a batch that an endpoint had no free slot for.
 var ErrFull = errs.New("the endpoint has no free slot")
 
-// ErrWithheld is returned for a call that was not sent because its endpoint is in an evacuated data centre.
-var ErrWithheld = errs.New("the data centre of the endpoint is evacuated")
+// ErrWithheld is returned for a call that was not sent because its endpoint is in an evacuated data centre, or has
+// left.
+var ErrWithheld = errs.New("the endpoint has left, or its data centre is evacuated")
 
 // Store is the client of the store.
 type Store struct {
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"slices"
+
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/evac"
@@ -174,6 +176,11 @@
 	return !ok || ep.Leaving
 }
 
+// HasLeft reports whether the endpoints at an address are all leaving or gone.
+func (vw *View) HasLeft(addr string) bool {
+	return !slices.ContainsFunc(vw.endpoints, func(ep proto.Endpoint) bool { return ep.Addr == addr && !ep.Leaving })
+}
+
 // Build returns the build of an endpoint, empty if it is unknown.
 func (vw *View) Build(id ident.Process) string {
 	ep, _ := find(vw.endpoints, id)
