internal/state, internal/front: builds that served outlast the instances

What callers saw, in the report: streams joined from two versions after all instances were killed. Here a stream without a name is known by its request; after a loss of all the same request may have begun again at the build that is left, and an older break was joined to it. One build listed now was taken for one build all the while. Named ones were refused already. The spec failed before (200 for 503) and passes; three mutants fail it and the spec for several builds.

--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -25,7 +25,8 @@
 
 // resume binds a request that resumes a stream to the build that began it. Callers name the attempt that
 // brought the first event. Without a name the stream is known by its request alone; that may be another
-// caller's as well, so that it is resumed only while all endpoints are of one build.
+// caller's as well, or from before all instances were lost, so that it is resumed only while all endpoints are, and were, of
+// one build.
 func (fr *Front) resume(ctx context.Context, cl *call, nxt chain.Next[*call]) outcm.Result {
 	if !cl.route.Resumable() || cl.ask.LastEvent == "" && cl.ask.Resumes == "" {
 		return nxt(ctx, cl)
@@ -48,13 +49,19 @@
 		return outcm.New(outcm.NotRun, outcm.BuildUnknown, "it is not known which build began the stream")
 	case !fr.pools.HasBuild(fnd.Pool, fnd.Build):
 		return outcm.New(outcm.NotRun, outcm.BuildGone, "no endpoint of the build that began the stream serves: "+strconv.Quote(fnd.Build))
-	case cl.ask.Resumes == "" && len(fr.pools.OtherBuilds(fnd.Pool, fnd.Build)) > 0:
-		return outcm.New(outcm.NotRun, outcm.BuildUnknown, "the request doesn't name the attempt that began the stream, and several builds serve")
+	case cl.ask.Resumes == "" && !fr.isOnlyBuild(fnd.Pool, fnd.Build):
+		return outcm.New(outcm.NotRun, outcm.BuildUnknown, "the request doesn't name the attempt that began the stream, and several builds serve, or did lately")
 	}
 	cl.bound = binding{is: true, pool: fnd.Pool, build: fnd.Build}
 	return outcm.Result{}
 }
 
+// isOnlyBuild reports whether no endpoint of another build of a pool serves, or did for as long as streams may be
+// resumed.
+func (fr *Front) isOnlyBuild(pool, build string) bool {
+	return len(fr.pools.OtherBuilds(pool, build)) == 0 && fr.set.Control.View().ServedBuildOnly(pool, build)
+}
+
 // targetPools returns the pools at which a request's stream may have begun.
 func targetPools(cl *call) []string {
 	var list []string
--- a/internal/node/build_test.go
+++ b/internal/node/build_test.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// sharedRecord is the key of the record that the instances share in the store.
+const sharedRecord = "kept"
+
 // stream is a stream as its caller sees it, over its tries.
 type stream struct {
 	// first is the attempt that brought the first event, empty for none yet.
@@ -345,6 +348,33 @@
 		}
 	})
 
+	// Guards against a stream that is joined from two builds after the loss of all instances: nobody knows at which build
+	// it began, but the same request has begun again since, at the build that is left.
+	ginkgo.It("is refused without naming an attempt if another build served before all instances were lost", func() {
+		tbd := newBuilds("v1", "v1")
+		expect(tbd.begin(0, "first")).To(equal("v1"))
+		eventually(tbd.store.Instances, pollTimeout).Should(gomega.ContainElement(sharedRecord))
+		for _, nod := range tbd.nodes {
+			nod.Kill()
+		}
+		tbd.nodes = nil
+		for i := range tbd.engines {
+			tbd.store.RemoveEndpoint(tbd.engines[i].ID())
+		}
+		tbd.engines = []*fake.Endpoint{tbd.addBuild("newer-0", "v2"), tbd.addBuild("newer-1", "v2")}
+		for range 2 {
+			tbd.start()
+		}
+		tbd.waitJoined()
+		for node := range tbd.nodes {
+			eventually(func() int { return tbd.send(node, request{path: "/stream/x", body: "a stream"}).status }, pollTimeout).Should(equal(http.StatusOK))
+			id := fmt.Sprint("older-", node)
+			refused(tbd, tbd.resume(node, id), id, "build_unknown")
+			named := fmt.Sprint("named-", node)
+			refused(tbd, tbd.resume(node, named, fake.HeaderResumes, "first"), named, "build_unknown")
+		}
+	})
+
 	// Guards against a request without Last-Event-Id that begins a named stream anew at another build.
 	ginkgo.It("is bound by the attempt that it names also without an event", func() {
 		tbd := newBuilds("v1", "v1.1", "v1.2")
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -200,7 +200,7 @@
 		plan: ctl.docs.plan, position: ctl.docs.doc.Position, storeEra: ctl.docs.eras.era, asOf: ctl.docs.asOf, endpoints: ctl.endpts.list, listed: ctl.endpts.listed, reads: ctl.endpts.reads, endpointsKnown: ctl.endpts.endpointsKnown(), factsKnown: ctl.facts.known, digest: old.digest, builds: old.builds, pastLists: old.pastLists,
 		members: old.members, coordinators: old.coordinators, coordinatorSince: old.coordinatorSince, sources: old.sources, othersFresh: old.othersFresh,
 		leaving: ctl.leaving, text: ctl.docs.doc.Text, answeredAt: ctl.docs.lastAnswer, storeDelay: ctl.docs.storeDelay, askedSince: ctl.docs.askedSince,
-		evacuations: ctl.evacs.set, eligible: old.eligible, suspects: ctl.facts.suspects, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
+		evacuations: ctl.evacs.set, eligible: old.eligible, suspects: ctl.facts.suspects, served: ctl.facts.served, buildsKnown: ctl.facts.loaded, declared: ctl.facts.declared, brittlePools: findBrittlePools(ctl.endpts.list, ctl.facts.declared[gossip.DeclaredBrittle]),
 		cold: ctl.cold.ends, coldPools: findColdPools(ctl.endpts.list, ctl.cold.ends), minority: ctl.minority,
 	}
 	if changed := ctl.list.Changes(); changed != ctl.rankedChanges || ctl.stepped {
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -158,6 +158,7 @@
 	ect.logKept(len(list)-len(lst.Endpoints), now)
 	ect.receive(list, provenance{pos: lst.Position, asOf: sent, from: listedByStore}, now)
 	ect.ctl.cold.entries(entries, now)
+	ect.recordBuilds(now)
 }
 
 // withLapsed adds the known endpoints that are missing from a list, except those whose address
--- a/internal/state/facts.go
+++ b/internal/state/facts.go
@@ -46,8 +46,11 @@
 	declared     map[gossip.Kind]declaredBy
 	evicted      int
 	stored       storedState
-	// known is set once the facts in the store have been read, or could not be.
-	known bool
+	// known is set once the facts in the store have been read, or could not be; loaded once they have been read.
+	known  bool
+	loaded bool
+	// served are the builds that endpoints had lately.
+	served servedBuilds
 }
 
 func newFacts(ctl *Control) factsCtl {
@@ -57,6 +60,7 @@
 		fcl.spread.Bound(kind, noticeBounds)
 	}
 	fcl.spread.Bound(gossip.Cold, coldBounds)
+	fcl.spread.Bound(gossip.ServedBuild, buildBounds)
 	return fcl
 }
 
@@ -102,6 +106,9 @@
 	if slices.ContainsFunc(facts, func(fct gossip.Fact) bool { return fct.Kind == gossip.Cold }) {
 		fcl.ctl.cold.dirty = true
 	}
+	if slices.ContainsFunc(facts, func(fct gossip.Fact) bool { return fct.Kind == gossip.ServedBuild }) {
+		fcl.readServed(now)
+	}
 	switch {
 	case !slices.ContainsFunc(facts, func(fct gossip.Fact) bool { return fct.Kind == gossip.CrashedUnder }):
 	case fcl.judged <= fewFacts || now-fcl.judgedAt >= judgeInterval:
@@ -125,9 +132,16 @@
 // refresh derives what requests use from the facts.
 func (fcl *factsCtl) refresh(now clock.Milli) {
 	fcl.readNotices(now)
+	fcl.readServed(now)
 	fcl.judge(now)
 }
 
+// readServed derives the builds of pools from the facts.
+func (fcl *factsCtl) readServed(now clock.Milli) {
+	fcl.served = readBuilds(fcl.spread.All(gossip.ServedBuild, now))
+	fcl.stored.wanted = gossip.Digest(fcl.factsToStore(fcl.spread.All(gossip.CrashedUnder, now), now))
+}
+
 // readNotices derives the declared values and leaving endpoints from the facts.
 func (fcl *factsCtl) readNotices(now clock.Milli) {
 	values := map[gossip.Kind]declaredBy{}
@@ -154,7 +168,7 @@
 	}
 	fcl.judged = len(facts)
 	fcl.logConvicted(before, now)
-	fcl.stored.wanted = gossip.Digest(poison.QuarantineFacts(facts, fcl.suspects, maxStoredFingerprints, maxStoredCrashes))
+	fcl.stored.wanted = gossip.Digest(fcl.factsToStore(facts, now))
 	for _, fpr := range fcl.suspects.NewlyQuarantined(before, now) {
 		evt := fcl.ctl.set.Log.Warn().Stringer("mark", fpr)
 		for _, crash := range fcl.suspects.Crashes(fpr) {
--- a/internal/state/storedfacts.go
+++ b/internal/state/storedfacts.go
@@ -11,8 +11,8 @@
 )
 
 // Instances have no storage of their own, and all may end at once. New instances without facts
-// would then admit the requests that crashed endpoints before. So the facts behind quarantines are
-// written to the store beside the instance entries, which every starting instance reads.
+// would then admit the requests that crashed endpoints before, and join streams from two builds. So the facts behind
+// quarantines and those on builds are written to the store beside the instance entries, which every starting instance reads.
 
 const (
 	// storeInterval is the minimum time between two writes.
@@ -60,22 +60,24 @@
 	if fcl.spread.Receive(std.Facts, true, now) {
 		fcl.refresh(now)
 	}
-	fcl.stored.digest = gossip.Digest(std.Facts)
+	fcl.stored.digest, fcl.loaded = gossip.Digest(std.Facts), true
 }
 
-// quarantineFacts returns the facts that should be in the store.
-func (fcl *factsCtl) quarantineFacts(now clock.Milli) []gossip.Fact {
-	return poison.QuarantineFacts(fcl.spread.All(gossip.CrashedUnder, now), fcl.suspects, maxStoredFingerprints, maxStoredCrashes)
+// factsToStore returns the facts that should be in the store: those on crashes that are behind quarantines, and
+// those on builds.
+func (fcl *factsCtl) factsToStore(crashes []gossip.Fact, now clock.Milli) []gossip.Fact {
+	list := poison.QuarantineFacts(crashes, fcl.suspects, maxStoredFingerprints, maxStoredCrashes)
+	return append(list, fcl.spread.All(gossip.ServedBuild, now)...)
 }
 
-// writeStored writes the facts on quarantined requests if those in the store differ; only the first
+// writeStored writes the facts for the store if those in the store differ; only the first
 // reader does this.
 func (fcl *factsCtl) writeStored(now clock.Milli) {
 	std := &fcl.stored
 	if std.wanted == std.digest || std.writing || now-std.wrote < storeInterval || fcl.ctl.docs.down || !fcl.ctl.announced.Load() || !fcl.ctl.isMaintainer() {
 		return
 	}
-	list, digest := fcl.quarantineFacts(now), std.wanted
+	list, digest := fcl.factsToStore(fcl.spread.All(gossip.CrashedUnder, now), now), std.wanted
 	var text []byte
 	if len(list) > 0 {
 		var err error
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -53,7 +53,11 @@
 	declared    map[gossip.Kind]declaredBy
 	// brittlePools has the pools with brittle endpoints.
 	brittlePools map[string]bool
-	cold         map[ident.Process]coldEnd
+	// served are the builds that endpoints had lately; buildsKnown is set if these include the builds from before
+	// this instance started.
+	served      servedBuilds
+	buildsKnown bool
+	cold        map[ident.Process]coldEnd
 	// coldPools has the pools with cold endpoints.
 	coldPools map[string]bool
 	// minority is set while this instance may be partitioned from a majority of the others.
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -31,6 +31,8 @@
 	// Cold: an endpoint is cold; the key is the endpoint, the value the time that it was cold for
 	// when the fact was recorded.
 	Cold // cold
+	// ServedBuild: a pool has endpoints of a build; the key names both.
+	ServedBuild // served_build
 )
 
 // Fact is the wire form of a fact.
--- a/pkg/gossip/kind_string.go
+++ b/pkg/gossip/kind_string.go
@@ -13,11 +13,12 @@
 	_ = x[DeclaredBrittle-3]
 	_ = x[Leaving-4]
 	_ = x[Cold-5]
+	_ = x[ServedBuild-6]
 }
 
-const _Kind_name = "ended_undernamed_ratebrittleleavingcold"
+const _Kind_name = "ended_undernamed_ratebrittleleavingcoldserved_build"
 
-var _Kind_index = [...]uint8{0, 11, 21, 28, 35, 39}
+var _Kind_index = [...]uint8{0, 11, 21, 28, 35, 39, 51}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
