--- a/internal/state/builds.go
+++ b/internal/state/builds.go
@@ -1,8 +1,11 @@
 package state
 
 import (
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/gossip"
 	"amaranthvalve/pkg/sticky"
@@ -16,6 +19,8 @@
 	buildRenewal = sticky.Retention / 4
 	// maxBuilds bounds the known builds of all pools.
 	maxBuilds = 1024
+	// maxBuildName bounds the name of a build, in bytes.
+	maxBuildName = 64
 	// isServed is the value of the fact that a pool has endpoints of a build.
 	isServed = "1"
 )
@@ -26,8 +31,16 @@
 // servedBuilds has the builds of each pool that were listed lately.
 type servedBuilds map[string]map[string]bool
 
+// buildName returns a build, or a digest of one that is too long to be stored.
+func buildName(build string) string {
+	if len(build) <= maxBuildName {
+		return build
+	}
+	return "xxhash:" + strconv.FormatUint(xxhash.Sum64String(build), 16)
+}
+
 // buildKey returns the key of the fact on a build of a pool.
-func buildKey(pool, build string) string { return pool + "\x00" + build }
+func buildKey(pool, build string) string { return pool + "\x00" + buildName(build) }
 
 // readBuilds returns the builds that facts describe.
 func readBuilds(facts []gossip.Fact) servedBuilds {
@@ -67,7 +80,7 @@
 		return false
 	}
 	for oth := range vw.served[pool] {
-		if oth != build {
+		if oth != buildName(build) {
 			return false
 		}
 	}
