internal/node, internal/batch, internal/relay: each batch has a connection of its own

An endpoint's late second answer was taken for the answer to the next call on its connection; a batch's answer doesn't name its call, so that a connection on which another may follow can't be used again. Final calls had one each already.

--- a/internal/batch/batcher.go
+++ b/internal/batch/batcher.go
@@ -19,10 +19,13 @@
 // Setup holds the dependencies and settings of a [Batcher].
 type Setup struct {
 	Dialect *proto.Dialect
-	Client  *http.Client
-	Clock   clock.Clock
-	Meter   *meter.Meter
-	Log     zerolog.Logger
+	// Client is for calls that may share connections; BatchClient is for batches, whose answers don't name
+	// them, and shares none.
+	Client      *http.Client
+	BatchClient *http.Client
+	Clock       clock.Clock
+	Meter       *meter.Meter
+	Log         zerolog.Logger
 	// Share is the fraction of a pool's items that may be recomputed after their results were lost.
 	// Beyond it, at most Reserve items are retried in each Window: half of them may be retried in
 	// one burst, the other half becomes available at an even rate.
--- a/internal/batch/pool.go
+++ b/internal/batch/pool.go
@@ -250,7 +250,7 @@
 		return
 	}
 	began := pol.set.Clock.Now()
-	made, rep, err := pol.set.Dialect.RunBatch(ctx, pol.set.Client, ep, items)
+	made, rep, err := pol.set.Dialect.RunBatch(ctx, pol.set.BatchClient, ep, items)
 	took := pol.set.Clock.Since(began)
 	if rep.Misdirected {
 		pol.set.OnMisdirected(ep.ID, "another endpoint answers at its address")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,7 +185,7 @@
 	nod.pooled = cli
 	share, reserve, window := nod.set.RetryBudget()
 	btr := batch.New(batch.Setup{
-		Dialect: dia, Client: cli, Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: reserve, Window: window,
+		Dialect: dia, Client: cli, BatchClient: relay.SingleUseClient(nod.dialAllowed, onReply), Clock: nod.clk, Meter: nod.mtr, Log: nod.log, Share: share, Reserve: reserve, Window: window,
 		OnMisdirected:   func(id ident.Process, why string) { nod.ctl.EndpointLeaving(id, why) },
 		ProcessEnded:    nod.dialer.ProcessEnded,
 		RateShare:       func(pool string) float64 { return nod.coord.RateShare(pool) },
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,17 +23,31 @@
 // connections are closed when they have been unused for idle. obs is called with each answer; it
 // may be nil.
 func PooledClient(idle time.Duration, dlf dial.Func, obs Observer) *http.Client {
+	return client(maxIdlePerHost, idle, dlf, obs)
+}
+
+// SingleUseClient returns a client that sends each call on a connection of its own, for calls whose answers
+// don't name them: a late second answer to one call would be read as the answer to the next.
+func SingleUseClient(dlf dial.Func, obs Observer) *http.Client { return client(noIdle, 0, dlf, obs) }
+
+func client(maxIdle int, idle time.Duration, dlf dial.Func, obs Observer) *http.Client {
 	return &http.Client{
 		Transport: &observedTransport{observe: obs, next: &http.Transport{
 			DialContext: dlf, DisableCompression: true,
-			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idle, MaxResponseHeaderBytes: bounds.MaxHeadBytes,
+			MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: idle, MaxResponseHeaderBytes: bounds.MaxHeadBytes,
 		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
-// maxIdlePerHost covers the concurrent calls to one address.
-const maxIdlePerHost = 4
+const (
+	// maxIdlePerHost covers the concurrent calls to one address.
+	maxIdlePerHost = 4
+	// noIdle has a transport reuse no connection. DisableKeepAlives would achieve that too, but sends
+	// "Connection: close" to endpoints; they would then answer the same, which could not be told from an
+	// endpoint that is leaving.
+	noIdle = -1
+)
 
 // Relay forwards requests to endpoints. It is created by [New] and safe for concurrent use.
 type Relay struct {
@@ -51,10 +65,7 @@
 func New(dia *proto.Dialect, dlf dial.Func, obs Observer) *Relay {
 	return &Relay{dia: dia, maxBody: maxBodyBytes, trn: &observedTransport{observe: obs, next: &http.Transport{
 		DialContext: dialTracked(dlf), DisableCompression: true,
-		// No connection is reused. DisableKeepAlives would achieve that too, but sends "Connection:
-		// close" to endpoints; they would then answer the same, which could not be told from an
-		// endpoint that is leaving.
-		MaxIdleConnsPerHost: -1, MaxResponseHeaderBytes: bounds.MaxHeadBytes,
+		MaxIdleConnsPerHost: noIdle, MaxResponseHeaderBytes: bounds.MaxHeadBytes,
 	}}}
 }
 
