pkg/plan, platform: callers need a token also where the last one was revoked

Whether a token is needed was derived from whether there is one; it follows now from whether the document names workspaces.

--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -131,6 +131,23 @@
 		expect(runs(tbd.plain)).To(gomega.HaveLen(before + 1))
 	})
 
+	// Guards against a service that is open to all once the last token of the document has been revoked.
+	ginkgo.It("refuses every token once the last one is revoked", func() {
+		tbd := newTestbed(2)
+		expect(tbd.send(0, request{path: "/booking/x"}).status).To(equal(http.StatusOK))
+		tbd.keys = []string{}
+		tbd.publish(nil)
+		for i, nod := range tbd.nodes {
+			eventually(func() int { return int(nod.ctl.View().Plan().Version()) }, pollTimeout).Should(equal(tbd.version))
+			before := len(runs(tbd.plain))
+			for _, token := range []string{key, "never-held", ""} {
+				rsp := tbd.send(i, request{path: "/booking/x", header: map[string]string{fake.HeaderAuthorize: fake.Bearer + token}})
+				expect(rsp.status).To(equal(http.StatusUnauthorized), "%q: %s", token, rsp.body)
+			}
+			expect(runs(tbd.plain)).To(gomega.HaveLen(before))
+		}
+	})
+
 	// Two of three instances read the store for all. The readers' connections to it become
 	// unresponsive without a reset, then a token is revoked. The connection of the third instance
 	// works: within two seconds it must refuse the token, although the readers that it follows got
--- a/pkg/plan/draft.go
+++ b/pkg/plan/draft.go
@@ -21,7 +21,10 @@
 	Routes     []DraftRoute
 	Pools      []DraftPool
 	Workspaces []DraftWorkspace
-	Limits     Limits
+	// Authenticated is set if the document names workspaces, though it may name none now: callers need a token
+	// then, and nobody has one.
+	Authenticated bool
+	Limits        Limits
 }
 
 // DraftRoute is a route of a draft.
@@ -113,7 +116,7 @@
 func Compile(drf Draft) (*Plan, []error) {
 	pln := &Plan{
 		version: drf.Version, limits: drf.Limits, hosts: map[string][]*Route{},
-		pools: map[string]*Pool{}, tokens: map[string]*Workspace{},
+		pools: map[string]*Pool{}, tokens: map[string]*Workspace{}, authenticated: drf.Authenticated || len(drf.Workspaces) > 0,
 	}
 	var fts []error
 	for i, pol := range drf.Pools {
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -27,7 +27,9 @@
 	routes  []*Route
 	pools   map[string]*Pool
 	tokens  map[string]*Workspace
-	limits  Limits
+	// authenticated is set if the document names workspaces, also without tokens.
+	authenticated bool
+	limits        Limits
 	// urgencies are the distinct urgencies of requests, the most urgent first.
 	urgencies []urgency
 	// ranked are the routes that share a stage pool with a route of another priority.
@@ -62,8 +64,9 @@
 // Pools returns all pools by name.
 func (pln *Plan) Pools() map[string]*Pool { return pln.pools }
 
-// RequiresToken reports whether callers must authenticate their workspace with a token.
-func (pln *Plan) RequiresToken() bool { return len(pln.tokens) > 0 }
+// RequiresToken reports whether callers must authenticate their workspace with a token. It does not depend
+// on whether there are any: the last one may have been revoked.
+func (pln *Plan) RequiresToken() bool { return pln.authenticated }
 
 // Workspace returns the workspace that a token belongs to.
 func (pln *Plan) Workspace(token string) (*Workspace, bool) {
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -86,6 +86,17 @@
 	gom.Expect(ok).To(gomega.BeFalse())
 }
 
+// Guards against a service that is open to all once the last token is taken away, or the last workspace.
+func TestTokensAreRequiredWithoutAny(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	for _, drf := range []Draft{{Workspaces: []DraftWorkspace{{Name: "corella"}}}, {Workspaces: []DraftWorkspace{{}}}, {Authenticated: true}} {
+		pln, _ := Compile(drf)
+		gom.Expect(pln.RequiresToken()).To(gomega.BeTrue())
+	}
+	pln, _ := Compile(Draft{})
+	gom.Expect(pln.RequiresToken()).To(gomega.BeFalse())
+}
+
 // TestRanks guards against equal urgency of all requests if all workspaces have the same
 // priority, as in most documents: they are ranked by route then. All requests of a
 // workspace with a better priority go first.
