internal/front: a kept failure is not written behind another engine's stream

The spec failed before ("id: 1 ... failed at engine-0" as a whole response) and passes; the mutant is the code before.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -62,7 +62,6 @@
 		case again:
 			run.prev = res
 		case run.fallback != nil && res.Outcome() != outcm.Done && !cl.out.headSent:
-			// A buffered response of an endpoint tells the caller more than a failure of our own.
 			return run.finalResult(res)
 		default:
 			return res
@@ -195,9 +194,10 @@
 	fr.coord.RecordEnd(pool, tgt, end, pause)
 }
 
-// finalResult returns the result of a request for which no further endpoint was found.
+// finalResult returns the result of a request for which no further endpoint was found. A buffered response of an
+// endpoint tells the caller more than a failure of our own, unless a stream of another endpoint has begun.
 func (run *finalRun) finalResult(res outcm.Result) outcm.Result {
-	if run.fallback != nil {
+	if run.fallback != nil && !run.cl.out.headSent {
 		if run.cl.out.writeBuffered(run.fallback.rsp, run.fallback.body) != nil {
 			return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected")
 		}
