internal/relay, internal/front: a path that begins with two slashes is sent unchanged

Such a path is given as a path now, and a request whose path can't be sent unchanged that way, since net/url would escape it, is a bad request.

--- a/internal/front/match.go
+++ b/internal/front/match.go
@@ -49,6 +49,9 @@
 	if !ok {
 		return fr.deny(cl, outcm.New(outcm.NotRun, outcm.NoRoute, "no route matches this host and path"))
 	}
+	if err := relay.CheckTarget(cl.http.RequestURI); err != nil {
+		return outcm.New(outcm.NotRun, outcm.BadRequest, err.Error())
+	}
 	cl.route = rte
 	fr.setDeadlines(cl)
 	if res := fr.readBody(cl, pln.Limits()); res.Outcome() != outcm.Pending {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -167,11 +167,12 @@
 }
 
 func (rel *Relay) request(ctx context.Context, addr string, rqs Request, snd proto.SendMeta, connected *atomic.Bool, wrt *written) (*http.Request, error) {
-	path, query, hasQuery := strings.Cut(rqs.Target, "?")
+	trg, err := targetURL(addr, rqs.Target)
+	if err != nil {
+		return nil, err
+	}
 	req := &http.Request{
-		Method: rqs.Method, Host: rqs.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL:    &url.URL{Scheme: "http", Host: addr, Opaque: path, RawQuery: query, ForceQuery: hasQuery},
-		Header: rqs.Header.Clone(),
+		Method: rqs.Method, Host: rqs.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, URL: trg, Header: rqs.Header.Clone(),
 	}
 	dropHop(req.Header)
 	for _, name := range rel.dia.DropHeaders {
@@ -188,6 +189,34 @@
 	return req.WithContext(withTrace(withAllowed(context.WithValue(ctx, writtenKey{}, wrt), rqs.Allowed), connected, wrt, rqs.OnWritten)), nil
 }
 
+// errTarget is returned for a request target that can't be sent unchanged.
+var errTarget = errors.New("the path begins with two slashes and has characters that must be escaped")
+
+// CheckTarget returns an error for a request target that can't be sent unchanged.
+func CheckTarget(target string) error {
+	_, err := targetURL("", target)
+	return err
+}
+
+// targetURL returns the URL of a request target at an address. Its path is sent as it is.
+func targetURL(addr, target string) (*url.URL, error) {
+	path, query, hasQuery := strings.Cut(target, "?")
+	trg := &url.URL{Scheme: "http", Host: addr, Opaque: path, RawQuery: query, ForceQuery: hasQuery}
+	if !strings.HasPrefix(path, "//") {
+		return trg, nil
+	}
+	// net/url puts the scheme before an opaque part with two slashes, and makes the first segment a host.
+	plain, err := url.PathUnescape(path)
+	if err != nil {
+		return nil, errTarget
+	}
+	trg.Opaque, trg.Path, trg.RawPath = "", plain, path
+	if trg.EscapedPath() != path {
+		return nil, errTarget
+	}
+	return trg, nil
+}
+
 // dropHop removes the hop-by-hop headers, including those that the Connection header lists.
 func dropHop(hdr http.Header) {
 	for _, line := range hdr["Connection"] {
