internal/state: the test's store gives each reader a list of its own

The race detector found two control states that both changed one slice of the test's store. The product's store client decodes a list for each answer.

--- a/internal/state/listing_test.go
+++ b/internal/state/listing_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,7 +37,10 @@
 func (sto *listStore) endpoints(context.Context) (proto.Listing, error) {
 	sto.mtx.Lock()
 	defer sto.mtx.Unlock()
-	return sto.lst, nil
+	// Each answer is the reader's own.
+	lst := sto.lst
+	lst.Endpoints = slices.Clone(lst.Endpoints)
+	return lst, nil
 }
 
 func (sto *listStore) client() proto.Store {
