internal/state: an unchanged list with other builds is another list, and a log may begin anew

Found by reading the change: the list last received was compared by its digest, which doesn't cover builds; and a store whose log began anew in the same era would have had its lists ignored for good.

--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -49,8 +49,8 @@
 	// listed tells where the list comes from, ignored from where the last older one came.
 	listed  provenance
 	ignored string
-	// digest identifies the list as it was received from a reader, zero for none.
-	digest uint64
+	// received identifies the list as a reader sent it, and its builds; zero if it came from elsewhere.
+	received listID
 	// ageSpread is this instance's part of maxListAgeSpread.
 	ageSpread clock.Milli
 	// kept is the number of entries that the store did not list and that were kept.
@@ -199,7 +199,7 @@
 		return
 	}
 	listed.asOf = max(listed.asOf, ect.listed.asOf)
-	ect.listed, ect.ignored, ect.digest = listed, "", 0
+	ect.listed, ect.ignored, ect.received = listed, "", listID{}
 	ect.apply(list, now)
 }
 
@@ -207,14 +207,14 @@
 func (ect *endptsCtl) receiveFrom(lst endpointList, listed provenance, now clock.Milli) {
 	ect.ctl.dirty = ect.ctl.dirty || !ect.loaded
 	ect.loaded = true
-	if ect.digest == lst.Digest && !listed.isBefore(ect.listed) {
+	if ect.received == lst.id() && !listed.isBefore(ect.listed) {
 		listed.asOf = max(listed.asOf, ect.listed.asOf)
 		ect.listed = listed
 		return
 	}
 	ect.receive(slices.Clone(lst.List), listed, now)
 	if !listed.isBefore(ect.listed) {
-		ect.digest = lst.Digest
+		ect.received = lst.id()
 	}
 }
 
--- a/internal/state/follow.go
+++ b/internal/state/follow.go
@@ -170,7 +170,7 @@
 		// A reader that gets no answers from the store reports that at once, so that the follower
 		// turns to another source.
 		silent := !req.Patient && vw.storeSilence(ctl.set.Clock.Now()) > maxStoreSilence
-		return silent || vw.hasNewer(req) || vw.hasUpdate(req) || vw.hasEvacuations(req)
+		return silent || vw.hasNewer(req) || vw.hasUpdate(req, began) || vw.hasEvacuations(req)
 	})
 	now := ctl.set.Clock.Now()
 	if vw.answeredAt == 0 && vw.plan == nil {
@@ -183,7 +183,7 @@
 	if vw.hasNewer(req) {
 		upd.Text = vw.text
 	}
-	if vw.hasUpdate(req) {
+	if vw.hasUpdate(req, began) {
 		upd.fillEndpoints(vw, req)
 	}
 	if mrk := vw.evacuations.Mark(); mrk != (evac.Mark{}) {
@@ -211,12 +211,12 @@
 }
 
 // hasUpdate reports whether the view has another list of endpoints than a follower last received, which
-// isn't older than the follower's own. A
+// isn't older than the follower's own when it asked. A
 // reader that has just started has no list yet, which does not mean that there are no endpoints:
 // sent an empty list, a follower that had read the endpoints itself lost all of them and refused
 // requests.
-func (vw *View) hasUpdate(req updateRequest) bool {
-	if !vw.endpointsKnown || req.List != nil && vw.listed.isBefore(req.List.provenance(provenance{}, 0, "")) {
+func (vw *View) hasUpdate(req updateRequest, asked clock.Milli) bool {
+	if !vw.endpointsKnown || req.List != nil && vw.listed.isBefore(req.List.provenance(provenance{}, asked, "")) {
 		return false
 	}
 	return vw.digest != req.Digest || req.Builds != 0 && vw.builds != req.Builds
--- a/internal/state/listing.go
+++ b/internal/state/listing.go
@@ -22,9 +22,10 @@
 	from string
 }
 
-// isBefore reports whether a list is older than another one.
+// isBefore reports whether a list is older than another one. One that was read long after the other is not:
+// if its position is lower nevertheless, the log has begun anew.
 func (prv provenance) isBefore(oth provenance) bool {
-	return prv.pos.Era < oth.pos.Era || prv.pos.Before(oth.pos)
+	return (prv.pos.Era < oth.pos.Era || prv.pos.Before(oth.pos)) && prv.asOf <= oth.asOf+staleAfter
 }
 
 // listMark is a [provenance] on the wire, with the [reads] that the sender knows of.
--- a/internal/state/listing_test.go
+++ b/internal/state/listing_test.go
@@ -114,12 +114,20 @@
 	gom.Expect(ect.listed).To(gomega.Equal(at(10, "reader")))
 	ect.receiveFrom(late, at(12, "reader"), 13)
 	gom.Expect(ect.listed).To(gomega.Equal(at(12, "reader")), "an unchanged list is younger once it has been read again")
+	rebuilt := endpointList{Digest: late.Digest, Builds: 5, List: list("a", "b")}
+	rebuilt.List[0].Build = "v2"
+	ect.receiveFrom(rebuilt, at(13, "reader"), 13)
+	gom.Expect(ect.list[0].Build).To(gomega.Equal("v2"), "another build is another list")
 	newEra := at(1, listedByStore)
 	newEra.pos.Era = 1
 	ect.receive(list("a", "c"), newEra, 14)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "c"}), "offsets begin anew in a copy of the store")
 	ect.receive(list("a", "b"), at(15, "reader"), 15)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a", "c"}))
+	anew := newEra
+	anew.pos.Offset, anew.asOf = 0, newEra.asOf+staleAfter+20
+	ect.receive(list("d"), anew, anew.asOf)
+	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"d"}), "the log has begun anew")
 }
 
 // Guards against a reader that sends its list again and again to a follower with a newer one, which ignores it.
@@ -127,10 +135,10 @@
 	gom := gomega.NewWithT(t)
 	ctl, _, _ := linked(t, newListStore(7, list("a", "b")...).client())
 	gom.Eventually(func() bool { return ctl.View().servable() }, soon).Should(gomega.BeTrue())
-	vw := ctl.View()
-	gom.Expect(vw.hasUpdate(updateRequest{List: &listMark{Offset: 8}})).To(gomega.BeFalse())
-	gom.Expect(vw.hasUpdate(updateRequest{List: &listMark{Offset: 7}})).To(gomega.BeTrue())
-	gom.Expect(vw.hasUpdate(updateRequest{})).To(gomega.BeTrue(), "followers of earlier builds say nothing of their list")
+	vw, now := ctl.View(), ctl.set.Clock.Now()
+	gom.Expect(vw.hasUpdate(updateRequest{List: &listMark{Offset: 8}}, now)).To(gomega.BeFalse())
+	gom.Expect(vw.hasUpdate(updateRequest{List: &listMark{Offset: 7}}, now)).To(gomega.BeTrue())
+	gom.Expect(vw.hasUpdate(updateRequest{}, now)).To(gomega.BeTrue(), "followers of earlier builds say nothing of their list")
 }
 
 // Guards against requests to endpoints that left, or are gone, while all readers of an instance are killed: it must
--- a/internal/state/lists.go
+++ b/internal/state/lists.go
@@ -25,6 +25,11 @@
 	List   []proto.Endpoint
 }
 
+// listID identifies a list of endpoints and their builds.
+type listID struct{ digest, builds uint64 }
+
+func (lst endpointList) id() listID { return listID{lst.Digest, lst.Builds} }
+
 // digest identifies a list of endpoints.
 func digest(list []proto.Endpoint) uint64 {
 	sum := xxhash.New()
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -213,8 +213,8 @@
 // knows the documents before the endpoints, and both before the requests that are quarantined.
 func (vw *View) servable() bool { return vw.plan != nil && vw.endpointsKnown && vw.factsKnown }
 
-// storeSilence returns how long the store has not answered this instance, beyond its usual delay. What the
-// instance had not asked for counts only while it follows another one.
+// storeSilence returns how long the store has not answered this instance, beyond its usual delay, since the
+// instance began to ask it. One that follows another instance has no recent answer to hand on.
 func (vw *View) storeSilence(now clock.Milli) clock.Milli {
 	since := vw.answeredAt
 	if vw.askedSince != never {
