--- a/internal/state/doc.go
+++ b/internal/state/doc.go
@@ -27,7 +27,12 @@
 //
 // # Endpoints
 //
+// A list of endpoints is ordered by the end of their log in the store when it was read, the same for
+// whichever instance reads it (listing.go). An instance that follows a reader reads the store itself
+// once its list is too old.
+//
 // The store expires the entries of endpoints that do not renew them, also while it is down itself.
 // Entries missing right after an outage are therefore kept until endpoints have had time to renew
-// them.
+// them. Instances tell one another over which time the store has answered (reads.go), so that none
+// takes its own start, or the loss of its readers, for an outage.
 package state
