internal/coord: a slot whose answer comes too late is given back

Cause: an instance that asks the coordinator for a slot of a brittle plain endpoint without waiting in its queue (hedges, second tries of slow calls, instances that poll) gives up after 30 ms. The slot that a later answer grants was used by nobody, and stayed taken until the request would have ended and a second more: up to two minutes. Placements at engines and requests that wait in the queue were given back already.

Change: the slot is withdrawn when no answer came in time, as a lost place in the queue is. Each attempt has a ticket of its own, so that the second report, a second later, can't end the slot that the request got when it asked again.

Measured: TestSlotOfALateAnswerIsGivenBack and TestGivingBackEndsOneAttempt fail before at plain endpoints and pass now.

--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -278,7 +278,7 @@
 	switch {
 	case err != nil:
 		crd.set.Log.Info().Err(err).Str("request", jrq.Ticket).Str("pool", jrq.Pool).Str("placer", string(inc)).Msg("wait for a slot failed at the coordinator")
-		crd.withdraw(inc, jrq)
+		crd.withdraw(inc, jrq.Pool, jrq.Ticket)
 		return joinReply{}, err
 	case ans.Kind != peer.OK && len(ans.Body) == 0:
 		crd.earlier.add(inc)
@@ -295,8 +295,8 @@
 
 // withdraw gives back a grant whose answer may have been lost, and once more: the report may have overtaken
 // the request.
-func (crd *Coordinator) withdraw(inc ident.Incarnation, jrq joinRequest) {
-	rpt := report{Pool: jrq.Pool, Ticket: jrq.Ticket, Ended: true, End: place.Neutral, Withdrawn: true}
+func (crd *Coordinator) withdraw(inc ident.Incarnation, pool, ticket string) {
+	rpt := report{Pool: pool, Ticket: ticket, Ended: true, End: place.Neutral, Withdrawn: true}
 	crd.reports.add(crd, inc, rpt)
 	crd.set.After(slotGrace, func() { crd.reports.add(crd, inc, rpt) })
 }
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -40,6 +40,8 @@
 	// requests to join a queue.
 	earlier, cut []atomic.Bool
 	joins        []atomic.Int64
+	// late is set at instances whose answers to requests for a slot or a placement come too late.
+	late []atomic.Bool
 }
 
 // queuePools are the pools of a queueBed.
@@ -49,7 +51,7 @@
 	pln, _ := plan.Compile(plan.Draft{Pools: []plan.DraftPool{{Name: "bookings"}, {Name: "models", Engine: &plan.DraftEngine{}}}})
 	bed := &queueBed{
 		gom: gomega.NewWithT(t), views: make([]atomic.Pointer[state.View], instances), earlier: make([]atomic.Bool, instances),
-		cut: make([]atomic.Bool, instances), joins: make([]atomic.Int64, instances),
+		cut: make([]atomic.Bool, instances), joins: make([]atomic.Int64, instances), late: make([]atomic.Bool, instances),
 		base: state.ViewOf(pln, proto.Endpoint{ID: "b1", Pool: "bookings", Addr: "a:1", Places: slots}, proto.Endpoint{ID: "e1", Pool: "models", Addr: "a:2", Places: slots}),
 	}
 	for i := range instances {
@@ -60,8 +62,10 @@
 			case peer.ReportPlaced:
 				return bed.crds[i].HandleReports(msg)
 			case peer.TakeSlot:
+				defer bed.answerLate(i)
 				return bed.crds[i].HandleSlot(msg)
 			case peer.PlacePrompt:
+				defer bed.answerLate(i)
 				return bed.crds[i].HandlePlace(msg)
 			}
 			return peer.Message{Kind: peer.Nack}
@@ -97,6 +101,21 @@
 	return bed
 }
 
+// answerLate delays an answer of an instance that is late for longer than it is waited for.
+func (bed *queueBed) answerLate(ins int) {
+	if bed.late[ins].Load() {
+		time.Sleep(3 * placeTimeout)
+	}
+}
+
+// loseAnswer lets an instance ask another for a slot whose answer comes too late.
+func (bed *queueBed) loseAnswer(ctx context.Context, ins, from int, pool, ticket string) {
+	bed.late[from].Store(true)
+	defer bed.late[from].Store(false)
+	_, ok := bed.crds[ins].Place(ctx, bed.views[ins].Load(), pool, ticket, place.Ask{})
+	bed.gom.Expect(ok).To(gomega.BeFalse())
+}
+
 // viewOf returns a view in which an instance is the first coordinator.
 func (bed *queueBed) viewOf(first int) *state.View {
 	return bed.base.WithBrittlePools(queuePools, slices.Concat(bed.ids[first:], bed.ids[:first])...)
@@ -403,11 +422,43 @@
 		jrq := joinRequest{Pool: pool, Ticket: "lost/0", Left: clock.Minute}
 		out := bed.crds[0].join(context.Background(), bed.ids[1], jrq)
 		bed.gom.Expect(out.ok).To(gomega.BeTrue())
-		bed.crds[1].withdraw(bed.ids[0], jrq)
+		bed.crds[1].withdraw(bed.ids[0], jrq.Pool, jrq.Ticket)
 		bed.hold(0, pool, 1)
 	})
 }
 
+// Guards against a slot whose answer came too late, which nobody uses and which stays taken for as long as its
+// request might have lasted.
+func TestSlotOfALateAnswerIsGivenBack(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 2, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		bed.loseAnswer(ctx, 1, 0, pool, "late/0")
+		bed.gom.Eventually(func() bool {
+			_, ok := bed.crds[0].Place(ctx, bed.viewOf(0), pool, "next/0", place.Ask{})
+			return ok
+		}, 5*time.Second).Should(gomega.BeTrue())
+	})
+}
+
+// Guards against a request that asks again and loses the slot it got then, since the one it lost is given back late.
+func TestGivingBackEndsOneAttempt(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 2, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		bed.loseAnswer(ctx, 1, 0, pool, "again/0")
+		bed.gom.Eventually(func() bool {
+			_, ok := bed.crds[1].Place(ctx, bed.viewOf(0), pool, "again/0", place.Ask{})
+			return ok
+		}, 5*time.Second).Should(gomega.BeTrue())
+		time.Sleep(slotGrace.Duration() + 200*time.Millisecond)
+		_, ok := bed.crds[0].Place(ctx, bed.viewOf(0), pool, "other/0", place.Ask{})
+		bed.gom.Expect(ok).To(gomega.BeFalse())
+	})
+}
+
 // Guards against requests that lose their turn by a refusal: they go before new ones when they come back.
 func TestReturningRequestsGoFirst(t *testing.T) {
 	forPools(t, func(t *testing.T, pool string) {
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -102,6 +103,8 @@
 func (crd *Coordinator) placeBrittle(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
 	// A coordinator may not know of an evacuation yet.
 	avoid := slices.Concat(ask.Avoid, vw.Withheld(pool))
+	// Slots whose answer is lost are given back one by one.
+	ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
 	id, by := crd.acquireSlot(ctx, vw, slotRequest{Pool: pool, Ticket: ticket, Avoid: avoid, Left: crd.timeLeft(ctx)})
 	if id == "" {
 		return Placement{}, false
@@ -164,7 +167,7 @@
 }
 
 // requestSlot requests a slot from a coordinator. It returns an empty ID if there is none, and false if
-// the coordinator did not answer.
+// the coordinator did not answer. The slot of an answer that is lost or comes later is given back.
 func (crd *Coordinator) requestSlot(ctx context.Context, vw *state.View, inc ident.Incarnation, srq slotRequest) (string, bool) {
 	body, err := cbor.Marshal(srq)
 	if err != nil {
@@ -178,6 +181,9 @@
 	if err == nil && ans.Kind != peer.OK {
 		crd.retryBefore(vw, srq.Pool, inc)
 	}
+	if err != nil {
+		crd.withdraw(inc, srq.Pool, srq.Ticket)
+	}
 	if err != nil || ans.Kind != peer.OK {
 		return "", false
 	}
