internal/coord: a request that may not wait gets a free slot of a busy queue

Cause: the end of a request's wait was reckoned before the queue was locked, and compared with a later reading of the clock. When a millisecond ended between the two, or the queue was busy, a request that may not wait (the try that is made in any case) was refused as late although a slot was free. TestLostAnswerIsWithdrawn, which joins so, failed by it.

Change: the clock is read once the queue is locked, for the end of the wait and for the grant alike.

Measured: TestBusyQueueRefusesNobodyAFreeSlot fails before (its mutant) and passes now.

--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -243,6 +243,9 @@
 		pqu.mtx.Unlock()
 		return joinOutcome{}
 	}
+	// The queue may have been busy: a request that may not wait still gets a slot that is free now.
+	now = crd.set.Clock.Now()
+	ask.Until = max(ask.Until, now)
 	if jrq.polls {
 		ask.Rank, _ = pqu.que.FirstRank()
 	}
@@ -253,7 +256,7 @@
 		return joinOutcome{wait: max(wait, crd.untilOpen(jrq.Pool, now))}
 	}
 	pqu.waiters[ent] = wtr
-	crd.dispatchLocked(jrq.Pool, pqu)
+	crd.dispatchLocked(jrq.Pool, pqu, now)
 	pqu.mtx.Unlock()
 	select {
 	case out := <-wtr.done:
@@ -300,7 +303,7 @@
 	}
 	pqu.mtx.Lock()
 	defer pqu.mtx.Unlock()
-	crd.dispatchLocked(pool, pqu)
+	crd.dispatchLocked(pool, pqu, crd.set.Clock.Now())
 }
 
 // DispatchAll gives free slots of all pools to the requests that wait here. It is called when the endpoints
@@ -310,7 +313,7 @@
 	for pool, pqu := range crd.queues.all() {
 		pqu.mtx.Lock()
 		pqu.refuseWithheld(vw, pool, crd.set.Clock.Now())
-		crd.dispatchLocked(pool, pqu)
+		crd.dispatchLocked(pool, pqu, crd.set.Clock.Now())
 		pqu.mtx.Unlock()
 	}
 }
@@ -339,11 +342,11 @@
 	}
 }
 
-func (crd *Coordinator) dispatchLocked(pool string, pqu *poolQueue) {
+// dispatchLocked is dispatch with the queue locked, at a time that was read since.
+func (crd *Coordinator) dispatchLocked(pool string, pqu *poolQueue, now clock.Milli) {
 	if pqu.que.Len() == 0 {
 		return
 	}
-	now := crd.set.Clock.Now()
 	vw := crd.view()
 	if !crd.grants(vw, pool) {
 		pqu.que.Clear(now)
@@ -437,7 +440,7 @@
 		defer pqu.mtx.Unlock()
 		if pqu.wakeAt == at {
 			pqu.wakeAt = 0
-			crd.dispatchLocked(pool, pqu)
+			crd.dispatchLocked(pool, pqu, crd.set.Clock.Now())
 		}
 	})
 }
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -415,6 +415,22 @@
 	})
 }
 
+// Guards against requests that may not wait and are refused a free slot, since the queue was busy for a moment.
+func TestBusyQueueRefusesNobodyAFreeSlot(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 1, 1)
+		pqu := bed.crds[0].queues.get(pool, true)
+		done := make(chan joinOutcome, 1)
+		pqu.mtx.Lock()
+		go func() {
+			done <- bed.crds[0].join(context.Background(), "", joinRequest{Pool: pool, Ticket: "busy/0", Left: clock.Minute})
+		}()
+		time.Sleep(50 * time.Millisecond)
+		pqu.mtx.Unlock()
+		bed.gom.Expect((<-done).ok).To(gomega.BeTrue())
+	})
+}
+
 // Guards against a grant that is kept by nobody after the answer was lost: the caller withdraws its request.
 func TestLostAnswerIsWithdrawn(t *testing.T) {
 	forPools(t, func(t *testing.T, pool string) {
