internal/coord: one slot is used after two lost coordinators too

Cause: an instance grants nothing while two that rank before it are unresponsive, since it is then more likely partitioned itself. It took itself for the coordinator all the same, and the rule that one slot of each brittle endpoint may be used after 500 ms without a coordinator held for others only: a partitioned instance that ranks third or later used no brittle endpoint until it took the others for dead, while one that ranks second used one slot of each. TestOneSlotIsUsedWithoutCoordinator failed by it when the handshakes on a busy machine took longer than four placements may.

Change: the rule is one (placeWithoutCoordinator, isLost), and holds whoever is taken for the coordinator. An instance that grants slots itself begins the 500 ms anew.

Measured: TestOneSlotIsUsedAfterTwoLostCoordinators and TestOneSlotIsTakenAfterTwoLostCoordinators fail before (three mutants) and pass now.

--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -151,7 +151,7 @@
 			return Placement{}, 0, Unqueued
 		case ctx.Err() != nil:
 			return Placement{}, 0, Refused
-		case err == nil || inc == crd.set.Control.Self():
+		case err == nil:
 			failed = nil
 		case errors.Is(err, errRefused):
 			// An instance that was passed over may be the coordinator after all.
@@ -301,10 +301,11 @@
 	crd.set.After(slotGrace, func() { crd.reports.add(crd, inc, rpt) })
 }
 
-// placeWithoutCoordinator places a request at a brittle pool whose coordinator has been out of reach for
-// slotFallbackAfter: one slot of each endpoint may be used then.
+// placeWithoutCoordinator places a request at a brittle pool for which no instance has granted slots for
+// slotFallbackAfter, neither others nor this one, which grants none while two that precede it are unresponsive:
+// one slot of each endpoint may be used then.
 func (crd *Coordinator) placeWithoutCoordinator(ctx context.Context, pool, ticket string, ask place.Ask, now clock.Milli) (Placement, bool) {
-	if !crd.isBrittle(pool) || now-crd.slotWaits.answered(pool, false, now) < slotFallbackAfter {
+	if !crd.isBrittle(pool) || !crd.isLost(pool, now) {
 		return Placement{}, false
 	}
 	return crd.placeOneSlot(pool, ticket, ask, now+crd.timeLeft(ctx))
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -16,7 +16,6 @@
 	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
-	"amaranthvalve/pkg/limit"
 	"amaranthvalve/pkg/pace"
 	"amaranthvalve/pkg/place"
 	"amaranthvalve/pkg/sticky"
@@ -114,7 +113,7 @@
 	if inc == crd.set.Control.Self() {
 		var mine bool
 		if ask.Share, mine = crd.engineShare(vw, pool); !mine {
-			return Placement{}, false
+			return crd.placeWithoutCoordinator(ctx, pool, ticket, ask, crd.set.Clock.Now())
 		}
 		if crd.isContended(pool) {
 			if queues {
@@ -150,12 +149,12 @@
 		return Placement{}, false
 	}
 	now := crd.set.Clock.Now()
-	if lostSince := crd.slotWaits.answered(pool, err == nil, now); err == nil || now-lostSince < slotFallbackAfter {
+	if err == nil {
 		// Coordinators know the requests of all instances.
+		crd.slotWaits.answered(pool, true, now)
 		return Placement{}, false
 	}
-	ask.Share = limit.OneSlot
-	return crd.pick(pool, ticket, ask, 0)
+	return crd.placeWithoutCoordinator(ctx, pool, ticket, ask, now)
 }
 
 // engineShare returns the part of the slots of a pool's engines that this instance may use as their
@@ -164,7 +163,7 @@
 	if !crd.set.Pools.HasBrittleEngines(pool) {
 		return 0, true
 	}
-	share = crd.shareIn(vw, pool, limit.SlotShare)
+	share = crd.slotShare(vw, pool)
 	return share, share > 0
 }
 
--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -206,7 +206,7 @@
 // grants reports whether this instance may grant slots of a pool.
 func (crd *Coordinator) grants(vw *state.View, pool string) bool {
 	if crd.isBrittle(pool) {
-		return crd.shareIn(vw, pool, limit.SlotShare) > 0
+		return crd.slotShare(vw, pool) > 0
 	}
 	return crd.rateShareIn(vw, pool) > 0
 }
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -282,6 +282,40 @@
 	})
 }
 
+// Guards against a partitioned instance that uses no brittle endpoint, since it takes two others that rank before it
+// for unresponsive, and grants nothing itself then: it may use one slot of each endpoint.
+func TestOneSlotIsUsedAfterTwoLostCoordinators(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 3, 4)
+		for ins := range 2 {
+			bed.cut[ins].Store(true)
+			bed.crds[2].markUnresponsive(bed.ids[ins])
+		}
+		_, acq := bed.acquire(context.Background(), 2, pool, WaitTerms{}, 1500*time.Millisecond)
+		bed.gom.Expect(acq).To(gomega.Equal(Granted))
+		_, acq = bed.acquire(context.Background(), 2, pool, WaitTerms{}, 200*time.Millisecond)
+		bed.gom.Expect(acq).To(gomega.Equal(Refused))
+	})
+}
+
+// Guards against the same where requests don't wait in the queue.
+func TestOneSlotIsTakenAfterTwoLostCoordinators(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 3, 4)
+		placed := 0
+		for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+			for ins := range 2 {
+				bed.cut[ins].Store(true)
+				bed.crds[2].markUnresponsive(bed.ids[ins])
+			}
+			if _, ok := bed.crds[2].Place(context.Background(), bed.viewOf(0), pool, fmt.Sprint("t", testTickets.Add(1), "/0"), place.Ask{}); ok {
+				placed++
+			}
+		}
+		bed.gom.Expect(placed).To(gomega.Equal(1))
+	})
+}
+
 // Guards against slots that stay taken until their terms end although their instance is known to be dead.
 func TestGrantsOfADeadInstanceEnd(t *testing.T) {
 	forPools(t, func(t *testing.T, pool string) {
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -90,6 +90,22 @@
 	return slw.lostSince[pool]
 }
 
+// slotShare returns the share of the slots of a pool's brittle endpoints that this instance may grant as their
+// coordinator, zero if it isn't.
+func (crd *Coordinator) slotShare(vw *state.View, pool string) float64 {
+	share := crd.shareIn(vw, pool, limit.SlotShare)
+	if share > 0 {
+		crd.slotWaits.answered(pool, true, crd.set.Clock.Now())
+	}
+	return share
+}
+
+// isLost records that nobody grants the slots of a pool, and reports whether that has lasted for slotFallbackAfter.
+// An instance that has just started may not know the others.
+func (crd *Coordinator) isLost(pool string, now clock.Milli) bool {
+	return crd.hasJoined() && now-crd.slotWaits.answered(pool, false, now) >= slotFallbackAfter
+}
+
 // timeLeft returns the time in which a request ends, and its slot if that is not released.
 func (crd *Coordinator) timeLeft(ctx context.Context) clock.Milli {
 	left := slotGrace
@@ -124,7 +140,7 @@
 // if there is none.
 func (crd *Coordinator) acquireSlot(ctx context.Context, vw *state.View, srq slotRequest) (id string, by ident.Incarnation) {
 	now := crd.set.Clock.Now()
-	if share := crd.shareIn(vw, srq.Pool, limit.SlotShare); share > 0 {
+	if share := crd.slotShare(vw, srq.Pool); share > 0 {
 		if crd.isContended(srq.Pool) {
 			plc, _ := crd.poll("", srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
 			return string(plc.ID), ""
@@ -132,17 +148,22 @@
 		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.rateShareIn(vw, srq.Pool), now+srq.Left), ""
 	}
 	inc := crd.coordinator(vw, srq.Pool)
-	if crd.set.Link == nil || inc == crd.set.Control.Self() || crd.slotWaits.blocked(srq.Pool, now) {
+	if crd.set.Link == nil || crd.slotWaits.blocked(srq.Pool, now) {
 		return "", ""
 	}
-	id, ok := crd.requestSlot(ctx, vw, inc, srq)
-	lostSince := crd.slotWaits.answered(srq.Pool, ok, now)
+	ok := false
+	if inc != crd.set.Control.Self() {
+		id, ok = crd.requestSlot(ctx, vw, inc, srq)
+	}
 	switch {
 	case id != "":
+		crd.slotWaits.answered(srq.Pool, true, now)
 		return id, inc
 	case ctx.Err() != nil:
 		return "", ""
-	case !ok && now-lostSince >= slotFallbackAfter:
+	case ok:
+		crd.slotWaits.answered(srq.Pool, true, now)
+	case crd.isLost(srq.Pool, now):
 		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, limit.OneSlot, 0, now+srq.Left), ""
 	}
 	crd.slotWaits.block(srq.Pool, now+slotRetryDelay+clock.Milli(slotRetryStep*float64(len(vw.Members()))))
