internal/coord: a request that its instance has withdrawn leaves the queue

Cause: when a caller leaves, its instance ends the call and reports that the request is withdrawn. The report may come before the end of the call; it ended a grant, and there was none yet. A grant after it went to a request that nobody waited for, and its slot was taken until the second report, a second later.

Change: the report takes the request out of the queue as well.

Measured: TestWithdrawnRequestLeavesTheQueue fails before (its mutant) and passes now.

--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -377,6 +377,9 @@
 		crd.learnPace(rpt)
 		if rpt.Ended {
 			ended[rpt.Pool] = true
+			if rpt.Withdrawn {
+				crd.leaveByTicket(rpt.Pool, rpt.Ticket)
+			}
 			crd.queues.drop(rpt.Ticket)
 		}
 		switch {
--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -287,6 +287,23 @@
 	}
 }
 
+// leaveByTicket removes a request that its instance has withdrawn from the queue, if it waits there: the end of its
+// call may come later than the report, and a slot that it is granted until then is used by nobody.
+func (crd *Coordinator) leaveByTicket(pool, ticket string) {
+	pqu := crd.queues.get(pool, false)
+	if pqu == nil {
+		return
+	}
+	pqu.mtx.Lock()
+	defer pqu.mtx.Unlock()
+	for ent, wtr := range pqu.waiters {
+		if wtr.jrq.Ticket == ticket && pqu.que.Leave(ent, crd.set.Clock.Now()) {
+			pqu.finish(ent, joinOutcome{})
+			return
+		}
+	}
+}
+
 // giveBack ends a grant that is not used. The rate of an endpoint that was used for it is not restored.
 func (crd *Coordinator) giveBack(pool, ticket string) {
 	crd.queues.drop(ticket)
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -444,7 +444,28 @@
 			cancel()
 			<-done
 		}
+		// The end of a call takes some time to arrive.
+		bed.gom.Eventually(bed.waiting(0, pool), time.Second).Should(gomega.BeZero())
+		bed.hold(0, pool, 1)
+	})
+}
+
+// Guards against a slot that is granted to a request which its instance has withdrawn, and that nobody uses: the
+// end of the request's call arrives later than the report.
+func TestWithdrawnRequestLeavesTheQueue(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 2, 1)
+		held := bed.hold(0, pool, 1)
+		done := make(chan joinOutcome, 1)
+		go func() {
+			jrq := joinRequest{Pool: pool, Ticket: "left/0", Wait: clock.Minute, Left: clock.Minute}
+			done <- bed.crds[0].join(context.Background(), bed.ids[1], jrq)
+		}()
+		bed.gom.Eventually(bed.waiting(0, pool), 5*time.Second).Should(gomega.Equal(1))
+		bed.crds[1].withdraw(bed.ids[0], pool, "left/0")
+		bed.gom.Eventually(done, 5*time.Second).Should(gomega.Receive(gomega.Equal(joinOutcome{})))
 		bed.gom.Expect(bed.waiting(0, pool)()).To(gomega.BeZero())
+		bed.release(0, pool, held[0])
 		bed.hold(0, pool, 1)
 	})
 }
