pkg/clock: a pause while a deadline is reckoned doesn't make it early

Deadline read the runtime's clock, and then the instance's: when the process stood still in between, the deadline was early by that pause, and a request could be ended before its caller's.

Change: the instance's clock is read first; a pause makes the deadline later.

No other place reckons an instant from both clocks in that order (searched).

--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -64,7 +64,9 @@
 // result is up to a millisecond later and never earlier, since this clock's instants are
 // rounded down.
 func (c Clock) Deadline(at Milli) time.Time {
-	return time.Now().Add((at + 1 - c.Now()).Duration())
+	// In this order: a pause between the two readings makes the result later.
+	left := at + 1 - c.Now()
+	return time.Now().Add(left.Duration())
 }
 
 // origin maps a reading of the machine's clock since boot to an instant.
--- a/pkg/clock/clock_test.go
+++ b/pkg/clock/clock_test.go
@@ -60,3 +60,16 @@
 		gom.Expect(time.Until(end)).To(gomega.BeNumerically("<=", 6*time.Millisecond))
 	}
 }
+
+// TestPauseMakesNoDeadlineEarly guards against deadlines that pass early by as long as the process stood still while
+// they were reckoned.
+func TestPauseMakesNoDeadlineEarly(t *testing.T) {
+	var read time.Time
+	clk := New(func() Milli {
+		time.Sleep(20 * time.Millisecond)
+		read = time.Now()
+		return 1000
+	})
+	end := clk.Deadline(1005)
+	gomega.NewWithT(t).Expect(end.Sub(read)).To(gomega.BeNumerically(">=", 5*time.Millisecond))
+}
