internal/coord: an attempt that comes after it was given back gets nothing

Cause: an instance gives an attempt back 30 ms after it sent it. On a busy machine that report overtook the request; it found nothing to end, the request was granted a slot or an engine after it, and nobody used that until the second report, a second later.

Change: the coordinator remembers withdrawn attempts, for twenty seconds and 20,000 of them as it does refused ones, and grants them nothing by any of its three ways (slots, placements, the queue). Placements at engines were given back by a second function, endLate, which did the same: it is withdraw now. TestPollsAreServedBesideTheQueue and TestCoordinatorOfAnEarlierVersionIsPolled have their old bounds of a second again; the tenth of all tries stays demanded besides.

Measured: TestGivingBackMayOvertakeTheRequest fails without each of the three (mutants) and passes now.

--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -254,7 +254,7 @@
 	}
 	tgt, ok := crd.set.Pools.Assign(jrq.Pool, jrp.ID, jrp.From, jrq.Ticket, ask)
 	if !ok {
-		crd.endLate(by, jrq.Pool, jrq.Ticket)
+		crd.withdraw(by, jrq.Pool, jrq.Ticket)
 		return Placement{}, false
 	}
 	return Placement{Target: tgt, promptCoordinator: by}, true
@@ -293,8 +293,8 @@
 	return jrp, nil
 }
 
-// withdraw gives back a grant whose answer may have been lost, and once more: the report may have overtaken
-// the request.
+// withdraw gives back what another instance may have granted to an attempt, whose answer was lost or came too late,
+// and once more: the report may have been lost.
 func (crd *Coordinator) withdraw(inc ident.Incarnation, pool, ticket string) {
 	rpt := report{Pool: pool, Ticket: ticket, Ended: true, End: place.Neutral, Withdrawn: true}
 	crd.reports.add(crd, inc, rpt)
--- a/internal/coord/places.go
+++ b/internal/coord/places.go
@@ -128,7 +128,7 @@
 	prp, err := crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask, Queues: queues})
 	if prp.ID != "" && vw.IsWithheld(ident.Process(prp.ID)) {
 		// The coordinator doesn't know of the evacuation yet.
-		crd.endLate(inc, pool, ticket)
+		crd.withdraw(inc, pool, ticket)
 		ask.Avoid = slices.Concat(ask.Avoid, vw.Withheld(pool))
 		ticket += "." + strconv.FormatInt(crd.placeTries.Add(1), 10)
 		prp, err = crd.requestPlace(ctx, vw, inc, placeRequest{Pool: pool, Ticket: ticket, Ask: ask, Queues: queues})
@@ -140,7 +140,7 @@
 		}
 	}
 	if prp.ID != "" || err != nil && !errors.Is(err, errRefused) {
-		crd.endLate(inc, pool, ticket)
+		crd.withdraw(inc, pool, ticket)
 	}
 	if !crd.set.Pools.HasBrittleEngines(pool) {
 		return crd.pick(pool, ticket, ask, 0)
@@ -167,14 +167,6 @@
 	return share, share > 0
 }
 
-// endLate ends a placement whose answer came too late, and once more: the report may have overtaken the
-// request.
-func (crd *Coordinator) endLate(inc ident.Incarnation, pool, ticket string) {
-	rpt := report{Pool: pool, Ticket: ticket, Ended: true, End: place.Neutral}
-	crd.reports.add(crd, inc, rpt)
-	crd.set.After(slotGrace, func() { crd.reports.add(crd, inc, rpt) })
-}
-
 // pick places a request by the records of this instance; share is the fraction of the engines'
 // declared rates that it may use.
 func (crd *Coordinator) pick(pool, ticket string, ask place.Ask, share float64) (Placement, bool) {
@@ -323,6 +315,9 @@
 	if prq.Ask.Share, ok = crd.engineShare(vw, prq.Pool); !ok {
 		return placeReply{}, false
 	}
+	if crd.queues.isWithdrawn(holder, prq.Ticket, crd.set.Clock.Now()) {
+		return placeReply{}, true
+	}
 	if crd.isContended(prq.Pool) {
 		if prq.Queues {
 			return placeReply{}, true
@@ -378,6 +373,7 @@
 		if rpt.Ended {
 			ended[rpt.Pool] = true
 			if rpt.Withdrawn {
+				crd.queues.withdraw(msg.From, rpt.Ticket, crd.set.Clock.Now())
 				crd.leaveByTicket(rpt.Pool, rpt.Ticket)
 			}
 			crd.queues.drop(rpt.Ticket)
--- a/internal/coord/queue.go
+++ b/internal/coord/queue.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/state"
 	"amaranthvalve/pkg/clock"
@@ -83,8 +85,9 @@
 	held   map[string]holding
 	// lostAt is when the grants were last examined for lost ones without an event.
 	lostAt clock.Milli
-	// refused has the requests that were refused, by their keys.
-	refused arrivals
+	// refused has the requests that were refused, by their keys, and withdrawn the attempts whose instances withdrew
+	// them, by withdrawnKey.
+	refused, withdrawn arrivals
 }
 
 // get returns the queue of a pool; nil if there is none and none is to be made.
@@ -246,6 +249,10 @@
 	// The queue may have been busy: a request that may not wait still gets a slot that is free now.
 	now = crd.set.Clock.Now()
 	ask.Until = max(ask.Until, now)
+	if holder != "" && crd.queues.isWithdrawn(holder, jrq.Ticket, now) {
+		pqu.mtx.Unlock()
+		return joinOutcome{}
+	}
 	if jrq.polls {
 		ask.Rank, _ = pqu.que.FirstRank()
 	}
@@ -485,6 +492,21 @@
 	}
 }
 
+// withdraw records that an instance has withdrawn an attempt, and isWithdrawn reports it: on a busy machine the report
+// may overtake the request, which gets nothing then.
+func (qus *queues) withdraw(holder ident.Incarnation, ticket string, now clock.Milli) {
+	qus.withdrawn.elapsed(withdrawnKey(holder, ticket), now)
+}
+
+func (qus *queues) isWithdrawn(holder ident.Incarnation, ticket string, now clock.Milli) bool {
+	return qus.withdrawn.has(withdrawnKey(holder, ticket), now)
+}
+
+// withdrawnKey identifies an attempt of an instance. Two attempts of one key, of 2^64, cost a further try.
+func withdrawnKey(holder ident.Incarnation, ticket string) uint64 {
+	return xxhash.Sum64String(string(holder) + "\x00" + ticket)
+}
+
 // QueueState is the state of the queue of a pool, for operators.
 type QueueState struct {
 	Pool    string
--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -362,21 +362,15 @@
 			plc, acq = bed.acquire(context.Background(), 1, pool, WaitTerms{}, time.Second)
 			return acq
 		}, 5*time.Second).Should(gomega.Equal(Granted))
-		for polls := 0; polls < 5; {
+		for range 5 {
 			_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, time.Second)
-			if bed.crds[1].isUnresponsive(bed.ids[0]) {
-				// Four late answers of a busy machine in turn: then this instance counts as the coordinator.
-				time.Sleep(50 * time.Millisecond)
-				continue
-			}
 			bed.gom.Expect(acq).To(gomega.Equal(Unqueued))
-			polls++
 		}
 		bed.release(1, pool, plc)
 		bed.gom.Eventually(func() Acquired {
 			_, acq := bed.acquire(context.Background(), 1, pool, WaitTerms{}, time.Second)
 			return acq
-		}, 3*slotGrace.Duration()).Should(gomega.Equal(Granted))
+		}, time.Second).Should(gomega.Equal(Granted))
 		bed.gom.Expect(bed.joins[0].Load()).To(gomega.BeEquivalentTo(1))
 	})
 }
@@ -400,8 +394,7 @@
 		}
 		bed.gom.Eventually(bed.waiting(0, pool), 5*time.Second).Should(gomega.BeNumerically(">", 0))
 		polled, tries := 0, 0
-		// A slot whose giving back overtook its late request, on a busy machine, is free after slotGrace.
-		for until := time.Now().Add(3 * slotGrace.Duration()); time.Now().Before(until) || tries < 30; time.Sleep(5 * time.Millisecond) {
+		for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 			tries++
 			ticket := fmt.Sprint("p", testTickets.Add(1), "/0")
 			if plc, ok := bed.crds[1].Place(ctx, bed.views[1].Load(), pool, ticket, place.Ask{}); ok {
@@ -559,6 +552,36 @@
 	})
 }
 
+// Guards against a slot that is granted to an attempt which was given back before it came, and that nobody uses: on a
+// busy machine the report may overtake the request.
+func TestGivingBackMayOvertakeTheRequest(t *testing.T) {
+	forPools(t, func(t *testing.T, pool string) {
+		bed := newQueueBed(t, 2, 1)
+		for i, kind := range []peer.Kind{peer.TakeSlot, peer.PlacePrompt, peer.JoinQueue} {
+			ticket := fmt.Sprint("overtaken/0.", i)
+			bed.crds[1].withdraw(bed.ids[0], pool, ticket)
+			bed.gom.Eventually(func() bool {
+				return bed.crds[0].queues.isWithdrawn(bed.ids[1], ticket, clock.Clock{}.Now())
+			}, 5*time.Second).Should(gomega.BeTrue())
+			msg := peer.Message{Kind: kind, From: bed.ids[1]}
+			switch kind {
+			case peer.TakeSlot:
+				msg.Body, _ = cbor.Marshal(slotRequest{Pool: pool, Ticket: ticket, Left: clock.Minute})
+				bed.gom.Expect(bed.crds[0].HandleSlot(msg).Body).To(gomega.BeEmpty())
+			case peer.PlacePrompt:
+				msg.Body, _ = cbor.Marshal(placeRequest{Pool: pool, Ticket: ticket})
+				bed.crds[0].HandlePlace(msg)
+			default:
+				msg.Body, _ = cbor.Marshal(joinRequest{Pool: pool, Ticket: ticket, Wait: 100, Left: clock.Minute})
+				bed.crds[0].HandleJoin(context.Background(), msg)
+			}
+			plc, ok := bed.crds[0].Place(context.Background(), bed.viewOf(0), pool, fmt.Sprint("next/", i), place.Ask{})
+			bed.gom.Expect(ok).To(gomega.BeTrue())
+			bed.release(0, pool, plc)
+		}
+	})
+}
+
 // Guards against requests that lose their turn by a refusal: they go before new ones when they come back.
 func TestReturningRequestsGoFirst(t *testing.T) {
 	forPools(t, func(t *testing.T, pool string) {
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -224,6 +224,9 @@
 		return ans
 	}
 	ans.Kind = peer.OK
+	if crd.queues.isWithdrawn(msg.From, srq.Ticket, crd.set.Clock.Now()) {
+		return ans
+	}
 	if crd.isContended(srq.Pool) {
 		plc, _ := crd.poll(msg.From, srq.Pool, srq.Ticket, place.Ask{Avoid: srq.Avoid}, srq.Left)
 		ans.Body = []byte(plc.ID)
