internal/coord: reports, lost coordinators, grants and the state of queues have files of their own

Change: reports.go has what instances report of requests that others placed, with withdraw; lost.go what an instance may do while no coordinator grants slots, with blocks for both kinds and losses in place of answered; queues.go the grants and attempts that a coordinator remembers; queuestate.go what operators see.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -98,10 +98,10 @@
 	// bindings records at which builds streams began.
 	bindings bindings
 	tenures  tenures
-	// permits records until when the coordinators of plain pools have no permits.
-	permits permits
-	// slotWaits records what is known of the coordinators of brittle pools.
-	slotWaits slotWaits
+	// permitBlocks and slotBlocks record until when coordinators have no permits or slots.
+	permitBlocks, slotBlocks blocks
+	// losses records which brittle pools have no coordinator.
+	losses losses
 	// placeTries counts the placement requests.
 	placeTries atomic.Int64
 	// placeTimeouts counts consecutive placement requests without an answer.
--- a/internal/coord/joins.go
+++ b/internal/coord/joins.go
@@ -210,7 +210,7 @@
 	if err != nil {
 		return joinOutcome{}, inc, err
 	}
-	crd.slotWaits.answered(pool, true, now)
+	crd.losses.granted(pool)
 	out := joinOutcome{wait: jrp.Wait, ahead: jrp.Ahead}
 	if jrp.ID != "" {
 		if out.plc, out.ok = crd.beginGranted(vw, jrq, ask, jrp, inc); !out.ok {
@@ -293,24 +293,6 @@
 	return jrp, nil
 }
 
-// withdraw gives back what another instance may have granted to an attempt, whose answer was lost or came too late,
-// and once more: the report may have been lost.
-func (crd *Coordinator) withdraw(inc ident.Incarnation, pool, ticket string) {
-	rpt := report{Pool: pool, Ticket: ticket, Ended: true, End: place.Neutral, Withdrawn: true}
-	crd.reports.add(crd, inc, rpt)
-	crd.set.After(slotGrace, func() { crd.reports.add(crd, inc, rpt) })
-}
-
-// placeWithoutCoordinator places a request at a brittle pool for which no instance has granted slots for
-// slotFallbackAfter, neither others nor this one, which grants none while two that precede it are unresponsive:
-// one slot of each endpoint may be used then.
-func (crd *Coordinator) placeWithoutCoordinator(ctx context.Context, pool, ticket string, ask place.Ask, now clock.Milli) (Placement, bool) {
-	if !crd.isBrittle(pool) || !crd.isLost(pool, now) {
-		return Placement{}, false
-	}
-	return crd.placeOneSlot(pool, ticket, ask, now+crd.timeLeft(ctx))
-}
-
 // coordinatorExcept returns the coordinator of a pool to whom a request is sent that some instances did not
 // answer. If all have failed, these are asked again.
 func (crd *Coordinator) coordinatorExcept(vw *state.View, pool string, failed []ident.Incarnation) ident.Incarnation {
--- a/internal/coord/rates.go
+++ b/internal/coord/rates.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -83,27 +82,6 @@
 	Wait clock.Milli `cbor:"2,keyasint,omitempty"`
 }
 
-// permits records, by pool, until when the coordinator has no permits. The zero value is empty.
-type permits struct {
-	mtx   sync.Mutex
-	until map[string]clock.Milli
-}
-
-func (prm *permits) blocked(pool string, now clock.Milli) bool {
-	prm.mtx.Lock()
-	defer prm.mtx.Unlock()
-	return now < prm.until[pool]
-}
-
-func (prm *permits) block(pool string, until clock.Milli) {
-	prm.mtx.Lock()
-	defer prm.mtx.Unlock()
-	if prm.until == nil {
-		prm.until = map[string]clock.Milli{}
-	}
-	prm.until[pool] = until
-}
-
 // placePlain chooses a plain endpoint: one with a declared rate if there is a permit for it, so
 // that its rate is used, and otherwise one without.
 func (crd *Coordinator) placePlain(ctx context.Context, vw *state.View, pool, ticket string, ask place.Ask) (Placement, bool) {
@@ -133,15 +111,15 @@
 	}
 	now := crd.set.Clock.Now()
 	inc := crd.coordinator(vw, pool)
-	if crd.set.Link == nil || inc == crd.set.Control.Self() || crd.permits.blocked(pool, now) {
+	if crd.set.Link == nil || inc == crd.set.Control.Self() || crd.permitBlocks.blocked(pool, now) {
 		return ""
 	}
 	prm, ok := crd.requestPermit(ctx, inc, pool)
 	switch {
 	case !ok:
-		crd.permits.block(pool, now+permitRetryDelay)
+		crd.permitBlocks.block(pool, now+permitRetryDelay)
 	case prm.ID == "":
-		crd.permits.block(pool, now+prm.Wait)
+		crd.permitBlocks.block(pool, now+prm.Wait)
 	}
 	return prm.ID
 }
--- a/internal/coord/slots.go
+++ b/internal/coord/slots.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"strconv"
-	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -29,10 +28,6 @@
 	slotRetryStep  = 0.5
 	// slotGrace is how much longer than its request a slot is kept that is not released.
 	slotGrace = clock.Second
-	// slotFallbackAfter is how long a coordinator must be out of reach before this instance uses
-	// endpoints without its grant, one request at a time each: usually the next coordinator is known
-	// by then.
-	slotFallbackAfter = 500 * clock.Milli(1)
 )
 
 // slotRequest requests a slot of any endpoint of a pool.
@@ -50,62 +45,6 @@
 	coordinator ident.Incarnation
 }
 
-// slotWaits records, by pool, until when no slots are requested and since when the coordinator has been
-// out of reach. The zero value is empty.
-type slotWaits struct {
-	mtx       sync.Mutex
-	until     map[string]clock.Milli
-	lostSince map[string]clock.Milli
-}
-
-func (slw *slotWaits) blocked(pool string, now clock.Milli) bool {
-	slw.mtx.Lock()
-	defer slw.mtx.Unlock()
-	return now < slw.until[pool]
-}
-
-func (slw *slotWaits) block(pool string, until clock.Milli) {
-	slw.mtx.Lock()
-	defer slw.mtx.Unlock()
-	if slw.until == nil {
-		slw.until = map[string]clock.Milli{}
-	}
-	slw.until[pool] = until
-}
-
-// answered records whether the coordinator of a pool answered, and returns since when it has not.
-func (slw *slotWaits) answered(pool string, ok bool, now clock.Milli) (lostSince clock.Milli) {
-	slw.mtx.Lock()
-	defer slw.mtx.Unlock()
-	if ok {
-		delete(slw.lostSince, pool)
-		return now
-	}
-	if slw.lostSince == nil {
-		slw.lostSince = map[string]clock.Milli{}
-	}
-	if _, lost := slw.lostSince[pool]; !lost {
-		slw.lostSince[pool] = now
-	}
-	return slw.lostSince[pool]
-}
-
-// slotShare returns the share of the slots of a pool's brittle endpoints that this instance may grant as their
-// coordinator, zero if it isn't.
-func (crd *Coordinator) slotShare(vw *state.View, pool string) float64 {
-	share := crd.shareIn(vw, pool, limit.SlotShare)
-	if share > 0 {
-		crd.slotWaits.answered(pool, true, crd.set.Clock.Now())
-	}
-	return share
-}
-
-// isLost records that nobody grants the slots of a pool, and reports whether that has lasted for slotFallbackAfter.
-// An instance that has just started may not know the others.
-func (crd *Coordinator) isLost(pool string, now clock.Milli) bool {
-	return crd.hasJoined() && now-crd.slotWaits.answered(pool, false, now) >= slotFallbackAfter
-}
-
 // timeLeft returns the time in which a request ends, and its slot if that is not released.
 func (crd *Coordinator) timeLeft(ctx context.Context) clock.Milli {
 	left := slotGrace
@@ -148,7 +87,7 @@
 		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, share, crd.rateShareIn(vw, srq.Pool), now+srq.Left), ""
 	}
 	inc := crd.coordinator(vw, srq.Pool)
-	if crd.set.Link == nil || crd.slotWaits.blocked(srq.Pool, now) {
+	if crd.set.Link == nil || crd.slotBlocks.blocked(srq.Pool, now) {
 		return "", ""
 	}
 	ok := false
@@ -157,36 +96,19 @@
 	}
 	switch {
 	case id != "":
-		crd.slotWaits.answered(srq.Pool, true, now)
+		crd.losses.granted(srq.Pool)
 		return id, inc
 	case ctx.Err() != nil:
 		return "", ""
 	case ok:
-		crd.slotWaits.answered(srq.Pool, true, now)
+		crd.losses.granted(srq.Pool)
 	case crd.isLost(srq.Pool, now):
 		return crd.set.Pools.TakeSlot(srq.Pool, srq.Ticket, srq.Avoid, limit.OneSlot, 0, now+srq.Left), ""
 	}
-	crd.slotWaits.block(srq.Pool, now+slotRetryDelay+clock.Milli(slotRetryStep*float64(len(vw.Members()))))
+	crd.slotBlocks.block(srq.Pool, now+slotRetryDelay+clock.Milli(slotRetryStep*float64(len(vw.Members()))))
 	return "", ""
 }
 
-// placeOneSlot places a request at a brittle pool by the records of this instance, which isn't its
-// coordinator: one slot of each endpoint may be used.
-func (crd *Coordinator) placeOneSlot(pool, ticket string, ask place.Ask, expires clock.Milli) (Placement, bool) {
-	ask.Avoid = crd.withResting(ask.Avoid)
-	if crd.set.Pools.HasBrittleEngines(pool) {
-		ask.Share = limit.OneSlot
-		return crd.pick(pool, ticket, ask, 0)
-	}
-	jrq := joinRequest{Pool: pool, Ticket: ticket, Ask: ask}
-	avoid := slices.Concat(ask.Avoid, crd.set.Pools.OtherBuilds(pool, ask.Build))
-	id := crd.set.Pools.TakeSlot(pool, ticket, avoid, limit.OneSlot, 0, expires)
-	if id == "" {
-		return Placement{}, false
-	}
-	return crd.beginPlain(pool, jrq, id, "")
-}
-
 // requestSlot requests a slot from a coordinator. It returns an empty ID if there is none, and false if
 // the coordinator did not answer. The slot of an answer that is lost or comes later is given back.
 func (crd *Coordinator) requestSlot(ctx context.Context, vw *state.View, inc ident.Incarnation, srq slotRequest) (string, bool) {
