internal/coord: tests of two lost coordinators hold their slot

Cause: TestOneSlotIsTakenAfterTwoLostCoordinators/bookings counted two placements where one must be, and refused the last submission. Its request has no deadline, so its slot is taken back after a second, which ends together with the 1.5 s for which the test places.

Ruled out: a second slot that the product grants. The slots are held for a minute now, and one placement in 1.5 s is demanded as before.

--- a/internal/coord/queue_test.go
+++ b/internal/coord/queue_test.go
@@ -300,9 +300,11 @@
 			bed.cut[ins].Store(true)
 			bed.crds[2].markUnresponsive(bed.ids[ins])
 		}
-		_, acq := bed.acquire(context.Background(), 2, pool, WaitTerms{}, 1500*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		_, acq := bed.acquire(ctx, 2, pool, WaitTerms{}, 1500*time.Millisecond)
 		bed.gom.Expect(acq).To(gomega.Equal(Granted))
-		_, acq = bed.acquire(context.Background(), 2, pool, WaitTerms{}, 200*time.Millisecond)
+		_, acq = bed.acquire(ctx, 2, pool, WaitTerms{}, 200*time.Millisecond)
 		bed.gom.Expect(acq).To(gomega.Equal(Refused))
 	})
 }
@@ -311,13 +313,15 @@
 func TestOneSlotIsTakenAfterTwoLostCoordinators(t *testing.T) {
 	forPools(t, func(t *testing.T, pool string) {
 		bed := newQueueBed(t, 3, 4)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
 		placed := 0
 		for until := time.Now().Add(1500 * time.Millisecond); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 			for ins := range 2 {
 				bed.cut[ins].Store(true)
 				bed.crds[2].markUnresponsive(bed.ids[ins])
 			}
-			if _, ok := bed.crds[2].Place(context.Background(), bed.viewOf(0), pool, fmt.Sprint("t", testTickets.Add(1), "/0"), place.Ask{}); ok {
+			if _, ok := bed.crds[2].Place(ctx, bed.viewOf(0), pool, fmt.Sprint("t", testTickets.Add(1), "/0"), place.Ask{}); ok {
 				placed++
 			}
 		}
