internal/state: failed reads of the list are spaced also where entries were kept

What callers saw: while the store refuses calls for five seconds, two of eight instances answer late or not at all, and with old documents and lists for up to three seconds after it. One of them handled requests by a list that was 12 s old.

Cause: an instance that keeps missing entries reads the list again at the instant from which it keeps them no more. That instant was forgotten by an answered read only. A follower that had kept entries once, and became a source while the store was down, was due at once after each failed read, which makes no call; it spun until the store was back.

Ruled out: load of the machine.

Change: that instant counts only while no read has been sent since.

--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -68,8 +68,8 @@
 	keptUntil clock.Milli
 	loaded    bool
 	faults    map[string]bool
-	// readAt is when the last read of the store by this instance ended.
-	readAt clock.Milli
+	// readSent and readAt are when the last read of the store by this instance was sent, and ended.
+	readSent, readAt clock.Milli
 }
 
 // poll reads the endpoint entries. It starts once documents are known: both reads at once would
@@ -105,7 +105,7 @@
 	if src == fromOther && ect.loaded {
 		due = max(due, ect.listed.asOf+maxListAge+ect.ageSpread)
 	}
-	if src == fromStore && ect.keptUntil > 0 {
+	if src == fromStore && ect.keptUntil > ect.readSent {
 		due = min(due, ect.keptUntil)
 	}
 	return due - now
@@ -131,7 +131,7 @@
 
 // applyRead applies the answer to a read of the entries that was sent at an instant.
 func (ect *endptsCtl) applyRead(lst proto.Listing, err error, sent, now clock.Milli) {
-	ect.readAt = now
+	ect.readSent, ect.readAt = sent, now
 	if ect.ctl.set.Store.Era != nil {
 		ect.ctl.docs.enterEra(ect.ctl.set.Store.Era(), now)
 	}
--- a/internal/state/reads_test.go
+++ b/internal/state/reads_test.go
@@ -102,3 +102,21 @@
 	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 9000+lapsedGrace, 9010+lapsedGrace)
 	gom.Expect(names(ect.list)).To(gomega.Equal([]string{"a"}))
 }
+
+// Guards against an instance that has kept entries once, and reads the list without a pause while the store is down.
+func TestFailedReadsAreSpaced(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ect := newEndpts()
+	ect.applyRead(proto.Listing{Endpoints: list("a", "gone")}, nil, 1000, 1010)
+	ect.applyRead(proto.Listing{}, errors.New("down"), 5000, 5100)
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 9000, 9010)
+	// A read that was sent before the entries lapse, and answered after it, is followed by another one at once.
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 8990+lapsedGrace, 9010+lapsedGrace)
+	gom.Expect(ect.untilDue(fromStore, 9010+lapsedGrace)).To(gomega.BeNumerically("<=", 0))
+	for _, now := range []clock.Milli{9020 + lapsedGrace, 30000} {
+		ect.applyRead(proto.Listing{}, errStoreDown, now, now)
+		for _, src := range []source{fromStore, fromStoreRarely} {
+			gom.Expect(ect.untilDue(src, now)).To(gomega.Equal(clock.FromDuration(pollInterval)))
+		}
+	}
+}
