--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -143,7 +143,7 @@
 	if run.Header.Get(fake.HeaderTenant) != workspace || run.Header.Get(fake.HeaderAuthorize) != "" {
 		sr.violation("not sent: %s ran %s for workspace %q, API key forwarded: %v", ep.ID(), run.ID, run.Header.Get(fake.HeaderTenant), run.Header.Get(fake.HeaderAuthorize) != "")
 	}
-	if at, revoked := sr.revoked[att.key]; revoked && att.sent.Sub(at) > tokenMaxViewAge {
+	if at, revoked := sr.revoked[att.key]; revoked && att.sent.Sub(at) > sr.params.tokenMaxViewAge {
 		sr.violation("revoked: %s was sent to %s %v after its key was revoked, and ran", att.id, att.ins.name, att.sent.Sub(at))
 	}
 	if !ep.drainedAt.IsZero() && run.At.Sub(ep.drainedAt) > drainBound && att.steady {
--- a/internal/soak/instance_test.go
+++ b/internal/soak/instance_test.go
@@ -102,10 +102,10 @@
 	}
 }
 
-// Settings of the instances. The checks use tokenMaxViewAge and the shutdown timeout as well. Runs
+// Settings of the instances. The checks use the maximum view age for tokens and the shutdown timeout as well. Runs
 // with answers of varied length draw the shutdown timeout and the entry TTL.
 const (
-	tokenMaxViewAge        = 2 * time.Second
+	defaultTokenMaxViewAge = 2 * time.Second
 	defaultShutdownTimeout = 6 * time.Second
 	defaultEntryTTL        = 300 * time.Millisecond
 )
@@ -139,7 +139,7 @@
 tokens_for_ms = %d
 stop_ms = %d
 memory_mb = 256
-`, ins.callerAddr, ins.entriesAddr, at(2), at(3), ins.peerProxy.addr(), at(4), upstream.addr(), prm.entryTTL.Milliseconds(), tokenMaxViewAge.Milliseconds(), prm.shutdownTimeout.Milliseconds())
+`, ins.callerAddr, ins.entriesAddr, at(2), at(3), ins.peerProxy.addr(), at(4), upstream.addr(), prm.entryTTL.Milliseconds(), prm.tokenMaxViewAge.Milliseconds(), prm.shutdownTimeout.Milliseconds())
 	if err := os.WriteFile(ins.settingsPath, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -54,6 +55,8 @@
 	// shutdownTimeout and entryTTL are the instances' settings stop_ms and keep_ms.
 	shutdownTimeout time.Duration
 	entryTTL        time.Duration
+	// tokenMaxViewAge is the instances' setting tokens_for_ms.
+	tokenMaxViewAge time.Duration
 	// variedAnswers reports that answers are of varied length: minAnswerTime at least, twice that
 	// at the median, maxAnswerTime at most.
 	variedAnswers bool
@@ -163,6 +166,7 @@
 		seed: spc.seed, faultKinds: spc.faultKinds, params: newRunParams(spc), program: program, store: fake.NewStore(), rng: rand.New(rand.NewPCG(spc.seed, 1)),
 		revoked: map[string]time.Time{}, attempts: map[string]*attempt{}, countAllUnanswered: os.Getenv("AMV_SOAK_HELD") == "all",
 	}
+	sr.params.tokenMaxViewAge = cmp.Or(spc.tokenMaxViewAge, defaultTokenMaxViewAge)
 	var err error
 	if sr.srv, err = stand.Serve("127.0.0.1:0", sr.store.Handler()); err != nil {
 		t.Fatal(err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,6 +53,8 @@
 type runSpec struct {
 	seed       uint64
 	faultKinds int
+	// tokenMaxViewAge is the instances' setting tokens_for_ms, zero for the usual one.
+	tokenMaxViewAge time.Duration
 }
 
 // TestSoak runs each seed: the few of CI, which include those that once failed, or those that the
