internal/state: the list of endpoints is read as soon as the store is back

What callers saw: after an outage of the store requests went on by the list from before it, for up to 0.7 s longer than by the documents from before it.

Cause: the list is not read while the last read of the documents failed, and each read that is left out begins the interval anew. Nothing began it when the documents were read again.

Ruled out: readers that hand on an old list; the instances that read the store themselves show it too.

Change: the first answer of the store after a failure makes the read due at once. contacted is recordContact without the loop, so that a test can call it.

--- a/internal/state/docs.go
+++ b/internal/state/docs.go
@@ -223,23 +223,28 @@
 	return down || !ok
 }
 
-// recordContact records whether the store answered, and logs when that changes.
+// recordContact records whether the store answered a read of the documents.
 func (dct *docsCtl) recordContact(ctx context.Context, err error) {
 	defer dct.ctl.storeContacted.fire()
-	dct.ctl.loop.Do(ctx, func(now clock.Milli) {
-		if err == nil {
-			dct.lastAnswer = now
-		}
-		if dct.down == (err != nil) {
-			return
-		}
-		dct.down = err != nil
-		evt := dct.ctl.set.Log.Info()
-		if dct.down {
-			evt = dct.ctl.set.Log.Warn().Err(err)
-		}
-		evt.Str("dependency", "store").Bool("lost", dct.down).Int64("view_age_ms", int64(now-dct.asOf)).Msg("dependency changed")
-	})
+	dct.ctl.loop.Do(ctx, func(now clock.Milli) { dct.contacted(err, now) })
+}
+
+// contacted records whether the store answered, and logs when that changes.
+func (dct *docsCtl) contacted(err error, now clock.Milli) {
+	if err == nil {
+		dct.lastAnswer = now
+	}
+	if dct.down == (err != nil) {
+		return
+	}
+	dct.down = err != nil
+	evt := dct.ctl.set.Log.Info()
+	if dct.down {
+		evt = dct.ctl.set.Log.Warn().Err(err)
+	} else {
+		dct.ctl.endpts.storeIsBack()
+	}
+	evt.Str("dependency", "store").Bool("lost", dct.down).Int64("view_age_ms", int64(now-dct.asOf)).Msg("dependency changed")
 }
 
 // confirm records that the documents were still the newest when a read was sent.
--- a/internal/state/endpts.go
+++ b/internal/state/endpts.go
@@ -111,6 +111,9 @@
 	return due - now
 }
 
+// storeIsBack has the list read at once: it was not while the store was down.
+func (ect *endptsCtl) storeIsBack() { ect.readAt = -never }
+
 // fetch reads the entries, unless the store is down. While no reader has updates, an instance that
 // has had no answer itself does not know whether the store is up.
 func (ect *endptsCtl) fetch(ctx context.Context, src source) (proto.Listing, error) {
--- a/internal/state/reads_test.go
+++ b/internal/state/reads_test.go
@@ -120,3 +120,19 @@
 		}
 	}
 }
+
+// Guards against requests that are sent by the list from before an outage of the store for an interval longer than by
+// the documents.
+func TestListIsReadOnceTheStoreIsBack(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ect := newEndpts()
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 1000, 1010)
+	ect.ctl.docs.contacted(errStoreAway, 5000)
+	ect.applyRead(proto.Listing{}, errStoreDown, 5100, 5100)
+	gom.Expect(ect.untilDue(fromStore, 5200)).To(gomega.BeNumerically(">", 0))
+	ect.ctl.docs.contacted(nil, 5200)
+	gom.Expect(ect.untilDue(fromStore, 5200)).To(gomega.BeNumerically("<=", 0))
+	ect.applyRead(proto.Listing{Endpoints: list("a")}, nil, 5210, 5220)
+	ect.ctl.docs.contacted(nil, 5300)
+	gom.Expect(ect.untilDue(fromStore, 5300)).To(gomega.BeNumerically(">", 0))
+}
