internal/relay: a request is checked once more before its first byte

Cause: whether a request may be sent was decided when its connection was open. The connection is then handed to the goroutine that writes, which runs when the process does.

Change: the first write asks again, in the call that passes the bytes to the kernel, and fails with the error of a request that was withheld. What is left between the two is one system call.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -33,9 +33,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if allowed, ok := ctx.Value(allowedKey{}).(func() bool); ok && !allowed() {
-			_ = con.Close()
-			return nil, errWithheld
+		if allowed, ok := ctx.Value(allowedKey{}).(func() bool); ok {
+			if !allowed() {
+				_ = con.Close()
+				return nil, errWithheld
+			}
+			con = Checked(con, allowed, errWithheld)
 		}
 		if wrt, ok := ctx.Value(writtenKey{}).(*written); ok {
 			return &trackedConn{Conn: con, wrt: wrt}, nil
@@ -44,6 +47,40 @@
 	}
 }
 
+// Checked returns a connection whose first write fails with err unless allowed reports true: the process may stand still
+// between the last check of a request and its first byte.
+func Checked(con net.Conn, allowed func() bool, err error) net.Conn {
+	return &checkedConn{Conn: con, allowed: allowed, err: err}
+}
+
+// checkedConn is a connection made by [Checked]. allowed is nil once it has been written to.
+type checkedConn struct {
+	net.Conn
+	allowed func() bool
+	err     error
+}
+
+func (ccn *checkedConn) Write(buf []byte) (int, error) {
+	if allowed := ccn.allowed; allowed != nil {
+		ccn.allowed = nil
+		if !allowed() {
+			return 0, ccn.err
+		}
+	}
+	return ccn.Conn.Write(buf)
+}
+
+// Relay returns the instance that relays the connection, empty for a direct one.
+func (ccn *checkedConn) Relay() ident.Incarnation { return relayOf(ccn.Conn) }
+
+// relayOf returns the instance that relays a connection, empty for a direct one.
+func relayOf(con net.Conn) ident.Incarnation {
+	if rcn, ok := con.(relayedConn); ok {
+		return rcn.Relay()
+	}
+	return ""
+}
+
 // trackedConn records the failure of a write. A write that fails because the connection was closed on this side is
 // none: the transport does so when the answer has ended, which may be before all of the request is written.
 type trackedConn struct {
@@ -60,9 +97,4 @@
 }
 
 // Relay returns the instance that relays the connection, empty for a direct one.
-func (tcn *trackedConn) Relay() ident.Incarnation {
-	if rcn, ok := tcn.Conn.(relayedConn); ok {
-		return rcn.Relay()
-	}
-	return ""
-}
+func (tcn *trackedConn) Relay() ident.Incarnation { return relayOf(tcn.Conn) }
