internal/state, internal/front, internal/node: requests wait for a list of endpoints that was read since a pause

What callers saw: an instance whose process stood still sends what came in meanwhile to endpoints that left during the pause, later than two seconds after the store took their word.

The list is read at once after a pause, within some 20 ms, but no request waits for it.

Ruled out: to refuse by an old list, since an outage of the store must not stop service; to wait until a read fails, since a read that hangs takes 1.5 s to do so.

Change: a request that finds a list older than 1.9 s waits for a newer one before its endpoint is chosen, and again at its last check; so do batches and other calls. All of them wait no longer than 0.5 s from the first on, so that an outage of the store costs that once.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -111,6 +111,7 @@
 		run.nextPlacement = nil
 		return *next, outcm.Result{}
 	}
+	fr.set.Control.AwaitList(ctx)
 	until := fr.set.Clock.Now() + cl.slotWait()
 	for {
 		if fr.set.Control.View().AllWithheld(cl.pool.Name(), cl.bound.build) {
--- a/internal/front/sending.go
+++ b/internal/front/sending.go
@@ -61,6 +61,7 @@
 	// instance, or its data centre may have been evacuated.
 	bound := cl.bound
 	snd.rqs.Allowed = func() bool {
+		fr.set.Control.AwaitList(snd.ctx)
 		snd.checked.Store(fr.newCheck(snd.began))
 		return fr.set.Control.MaySend(tgt.ID, "") && fr.set.Control.MaySendTo(fetch, "") && fr.tokenValid(cl) && !fr.isQuarantined(cl) && !fr.set.Control.View().IsLeaving(tgt.ID) &&
 			!fr.set.Control.Resting(tgt.ID) && bound.allows(fr.set.Control.View().Build(tgt.ID))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -228,11 +228,18 @@
 // the data centre may be evacuated, or the endpoint become known to leave.
 func (nod *Node) dialAllowed(ctx context.Context, network, addr string) (net.Conn, error) {
 	con, err := nod.dialer.DialContext(ctx, network, addr)
-	if err == nil && (!nod.ctl.MaySendTo(addr, "") || nod.ctl.View().HasLeft(addr)) {
+	if err != nil {
+		return nil, err
+	}
+	allowed := func() bool {
+		nod.ctl.AwaitList(context.WithoutCancel(ctx))
+		return nod.ctl.MaySendTo(addr, "") && !nod.ctl.View().HasLeft(addr)
+	}
+	if !allowed() {
 		_ = con.Close()
 		return nil, proto.ErrWithheld
 	}
-	return con, err
+	return relay.Checked(con, allowed, proto.ErrWithheld), nil
 }
 
 // cachedParts returns the query for the prompt parts that a model engine has cached, or nil if
--- a/internal/node/notice_test.go
+++ b/internal/node/notice_test.go
@@ -224,3 +224,22 @@
 		}
 	})
 })
+
+var _ = ginkgo.Describe("calls of an instance", func() {
+	// Guards against batches that are sent by a list of endpoints from before a pause of the process.
+	ginkgo.It("wait for a list of endpoints if theirs is old", func() {
+		tbd := newTestbed(1)
+		nod := tbd.nodes[0]
+		dialled := func() time.Duration {
+			began := time.Now()
+			con, err := nod.dialAllowed(context.Background(), "tcp", tbd.servers[tbd.stages[0].ID()].Addr())
+			expect(err).NotTo(anything())
+			_ = con.Close()
+			return time.Since(began)
+		}
+		expect(dialled()).To(gomega.BeNumerically("<", 250*time.Millisecond))
+		tbd.store.SetMode(fake.Silent)
+		gomega.Eventually(func() clock.Milli { return nod.ctl.View().ListAge(nod.clk.Now()) }, pollTimeout, 5*time.Millisecond).Should(gomega.BeNumerically(">", 1900))
+		expect(dialled()).To(gomega.BeNumerically(">", 250*time.Millisecond))
+	})
+})
--- a/internal/soak/paused_test.go
+++ b/internal/soak/paused_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -9,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthvalve/internal/zlog"
+	"amaranthvalve/platform/fake"
 )
 
 const (
@@ -20,8 +23,8 @@
 	drainTolerance = 2 * time.Second
 )
 
-// Guards against requests to endpoints that left while the instance's process stood still: the instance goes on with
-// the list of endpoints from before.
+// Guards against requests and batches to endpoints that left while the instance's process stood still: the instance
+// goes on with the list of endpoints from before.
 func TestPausedInstanceSendsNothingToEndpointsThatLeft(t *testing.T) {
 	zlog.RedirectLibraries(zerolog.Nop())
 	sr := newSoakRun(t, buildDaemon(t), runSpec{seed: 1, faultKinds: variedFromKinds - 1, tokenMaxViewAge: 2 * pausedFor}, 3)
@@ -29,42 +32,55 @@
 		t.Fatal("the instances do not serve")
 	}
 	for i, ins := range sr.insts {
-		// A list of which each reader and follower has been told again since the last round.
+		// All instances have had a list since the last round.
 		time.Sleep(settleTime)
 		ins.signal(syscall.SIGSTOP)
 		resume := time.Now().Add(pausedFor)
 		time.Sleep(minGap)
-		leaving := sr.servingEndpoints("bookings")[0]
-		sr.addEndpoint("bookings")
 		var wgr sync.WaitGroup
-		wgr.Go(func() { sr.drain(leaving) })
-		for n := range pausedRequests {
+		var leaving []*endpoint
+		for _, pool := range []string{"bookings", "rosters"} {
+			ep := sr.servingEndpoints(pool)[0]
+			leaving = append(leaving, ep)
+			sr.addEndpoint(pool)
+			wgr.Go(func() { sr.drain(ep) })
+		}
+		atts := make([]*attempt, pausedRequests)
+		for n := range atts {
 			clr := sr.newCaller(100*i + n)
+			knd := requestKinds[0]
+			if n%2 > 0 {
+				knd = requestKinds[len(requestKinds)-1]
+			}
 			wgr.Go(func() {
 				time.Sleep(time.Second)
-				clr.do(&attempt{requestKind: requestKinds[0], key: permanentKey, ins: ins, deadline: longDeadline})
+				atts[n] = clr.do(&attempt{requestKind: knd, key: permanentKey, ins: ins, deadline: longDeadline})
 			})
 		}
 		time.Sleep(time.Until(resume))
 		ins.signal(syscall.SIGCONT)
 		wgr.Wait()
-		ran := 0
-		for _, att := range sr.order {
-			if att.ins == ins && att.status == 200 {
-				ran++
+		for _, att := range atts {
+			if att.status != http.StatusOK {
+				t.Errorf("%s answered %s, route %s, with %d: %s", ins.name, att.id, att.route, att.status, att.answer)
 			}
 		}
-		if ran < pausedRequests {
-			t.Errorf("%s: %d of %d requests were answered 200", ins.name, ran, pausedRequests)
-		}
-		late := 0
-		for _, run := range leaving.Runs() {
-			if run.At.Sub(leaving.drainedAt) > drainTolerance {
-				late++
-			}
+		for _, ep := range leaving {
+			checkDrained(t, ins, ep)
 		}
-		if late > 0 {
-			t.Errorf("%s sent %d requests to %s more than %v after its entry was marked as leaving", ins.name, late, leaving.ID(), drainTolerance)
+	}
+}
+
+// checkDrained checks that a leaving endpoint got no work later than drainTolerance after the store took its word.
+func checkDrained(t *testing.T, ins *instance, ep *endpoint) {
+	late := 0
+	for _, arr := range ep.AllArrivals() {
+		isWork := arr.Path == fake.PathBatch || strings.HasPrefix(arr.Path, "/"+requestKinds[0].route+"/")
+		if isWork && arr.At.Sub(ep.drainedAt) > drainTolerance {
+			late++
 		}
 	}
+	if late > 0 {
+		t.Errorf("%s was paused, and %s got %d requests more than %v after its entry was marked as leaving", ins.name, ep.ID(), late, drainTolerance)
+	}
 }
--- /dev/null
+++ b/internal/state/awaitlist_test.go
@@ -0,0 +1,67 @@
+package state
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"amaranthvalve/internal/proto"
+	"amaranthvalve/pkg/clock"
+)
+
+// awaited returns how long a request waits for a list of endpoints.
+func awaited(ctl *Control) time.Duration {
+	began := time.Now()
+	ctl.AwaitList(context.Background())
+	return time.Since(began)
+}
+
+// Guards against requests that are sent by a list of endpoints from before a pause of the process, which has not been
+// read anew yet.
+func TestRequestsWaitForANewList(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var held atomic.Bool
+	release := make(chan struct{})
+	ctl := started(t, proto.Store{Endpoints: func(ctx context.Context) (proto.Listing, error) {
+		if held.Load() {
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+		}
+		return proto.Listing{Endpoints: list("a")}, ctx.Err()
+	}})
+	gom.Eventually(func() bool { return ctl.View().servable() }, soon).Should(gomega.BeTrue())
+	gom.Expect(awaited(ctl)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+	held.Store(true)
+	time.Sleep(clock.FromDuration(pollInterval).Duration() + dueInterval.Duration())
+	ctl.loop.Do(t.Context(), func(now clock.Milli) { ctl.endpts.listed.asOf = now - 2*maxSendListAge })
+	time.AfterFunc(150*time.Millisecond, func() {
+		held.Store(false)
+		close(release)
+	})
+	took := awaited(ctl)
+	gom.Expect(took).To(gomega.And(gomega.BeNumerically(">=", 140*time.Millisecond), gomega.BeNumerically("<", maxListWait.Duration())))
+	gom.Expect(ctl.View().ListAge(ctl.set.Clock.Now())).To(gomega.BeNumerically("<", maxSendListAge))
+}
+
+// Guards against requests that each wait for a list while the store can't be read: all of them wait no longer than the
+// first.
+func TestRequestsDontWaitForAStoreThatIsDown(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	var down atomic.Bool
+	ctl := started(t, proto.Store{Endpoints: func(context.Context) (proto.Listing, error) {
+		if down.Load() {
+			return proto.Listing{}, errStoreAway
+		}
+		return proto.Listing{Endpoints: list("a")}, nil
+	}})
+	gom.Eventually(func() bool { return ctl.View().servable() }, soon).Should(gomega.BeTrue())
+	down.Store(true)
+	gom.Eventually(func() clock.Milli { return ctl.View().ListAge(ctl.set.Clock.Now()) }, soon).Should(gomega.BeNumerically(">", maxSendListAge))
+	gom.Expect(awaited(ctl)).To(gomega.And(gomega.BeNumerically(">", maxListWait.Duration()/2), gomega.BeNumerically("<", 2*maxListWait.Duration())))
+	gom.Expect(awaited(ctl) + awaited(ctl) + awaited(ctl)).To(gomega.BeNumerically("<", maxListWait.Duration()/2))
+}
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -100,6 +100,10 @@
 	// viewChanged is closed, and replaced, when a view with another plan or other endpoints is
 	// stored.
 	viewChanged atomic.Pointer[chan struct{}]
+	// listConfirmed is closed, and replaced, when a view with a more recently read list of endpoints is stored;
+	// listWait is how long requests wait for that.
+	listConfirmed atomic.Pointer[chan struct{}]
+	listWait      listWait
 	// storeContacted fires once the store has been asked for documents, membersLoaded once the
 	// instance entries have been read or another instance has sent its whole state.
 	storeContacted *signal
@@ -131,8 +135,9 @@
 	ctl.cold.ctl = ctl
 	ctl.cold.released = func(zone string) (at clock.Milli, ok bool) { return ctl.evacs.set.Released(zone) }
 	ctl.view.Store(&View{position: proto.Position{Offset: -1}})
-	changed := make(chan struct{})
+	changed, confirmed := make(chan struct{}), make(chan struct{})
 	ctl.viewChanged.Store(&changed)
+	ctl.listConfirmed.Store(&confirmed)
 	return ctl
 }
 
@@ -228,8 +233,10 @@
 	ctl.logChanges(old, vw, now)
 	ctl.view.Store(vw)
 	if ctl.dirty {
-		next := make(chan struct{})
-		close(*ctl.viewChanged.Swap(&next))
+		renew(&ctl.viewChanged)
+	}
+	if vw.listed.asOf > old.listed.asOf {
+		renew(&ctl.listConfirmed)
 	}
 	if (ctl.dirty || ctl.noticesChanged) && ctl.set.OnChange != nil {
 		ctl.set.OnChange(vw)
@@ -237,6 +244,12 @@
 	ctl.dirty, ctl.noticesChanged = false, false
 }
 
+// renew closes a channel and replaces it.
+func renew(ptr *atomic.Pointer[chan struct{}]) {
+	next := make(chan struct{})
+	close(*ptr.Swap(&next))
+}
+
 // rankMembers sets the parts of a view that are derived from the members.
 func (ctl *Control) rankMembers(vw *View, now clock.Milli) {
 	vw.sources = sourcesOf(ctl.list.Owners(readersRankKey))
