platform/fake, internal/node, platform: answers cut in their heads behind relays, of streams and of batches

Tried now: the framing specs cut answers in the status line, before the empty line that ends the head and inside it, besides the middle of the head; they play these on all kinds of routes, with three framings, ended, half closed and reset, directly, behind a relay, in HTTP/1.0 and with large bodies. Answers to batches are cut at each byte with three framings.

Not reproduced. The product is not changed.

--- a/internal/node/framing_test.go
+++ b/internal/node/framing_test.go
@@ -180,24 +180,26 @@
 		return closed
 	case endsProven(shp):
 		return proven
-	case shp.Padding > 0 && shp.Cut != fake.InHead && shp.Cut != fake.AfterHead:
+	case shp.Padding > 0 && !shp.Cut.IsInHead() && shp.Cut != fake.AfterHead:
 		// The head has been passed on.
 		return broken
 	case again && shp.Close == fake.GoesSilent:
 		// Whether the other endpoint is asked in time depends on the deadline.
 		return ""
-	case again && stream && shp.Cut != fake.InHead && unframed, again && stream && old:
+	case again && stream && !shp.Cut.IsInHead() && unframed, again && stream && old:
 		return closed
 	case again:
 		return proven
-	case !stream || shp.Cut == fake.InHead:
+	case !stream || shp.Cut.IsInHead():
 		return failed
 	}
 	return broken
 }
 
 // allCuts are the points at which an answer ends.
-var allCuts = []fake.Cut{fake.Uncut, fake.InHead, fake.AfterHead, fake.InsideEvent, fake.BetweenEvents, fake.AfterEvents}
+var allCuts = []fake.Cut{
+	fake.Uncut, fake.InStatusLine, fake.InHead, fake.BeforeHeadEnd, fake.InHeadEnd, fake.AfterHead, fake.InsideEvent, fake.BetweenEvents, fake.AfterEvents,
+}
 
 // framingShapes returns all combinations of framing, cut and close, but for silence, which takes time and is
 // played at the given cuts, and some more.
