internal/soak: endpoints leave in series while readers of the store are paused, killed or reset

Kind 26 is series of leaving endpoints; from 26 kinds on half of the runs draw mostly these, pauses of 0.5 to 3 s, kills, planned shutdowns and resets of connections to the store.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -56,6 +56,7 @@
 	{"engines of another build", (*soakRun).rollOutBuild},
 	{"part of prompts", (*soakRun).sendParts},
 	{"answers without end", (*soakRun).floodAnswers},
+	{"endpoints drain in series", (*soakRun).drainSeries},
 }
 
 // Runs that draw from at least variedFromKinds kinds may have answers of varied length. In such a
@@ -135,6 +136,9 @@
 	if sr.params.floods && sr.drawInt(calmAnyFaultOneIn) > 0 {
 		return floodFaults[sr.drawInt(len(floodFaults))]
 	}
+	if sr.params.drains && sr.drawInt(calmAnyFaultOneIn) > 0 {
+		return drainFaults[sr.drawInt(len(drainFaults))]
+	}
 	return faultKinds[sr.drawInt(sr.faultKinds)]
 }
 
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -69,6 +69,8 @@
 	parts bool
 	// floods reports that most faults are answers without end, and faults that move requests to their endpoints.
 	floods bool
+	// drains reports that most faults are endpoints that leave, and ends and pauses of instances.
+	drains bool
 	// rollOuts reports that most faults are roll-outs of builds and ends of instances, so that many streams
 	// are taken up.
 	rollOuts bool
@@ -90,6 +92,9 @@
 // a seed are independent of them.
 func newRunParams(spc runSpec) runParams {
 	rng := rand.New(rand.NewPCG(spc.seed, 2))
+	if spc.faultKinds >= drainsFromKinds && rng.IntN(2) == 0 {
+		return runParams{shutdownTimeout: defaultShutdownTimeout, entryTTL: defaultEntryTTL, drains: true}
+	}
 	if spc.faultKinds >= floodsFromKinds && rng.IntN(2) == 0 {
 		return runParams{shutdownTimeout: defaultShutdownTimeout, entryTTL: defaultEntryTTL, floods: true}
 	}
