pkg/member: instances that were lost together are suspected together

Cause: an instance probes one member a second, in turn. A probe without an answer said nothing of the others; additional probes followed news of joins, ends and leaving, and suspicions only where a request had met them.

Ruled out: to leave a member out of answers at its first unanswered probe, since a lost packet would take a sound one out.

Change: each new suspicion sends additional probes, 100 ms apart, and has a budget for them: an instance without others to tell it learns within some four seconds that all are gone. One loss costs three more probes at each instance that suspects it; a suspicion is new once.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -54,7 +54,7 @@
 	MaxUpdates = 6
 	MaxEnded   = 24
 	// ExtraProbes additional probes are sent, ExtraProbeGap apart, when a member joins,
-	// leaves or ends, so that the update reaches all instances within a second: each passes
+	// leaves, ends or is suspected, so that the update reaches all instances within a second: each passes
 	// it on to three more, 86 members in four rounds. Regular probes alone take a quarter
 	// of a minute. The long-term rate of additional probes is one per ExtraProbePeriod,
 	// with bursts of extraProbeBurst.
@@ -437,9 +437,12 @@
 			}
 		case now-pnd.sent >= Period:
 			delete(lst.pending, target)
-			lst.suspect(target, now)
-			if pnd.requested {
-				// Other instances are about to send requests to it too.
+			isNew := lst.suspect(target, now)
+			if isNew {
+				// Others may have been lost with it, and each would be probed in its turn only.
+				lst.extraBudget = max(lst.extraBudget, ExtraProbes)
+			}
+			if isNew || pnd.requested {
 				lst.extraProbes = ExtraProbes
 			}
 		}
@@ -447,13 +450,16 @@
 	return actions
 }
 
-func (lst *List) suspect(who ident.Incarnation, now clock.Milli) {
+// suspect records that a member did not acknowledge a probe, and reports whether that is new.
+func (lst *List) suspect(who ident.Incarnation, now clock.Milli) bool {
 	mbr, ok := lst.members[who]
-	if ok && mbr.update.Status <= Leaving {
-		mbr.update.Status = Suspect
-		mbr.changedAt, mbr.sends = now, 0
-		lst.changes++
+	if !ok || mbr.update.Status > Leaving {
+		return false
 	}
+	mbr.update.Status = Suspect
+	mbr.changedAt, mbr.sends = now, 0
+	lst.changes++
+	return true
 }
 
 // RequestProbe returns a probe of a member that did not answer a request; unless the member
--- a/pkg/member/probe_test.go
+++ b/pkg/member/probe_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/pkg/ident"
@@ -80,3 +82,38 @@
 	one.Tick(1000 + ReplacedFor)
 	gom.Expect(addrs(one)).To(gomega.ConsistOf("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"))
 }
+
+// Guards against instances that are named for long to callers after most instances were lost at once: each is probed in
+// turn, and one that doesn't answer says something of the others. It is to be out of the answers within six seconds.
+func TestManyLostInstancesAreSuspectedSoon(t *testing.T) {
+	const tick, bound = 100, 6 * clock.Second
+	rapid.Check(t, func(rpd *rapid.T) {
+		gom := gomega.NewWithT(rpd)
+		count := rapid.IntRange(2, MeshSize-1).Draw(rpd, "others")
+		lost := rapid.IntRange(count-1, count).Draw(rpd, "lost")
+		lostAt := 20*clock.Second + clock.Milli(rapid.IntRange(0, 1000).Draw(rpd, "at"))
+		lst := New("me#1", "z", "", 0)
+		var all []ident.Incarnation
+		for i := range count {
+			who := ident.Incarnation(fmt.Sprintf("10.0.0.%d:1#1", i))
+			all = append(all, who)
+			lst.Merge([]Update{{ID: who, Seq: 1, Beat: 1}}, 0)
+		}
+		probes := 0
+		for now := clock.Milli(0); now <= lostAt+bound; now += tick {
+			for _, act := range lst.Tick(now) {
+				if now > lostAt && act.Kind == SendProbe {
+					probes++
+				}
+				if act.Kind == SendProbe && (now < lostAt || !slices.Contains(all[:lost], act.Target)) {
+					lst.Ack(act.Target, now)
+				}
+			}
+		}
+		for i, who := range all {
+			mbr, _ := lst.Find(who)
+			gom.Expect(mbr.Status() == Alive).To(gomega.Equal(i >= lost), "%s of %d", who, count)
+		}
+		gom.Expect(probes).To(gomega.BeNumerically("<=", int(bound/Period)+1+ExtraProbes*(lost+2)))
+	})
+}
