pkg/grant: the order of returning requests is tested against their deadlines

Cause: in TestOrder the request that comes back also has the earliest deadline, so that its turn was not needed: the mutant grant_returning_behind passed. Found by running the mutants of the queue.

Change: its deadline is the latest of its rank.

Measured: the mutant fails now, the test passes.

--- a/pkg/grant/grant_test.go
+++ b/pkg/grant/grant_test.go
@@ -36,7 +36,7 @@
 	gom := gomega.NewWithT(t)
 	var que Queue
 	want := []Ask{
-		{Rank: 0, Workspace: "a", Returned: true, Deadline: 90},
+		{Rank: 0, Workspace: "a", Returned: true, Deadline: 390},
 		{Rank: 0, Workspace: "a", Deadline: 130},
 		{Rank: 0, Workspace: "a", Deadline: 260},
 		{Rank: 1, Workspace: "a", Deadline: 1},
