--- a/internal/coord/bindings_test.go
+++ b/internal/coord/bindings_test.go
@@ -100,6 +100,12 @@
 	bps := newBindingPeers(t, 3)
 	key := sticky.KeyOf("a stream")
 	gone := ident.NewIncarnation("127.0.0.1:9")
+	// The connections take a while to make.
+	first := sticky.KeyOf("a stream before")
+	bps.crds[0].BindStream(bps.rank(bps.ids[1], bps.ids[2]), "engines", "v1", first)
+	for _, i := range []int{1, 2} {
+		gom.Eventually(bps.found(i, first), 5*time.Second).Should(gomega.Equal("v1"), "holder %d", i)
+	}
 	vw := bps.rank(gone, bps.ids[1], bps.ids[2])
 	bps.crds[0].BindStream(vw, "engines", "v1", key)
 	for _, i := range []int{1, 2} {
