internal/state: requests wait for a newer list once in ten seconds at most

Each of them would let requests wait for half a second again, as long as the store is slow; what was meant is once for an outage.

Change: after such a wait none begins for ten seconds. The end of a pause is the first in that time, unless the process stands still again and again.

--- a/internal/state/awaitlist.go
+++ b/internal/state/awaitlist.go
@@ -17,6 +17,9 @@
 	// old: an instance that was suspended has read it by then, and one that can't read the store goes on with the list
 	// that it has.
 	maxListWait = 500 * clock.Milli(1)
+	// listWaitGap is the time after such a wait in which requests don't wait again: the lists of a slow store are old
+	// when they come.
+	listWaitGap = 10 * clock.Second
 )
 
 // listWait is the time up to which requests wait for a list that is newer than an old one. The zero value is that of no
@@ -31,7 +34,7 @@
 func (lwt *listWait) left(asOf, now clock.Milli) (span clock.Milli, isFirst bool) {
 	lwt.mtx.Lock()
 	defer lwt.mtx.Unlock()
-	if isFirst = asOf != lwt.asOf; isFirst {
+	if isFirst = asOf != lwt.asOf && (lwt.asOf == 0 || now >= lwt.until+listWaitGap); isFirst {
 		lwt.asOf, lwt.until = asOf, now+maxListWait
 	}
 	return lwt.until - now, isFirst
--- a/internal/state/awaitlist_test.go
+++ b/internal/state/awaitlist_test.go
@@ -48,8 +48,8 @@
 	gom.Expect(ctl.View().ListAge(ctl.set.Clock.Now())).To(gomega.BeNumerically("<", maxSendListAge))
 }
 
-// Guards against requests that each wait for a list while the store can't be read: all of them wait no longer than the
-// first.
+// Guards against requests that each wait for a list while the store can't be read, or only slowly: all of them wait no
+// longer than the first.
 func TestRequestsDontWaitForAStoreThatIsDown(t *testing.T) {
 	gom := gomega.NewWithT(t)
 	var down atomic.Bool
@@ -64,4 +64,6 @@
 	gom.Eventually(func() clock.Milli { return ctl.View().ListAge(ctl.set.Clock.Now()) }, soon).Should(gomega.BeNumerically(">", maxSendListAge))
 	gom.Expect(awaited(ctl)).To(gomega.And(gomega.BeNumerically(">", maxListWait.Duration()/2), gomega.BeNumerically("<", 2*maxListWait.Duration())))
 	gom.Expect(awaited(ctl) + awaited(ctl) + awaited(ctl)).To(gomega.BeNumerically("<", maxListWait.Duration()/2))
+	ctl.loop.Do(t.Context(), func(clock.Milli) { ctl.endpts.listed.asOf += 100 })
+	gom.Expect(awaited(ctl)).To(gomega.BeNumerically("<", maxListWait.Duration()/2))
 }
