internal/batch: a test of crashes answers its calls at once

Cause: the test ends each call only once it has seen it. On a busy machine that takes longer than an endpoint needs to fetch the inputs; they are released then, and a batch that fails after it is not repeated. With a pause of 200 ms there the test fails each time, in the same place.

Change: the ends of the calls lie ready before the order.

--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -53,10 +53,12 @@
 		gom := gomega.NewWithT(t)
 		fxt := newFixture(20)
 		fxt.btr.pool("ranks").set.ProcessEnded = func(context.Context, string) bool { return tst.ended }
+		// The inputs of a call that takes longer are released, and it isn't repeated.
+		fxt.errs <- tst.err
+		fxt.errs <- nil
 		out := fxt.order()
-		for _, err := range []error{tst.err, nil} {
+		for range 2 {
 			gom.Eventually(fxt.calls, soon).Should(gomega.Receive())
-			fxt.errs <- err
 		}
 		var orr OrderResult
 		gom.Eventually(out, soon).Should(gomega.Receive(&orr))
