internal/state: requests wait for a newer list after a pause of the process alone

What callers saw: at the beginning of each outage of the store all requests took half a second longer.

Cause: the wait began whenever the list was older than 1.9 s. A store that is away gives no newer one.

Ruled out: to wait until a read fails, since a read that hangs takes 1.5 s, and a process that was paused finds its reads timed out; to shorten the wait, which is then too short after a pause, where the documents are read first.

Change: what the wait is for is told directly. The control loop steps each 100 ms; a step that comes a second late is a pause, and a loop that has not stepped for a second is in one. Only then, and for half a second after it, requests wait. The bound of one wait in ten seconds is not needed any more. process_paused counts pauses in place of waits.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -67,7 +67,7 @@
 	EventForeignAnswer = "foreign_answer_dropped"
 	EventEntrySkipped  = "endpoint_entry_skipped"
 	EventListIgnored   = "endpoint_list_ignored"
-	EventListAwaited   = "endpoint_list_awaited"
+	EventPaused        = "process_paused"
 	EventFactEvicted   = "fact_evicted"
 	EventStoreRestored = "store_came_back_from_copy"
 	EventRest          = "endpoint_rest"
@@ -84,7 +84,7 @@
 
 var events = []string{
 	EventDropped, EventLogStale, EventLogTrimmed, EventLogError, EventAppendRepeat, EventAppendDrop, EventPeerRefused,
-	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventListIgnored, EventListAwaited, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
+	EventStateTaken, EventOrderSent, EventOrderRefused, EventLateRelease, EventForeignAnswer, EventEntrySkipped, EventListIgnored, EventPaused, EventFactEvicted, EventStoreRestored, EventRest, EventRestOfNone, EventPartQuarantined,
 	EventWithheld, EventRecordSkipped, EventUnbounded,
 }
 
--- a/internal/state/awaitlist.go
+++ b/internal/state/awaitlist.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"amaranthvalve/internal/meter"
@@ -10,55 +9,52 @@
 )
 
 const (
-	// maxSendListAge is the age of the list of endpoints up to which requests are sent by it at once. It leaves a
-	// twentieth of the time in which a leaving endpoint may still get requests for their way there.
+	// maxSendListAge is the age of the list of endpoints up to which requests are sent by it at once, also after a pause
+	// of the process. It leaves a twentieth of the time in which a leaving endpoint may still get requests for their
+	// way there.
 	maxSendListAge = 1900 * clock.Milli(1)
-	// maxListWait is how long requests wait for a newer list, from the moment at which the first of them finds it too
-	// old: an instance that was suspended has read it by then, and one that can't read the store goes on with the list
-	// that it has.
+	// minPause is how long the control loop stands still in a pause of the process: it steps every stepInterval.
+	minPause = clock.Second
+	// maxListWait is how long requests wait for a newer list after a pause. The list has been read by then, unless the
+	// store can't be read.
 	maxListWait = 500 * clock.Milli(1)
-	// listWaitGap is the time after such a wait in which requests don't wait again: the lists of a slow store are old
-	// when they come.
-	listWaitGap = 10 * clock.Second
 )
 
-// listWait is the time up to which requests wait for a list that is newer than an old one. The zero value is that of no
-// list.
-type listWait struct {
-	mtx   sync.Mutex
-	asOf  clock.Milli
-	until clock.Milli
+// recordStep records that the control loop runs, and whether it goes on after a pause of the process.
+func (ctl *Control) recordStep(now clock.Milli) {
+	before := clock.Milli(ctl.steppedAt.Swap(int64(now)))
+	if before == 0 || now-before < minPause {
+		return
+	}
+	ctl.resumedAt.Store(int64(now))
+	ctl.set.Meter.CountEvent(meter.EventPaused)
+	ctl.set.Log.Info().Int64("paused_ms", int64(now-before)).Str("list_from", ctl.endpts.listed.from).Int64("list_age_ms", int64(now-ctl.endpts.listed.asOf)).Msg("the process was paused")
 }
 
-// left returns how long a request waits that finds an old list, and whether it is the first one.
-func (lwt *listWait) left(asOf, now clock.Milli) (span clock.Milli, isFirst bool) {
-	lwt.mtx.Lock()
-	defer lwt.mtx.Unlock()
-	if isFirst = asOf != lwt.asOf && (lwt.asOf == 0 || now >= lwt.until+listWaitGap); isFirst {
-		lwt.asOf, lwt.until = asOf, now+maxListWait
+// listWait returns how long a request that arrives now waits for a newer list of endpoints, zero unless the process has
+// just been paused: the list from before an outage of the store is used as it is.
+func (ctl *Control) listWait(now clock.Milli) clock.Milli {
+	if listed := ctl.View().listed; listed.from == "" || now-listed.asOf <= maxSendListAge {
+		return 0
+	}
+	stepped, resumed := clock.Milli(ctl.steppedAt.Load()), clock.Milli(ctl.resumedAt.Load())
+	if now-stepped >= minPause {
+		return maxListWait
 	}
-	return lwt.until - now, isFirst
+	return max(resumed+maxListWait-now, 0)
 }
 
-// AwaitList waits for a list of endpoints by which requests may be sent. It returns at once if the present one is
-// recent, and soon if the store can't be read.
+// AwaitList waits for a list of endpoints by which requests may be sent. It returns at once unless the process has just
+// been paused, and soon if the store can't be read.
 func (ctl *Control) AwaitList(ctx context.Context) {
+	until := never
 	for ctx.Err() == nil {
-		confirmed := *ctl.listConfirmed.Load()
-		now, listed := ctl.set.Clock.Now(), ctl.View().listed
-		age := now - listed.asOf
-		if listed.from == "" || age <= maxSendListAge {
-			return
-		}
-		span, isFirst := ctl.listWait.left(listed.asOf, now)
-		if isFirst {
-			ctl.set.Meter.CountEvent(meter.EventListAwaited)
-			ctl.set.Log.Info().Str("from", listed.from).Int64("list_age_ms", int64(age)).Msg("requests wait for a newer list of endpoints")
-		}
-		if span <= 0 {
+		confirmed, now := *ctl.listConfirmed.Load(), ctl.set.Clock.Now()
+		until = min(until, now+ctl.listWait(now))
+		if now >= until {
 			return
 		}
-		tmr := time.NewTimer(span.Duration())
+		tmr := time.NewTimer((until - now).Duration())
 		select {
 		case <-confirmed:
 		case <-tmr.C:
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -100,10 +100,10 @@
 	// viewChanged is closed, and replaced, when a view with another plan or other endpoints is
 	// stored.
 	viewChanged atomic.Pointer[chan struct{}]
-	// listConfirmed is closed, and replaced, when a view with a more recently read list of endpoints is stored;
-	// listWait is how long requests wait for that.
+	// listConfirmed is closed, and replaced, when a view with a more recently read list of endpoints is stored.
 	listConfirmed atomic.Pointer[chan struct{}]
-	listWait      listWait
+	// steppedAt is when the control loop made its last step, resumedAt when it went on after a pause of the process.
+	steppedAt, resumedAt atomic.Int64
 	// storeContacted fires once the store has been asked for documents, membersLoaded once the
 	// instance entries have been read or another instance has sent its whole state.
 	storeContacted *signal
@@ -177,6 +177,7 @@
 }
 
 func (ctl *Control) step(now clock.Milli) {
+	ctl.recordStep(now)
 	load := ctl.load.Load()
 	if ctl.set.Relayed != nil {
 		load += ctl.set.Relayed()
