pkg/member: suspicions send additional probes in a mesh alone

With 195 instances a lost one is probed by eight neighbours, and others tell of it; more suspicions at once only move coordinators about.

Larger systems are as before.

--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -54,7 +54,7 @@
 	MaxUpdates = 6
 	MaxEnded   = 24
 	// ExtraProbes additional probes are sent, ExtraProbeGap apart, when a member joins,
-	// leaves, ends or is suspected, so that the update reaches all instances within a second: each passes
+	// leaves or ends, or is suspected in a mesh, so that the update reaches all instances within a second: each passes
 	// it on to three more, 86 members in four rounds. Regular probes alone take a quarter
 	// of a minute. The long-term rate of additional probes is one per ExtraProbePeriod,
 	// with bursts of extraProbeBurst.
@@ -437,12 +437,12 @@
 			}
 		case now-pnd.sent >= Period:
 			delete(lst.pending, target)
-			isNew := lst.suspect(target, now)
-			if isNew {
-				// Others may have been lost with it, and each would be probed in its turn only.
+			// Others may have been lost with it, and a mesh is probed in turn. In a larger system others tell of them.
+			alarm := lst.suspect(target, now) && lst.IsMesh()
+			if alarm {
 				lst.extraBudget = max(lst.extraBudget, ExtraProbes)
 			}
-			if isNew || pnd.requested {
+			if alarm || pnd.requested {
 				lst.extraProbes = ExtraProbes
 			}
 		}
