internal/front: a large answer is not written behind another engine's stream

What callers saw: some events of a stream that broke off, then a body of over 1 MiB that another engine gave in place of the rest, ended as a complete 200. Cause: forward broke such a stream off only where the whole body had been read; a longer one went to forwardLarge, which writes a head and the body without asking whether a response has begun.

--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -38,6 +38,10 @@
 	case err != nil:
 		run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
 		return run.bodyFailed(ctx, tgt, took, err, true)
+	case len(body) > maxBufferedBody && cl.out.headSent:
+		run.bodyEnded(tgt, rsp, ending.Unread, 0)
+		run.release(tgt, statusOutcome(rsp.Status), took)
+		return notResumed(), false
 	case len(body) > maxBufferedBody:
 		return run.forwardLarge(ctx, tgt, rsp, body, began), false
 	}
@@ -51,8 +55,7 @@
 		}
 	}
 	if cl.out.headSent {
-		// The endpoint that was to resume the stream answered with something else.
-		return outcm.New(outcm.Unknown, outcm.StreamCut, "the stream could not be resumed"), false
+		return notResumed(), false
 	}
 	if cl.out.writeBuffered(rsp, body) != nil {
 		return outcm.New(outcm.Unknown, outcm.CallerGone, "the caller disconnected"), false
@@ -60,6 +63,12 @@
 	return outcm.OK(), false
 }
 
+// notResumed returns the result of a stream that has begun if the endpoint that was to resume it answered with
+// something else, of which nothing may follow the events that the caller has.
+func notResumed() outcm.Result {
+	return outcm.New(outcm.Unknown, outcm.StreamCut, "the stream could not be resumed")
+}
+
 // bodyEnded counts how the body of an answer ended, and logs it unless it is certainly complete. tail is
 // the number of bytes after the last whole event of a stream.
 func (run *finalRun) bodyEnded(tgt coord.Placement, rsp *relay.Response, end ending.BodyEnd, tail int) {
