--- a/pkg/plan/draft.go
+++ b/pkg/plan/draft.go
@@ -164,6 +164,10 @@
 			wsp.priority, wsp.hasPriority = *raw.Priority, true
 		}
 		for _, tkn := range raw.Tokens {
+			if tkn == "" {
+				fts = append(fts, Error.New("workspaces[%d] %q: a token is empty", i, raw.Name))
+				continue
+			}
 			if other, ok := pln.tokens[tkn]; ok && other.name != raw.Name {
 				fts = append(fts, Error.New("workspaces[%d] %q: token already belongs to workspace %q", i, raw.Name, other.name))
 				continue
--- a/pkg/plan/plan_test.go
+++ b/pkg/plan/plan_test.go
@@ -97,6 +97,17 @@
 	gom.Expect(pln.RequiresToken()).To(gomega.BeFalse())
 }
 
+// Guards against an empty token, by which callers without any would be a workspace.
+func TestEmptyTokenBelongsToNobody(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	pln, fts := Compile(Draft{Workspaces: []DraftWorkspace{{Name: "corella", Tokens: []string{"", "k1"}}}})
+	gom.Expect(fts).To(gomega.ConsistOf(gomega.MatchError(gomega.ContainSubstring(`workspaces[0] "corella": a token is empty`))))
+	_, ok := pln.Workspace("")
+	gom.Expect(ok).To(gomega.BeFalse())
+	_, ok = pln.Workspace("k1")
+	gom.Expect(ok).To(gomega.BeTrue())
+}
+
 // TestRanks guards against equal urgency of all requests if all workspaces have the same
 // priority, as in most documents: they are ranked by route then. All requests of a
 // workspace with a better priority go first.
