internal/coord, internal/front: a stream known by its request alone is resumed only where others confirm its build

What callers saw (an operator's report): during a release a stream that had begun at the new build, through other instances, was taken up at an instance out of step and went on at the old build. Cause: that instance had begun an earlier stream of the same request, at the old build, and believed its own binding without a question; its list of endpoints and the builds that it had heard of were as old. Change: such a stream goes on only if most holders of the pool's bindings, or most of the instances that can be asked, confirm where it began, and none of them knows of another build. Alone, an instance goes by what it knows while its list is recent. Streams that are named by their attempt are as before: an attempt begins one stream.

--- a/internal/coord/bindings.go
+++ b/internal/coord/bindings.go
@@ -27,8 +27,6 @@
 	// reportRepeat is how long a coordinator has to answer a report before the bindings in it are sent to
 	// the other holders as well: it may have ended, and this instance may end next.
 	reportRepeat = 100 * clock.Milli(1)
-	// findTimeout bounds the query for a binding, of the holders and again of others.
-	findTimeout = 50 * time.Millisecond
 	// handoverInterval is the interval at which the holders of each pool are compared with earlier ones.
 	handoverInterval = 500 * time.Millisecond
 	// maxMessageBindings bounds the bindings in one message.
@@ -41,31 +39,6 @@
 	Bindings []sticky.Binding `cbor:"2,keyasint"`
 }
 
-// bindingQuery asks for the binding of a stream in one of several pools.
-type bindingQuery struct {
-	Pools []string   `cbor:"1,keyasint"`
-	Key   sticky.Key `cbor:"2,keyasint"`
-}
-
-// Bound is where a stream began. The zero value is that of an unknown stream.
-type Bound struct {
-	Pool  string `cbor:"1,keyasint,omitempty"`
-	Build string `cbor:"2,keyasint,omitempty"`
-	// Known is set if there is a binding; without a build it is contradictory.
-	Known bool `cbor:"3,keyasint,omitempty"`
-}
-
-// merge returns what two instances know of a stream together.
-func (bnd Bound) merge(oth Bound) Bound {
-	switch {
-	case !bnd.Known:
-		return oth
-	case !oth.Known || oth == bnd:
-		return bnd
-	}
-	return Bound{Known: true}
-}
-
 // poolBindings has the bindings of a pool's streams, and copies that are to be sent to the holders.
 type poolBindings struct {
 	sticky.Replica
@@ -203,75 +176,6 @@
 	return peer.Message{Kind: peer.OK, From: crd.set.Control.Self()}
 }
 
-// FindStream returns where a stream began that may have begun in one of several pools. The holders are asked,
-// and some other instances if no holder knows it.
-func (crd *Coordinator) FindStream(ctx context.Context, pools []string, key sticky.Key) Bound {
-	qry := bindingQuery{Pools: pools, Key: key}
-	now := crd.set.Clock.Now()
-	if bnd := crd.bindings.find(qry, now); bnd.Known || crd.set.Link == nil {
-		return bnd
-	}
-	select {
-	case <-crd.joined:
-	case <-crd.set.Control.MembersKnown():
-	case <-ctx.Done():
-		return Bound{}
-	}
-	for _, part := range []func([]ident.Incarnation) []ident.Incarnation{sticky.Holders, sticky.Others} {
-		var list []ident.Incarnation
-		for _, pool := range pools {
-			for _, inc := range part(crd.set.Ranking(pool)) {
-				if inc != crd.set.Control.Self() && !slices.Contains(list, inc) {
-					list = append(list, inc)
-				}
-			}
-		}
-		if bnd := crd.askBindings(ctx, list, qry); bnd.Known {
-			return bnd
-		}
-	}
-	return Bound{}
-}
-
-// askBindings asks instances for a binding, and merges their answers.
-func (crd *Coordinator) askBindings(ctx context.Context, list []ident.Incarnation, qry bindingQuery) Bound {
-	body, err := cbor.Marshal(qry)
-	if err != nil || len(list) == 0 {
-		return Bound{}
-	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	answers := make(chan Bound, len(list))
-	for _, inc := range list {
-		go func() {
-			var bnd Bound
-			ans, err := crd.set.Link.Call(ctx, inc.Addr(), peer.Message{Kind: peer.FindBinding, From: crd.set.Control.Self(), To: inc, Body: body})
-			if err != nil || ans.Kind != peer.OK || cbor.Unmarshal(ans.Body, &bnd) != nil {
-				bnd = Bound{}
-			}
-			answers <- bnd
-		}()
-	}
-	var bnd Bound
-	for range list {
-		bnd = bnd.merge(<-answers)
-	}
-	return bnd
-}
-
-// HandleFind answers the query for a binding; it is registered with the link.
-func (crd *Coordinator) HandleFind(msg peer.Message) peer.Message {
-	ans := peer.Message{Kind: peer.Nack, From: crd.set.Control.Self()}
-	var qry bindingQuery
-	if cbor.Unmarshal(msg.Body, &qry) != nil {
-		return ans
-	}
-	if body, err := cbor.Marshal(crd.bindings.find(qry, crd.set.Clock.Now())); err == nil {
-		ans.Kind, ans.Body = peer.OK, body
-	}
-	return ans
-}
-
 // HandOverBindings sends new holders of bindings what they lack, until the context ends.
 func (crd *Coordinator) HandOverBindings(ctx context.Context) {
 	tkr := time.NewTicker(handoverInterval)
--- a/internal/coord/bindings_test.go
+++ b/internal/coord/bindings_test.go
@@ -137,3 +137,42 @@
 	gom.Expect(bds.find(bindingQuery{Pools: []string{"engines"}, Key: key}, 0)).To(gomega.Equal(one))
 	gom.Expect(bds.find(bindingQuery{Pools: []string{"engines", "others"}, Key: key}, 0)).To(gomega.Equal(none))
 }
+
+// Guards against a stream without a name that goes on by the word of too few instances, or of one that is cut off from all
+// and from the store, and against one that is refused although most of the holders answer.
+func TestUnnamedStreamsNeedConfirmation(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bps := newBindingPeers(t, 3)
+	key, engines := sticky.KeyOf("a request"), []string{"engines"}
+	bps.crds[0].bindings.begin("engines", []sticky.Binding{{Key: key, Build: "v1"}}, bps.crds[0].set.Clock.Now())
+	self, one, two := bps.ids[0], bps.ids[1], bps.ids[2]
+	gone, lost := ident.NewIncarnation("127.0.0.1:9"), ident.NewIncarnation("127.0.0.1:10")
+	for _, tst := range []struct {
+		ranking []ident.Incarnation
+		known   bool
+	}{
+		{[]ident.Incarnation{self, one, two}, true},
+		{[]ident.Incarnation{self, one, gone}, true},
+		{[]ident.Incarnation{one, two, gone, self}, true},
+		{[]ident.Incarnation{gone, lost, one, two, self}, true},
+		{[]ident.Incarnation{self, gone, lost}, false},
+		{[]ident.Incarnation{gone, lost, one, self}, false},
+		{[]ident.Incarnation{self}, false},
+	} {
+		bps.rank(tst.ranking...)
+		ask := func() bool {
+			bnd, _ := bps.crds[0].FindUnnamed(t.Context(), engines, key)
+			return bnd.Known
+		}
+		if tst.known {
+			// The first call to a peer takes a handshake.
+			gom.Eventually(ask, soon).Should(gomega.BeTrue(), "%v", tst.ranking)
+		} else {
+			gom.Expect(ask()).To(gomega.BeFalse(), "%v", tst.ranking)
+		}
+	}
+	bps.rank(self, one, two)
+	bps.crds[2].bindings.begin("engines", []sticky.Binding{{Key: key, Build: "v2"}}, bps.crds[2].set.Clock.Now())
+	bnd, _ := bps.crds[0].FindUnnamed(t.Context(), engines, key)
+	gom.Expect(bnd).To(gomega.Equal(Bound{Known: true}))
+}
--- a/internal/front/resume.go
+++ b/internal/front/resume.go
@@ -32,24 +32,34 @@
 		return nxt(ctx, cl)
 	}
 	began := fr.set.Clock.Now()
-	fnd := fr.coord.FindStream(ctx, targetPools(cl), cl.resumedKey())
-	res := fr.bindResumed(cl, fnd)
+	fnd, onlyBuild := fr.findResumed(ctx, cl)
+	res := fr.bindResumed(cl, fnd, onlyBuild)
 	fr.set.Log.Info().Str("request", cl.ask.ID).Str("resumes", cl.ask.Resumes).Str("after", cl.ask.LastEvent).Str("pool", fnd.Pool).Str("build", fnd.Build).
-		Bool("known", fnd.Known).Int64("find_ms", int64(fr.set.Clock.Since(began))).Str("refused", res.Reason().String()).Msg("stream is to be resumed")
+		Bool("known", fnd.Known).Bool("only_build", onlyBuild).Int64("find_ms", int64(fr.set.Clock.Since(began))).Str("refused", res.Reason().String()).Msg("stream is to be resumed")
 	if res.Outcome() != outcm.Pending {
 		return res
 	}
 	return nxt(ctx, cl)
 }
 
-// bindResumed binds a request to where its stream began, or refuses it.
-func (fr *Front) bindResumed(cl *call, fnd coord.Bound) outcm.Result {
+// findResumed returns where the stream of a request began, and whether other instances know of no other build since. That isn't
+// asked if the request names the attempt that began the stream.
+func (fr *Front) findResumed(ctx context.Context, cl *call) (fnd coord.Bound, onlyBuild bool) {
+	if cl.ask.Resumes != "" {
+		return fr.coord.FindStream(ctx, targetPools(cl), cl.attemptKey(cl.ask.Resumes)), true
+	}
+	return fr.coord.FindUnnamed(ctx, targetPools(cl), cl.requestKey())
+}
+
+// bindResumed binds a request to where its stream began, or refuses it. onlyBuild is set if other instances know of no
+// other build.
+func (fr *Front) bindResumed(cl *call, fnd coord.Bound, onlyBuild bool) outcm.Result {
 	switch {
 	case fnd.Build == "":
 		return outcm.New(outcm.NotRun, outcm.BuildUnknown, "it is not known which build began the stream")
 	case !fr.pools.HasBuild(fnd.Pool, fnd.Build):
 		return outcm.New(outcm.NotRun, outcm.BuildGone, "no endpoint of the build that began the stream serves: "+strconv.Quote(fnd.Build))
-	case cl.ask.Resumes == "" && !fr.isOnlyBuild(fnd.Pool, fnd.Build):
+	case cl.ask.Resumes == "" && !(onlyBuild && fr.isOnlyBuild(fnd.Pool, fnd.Build)):
 		return outcm.New(outcm.NotRun, outcm.BuildUnknown, "the request doesn't name the attempt that began the stream, and several builds serve, or did lately")
 	}
 	cl.bound = binding{is: true, pool: fnd.Pool, build: fnd.Build}
@@ -71,14 +81,6 @@
 	return list
 }
 
-// resumedKey returns the name of the stream that a request resumes.
-func (cl *call) resumedKey() sticky.Key {
-	if cl.ask.Resumes != "" {
-		return cl.attemptKey(cl.ask.Resumes)
-	}
-	return cl.requestKey()
-}
-
 // attemptKey returns the name of a stream by the attempt that began it. Attempts of other workspaces have
 // other keys.
 func (cl *call) attemptKey(id string) sticky.Key { return sticky.KeyOf("attempt", cl.wsp, id) }
--- a/internal/state/awaitlist.go
+++ b/internal/state/awaitlist.go
@@ -34,7 +34,7 @@
 // listWait returns how long a request that arrives now waits for a newer list of endpoints, zero unless the process has
 // just been paused: the list from before an outage of the store is used as it is.
 func (ctl *Control) listWait(now clock.Milli) clock.Milli {
-	if listed := ctl.View().listed; listed.from == "" || now-listed.asOf <= maxSendListAge {
+	if vw := ctl.View(); vw.listed.from == "" || vw.HasRecentList(now) {
 		return 0
 	}
 	stepped, resumed := clock.Milli(ctl.steppedAt.Load()), clock.Milli(ctl.resumedAt.Load())
@@ -44,6 +44,10 @@
 	return max(resumed+maxListWait-now, 0)
 }
 
+// HasRecentList reports whether the list of endpoints is recent enough for requests to be sent by it whatever has happened
+// since.
+func (vw *View) HasRecentList(now clock.Milli) bool { return vw.ListAge(now) <= maxSendListAge }
+
 // AwaitList waits for a list of endpoints by which requests may be sent. It returns at once unless the process has just
 // been paused, and soon if the store can't be read.
 func (ctl *Control) AwaitList(ctx context.Context) {
--- a/internal/state/builds.go
+++ b/internal/state/builds.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -31,8 +33,8 @@
 // servedBuilds has the builds of each pool that were listed lately.
 type servedBuilds map[string]map[string]bool
 
-// buildName returns a build, or a digest of one that is too long to be stored.
-func buildName(build string) string {
+// BuildName returns the name by which instances tell one another of a build: a digest of one that is too long to be stored.
+func BuildName(build string) string {
 	if len(build) <= maxBuildName {
 		return build
 	}
@@ -40,7 +42,7 @@
 }
 
 // buildKey returns the key of the fact on a build of a pool.
-func buildKey(pool, build string) string { return pool + "\x00" + buildName(build) }
+func buildKey(pool, build string) string { return pool + "\x00" + BuildName(build) }
 
 // readBuilds returns the builds that facts describe.
 func readBuilds(facts []gossip.Fact) servedBuilds {
@@ -80,9 +82,20 @@
 		return false
 	}
 	for oth := range vw.served[pool] {
-		if oth != buildName(build) {
+		if oth != BuildName(build) {
 			return false
 		}
 	}
 	return true
 }
+
+// KnownBuilds returns the names of the builds that endpoints of a pool have, or had lately.
+func (vw *View) KnownBuilds(pool string) []string {
+	names := slices.Collect(maps.Keys(vw.served[pool]))
+	for _, ep := range vw.endpoints {
+		if name := BuildName(ep.Build); ep.Pool == pool && ep.Build != "" && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
