internal/bounds, internal/front, internal/relay: answers in progress share a budget of memory

What callers saw (an operator's report): answers without end took all memory of the instance that read them, and other callers' requests ended with it. Change: a budget (32 MB, an eighth of memory_mb if less) for what answers hold beyond 16 kB; a body that finds none is passed on as it comes, an event breaks its stream off; what was read ahead is given back once sent. A refusal of requests while the budget is used up was weighed and not taken: one bad endpoint would have all others' callers refused.

--- a/internal/front/final.go
+++ b/internal/front/final.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/coord"
 	"amaranthvalve/internal/relay"
 	"amaranthvalve/pkg/clock"
@@ -52,6 +53,7 @@
 		run.lastEvent = ""
 	}
 	defer run.releaseNext()
+	defer run.keep(nil)
 	for {
 		tgt, res := run.findPlacement(ctx)
 		if res.Outcome() != outcm.Pending {
@@ -98,6 +100,15 @@
 type bufferedResponse struct {
 	rsp  *relay.Response
 	body []byte
+	held bounds.Held
+}
+
+// keep replaces the fallback.
+func (run *finalRun) keep(rsp *bufferedResponse) {
+	if run.fallback != nil {
+		run.fallback.held.Release()
+	}
+	run.fallback = rsp
 }
 
 // slotWait returns how long a request waits for a slot at a full pool.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -22,6 +22,9 @@
 // bytes.
 const maxBufferedBody = 1 << 20
 
+// forwardBytes is the size of the parts in which a longer response is forwarded.
+const forwardBytes = bounds.FreeBytes
+
 // forward sends an endpoint's response on to the caller.
 func (run *finalRun) forward(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
 	fr, cl := run.fr, run.cl
@@ -32,24 +35,27 @@
 		fr.releaseResults(cl, allStages)
 		return run.forwardStream(ctx, tgt, rsp, began)
 	}
-	body, err := io.ReadAll(io.LimitReader(rsp.Body, maxBufferedBody+1))
+	held := fr.set.AnswerBudget.Hold()
+	defer held.Release()
+	body, isWhole, err := held.ReadWhole(rsp.Body, maxBufferedBody)
 	took := fr.set.Clock.Since(began)
 	switch {
 	case err != nil:
 		run.bodyEnded(tgt, rsp, ending.BrokenOff, 0)
 		return run.bodyFailed(ctx, tgt, took, err, true)
-	case len(body) > maxBufferedBody && cl.out.headSent:
+	case !isWhole && cl.out.headSent:
 		run.bodyEnded(tgt, rsp, ending.Unread, 0)
 		run.release(tgt, statusOutcome(rsp.Status), took)
 		return notResumed(), false
-	case len(body) > maxBufferedBody:
-		return run.forwardLarge(ctx, tgt, rsp, body, began), false
+	case !isWhole:
+		return run.forwardLarge(ctx, tgt, rsp, body, &held, began), false
 	}
 	run.bodyEnded(tgt, rsp, ending.Whole, 0)
 	fr.judgeEnd(cl, tgt, rsp)
 	run.release(tgt, statusOutcome(rsp.Status), took)
 	if rsp.Status >= http.StatusInternalServerError && cl.route.Repeatable() && !cl.out.headSent {
-		run.fallback = &bufferedResponse{rsp: rsp, body: body}
+		run.keep(&bufferedResponse{rsp: rsp, body: body, held: held})
+		held = bounds.Held{}
 		if res, again := run.afterFailure(ctx, ending.Cut); again {
 			return res, true
 		}
@@ -113,8 +119,9 @@
 	fr.set.Log.Warn().Err(err).Str("request", cl.ask.ID).Str("endpoint", string(tgt.ID)).Str("pool", cl.pool.Name()).Msg("answer of endpoint exceeds a bound")
 }
 
-// forwardLarge forwards a response that is too long to be buffered, of which the first part has been read.
-func (run *finalRun) forwardLarge(ctx context.Context, tgt coord.Placement, rsp *relay.Response, part []byte, began clock.Milli) outcm.Result {
+// forwardLarge forwards a response that is too long to be buffered, of which the first part has been read. Once that is sent
+// it is no longer held.
+func (run *finalRun) forwardLarge(ctx context.Context, tgt coord.Placement, rsp *relay.Response, part []byte, held *bounds.Held, began clock.Milli) outcm.Result {
 	fr, out := run.fr, run.cl.out
 	out.writeHead(rsp, int(rsp.Length))
 	var err error
@@ -127,6 +134,10 @@
 		if err != nil {
 			break
 		}
+		if cap(part) > forwardBytes {
+			part = make([]byte, forwardBytes)
+			held.Release()
+		}
 		var n int
 		n, err = rsp.Body.Read(part[:cap(part)])
 		part = part[:n]
@@ -163,6 +174,7 @@
 		}
 	}
 	evs := relay.NewEventReader(rsp.Body)
+	defer evs.TakeFrom(fr.set.AnswerBudget)()
 	last := fr.set.Clock.Now()
 	var err error
 	for {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/chain"
 	"amaranthvalve/internal/coord"
 	"amaranthvalve/internal/meter"
@@ -42,6 +43,8 @@
 	RankAdmission bool
 	// TokenMaxViewAge is the maximum age of a view whose tokens are accepted.
 	TokenMaxViewAge clock.Milli
+	// AnswerBudget bounds the bytes that all answers in progress hold together; nil for no bound.
+	AnswerBudget *bounds.Budget
 	// HedgeShare is the extra work that hedged requests may cause, as a share of the requests; zero for none.
 	HedgeShare float64
 }
--- a/internal/node/flood_test.go
+++ b/internal/node/flood_test.go
@@ -10,12 +10,15 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
 	"amaranthvalve/internal/meter"
+	"amaranthvalve/internal/sever"
+	"amaranthvalve/internal/stand"
 	"amaranthvalve/pkg/clock"
 	"amaranthvalve/platform/fake"
 )
@@ -189,3 +192,93 @@
 	runtime.ReadMemStats(&mem)
 	return int64(mem.HeapAlloc)
 }
+
+const (
+	// floodedEndpoints answer without end, each to as many requests as an instance sends to one at first.
+	floodedEndpoints = 40
+	// smallMemory is the memory of the smallest instances, in MB. Seven tenths of it are the runtime's soft limit, of which
+	// controlMemory MB are for what an instance holds without requests; floodMemory bytes are left for requests.
+	smallMemory, controlMemory = 144, 32
+	floodMemory                = (smallMemory*7/10 - controlMemory) << 20
+)
+
+// stalledBytes is what a stalledBody sends, less than what an instance reads of a body before it passes it on.
+const stalledBytes = 900 << 10
+
+// stalledBody is an endpoint that sends a part of each answer and nothing more.
+type stalledBody struct{ served atomic.Int64 }
+
+func (stb *stalledBody) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(fake.HeaderRequestID)
+	wrt.Header().Set(fake.HeaderRequestID, id)
+	wrt.Header().Set(fake.HeaderSignature, "sig-"+id)
+	_, _ = wrt.Write(make([]byte, stalledBytes))
+	_ = http.NewResponseController(wrt).Flush()
+	stb.served.Add(1)
+	<-req.Context().Done()
+}
+
+// addFlooded replaces the endpoints of bookings by others that answer without end, or stall for no flood. It returns a function
+// that counts these answers.
+func (tbd *testbed) addFlooded(fld fake.Flood) (count func() int64) {
+	var bad []*fake.Endpoint
+	var names []string
+	stb := &stalledBody{}
+	for i := range floodedEndpoints {
+		names = append(names, fmt.Sprint("bad-", i))
+		if fld != fake.NoFlood {
+			bad = append(bad, tbd.add("bookings", names[i]))
+			continue
+		}
+		srv, err := stand.Serve(anyAddress, stb)
+		expect(err).NotTo(anything())
+		tbd.cleanup(srv.Close)
+		tbd.putEntry("bookings", names[i], srv.Addr(), false)
+	}
+	flood(bad, fld, 0)
+	for _, ep := range tbd.plain {
+		tbd.store.RemoveEndpoint(ep.ID())
+	}
+	eventually(func() bool { return tbd.lists(0, "bookings", names...) }, pollTimeout).Should(gomega.BeTrue())
+	return func() int64 {
+		sum := stb.served.Load()
+		for _, ep := range bad {
+			sum += ep.Flooded()
+		}
+		return sum
+	}
+}
+
+var _ = ginkgo.Describe("many answers without end at once", func() {
+	for _, tst := range []struct {
+		flood   fake.Flood
+		relayed bool
+	}{{fake.CloseBody, false}, {fake.ChunkedBody, true}, {fake.NoFlood, false}} {
+		// Guards against an instance that runs out of memory, since each answer has a bound and all together have none:
+		// callers that read slowly, and endpoints that stall, have it hold what was read.
+		ginkgo.It(fmt.Sprintf("take no more memory than a bound, and other callers are served; flood %d, relayed: %t", tst.flood, tst.relayed), func() {
+			tbd := setUp(&testbed{
+				shutdownTimeout: 8 * clock.Second, tokenMaxViewAge: clock.Minute, moreSettings: fmt.Sprintf("memory_mb = %d\n", smallMemory),
+				cleanup: func(work func()) { ginkgo.DeferCleanup(work) },
+			}, 0)
+			prts := tbd.startPartitioned(2)
+			if tst.relayed {
+				prts[0].Set(sever.Refuses, sever.Open)
+			}
+			flooded := tbd.addFlooded(tst.flood)
+			before, peak := heapBytes(), int64(0)
+			for i := range floodedEndpoints * initialSlots {
+				cal := dialRaw(tbd.nodes[0].set.CallerAddr())
+				ginkgo.DeferCleanup(cal.con.Close)
+				_, _ = io.WriteString(cal.con, requestText("1.1", "/booking/x", fmt.Sprintf("slow-%d-%d", tst.flood, i), fmt.Sprint("body ", i)))
+			}
+			for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); {
+				peak = max(peak, heapBytes()-before)
+				expect(tbd.send(0, request{path: "/stream-once/x"}).status).To(equal(http.StatusOK))
+			}
+			ginkgo.GinkgoWriter.Printf("flood %d: the heap grew by %d kB, %d requests were answered without end\n", tst.flood, peak>>10, flooded())
+			expect(flooded()).To(gomega.BeNumerically(">", floodedEndpoints))
+			expect(peak).To(gomega.BeNumerically("<", floodMemory))
+		})
+	}
+})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"amaranthvalve/internal/batch"
+	"amaranthvalve/internal/bounds"
 	"amaranthvalve/internal/conf"
 	"amaranthvalve/internal/coord"
 	"amaranthvalve/internal/dial"
@@ -53,6 +54,10 @@
 	entryTTLSlack = clock.Second
 	// shutdownPollInterval is the interval at which a shutdown checks for remaining work.
 	shutdownPollInterval = 50 * time.Millisecond
+	// maxAnswerBytes bounds what all answers in progress hold together, in bytes, and answerMemoryDivisor what they may take
+	// of the memory limit: most of that is for the control state, and for what the collector has not freed yet.
+	maxAnswerBytes      = 32 << 20
+	answerMemoryDivisor = 8
 	// shutdownFlush is how long a shutdown waits for the delivery of the last messages.
 	shutdownFlush = 50 * clock.Milli(1)
 )
@@ -221,9 +226,18 @@
 		RankAdmission:   nod.set.RankAdmission() || dia.WantsRankAdmission != nil && dia.WantsRankAdmission(nod.set.Policies()),
 		HedgeShare:      nod.set.HedgeShare(),
 		TokenMaxViewAge: clock.Milli(tokenAgeShare * float64(nod.set.TokenMaxViewAge())),
+		AnswerBudget:    bounds.NewBudget(answerBytes(nod.set.MemoryLimit())),
 	})
 }
 
+// answerBytes returns how many bytes all answers in progress may hold together under a memory limit, zero for none.
+func answerBytes(limit int64) int64 {
+	if limit <= 0 {
+		return maxAnswerBytes
+	}
+	return min(maxAnswerBytes, limit/answerMemoryDivisor)
+}
+
 // dialAllowed opens a connection for calls of this instance itself. Opening one takes up to a second, in which
 // the data centre may be evacuated, or the endpoint become known to leave.
 func (nod *Node) dialAllowed(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -18,20 +18,31 @@
 // one; a partial event is not returned, so that it does not reach the caller and the stream can be
 // resumed elsewhere after the last whole one.
 type EventReader struct {
-	rdr io.Reader
-	buf []byte
+	rdr  io.Reader
+	held bounds.Held
+	buf  []byte
 	// lines is the length of the whole lines at the beginning of buf, none of which is empty; seen is the
 	// length of what is known to have no end of a line after them.
 	lines, seen int
 	err         error
 }
 
+// errEventsExceeded is returned where the budget has no bytes for a long event.
+var errEventsExceeded = &bounds.Error{What: "an event, while the budget of all answers is used up,", Bytes: bounds.FreeBytes}
+
 // ErrInsideEvent means that a stream ended inside an event, whatever its framing says.
 var ErrInsideEvent = errors.New("the stream ended inside an event")
 
 // NewEventReader returns a reader of the events of a stream.
 func NewEventReader(rdr io.Reader) *EventReader { return &EventReader{rdr: rdr} }
 
+// TakeFrom has what the reader holds taken from a budget, until the returned function is called. It must be called before
+// anything is read.
+func (evr *EventReader) TakeFrom(budget *bounds.Budget) (release func()) {
+	evr.held = budget.Hold()
+	return evr.held.Release
+}
+
 // Next returns the next event with the empty line that ends it. At the end of a stream it returns comments
 // that follow the last event, and then io.EOF, or [ErrInsideEvent] if anything else follows. Any other
 // error means that the stream was cut.
@@ -65,7 +76,10 @@
 }
 
 func (evr *EventReader) read() {
-	evr.grow()
+	if !evr.grow() {
+		evr.err = errEventsExceeded
+		return
+	}
 	n, err := evr.rdr.Read(evr.buf[len(evr.buf):cap(evr.buf)])
 	evr.buf = evr.buf[:len(evr.buf)+n]
 	evr.err = err
@@ -75,16 +89,18 @@
 }
 
 // grow makes room for a read. The buffer grows by doubling, and from half of the longest event to its bound at once: old
-// and new one together take one and a half times that bound at most.
-func (evr *EventReader) grow() {
+// and new one together take one and a half times that bound at most. It returns false if the budget has no bytes for it.
+func (evr *EventReader) grow() bool {
 	if cap(evr.buf)-len(evr.buf) >= minRead {
-		return
+		return true
 	}
 	size := max(2*cap(evr.buf), len(evr.buf)+minRead)
 	if size > maxEventBytes/2 {
 		size = maxEventBytes + minRead
 	}
-	evr.buf = append(make([]byte, 0, size), evr.buf...)
+	larger, ok := evr.held.Grow(evr.buf, size)
+	evr.buf = larger
+	return ok
 }
 
 // eventEnd returns the length of the first whole event, zero if there is none. Lines end with a line feed,
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -121,3 +121,26 @@
 	gom.Expect(bounds.Exceeded(evr.err)).To(gomega.BeTrue())
 	gom.Expect(len(evr.buf)).To(gomega.Equal(maxEventBytes + 1))
 }
+
+// Guards against long events that hold more than the common budget of all answers, against short ones that are cut for
+// want of it, and against bytes that are never given back.
+func TestEventsShareBudget(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	bgt := bounds.NewBudget(1)
+	evr := NewEventReader(strings.NewReader("data: " + strings.Repeat("x", bounds.FreeBytes/4) + "\n\ndata: " + strings.Repeat("x", 2*bounds.FreeBytes) + "\n\n"))
+	release := evr.TakeFrom(bgt)
+	_, err := evr.Next()
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = evr.Next()
+	gom.Expect(bounds.Exceeded(err)).To(gomega.BeTrue(), "%v", err)
+	release()
+	gom.Expect(bgt.Taken()).To(gomega.BeZero())
+	bgt = bounds.NewBudget(maxEventBytes)
+	evr = NewEventReader(strings.NewReader("data: " + strings.Repeat("x", 4*bounds.FreeBytes) + "\n\n"))
+	release = evr.TakeFrom(bgt)
+	_, err = evr.Next()
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	gom.Expect(bgt.Taken()).To(gomega.BeNumerically(">", 0))
+	release()
+	gom.Expect(bgt.Taken()).To(gomega.BeZero())
+}
