internal/state, internal/node: a planned shutdown counts the time in which the process stood still

What callers saw (an operator's report): requests cut without an answer at the end of a planned stop, some that may not be repeated. It happens if the process stood still when SIGTERM came: its time was counted from when it ran again, the platform's from the signal. Change: a shutdown right after a stall of the control loop counts from the stall's begin, since the signal may have come then.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -364,12 +364,17 @@
 // Stop performs a planned shutdown. The instance removes itself from the entries and notifies the
 // other instances. Until cached addresses have expired it serves the requests that are certain
 // to end before the shutdown does and refuses the others; then it finishes the requests in
-// flight. Those that remain when its time is up are aborted, and their callers get an answer.
+// flight. Those that remain when its time is up are aborted, and their callers get an answer. If the process stood still
+// until now, its time counts from the begin of that: whoever asked for the shutdown may have done so then.
 func (nod *Node) Stop(ctx context.Context) {
 	start := nod.clk.Now()
-	end := start + nod.set.ShutdownTimeout() - shutdownMargin
+	asked := start
+	if since, was := nod.ctl.StalledSince(start); was {
+		asked = since
+	}
+	end := asked + nod.set.ShutdownTimeout() - shutdownMargin
 	serveFor := max(entryTTLFactor*clock.Milli(nod.entryTTL.Load()), clock.Milli(nod.oldEntriesUntil.Load())-start) + entryTTLSlack
-	nod.log.Info().Int64("kept_ms", int64(serveFor)).Int64("stop_ms", int64(nod.set.ShutdownTimeout())).Int64("under_way", nod.front.InFlight()).Msg("leaving")
+	nod.log.Info().Int64("kept_ms", int64(serveFor)).Int64("stop_ms", int64(nod.set.ShutdownTimeout())).Int64("late_ms", int64(start-asked)).Int64("under_way", nod.front.InFlight()).Msg("leaving")
 	// The control loop may be busy; requests that arrive meanwhile are bound by the end of the
 	// shutdown too.
 	nod.front.BeginShutdown(end)
--- a/internal/state/awaitlist.go
+++ b/internal/state/awaitlist.go
@@ -15,6 +15,11 @@
 	maxSendListAge = 1900 * clock.Milli(1)
 	// minPause is how long the control loop stands still in a pause of the process: it steps every stepInterval.
 	minPause = clock.Second
+	// minStall is how late a step of the control loop is after a stall, which is shorter than a pause. A planned shutdown
+	// keeps as much in reserve.
+	minStall = 300 * clock.Milli(1)
+	// justEnded is how long after a stall what came meanwhile is handled: two steps of the control loop.
+	justEnded = 2 * clock.Milli(stepInterval/time.Millisecond)
 	// maxListWait is how long requests wait for a newer list after a pause. The list has been read by then, unless the
 	// store can't be read.
 	maxListWait = 500 * clock.Milli(1)
@@ -23,6 +28,10 @@
 // recordStep records that the control loop runs, and whether it goes on after a pause of the process.
 func (ctl *Control) recordStep(now clock.Milli) {
 	before := clock.Milli(ctl.steppedAt.Swap(int64(now)))
+	if before > 0 && now-before >= minStall {
+		ctl.stalledAt.Store(int64(before))
+		ctl.stallEndedAt.Store(int64(now))
+	}
 	if before == 0 || now-before < minPause {
 		return
 	}
@@ -31,6 +40,19 @@
 	ctl.set.Log.Info().Int64("paused_ms", int64(now-before)).Str("list_from", ctl.endpts.listed.from).Int64("list_age_ms", int64(now-ctl.endpts.listed.asOf)).Msg("the process was paused")
 }
 
+// StalledSince returns since when the process stood still until just now, or since when its control loop did for want of
+// processor time; false if neither did. What came meanwhile, such as a signal, may have come at any time since.
+func (ctl *Control) StalledSince(now clock.Milli) (since clock.Milli, was bool) {
+	stepped, ended := clock.Milli(ctl.steppedAt.Load()), clock.Milli(ctl.stallEndedAt.Load())
+	switch {
+	case stepped > 0 && now-stepped >= minStall:
+		return stepped, true
+	case ended > 0 && now-ended < justEnded:
+		return clock.Milli(ctl.stalledAt.Load()), true
+	}
+	return 0, false
+}
+
 // listWait returns how long a request that arrives now waits for a newer list of endpoints, zero unless the process has
 // just been paused: the list from before an outage of the store is used as it is.
 func (ctl *Control) listWait(now clock.Milli) clock.Milli {
--- a/internal/state/awaitlist_test.go
+++ b/internal/state/awaitlist_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
+	"amaranthvalve/internal/meter"
 	"amaranthvalve/internal/proto"
 	"amaranthvalve/pkg/clock"
 )
@@ -74,3 +76,22 @@
 	gom.Expect(awaited(ctl)).To(gomega.And(gomega.BeNumerically(">", maxListWait.Duration()/2), gomega.BeNumerically("<", 2*maxListWait.Duration())))
 	gom.Expect(awaited(ctl) + awaited(ctl) + awaited(ctl)).To(gomega.BeNumerically("<", maxListWait.Duration()/2))
 }
+
+// Guards against a shutdown that counts its time from the end of a pause of the process, and against one that is cut short
+// by a pause of long ago.
+func TestStalledSince(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	ctl := &Control{set: Setup{Log: zerolog.Nop(), Meter: meter.New()}}
+	since := func(now clock.Milli) clock.Milli {
+		at, _ := ctl.StalledSince(now)
+		return at
+	}
+	gom.Expect(since(1000)).To(gomega.BeZero(), "before the first step")
+	ctl.recordStep(1000)
+	gom.Expect(since(1000 + minStall/2)).To(gomega.BeZero())
+	gom.Expect(since(1000 + minStall)).To(gomega.Equal(clock.Milli(1000)))
+	ctl.recordStep(1000 + minStall)
+	gom.Expect(since(1000 + minStall + justEnded/2)).To(gomega.Equal(clock.Milli(1000)))
+	ctl.recordStep(1000 + minStall + justEnded)
+	gom.Expect(since(1000 + minStall + justEnded)).To(gomega.BeZero())
+}
--- a/internal/state/control.go
+++ b/internal/state/control.go
@@ -102,8 +102,9 @@
 	viewChanged atomic.Pointer[chan struct{}]
 	// listConfirmed is closed, and replaced, when a view with a more recently read list of endpoints is stored.
 	listConfirmed atomic.Pointer[chan struct{}]
-	// steppedAt is when the control loop made its last step, resumedAt when it went on after a pause of the process.
-	steppedAt, resumedAt atomic.Int64
+	// steppedAt is when the control loop made its last step, resumedAt when it went on after a pause of the process;
+	// stalledAt and stallEndedAt are the begin and the end of its last stall.
+	steppedAt, resumedAt, stalledAt, stallEndedAt atomic.Int64
 	// storeContacted fires once the store has been asked for documents, membersLoaded once the
 	// instance entries have been read or another instance has sent its whole state.
 	storeContacted *signal
