--- a/internal/coord/bindings_test.go
+++ b/internal/coord/bindings_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
@@ -176,3 +177,19 @@
 	bnd, _ := bps.crds[0].FindUnnamed(t.Context(), engines, key)
 	gom.Expect(bnd).To(gomega.Equal(Bound{Known: true}))
 }
+
+// Guards against answers that instances of earlier versions can't read, and against theirs.
+func TestBindingAnswersAreReadByEarlierVersions(t *testing.T) {
+	gom := gomega.NewWithT(t)
+	want := Bound{Pool: "engines", Build: "v1", Known: true}
+	body, err := cbor.Marshal(bindingAnswer{Bound: want, Builds: map[string][]string{"engines": {"v1", "v2"}}})
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	var earlier Bound
+	gom.Expect(cbor.Unmarshal(body, &earlier)).To(gomega.Succeed())
+	gom.Expect(earlier).To(gomega.Equal(want))
+	body, err = cbor.Marshal(want)
+	gom.Expect(err).NotTo(gomega.HaveOccurred())
+	var ans bindingAnswer
+	gom.Expect(cbor.Unmarshal(body, &ans)).To(gomega.Succeed())
+	gom.Expect(ans).To(gomega.Equal(bindingAnswer{Bound: want}))
+}
