--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -22,8 +22,17 @@
 // bytes.
 const maxBufferedBody = 1 << 20
 
-// forwardBytes is the size of the parts in which a longer response is forwarded.
-const forwardBytes = bounds.FreeBytes
+// forwardBytes is the size of the parts in which a longer response is forwarded, unless the budget of all answers has nothing
+// left for it.
+const forwardBytes = 256 << 10
+
+// forwardPart returns a buffer for the next parts of a response, in place of what was held of it so far.
+func forwardPart(held *bounds.Held) []byte {
+	if held.Release(); held.Resize(forwardBytes) {
+		return make([]byte, forwardBytes)
+	}
+	return make([]byte, bounds.FreeBytes)
+}
 
 // forward sends an endpoint's response on to the caller.
 func (run *finalRun) forward(ctx context.Context, tgt coord.Placement, rsp *relay.Response, began clock.Milli) (outcm.Result, bool) {
@@ -135,8 +144,7 @@
 			break
 		}
 		if cap(part) > forwardBytes {
-			part = make([]byte, forwardBytes)
-			held.Release()
+			part = forwardPart(held)
 		}
 		var n int
 		n, err = rsp.Body.Read(part[:cap(part)])
